--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,67 @@
+/** Lint rules: the Google TypeScript style, and the direction of dependencies. */
+
+import {createRequire} from 'node:module';
+import {defineConfig} from 'eslint/config';
+
+const require = createRequire(import.meta.url);
+const gts = require('gts');
+
+/** Policy code takes clocks, random numbers and networks as arguments. */
+const POLICY_PACKAGES = ['membership', 'routing', 'scheduling'];
+
+/** Modules that policy code must not import. */
+const IO_MODULES = [
+  'ws',
+  'undici',
+  'hono',
+  'hono/*',
+  'winston',
+  'node:net',
+  'node:http',
+  'node:https',
+  'node:fs',
+  'node:child_process',
+];
+
+export default defineConfig([
+  {ignores: ['**/dist/', '**/node_modules/']},
+  ...gts,
+  {
+    files: ['**/*.js'],
+    languageOptions: {
+      sourceType: 'module',
+      globals: {console: 'readonly', process: 'readonly'},
+    },
+  },
+  {
+    files: ['packages/**/*.ts'],
+    languageOptions: {
+      parserOptions: {
+        project: './packages/*/tsconfig.json',
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    rules: {
+      'n/no-missing-import': 'off',
+      'n/no-unpublished-import': 'off',
+      'n/no-extraneous-import': 'off',
+      'n/no-unsupported-features/node-builtins': 'off',
+      'n/no-process-exit': 'off',
+      '@typescript-eslint/explicit-member-accessibility': [
+        'error',
+        {accessibility: 'no-public'},
+      ],
+    },
+  },
+  {
+    files: ['packages/*/test/**/*.ts'],
+    rules: {'@typescript-eslint/no-unused-expressions': 'off'},
+  },
+  {
+    files: POLICY_PACKAGES.map(name => `packages/${name}/src/**/*.ts`),
+    rules: {
+      'no-restricted-imports': ['error', {patterns: IO_MODULES}],
+      'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'Date'],
+    },
+  },
+]);
--- /dev/null
+++ b/tools/run_tests.js
@@ -0,0 +1,56 @@
+/**
+ * Runs all compiled tests with mocha and ends with the line `N passed, N failed`.
+ *
+ * Failures that KNOWN-RED.txt lists are printed and passed over; a listed test
+ * that passes is reported, so that its entry can be removed.
+ */
+
+import {existsSync, readdirSync, readFileSync} from 'node:fs';
+import {join} from 'node:path';
+import Mocha from 'mocha';
+
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+const TEST_PREFIX = 'test: ';
+const TIMEOUT_MS = 120_000;
+
+function getTestFiles() {
+  const files = [];
+  for (const name of readdirSync('packages')) {
+    const folder = join('packages', name, 'dist', 'test');
+    if (!existsSync(folder)) continue;
+    for (const file of readdirSync(folder, {recursive: true})) {
+      if (file.endsWith('.test.js')) files.push(join(folder, file));
+    }
+  }
+  return files;
+}
+
+function readKnownRed() {
+  if (!existsSync(KNOWN_RED_FILE)) return new Set();
+  const lines = readFileSync(KNOWN_RED_FILE, 'utf8').split('\n');
+  const titles = lines
+    .filter(line => line.startsWith(TEST_PREFIX))
+    .map(line => line.slice(TEST_PREFIX.length).trim());
+  return new Set(titles);
+}
+
+const knownRed = readKnownRed();
+const mocha = new Mocha({timeout: TIMEOUT_MS, reporter: 'dot'});
+for (const file of getTestFiles().sort()) mocha.addFile(file);
+await mocha.loadFilesAsync();
+
+const passed = [];
+const failed = [];
+const runner = mocha.run(() => {
+  const unexpected = failed.filter(title => !knownRed.has(title));
+  for (const title of failed) {
+    if (knownRed.has(title)) console.log(`known red: ${title}`);
+  }
+  for (const title of passed) {
+    if (knownRed.has(title)) console.log(`no longer red, remove it: ${title}`);
+  }
+  console.log(`${passed.length} passed, ${unexpected.length} failed`);
+  process.exit(unexpected.length === 0 ? 0 : 1);
+});
+runner.on('pass', test => passed.push(test.fullTitle()));
+runner.on('fail', test => failed.push(test.fullTitle()));
