--- /dev/null
+++ b/packages/base/src/virtual_clock.ts
@@ -0,0 +1,86 @@
+/** A clock that moves only when it is told to. */
+
+import {Clock, Timer} from './clock.js';
+import {PriorityQueue} from './priority_queue.js';
+
+interface PendingTimer {
+  readonly dueMs: number;
+  readonly sequence: number;
+  readonly callback: () => void;
+  isCancelled: boolean;
+}
+
+/** Rounds of microtasks that run between two timers, so that promise chains settle. */
+const MICROTASK_ROUNDS = 40;
+
+/** Deterministic clock for tests: timers fire in order of due time, then of creation. */
+export class VirtualClock extends Clock {
+  private readonly timers = PriorityQueue.create(compareTimers);
+  private sequence = 0;
+
+  private constructor(private currentMs: number) {
+    super();
+  }
+
+  /**
+   * Creates a clock.
+   * @param startMs - First reading in milliseconds.
+   */
+  static create(startMs = 1_000_000): VirtualClock {
+    return new VirtualClock(startMs);
+  }
+
+  override getWallMs(): number {
+    return this.currentMs;
+  }
+
+  override getMonotonicMs(): number {
+    return this.currentMs;
+  }
+
+  override setTimer(delayMs: number, callback: () => void): Timer {
+    const timer: PendingTimer = {
+      dueMs: this.currentMs + Math.max(0, delayMs),
+      sequence: this.sequence++,
+      callback,
+      isCancelled: false,
+    };
+    this.timers.addItem(timer);
+    return {
+      cancel: () => {
+        timer.isCancelled = true;
+      },
+    };
+  }
+
+  /**
+   * Moves time forward, firing every timer that falls due on the way.
+   * @param durationMs - Time to move, in milliseconds.
+   */
+  async advance(durationMs: number): Promise<void> {
+    const endMs = this.currentMs + durationMs;
+    await settle();
+    for (;;) {
+      const next = this.timers.getFirst();
+      if (next === undefined || next.dueMs > endMs) break;
+      this.timers.removeFirst();
+      if (next.isCancelled) continue;
+      this.currentMs = Math.max(this.currentMs, next.dueMs);
+      next.callback();
+      await settle();
+    }
+    this.currentMs = endMs;
+    await settle();
+  }
+}
+
+function compareTimers(left: PendingTimer, right: PendingTimer): number {
+  if (left.dueMs !== right.dueMs) return left.dueMs - right.dueMs;
+  return left.sequence - right.sequence;
+}
+
+async function settle(): Promise<void> {
+  for (let round = 0; round < MICROTASK_ROUNDS; round++) {
+    await Promise.resolve();
+  }
+}
