--- /dev/null
+++ b/packages/telemetry/src/process_metrics.ts
@@ -0,0 +1,86 @@
+/** Metrics in the Prometheus exposition format. */
+
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from 'prom-client';
+
+const LATENCY_BUCKETS_SECONDS = [
+  0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10,
+];
+
+/** Creates and renders the metrics of one process. */
+export class ProcessMetrics {
+  private readonly registry = new Registry();
+
+  private constructor() {}
+
+  /**
+   * Creates a registry.
+   * @param withDefaults - Whether to add processor, memory and event-loop metrics.
+   */
+  static create(withDefaults = true): ProcessMetrics {
+    const metrics = new ProcessMetrics();
+    if (withDefaults) collectDefaultMetrics({register: metrics.registry});
+    return metrics;
+  }
+
+  /**
+   * Adds a counter.
+   * @param name - Metric name that ends in `_total`.
+   * @param help - One-line description.
+   * @param labelNames - Names of the labels.
+   */
+  addCounter<T extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly T[] = [],
+  ): Counter<T> {
+    return new Counter({name, help, labelNames, registers: [this.registry]});
+  }
+
+  /**
+   * Adds a gauge that is read when the metrics are rendered.
+   * @param name - Metric name.
+   * @param help - One-line description.
+   * @param read - Function that gives the current value.
+   */
+  addGauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  /**
+   * Adds a latency histogram in seconds.
+   * @param name - Metric name that ends in `_seconds`.
+   * @param help - One-line description.
+   * @param labelNames - Names of the labels.
+   */
+  addLatencyHistogram<T extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly T[] = [],
+  ): Histogram<T> {
+    return new Histogram({
+      name,
+      help,
+      labelNames,
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers: [this.registry],
+    });
+  }
+
+  /** Gets the metrics as text. */
+  getText(): Promise<string> {
+    return this.registry.metrics();
+  }
+}
