--- /dev/null
+++ b/packages/protocol/src/peer_key.ts
@@ -0,0 +1,70 @@
+/** The shared key that opens inner connections and operator calls. */
+
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {readTextFile} from '@mustardlug/base/settings_reader';
+import {err, ok, Result} from 'neverthrow';
+import {
+  createInvalidInputError,
+  InvalidInputError,
+} from '@mustardlug/base/errors';
+
+const MIN_KEY_LENGTH = 16;
+const PREFIX = 'Bearer ';
+
+/** Keys that are accepted; the first one is sent. */
+export class PeerKey {
+  private constructor(private readonly keys: readonly string[]) {}
+
+  /**
+   * Creates a key set.
+   * @param keys - Accepted keys, the one to send first.
+   */
+  static create(keys: readonly string[]): PeerKey {
+    return new PeerKey(keys);
+  }
+
+  /**
+   * Reads keys from a file, one a line; the first is sent, all are accepted.
+   * @param path - Path of the file.
+   */
+  static read(path: string): Result<PeerKey, InvalidInputError> {
+    return readTextFile(path).andThen(text => {
+      const keys = text
+        .split('\n')
+        .map(line => line.trim())
+        .filter(line => line !== '');
+      const isUsable =
+        keys.length > 0 && keys.every(key => key.length >= MIN_KEY_LENGTH);
+      if (isUsable) return ok(new PeerKey(keys));
+      const problem = {
+        path: '(whole file)',
+        expected: `expected one key a line, each of at least ${MIN_KEY_LENGTH} characters`,
+        remedy: 'write a longer random key into the file',
+      };
+      return err(createInvalidInputError(path, [problem]));
+    });
+  }
+
+  /** Gets the value of the authorization header to send. */
+  getHeader(): string {
+    return PREFIX + this.keys[0];
+  }
+
+  /**
+   * Checks a received authorization header in constant time.
+   * @param header - Value of the header, if any.
+   */
+  isAccepted(header: string | undefined): boolean {
+    if (header === undefined || !header.startsWith(PREFIX)) return false;
+    const received = getHash(header.slice(PREFIX.length));
+    let isFound = false;
+    for (const key of this.keys) {
+      if (timingSafeEqual(received, getHash(key))) isFound = true;
+    }
+    return isFound;
+  }
+}
+
+function getHash(text: string): Buffer {
+  return createHash('sha256').update(text).digest();
+}
