--- /dev/null
+++ b/packages/platform/src/http_platform.ts
@@ -0,0 +1,227 @@
+/** HTTP clients of the platform's table service, object store and VM list. */
+
+import {err, ok, Result} from 'neverthrow';
+import {z} from 'zod';
+import {
+  createConflictError,
+  createNotFoundError,
+  createUnavailableError,
+  UnavailableError,
+} from '@mustardlug/base/errors';
+import {JsonAnswer, JsonClient} from './json_client.js';
+import {ObjectReadError, ObjectStore} from './object_store.js';
+import {
+  ChangeQuery,
+  CommitError,
+  CommitReceipt,
+  RowPage,
+  RowQuery,
+  TableOperation,
+  TableRow,
+  TableService,
+} from './table_service.js';
+import {VmList, VmSnapshot, vmSnapshotSchema} from './vm_list.js';
+
+const HTTP_OK = 200;
+const HTTP_NOT_MODIFIED = 304;
+const HTTP_NOT_FOUND = 404;
+const HTTP_CONFLICT = 409;
+
+const rowSchema = z.object({
+  key: z.string(),
+  value: z.looseObject({writeToken: z.string()}),
+  revision: z.number().int(),
+});
+
+const pageSchema = z.object({
+  rows: z.array(rowSchema),
+  revision: z.number().int(),
+  hasMore: z.boolean(),
+});
+
+const receiptSchema = z.object({revision: z.number().int()});
+const objectSchema = z.object({text: z.string()});
+
+/** Address of the platform's services. */
+export interface PlatformAddress {
+  /** Base address, for example `http://127.0.0.1:7000`. */
+  readonly baseUrl: string;
+  /** Failure domain of the caller. */
+  readonly failureDomain: string;
+}
+
+function parseAnswer<T>(
+  schema: z.ZodType<T>,
+  answer: JsonAnswer,
+): Result<T, UnavailableError> {
+  const parsed = schema.safeParse(answer.body);
+  if (answer.status === HTTP_OK && parsed.success) return ok(parsed.data);
+  const message = `the platform gave an unexpected answer (status ${answer.status}); check its version`;
+  return err(createUnavailableError(message, true));
+}
+
+/** Table service over HTTP. */
+export class HttpTableService extends TableService {
+  private constructor(
+    private readonly client: JsonClient,
+    private readonly address: PlatformAddress,
+  ) {
+    super();
+  }
+
+  /**
+   * Creates a client.
+   * @param client - JSON client to use.
+   * @param address - Address of the platform.
+   */
+  static create(
+    client: JsonClient,
+    address: PlatformAddress,
+  ): HttpTableService {
+    return new HttpTableService(client, address);
+  }
+
+  override async commit(
+    operations: readonly TableOperation[],
+  ): Promise<Result<CommitReceipt, CommitError>> {
+    const answer = await this.client.call({
+      method: 'POST',
+      url: `${this.address.baseUrl}/v1/transactions`,
+      body: {operations},
+    });
+    if (answer.isErr()) return err(answer.error);
+    if (answer.value.status === HTTP_CONFLICT) {
+      const message = 'a row has another revision; read it again';
+      return err(createConflictError(message));
+    }
+    return parseAnswer(receiptSchema, answer.value);
+  }
+
+  override async getRow(
+    key: string,
+  ): Promise<Result<TableRow | undefined, UnavailableError>> {
+    const answer = await this.client.call({
+      method: 'GET',
+      url: `${this.address.baseUrl}/v1/row?key=${encodeURIComponent(key)}`,
+    });
+    if (answer.isErr()) return err(answer.error);
+    if (answer.value.status === HTTP_NOT_FOUND) return ok(undefined);
+    return parseAnswer(rowSchema, answer.value);
+  }
+
+  override getRows(
+    query: RowQuery,
+  ): Promise<Result<RowPage, UnavailableError>> {
+    return this.getPage('rows', {
+      prefix: query.prefix,
+      afterKey: query.afterKey ?? '',
+      limit: String(query.limit),
+    });
+  }
+
+  override getChanges(
+    query: ChangeQuery,
+  ): Promise<Result<RowPage, UnavailableError>> {
+    return this.getPage('changes', {
+      prefix: query.prefix,
+      sinceRevision: String(query.sinceRevision),
+      limit: String(query.limit),
+    });
+  }
+
+  private async getPage(
+    resource: 'rows' | 'changes',
+    parameters: Record<string, string>,
+  ): Promise<Result<RowPage, UnavailableError>> {
+    const search = new URLSearchParams(parameters);
+    const answer = await this.client.call({
+      method: 'GET',
+      url: `${this.address.baseUrl}/v1/${resource}?${search}`,
+    });
+    return answer.andThen(value => parseAnswer(pageSchema, value));
+  }
+}
+
+/** Object store over HTTP. */
+export class HttpObjectStore extends ObjectStore {
+  private constructor(
+    private readonly client: JsonClient,
+    private readonly address: PlatformAddress,
+  ) {
+    super();
+  }
+
+  /**
+   * Creates a client.
+   * @param client - JSON client to use.
+   * @param address - Address of the platform.
+   */
+  static create(client: JsonClient, address: PlatformAddress): HttpObjectStore {
+    return new HttpObjectStore(client, address);
+  }
+
+  override async putObject(
+    name: string,
+    text: string,
+  ): Promise<Result<void, UnavailableError>> {
+    const answer = await this.client.call({
+      method: 'PUT',
+      url: this.getUrl(name),
+      body: {text},
+    });
+    return answer.map(() => undefined);
+  }
+
+  override async getObject(
+    name: string,
+  ): Promise<Result<string, ObjectReadError>> {
+    const answer = await this.client.call({
+      method: 'GET',
+      url: this.getUrl(name),
+    });
+    if (answer.isErr()) return err(answer.error);
+    if (answer.value.status === HTTP_NOT_FOUND) {
+      return err(createNotFoundError(`object ${name} does not exist`));
+    }
+    return parseAnswer(objectSchema, answer.value).map(body => body.text);
+  }
+
+  private getUrl(name: string): string {
+    return `${this.address.baseUrl}/v1/object?name=${encodeURIComponent(name)}`;
+  }
+}
+
+/** VM list over HTTP. */
+export class HttpVmList extends VmList {
+  private constructor(
+    private readonly client: JsonClient,
+    private readonly address: PlatformAddress,
+  ) {
+    super();
+  }
+
+  /**
+   * Creates a client.
+   * @param client - JSON client to use.
+   * @param address - Address of the platform.
+   */
+  static create(client: JsonClient, address: PlatformAddress): HttpVmList {
+    return new HttpVmList(client, address);
+  }
+
+  override async getSnapshot(
+    sinceVersion = 0,
+  ): Promise<Result<VmSnapshot | undefined, UnavailableError>> {
+    const search = new URLSearchParams({
+      from: this.address.failureDomain,
+      since: String(sinceVersion),
+    });
+    const answer = await this.client.call({
+      method: 'GET',
+      url: `${this.address.baseUrl}/v1/vms?${search}`,
+    });
+    if (answer.isErr()) return err(answer.error);
+    if (answer.value.status === HTTP_NOT_MODIFIED) return ok(undefined);
+    return parseAnswer(vmSnapshotSchema, answer.value);
+  }
+}
--- /dev/null
+++ b/packages/platform/src/vm_list.ts
@@ -0,0 +1,44 @@
+/** The platform's lagging list of VMs. */
+
+import {Result} from 'neverthrow';
+import {z} from 'zod';
+import {UnavailableError} from '@mustardlug/base/errors';
+
+const vmSchema = z.object({
+  id: z.string(),
+  role: z.enum(['entry', 'worker']),
+  region: z.string(),
+  failureDomain: z.string(),
+  rack: z.string(),
+  state: z.enum(['live', 'leaving']),
+  /** Worker: agent and services. Entry: the inner protocol. */
+  host: z.string(),
+  port: z.number().int(),
+  cores: z.number().default(0),
+  memoryMb: z.number().default(0),
+  accelerators: z.number().default(0),
+});
+
+/** Schema of the VM list. */
+export const vmSnapshotSchema = z.object({
+  /** Grows with each change of the list. */
+  version: z.number().int(),
+  vms: z.array(vmSchema),
+});
+
+/** A VM as the platform lists it. */
+export type Vm = z.infer<typeof vmSchema>;
+/** The list at one version. */
+export type VmSnapshot = z.infer<typeof vmSnapshotSchema>;
+
+/** Client of the VM list. */
+export abstract class VmList {
+  /**
+   * Gets the current list.
+   * @param sinceVersion - Version that the caller has.
+   * @returns `undefined` when the list has not changed since.
+   */
+  abstract getSnapshot(
+    sinceVersion?: number,
+  ): Promise<Result<VmSnapshot | undefined, UnavailableError>>;
+}
--- /dev/null
+++ b/packages/standins/src/model_worker_client.ts
@@ -0,0 +1,102 @@
+/** Calls worker models directly, with faults of the network between. */
+
+import {err, Result} from 'neverthrow';
+import {Clock} from '@mustardlug/base/clock';
+import {createUnavailableError} from '@mustardlug/base/errors';
+import {
+  CommandOutcome,
+  LeaseRelease,
+  LeaseRequest,
+  WorkerAddress,
+  WorkerClient,
+  WorkerCommand,
+  WorkerError,
+  WorkerStatus,
+} from '@mustardlug/platform/worker_client';
+import {WorkerModel} from './worker_model.js';
+
+/** Faults between one process and the workers. */
+export interface WorkerLinkFaults {
+  /** Delay in each direction. */
+  delayMs: number;
+  /** Workers that cannot be reached. */
+  readonly cutWorkers: Set<string>;
+  /** Number of coming calls that take effect although their answer is lost. */
+  loseNextAnswers: number;
+}
+
+/** Worker client for tests in virtual time. */
+export class ModelWorkerClient extends WorkerClient {
+  /** Faults in force; change them at any time. */
+  readonly faults: WorkerLinkFaults = {
+    delayMs: 1,
+    cutWorkers: new Set(),
+    loseNextAnswers: 0,
+  };
+
+  private constructor(
+    private readonly models: ReadonlyMap<string, WorkerModel>,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  /**
+   * Creates a client.
+   * @param models - Workers by id.
+   * @param clock - Clock for delays.
+   */
+  static create(
+    models: ReadonlyMap<string, WorkerModel>,
+    clock: Clock,
+  ): ModelWorkerClient {
+    return new ModelWorkerClient(models, clock);
+  }
+
+  override requestLease(
+    address: WorkerAddress,
+    request: LeaseRequest,
+  ): Promise<Result<WorkerStatus, WorkerError>> {
+    return this.call(address, model => model.requestLease(request));
+  }
+
+  override releaseLease(
+    address: WorkerAddress,
+    release: LeaseRelease,
+  ): Promise<Result<void, WorkerError>> {
+    return this.call(address, model => model.releaseLease(release));
+  }
+
+  override runCommands(
+    address: WorkerAddress,
+    epoch: number,
+    commands: readonly WorkerCommand[],
+  ): Promise<Result<CommandOutcome[], WorkerError>> {
+    return this.call(address, model => model.runCommands(epoch, commands));
+  }
+
+  private async call<T>(
+    address: WorkerAddress,
+    action: (model: WorkerModel) => Result<T, WorkerError>,
+  ): Promise<Result<T, WorkerError>> {
+    await this.clock.sleep(this.faults.delayMs);
+    const model = this.models.get(address.workerId);
+    if (model === undefined || this.isCut(address)) {
+      return err(createUnavailableError('the worker cannot be reached', false));
+    }
+    const result = action(model);
+    await this.clock.sleep(this.faults.delayMs);
+    if (this.faults.loseNextAnswers > 0 || this.isCut(address)) {
+      this.faults.loseNextAnswers = Math.max(
+        0,
+        this.faults.loseNextAnswers - 1,
+      );
+      return err(createUnavailableError('the answer was lost', true));
+    }
+    return result;
+  }
+
+  private isCut(address: WorkerAddress): boolean {
+    return this.faults.cutWorkers.has(address.workerId);
+  }
+}
