--- /dev/null
+++ b/packages/document/src/document_store.ts
@@ -0,0 +1,222 @@
+/** Publishes environment documents: tried first, then promoted unchanged. */
+
+import {err, ok, Result} from 'neverthrow';
+import {z} from 'zod';
+import {
+  AppError,
+  createConflictError,
+  createNotFoundError,
+  createRefusedError,
+  createUnavailableError,
+} from '@mustardlug/base/errors';
+import {ObjectStore} from '@mustardlug/platform/object_store';
+import {TokenSource} from '@mustardlug/platform/row_token';
+import {SettledTable} from '@mustardlug/platform/settled_table';
+import {
+  ABSENT_REVISION,
+  TableOperation,
+  TableService,
+} from '@mustardlug/platform/table_service';
+import {
+  getDocumentDigest,
+  parseEnvironmentDocument,
+} from './environment_document.js';
+
+/** Where a document is in force. */
+export type Stage = 'trial' | 'production';
+
+const publishedSchema = z.object({
+  version: z.number().int().positive(),
+  digest: z.string(),
+});
+
+/** A document version in force at a stage. */
+export interface PublishedDocument {
+  readonly version: number;
+  readonly digest: string;
+  /** Revision of its row; 0 when nothing was published. */
+  readonly revision: number;
+}
+
+/** A published document with its text. */
+export interface PublishedText extends PublishedDocument {
+  readonly text: string;
+}
+
+/** Options of a document store. */
+export interface DocumentStoreOptions {
+  readonly table: TableService;
+  readonly settledTable: SettledTable;
+  readonly objects: ObjectStore;
+  readonly tokens: TokenSource;
+}
+
+const NOTHING_PUBLISHED: PublishedDocument = {
+  version: 0,
+  digest: '',
+  revision: ABSENT_REVISION,
+};
+
+/** Documents in the platform's table and object store. */
+export class DocumentStore {
+  private constructor(private readonly options: DocumentStoreOptions) {}
+
+  /**
+   * Creates a store.
+   * @param options - Table, object store and tokens.
+   */
+  static create(options: DocumentStoreOptions): DocumentStore {
+    return new DocumentStore(options);
+  }
+
+  /**
+   * Gets the version in force at a stage.
+   * @param stage - Stage to read.
+   */
+  async getPublished(
+    stage: Stage,
+  ): Promise<Result<PublishedDocument, AppError>> {
+    const row = await this.options.table.getRow(getStageKey(stage));
+    if (row.isErr()) return err(row.error);
+    if (row.value === undefined) return ok(NOTHING_PUBLISHED);
+    const parsed = publishedSchema.safeParse(row.value.value);
+    if (parsed.success)
+      return ok({...parsed.data, revision: row.value.revision});
+    const message = `row ${getStageKey(stage)} is malformed; publish the document again`;
+    return err(createUnavailableError(message, false));
+  }
+
+  /**
+   * Gets the text of a published document and checks it against its digest.
+   * @param published - Version from `getPublished`.
+   */
+  async getText(
+    published: PublishedDocument,
+  ): Promise<Result<PublishedText, AppError>> {
+    const text = await this.options.objects.getObject(
+      getObjectName(published.digest),
+    );
+    if (text.isErr()) return err(text.error);
+    if (getDocumentDigest(text.value) === published.digest) {
+      return ok({...published, text: text.value});
+    }
+    const message = `the stored document does not match digest ${published.digest}; publish it again`;
+    return err(createUnavailableError(message, false));
+  }
+
+  /**
+   * Puts a document in force in the trial environment and accepts its digest.
+   * @param text - Exact text of the document.
+   */
+  async publishTrial(
+    text: string,
+  ): Promise<Result<PublishedDocument, AppError>> {
+    const checked = parseEnvironmentDocument(text);
+    if (checked.isErr()) return err(checked.error);
+    const digest = getDocumentDigest(text);
+    const stored = await this.options.objects.putObject(
+      getObjectName(digest),
+      text,
+    );
+    if (stored.isErr()) return err(stored.error);
+    return this.publish('trial', digest);
+  }
+
+  /**
+   * Puts a digest in force in production if the trial accepted it.
+   * @param digest - Digest of the tried text.
+   */
+  async promote(digest: string): Promise<Result<PublishedDocument, AppError>> {
+    const accepted = await this.options.table.getRow(getTrialKey(digest));
+    if (accepted.isErr()) return err(accepted.error);
+    if (accepted.value === undefined) {
+      const message = `digest ${digest} was not accepted by a trial; run "mustardlugctl trial" with that file first`;
+      return err(createRefusedError(message));
+    }
+    return this.publish('production', digest);
+  }
+
+  private async publish(
+    stage: Stage,
+    digest: string,
+  ): Promise<Result<PublishedDocument, AppError>> {
+    const current = await this.getPublished(stage);
+    if (current.isErr()) return err(current.error);
+    const version = current.value.version + 1;
+    const writeToken = this.options.tokens.getNext();
+    const operations: TableOperation[] = [
+      {
+        kind: 'put',
+        key: getStageKey(stage),
+        value: {writeToken, version, digest} as PublishedValue,
+        expectedRevision: current.value.revision,
+      },
+    ];
+    if (stage === 'trial') {
+      const accept = await this.getAcceptance(digest, writeToken);
+      if (accept.isErr()) return err(accept.error);
+      operations.push(accept.value);
+    }
+    const receipt = await this.options.settledTable.commit(
+      writeToken,
+      operations,
+    );
+    if (receipt.isOk()) {
+      return ok({version, digest, revision: receipt.value.revision});
+    }
+    if (receipt.error.kind !== 'conflict') return err(receipt.error);
+    return err(await this.describeWinner(stage));
+  }
+
+  private async getAcceptance(
+    digest: string,
+    writeToken: string,
+  ): Promise<Result<TableOperation, AppError>> {
+    const key = getTrialKey(digest);
+    const row = await this.options.table.getRow(key);
+    if (row.isErr()) return err(row.error);
+    return ok({
+      kind: 'put',
+      key,
+      value: {writeToken},
+      expectedRevision: row.value?.revision ?? ABSENT_REVISION,
+    });
+  }
+
+  private async describeWinner(stage: Stage): Promise<AppError> {
+    const winner = await this.getPublished(stage);
+    if (winner.isErr()) return winner.error;
+    const {version, digest} = winner.value;
+    return createConflictError(
+      `another operator published version ${version} (digest ${digest}) to ${stage} first; look at it and publish again if yours should follow`,
+    );
+  }
+}
+
+interface PublishedValue {
+  readonly writeToken: string;
+  readonly version: number;
+  readonly digest: string;
+}
+
+/**
+ * Creates the error for a stage without a document.
+ * @param stage - Stage that was read.
+ */
+export function createNoDocumentError(stage: Stage): AppError {
+  return createNotFoundError(
+    `no document is published to ${stage}; use "mustardlugctl trial" and "promote"`,
+  );
+}
+
+function getStageKey(stage: Stage): string {
+  return `document/${stage}`;
+}
+
+function getTrialKey(digest: string): string {
+  return `trial/${digest}`;
+}
+
+function getObjectName(digest: string): string {
+  return `document-${digest}`;
+}
