--- /dev/null
+++ b/packages/scheduling/src/job_expander.ts
@@ -0,0 +1,230 @@
+/** Creates the rows of jobs and service replicas, each exactly once. */
+
+import {z} from 'zod';
+import {
+  BatchJobDeclaration,
+  EnvironmentDocument,
+  ServiceDeclaration,
+} from '@mustardlug/document/environment_document';
+import {TokenSource} from '@mustardlug/platform/row_token';
+import {
+  ABSENT_REVISION,
+  StoredValue,
+  TableOperation,
+} from '@mustardlug/platform/table_service';
+import {getTaskKey, TaskRecord} from './task_record.js';
+
+/** Schema of a job row. */
+export const jobRecordSchema = z.object({
+  writeToken: z.string(),
+  name: z.string(),
+  team: z.string(),
+  tasks: z.number().int(),
+  /** Tasks whose rows exist. */
+  createdTasks: z.number().int(),
+  submittedAtMs: z.number(),
+});
+
+/** State of a job in the table. */
+export type JobRecord = z.infer<typeof jobRecordSchema> & StoredValue;
+
+/** Task rows that are created in one transaction. */
+export const TASKS_PER_TRANSACTION = 200;
+
+/**
+ * Gets the id of a batch task.
+ * @param jobName - Name of the job.
+ * @param index - Index of the task in the job.
+ */
+export function getBatchTaskId(jobName: string, index: number): string {
+  return `batch.${jobName}.${index}`;
+}
+
+/**
+ * Gets the id of a service replica; it names its home domain for good.
+ * @param serviceName - Name of the service.
+ * @param failureDomain - Home domain.
+ * @param index - Index of the replica in the domain.
+ */
+export function getReplicaTaskId(
+  serviceName: string,
+  failureDomain: string,
+  index: number,
+): string {
+  return `service.${serviceName}.${failureDomain}.${index}`;
+}
+
+/**
+ * Shares the replicas of a service among failure domains by their workers.
+ * @param replicas - Replicas of the service.
+ * @param workersByDomain - Number of workers of each domain.
+ * @returns Replicas of each domain; sums up to `replicas` if there are workers.
+ */
+export function shareReplicas(
+  replicas: number,
+  workersByDomain: ReadonlyMap<string, number>,
+): Map<string, number> {
+  const domains = [...workersByDomain].sort(([left], [right]) =>
+    left < right ? -1 : 1,
+  );
+  let total = 0;
+  for (const [, workers] of domains) total += workers;
+  const shares = new Map<string, number>();
+  let seenWorkers = 0;
+  let shared = 0;
+  for (const [domain, workers] of domains) {
+    seenWorkers += workers;
+    const upTo = Math.round((replicas * seenWorkers) / total);
+    shares.set(domain, upTo - shared);
+    shared = upTo;
+  }
+  return shares;
+}
+
+/**
+ * Creates the record of a service replica.
+ * @param service - Declared service.
+ * @param taskId - Id of the replica.
+ * @param writeToken - Token of the write.
+ * @param nowMs - Wall time in milliseconds.
+ */
+export function createReplicaRecord(
+  service: ServiceDeclaration,
+  taskId: string,
+  writeToken: string,
+  nowMs: number,
+): TaskRecord {
+  return {
+    ...createCommonRecord(service.team, taskId, writeToken, nowMs),
+    ...service.resources,
+    kind: 'service',
+    name: service.name,
+    maxAttempts: Number.MAX_SAFE_INTEGER,
+    expectedRunMs: 1,
+    isUrgent: true,
+    slots: service.slotsPerReplica,
+    connections: service.connectionsPerReplica,
+  };
+}
+
+/**
+ * Creates the record of a batch task.
+ * @param job - Declared job.
+ * @param taskId - Id of the task.
+ * @param writeToken - Token of the write.
+ * @param nowMs - Wall time in milliseconds.
+ */
+export function createBatchRecord(
+  job: BatchJobDeclaration,
+  taskId: string,
+  writeToken: string,
+  nowMs: number,
+): TaskRecord {
+  return {
+    ...createCommonRecord(job.team, taskId, writeToken, nowMs),
+    ...job.resources,
+    kind: 'batch',
+    name: job.name,
+    maxAttempts: job.maxAttempts,
+    expectedRunMs: job.expectedRunMs,
+    isUrgent: job.isUrgent,
+    slots: 0,
+    connections: 0,
+  };
+}
+
+function createCommonRecord(
+  team: string,
+  taskId: string,
+  writeToken: string,
+  nowMs: number,
+) {
+  return {
+    writeToken,
+    taskId,
+    team,
+    state: 'pending' as const,
+    attempt: 0,
+    failures: 0,
+    evictions: 0,
+    submittedAtMs: nowMs,
+  };
+}
+
+/** Where the tasks of a job go. */
+export interface JobPlan {
+  readonly job: BatchJobDeclaration;
+  readonly jobKey: string;
+  /** Revision of the job row; 0 when it does not exist. */
+  readonly revision: number;
+  readonly createdTasks: number;
+  /** Home domains in order. */
+  readonly failureDomains: readonly string[];
+}
+
+/**
+ * Creates the operations for the next tasks of a job, the job row first.
+ * @param plan - Job and its progress.
+ * @param tokens - Source of the write token.
+ * @param nowMs - Wall time in milliseconds.
+ */
+export function createJobOperations(
+  plan: JobPlan,
+  tokens: TokenSource,
+  nowMs: number,
+): [Extract<TableOperation, {kind: 'put'}>, ...TableOperation[]] {
+  const {job, createdTasks, failureDomains} = plan;
+  const writeToken = tokens.getNext();
+  const end = Math.min(job.tasks, createdTasks + TASKS_PER_TRANSACTION);
+  const record: JobRecord = {
+    writeToken,
+    name: job.name,
+    team: job.team,
+    tasks: job.tasks,
+    createdTasks: end,
+    submittedAtMs: nowMs,
+  };
+  const tasks: TableOperation[] = [];
+  for (let index = createdTasks; index < end; index++) {
+    const taskId = getBatchTaskId(job.name, index);
+    const domain = failureDomains[index % failureDomains.length];
+    tasks.push({
+      kind: 'put',
+      key: getTaskKey(domain, taskId),
+      value: createBatchRecord(job, taskId, writeToken, nowMs),
+      expectedRevision: ABSENT_REVISION,
+    });
+  }
+  return [
+    {
+      kind: 'put',
+      key: plan.jobKey,
+      value: record,
+      expectedRevision: plan.revision,
+    },
+    ...tasks,
+  ];
+}
+
+/**
+ * Gets the replicas that a domain should run.
+ * @param document - Document in force.
+ * @param failureDomain - Domain in question.
+ * @param workersByDomain - Number of workers of each domain.
+ * @returns Declared services by replica id.
+ */
+export function getWantedReplicas(
+  document: EnvironmentDocument,
+  failureDomain: string,
+  workersByDomain: ReadonlyMap<string, number>,
+): Map<string, ServiceDeclaration> {
+  const wanted = new Map<string, ServiceDeclaration>();
+  for (const service of document.services) {
+    const shares = shareReplicas(service.replicas, workersByDomain);
+    const count = shares.get(failureDomain) ?? 0;
+    for (let index = 0; index < count; index++) {
+      wanted.set(getReplicaTaskId(service.name, failureDomain, index), service);
+    }
+  }
+  return wanted;
+}
--- /dev/null
+++ b/packages/scheduling/src/job_feasibility.ts
@@ -0,0 +1,31 @@
+/** Finds jobs that can never run, and says why. */
+
+import {TeamDeclaration} from '@mustardlug/document/environment_document';
+import {ResourceAmount} from './worker_view.js';
+
+/**
+ * Gets the reason why a task can never run.
+ * @param amount - Declared size of the task.
+ * @param workers - Sizes of all workers of the fleet.
+ * @param team - Team that the task belongs to.
+ * @returns `undefined` when it can run some time.
+ */
+export function getInfeasibleReason(
+  amount: ResourceAmount,
+  workers: readonly ResourceAmount[],
+  team: TeamDeclaration | undefined,
+): string | undefined {
+  if (team === undefined) return 'its team is not declared; declare the team';
+  if (amount.cores > team.quotaCores) {
+    return `it needs ${amount.cores} cores but team ${team.name} has a quota of ${team.quotaCores}; raise the quota or split the task`;
+  }
+  if (workers.length === 0) return undefined;
+  for (const worker of workers) {
+    const fits =
+      amount.cores <= worker.cores &&
+      amount.memoryMb <= worker.memoryMb &&
+      amount.accelerators <= worker.accelerators;
+    if (fits) return undefined;
+  }
+  return `no worker has ${amount.cores} cores, ${amount.memoryMb} MB and ${amount.accelerators} accelerators together; lower the declared size`;
+}
--- /dev/null
+++ b/packages/scheduling/src/task_cache.ts
@@ -0,0 +1,188 @@
+/** The rows of one failure domain's tasks, as last read or written by this process. */
+
+import {Result, ok} from 'neverthrow';
+import {UnavailableError} from '@mustardlug/base/errors';
+import {TableRow, TableService} from '@mustardlug/platform/table_service';
+import {
+  FINAL_STATES,
+  getTaskPrefix,
+  TaskRecord,
+  taskRecordSchema,
+} from './task_record.js';
+
+/** A cached row. */
+export interface CachedTask {
+  readonly key: string;
+  record: TaskRecord;
+  revision: number;
+  /** A write of this process is under way; the row must not be written again. */
+  isWriting: boolean;
+}
+
+const PAGE_ROWS = 1_000;
+const NO_TASKS: ReadonlySet<string> = new Set();
+
+/** Tasks by id, by worker and by state. */
+export class TaskCache {
+  private readonly tasks = new Map<string, CachedTask>();
+  private readonly pendingIds = new Set<string>();
+  private readonly idsByWorker = new Map<string, Set<string>>();
+  private revision = 0;
+
+  private constructor(
+    private readonly table: TableService,
+    private readonly failureDomain: string,
+  ) {}
+
+  /**
+   * Creates an empty cache.
+   * @param table - Table to follow.
+   * @param failureDomain - Domain whose tasks are cached.
+   */
+  static create(table: TableService, failureDomain: string): TaskCache {
+    return new TaskCache(table, failureDomain);
+  }
+
+  /** Reads all changes since the last call. */
+  async refresh(): Promise<Result<void, UnavailableError>> {
+    for (;;) {
+      const page = await this.table.getChanges({
+        prefix: getTaskPrefix(this.failureDomain),
+        sinceRevision: this.revision,
+        limit: PAGE_ROWS,
+      });
+      if (page.isErr()) return page.map(() => undefined);
+      for (const row of page.value.rows) this.setRow(row);
+      this.revision = Math.max(this.revision, page.value.revision);
+      if (!page.value.hasMore) return ok(undefined);
+    }
+  }
+
+  /**
+   * Reads one row again, after a write that failed.
+   * @param task - Task to read.
+   */
+  async refreshTask(task: CachedTask): Promise<Result<void, UnavailableError>> {
+    const row = await this.table.getRow(task.key);
+    if (row.isErr()) return row.map(() => undefined);
+    if (row.value === undefined) this.removeTask(task.record.taskId);
+    else this.setRow(row.value);
+    return ok(undefined);
+  }
+
+  /**
+   * Gets a task.
+   * @param taskId - Id of the task.
+   */
+  getTask(taskId: string): CachedTask | undefined {
+    return this.tasks.get(taskId);
+  }
+
+  /** Gets all tasks. */
+  getTasks(): Iterable<CachedTask> {
+    return this.tasks.values();
+  }
+
+  /** Gets the pending tasks that no write of this process concerns. */
+  getPending(): CachedTask[] {
+    const pending: CachedTask[] = [];
+    for (const taskId of this.pendingIds) {
+      const task = this.tasks.get(taskId);
+      if (task !== undefined && !task.isWriting) pending.push(task);
+    }
+    return pending;
+  }
+
+  /**
+   * Gets the ids of the tasks that are bound to a worker.
+   * @param workerId - Id of the worker.
+   */
+  getBoundIds(workerId: string): ReadonlySet<string> {
+    return this.idsByWorker.get(workerId) ?? NO_TASKS;
+  }
+
+  /** Gets the tasks that are bound to any worker. */
+  getBound(): CachedTask[] {
+    const bound: CachedTask[] = [];
+    for (const ids of this.idsByWorker.values()) {
+      for (const taskId of ids) {
+        const task = this.tasks.get(taskId);
+        if (task !== undefined) bound.push(task);
+      }
+    }
+    return bound;
+  }
+
+  /** Gets the workers that tasks are bound to. */
+  getBoundWorkerIds(): string[] {
+    return [...this.idsByWorker.keys()];
+  }
+
+  /**
+   * Takes in a row that was read.
+   * @param row - Row of a task.
+   */
+  setRow(row: TableRow): void {
+    const parsed = taskRecordSchema.safeParse(row.value);
+    if (!parsed.success) return;
+    this.setRecord(row.key, parsed.data, row.revision);
+  }
+
+  /**
+   * Takes in a record that was read or written; an older one changes nothing.
+   * @param key - Key of the row.
+   * @param record - State of the task.
+   * @param revision - Revision of the row.
+   */
+  setRecord(key: string, record: TaskRecord, revision: number): void {
+    const known = this.tasks.get(record.taskId);
+    if (known !== undefined && known.revision >= revision) return;
+    if (known !== undefined) this.removeFromIndexes(known.record);
+    this.addToIndexes(record);
+    if (known === undefined) {
+      this.tasks.set(record.taskId, {key, record, revision, isWriting: false});
+      return;
+    }
+    known.record = record;
+    known.revision = revision;
+  }
+
+  /**
+   * Removes a task whose row is gone.
+   * @param taskId - Id of the task.
+   */
+  removeTask(taskId: string): void {
+    const task = this.tasks.get(taskId);
+    if (task === undefined) return;
+    this.removeFromIndexes(task.record);
+    this.tasks.delete(taskId);
+  }
+
+  /** Checks whether all tasks of a job have ended. */
+  isJobEnded(jobName: string): boolean {
+    for (const {record} of this.tasks.values()) {
+      if (record.name !== jobName) continue;
+      if (!FINAL_STATES.has(record.state)) return false;
+    }
+    return true;
+  }
+
+  private addToIndexes(record: TaskRecord): void {
+    if (record.state === 'pending') this.pendingIds.add(record.taskId);
+    if (record.state !== 'bound' || record.workerId === undefined) return;
+    let ids = this.idsByWorker.get(record.workerId);
+    if (ids === undefined) {
+      ids = new Set();
+      this.idsByWorker.set(record.workerId, ids);
+    }
+    ids.add(record.taskId);
+  }
+
+  private removeFromIndexes(record: TaskRecord): void {
+    this.pendingIds.delete(record.taskId);
+    if (record.workerId === undefined) return;
+    const ids = this.idsByWorker.get(record.workerId);
+    ids?.delete(record.taskId);
+    if (ids?.size === 0) this.idsByWorker.delete(record.workerId);
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/task_record.ts
@@ -0,0 +1,82 @@
+/** Rows of tasks in the platform's table. */
+
+import {z} from 'zod';
+import {StoredValue} from '@mustardlug/platform/table_service';
+
+/** Schema of a task row. */
+export const taskRecordSchema = z.object({
+  writeToken: z.string(),
+  taskId: z.string(),
+  kind: z.enum(['service', 'batch']),
+  /** Name of the service or batch job. */
+  name: z.string(),
+  team: z.string(),
+  state: z.enum([
+    'pending',
+    'bound',
+    'done',
+    'failed',
+    'cancelled',
+    'infeasible',
+  ]),
+  /** Number of the latest attempt; 0 before the first. */
+  attempt: z.number().int(),
+  maxAttempts: z.number().int(),
+  /** Attempts that ended without a result. */
+  failures: z.number().int(),
+  /** Times that the task was evicted. */
+  evictions: z.number().int(),
+  cores: z.number(),
+  memoryMb: z.number(),
+  accelerators: z.number(),
+  expectedRunMs: z.number(),
+  isUrgent: z.boolean(),
+  slots: z.number().int(),
+  connections: z.number().int(),
+  submittedAtMs: z.number(),
+  /** Worker and boot that the attempt is bound to. */
+  workerId: z.string().optional(),
+  bootId: z.string().optional(),
+  /** Checkpoint to resume from. */
+  checkpoint: z.string().optional(),
+  result: z.string().optional(),
+  /** Reason of the state, for operators. */
+  reason: z.string().optional(),
+});
+
+/** State of a task in the table. */
+export type TaskRecord = z.infer<typeof taskRecordSchema> & StoredValue;
+
+/** States in which nothing happens any more. */
+export const FINAL_STATES: ReadonlySet<TaskRecord['state']> = new Set([
+  'done',
+  'failed',
+  'cancelled',
+  'infeasible',
+]);
+
+/**
+ * Gets the prefix of a failure domain's tasks.
+ * @param failureDomain - Name of the domain.
+ */
+export function getTaskPrefix(failureDomain: string): string {
+  return `task/${failureDomain}/`;
+}
+
+/**
+ * Gets the row key of a task.
+ * @param failureDomain - Home domain of the task.
+ * @param taskId - Id of the task.
+ */
+export function getTaskKey(failureDomain: string, taskId: string): string {
+  return getTaskPrefix(failureDomain) + taskId;
+}
+
+/** Prefix of the rows that cancel jobs. */
+export const CANCEL_PREFIX = 'cancel/';
+
+/** Prefix of the rows of submitted jobs. */
+export const JOB_PREFIX = 'job/';
+
+/** Prefix of the usage rows. */
+export const USAGE_PREFIX = 'usage/';
--- /dev/null
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -0,0 +1,1250 @@
+/**
+ * Binds tasks to leased workers and carries each attempt to its end.
+ *
+ * Rows in the table say which worker an attempt is bound to; a start is sent
+ * only after its row is written. Workers say what runs. Each renewal compares
+ * the two for one worker.
+ */
+
+import {Clock, Timer} from '@mustardlug/base/clock';
+import {OutlierTracker} from '@mustardlug/base/outlier_tracker';
+import {RandomSource} from '@mustardlug/base/random_source';
+import {
+  EnvironmentDocument,
+  TeamDeclaration,
+} from '@mustardlug/document/environment_document';
+import {getPreferenceRank} from '@mustardlug/membership/rendezvous';
+import {WorkerLease} from '@mustardlug/membership/worker_lease';
+import {
+  GroupCommitter,
+  WriteOutcome,
+} from '@mustardlug/platform/group_committer';
+import {TokenSource} from '@mustardlug/platform/row_token';
+import {
+  ABSENT_REVISION,
+  TableService,
+} from '@mustardlug/platform/table_service';
+import {Vm} from '@mustardlug/platform/vm_list';
+import {
+  AttemptReport,
+  AttemptStart,
+  TASK_LEASE_MS,
+  WorkerClient,
+  WorkerCommand,
+} from '@mustardlug/platform/worker_client';
+import {
+  BatchNeighbor,
+  DisturbanceController,
+} from './disturbance_controller.js';
+import {FairShareQueue, PendingTask} from './fair_share_queue.js';
+import {InterferenceModel, Neighbor} from './interference_model.js';
+import {
+  createJobOperations,
+  createReplicaRecord,
+  getWantedReplicas,
+  jobRecordSchema,
+} from './job_expander.js';
+import {getInfeasibleReason} from './job_feasibility.js';
+import {PlacementHistory} from './placement_history.js';
+import {
+  hasReplica,
+  PlacementPolicy,
+  PlacementRequest,
+} from './placement_policy.js';
+import {ScoredPlacement} from './scored_placement.js';
+import {SizeEstimator} from './size_estimator.js';
+import {CachedTask, TaskCache} from './task_cache.js';
+import {
+  CANCEL_PREFIX,
+  getTaskKey,
+  JOB_PREFIX,
+  TaskRecord,
+} from './task_record.js';
+import {PlacedTask, ResourceAmount, WorkerView} from './worker_view.js';
+
+/** Kinds of things that the scheduler reports. */
+export type SchedulerEvent =
+  | 'task-bound'
+  | 'task-started'
+  | 'task-finished'
+  | 'task-evicted'
+  | 'task-throttled'
+  | 'task-failed'
+  | 'task-cancelled'
+  | 'job-infeasible'
+  | 'worker-set-aside'
+  | 'table-failed';
+
+/** Subject of a scheduler event. */
+export interface SchedulerEventSubject {
+  readonly taskId?: string;
+  readonly workerId?: string;
+  readonly detail?: string;
+}
+
+/** Options of a task scheduler. */
+export interface TaskSchedulerOptions {
+  readonly schedulerId: string;
+  readonly failureDomain: string;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly table: TableService;
+  readonly committer: GroupCommitter;
+  readonly tokens: TokenSource;
+  readonly client: WorkerClient;
+  /** Longest time that the VM list may lag behind. */
+  readonly listLagMs: number;
+  /** Whether disturbed services are helped by throttling and evicting. */
+  readonly isThrottling?: boolean;
+  /** Replaces the scored placement, for comparisons. */
+  readonly placement?: PlacementPolicy;
+  readonly onEvent: (
+    name: SchedulerEvent,
+    subject: SchedulerEventSubject,
+  ) => void;
+}
+
+const TICK_MS = 100;
+const REFRESH_MS = 250;
+const JOBS_REFRESH_MS = 1_000;
+/** Tasks whose home is another scheduler are taken over after this time. */
+const FOREIGN_TASK_DELAY_MS = 1_500;
+const STEAL_INTERVAL_MS = 2_000;
+const STEAL_MIN_AGE_MS = 3_000;
+const MAX_STOLEN_TASKS = 50;
+const MAX_BINDS_PER_TICK = 400;
+/** Attempts bound ahead on each worker, which start without the table service. */
+const BACKLOG_PER_WORKER = 2;
+const MAX_ASIDE_FRACTION = 0.2;
+/** Time in which entries learn that a worker is leaving, before its services stop. */
+const LEAVING_GRACE_MS = 4_000;
+const RETRY_BACKOFF_MS = 200;
+const MAX_RETRY_BACKOFF_MS = 10_000;
+/** A VM list that was read longer ago says nothing about VMs that it lacks. */
+const MAX_LIST_AGE_MS = 5_000;
+
+/** Scheduler of the workers that this process holds. */
+export class TaskScheduler {
+  private readonly cache: TaskCache;
+  private readonly views = new Map<string, WorkerView>();
+  private readonly histories = new Map<string, PlacementHistory>();
+  private readonly starting = new Set<string>();
+  private readonly stopping = new Map<string, StopReason>();
+  private readonly sizes = SizeEstimator.create();
+  private readonly model = InterferenceModel.create();
+  private readonly health: OutlierTracker;
+  private readonly goneSince = new Map<string, number>();
+  private readonly leavingSince = new Map<string, number>();
+  private readonly cancelledJobs = new Set<string>();
+  private readonly retryAt = new Map<string, number>();
+  private readonly backlog = new Map<string, Set<string>>();
+  private placement: PlacementPolicy | undefined;
+  private controller: DisturbanceController | undefined;
+  private document: EnvironmentDocument | undefined;
+  private vms: readonly Vm[] = [];
+  private schedulers: readonly string[] = [];
+  private timers = new Map<string, Timer>();
+  private cancelRevision = 0;
+  private isUrgentWaiting = false;
+  private lastListReadMs = -Infinity;
+  private workerSizes: readonly ResourceAmount[] = [];
+  private readonly ranks = new Map<string, number>();
+  private refreshWaiters: Array<() => void> = [];
+  private isStopped = false;
+
+  private constructor(private readonly options: TaskSchedulerOptions) {
+    this.cache = TaskCache.create(options.table, options.failureDomain);
+    this.health = OutlierTracker.create({
+      clock: options.clock,
+      maxAsideFraction: MAX_ASIDE_FRACTION,
+    });
+  }
+
+  /**
+   * Creates a scheduler without workers.
+   * @param options - Identity, table, workers and policies.
+   */
+  static create(options: TaskSchedulerOptions): TaskScheduler {
+    return new TaskScheduler(options);
+  }
+
+  /** Begins to schedule. */
+  start(): void {
+    this.repeat('tick', TICK_MS, () => this.tick());
+    this.repeat('refresh', REFRESH_MS, () => this.refresh());
+    this.repeat('jobs', JOBS_REFRESH_MS, () => this.refreshJobs());
+    this.repeat('steal', STEAL_INTERVAL_MS, () => this.stealTasks());
+  }
+
+  /** Ends all activity; running attempts go on at their workers. */
+  stop(): void {
+    this.isStopped = true;
+    for (const timer of this.timers.values()) timer.cancel();
+  }
+
+  /**
+   * Sets the document in force.
+   * @param document - Checked document.
+   */
+  setDocument(document: EnvironmentDocument): void {
+    this.document = document;
+    const {random} = this.options;
+    const {objective} = document;
+    this.placement =
+      this.options.placement ??
+      ScoredPlacement.create({objective, model: this.model, random});
+    this.controller = DisturbanceController.create(objective);
+  }
+
+  /**
+   * Sets the VM list and the schedulers of this domain.
+   * @param vms - All VMs.
+   * @param schedulers - Ids of the live schedulers of this domain.
+   */
+  setVms(vms: readonly Vm[], schedulers: readonly string[]): void {
+    this.vms = vms;
+    this.schedulers = schedulers;
+    this.workerSizes = getDistinctSizes(vms);
+    this.ranks.clear();
+  }
+
+  /** Notes that the VM list was read just now, changed or not. */
+  noteVmListRead(): void {
+    this.lastListReadMs = this.options.clock.getMonotonicMs();
+  }
+
+  /**
+   * Adds a worker whose lease was granted.
+   * @param lease - Lease of the worker.
+   */
+  addWorker(lease: WorkerLease): void {
+    const status = lease.getStatus();
+    const {workerId, cores, memoryMb, accelerators} = status;
+    const vm = this.vms.find(candidate => candidate.id === workerId);
+    const view = WorkerView.create(
+      vm?.rack ?? '',
+      this.options.failureDomain,
+      {cores, memoryMb, accelerators},
+      lease,
+    );
+    this.views.set(workerId, view);
+    this.health.addMember(workerId);
+    this.takeInReports(view);
+    void this.syncView(view);
+  }
+
+  /**
+   * Takes in a renewal.
+   * @param lease - Lease of the worker.
+   */
+  updateWorker(lease: WorkerLease): void {
+    const view = this.views.get(lease.address.workerId);
+    if (view === undefined || view.lease !== lease) return;
+    this.takeInReports(view);
+    this.reconcile(view);
+  }
+
+  /**
+   * Removes a worker whose lease was lost.
+   * @param workerId - Id of the worker.
+   */
+  removeWorker(workerId: string): void {
+    this.views.delete(workerId);
+    this.health.removeMember(workerId);
+    this.backlog.delete(workerId);
+  }
+
+  /** Gets the views of the leased workers. */
+  getViews(): WorkerView[] {
+    return [...this.views.values()];
+  }
+
+  /**
+   * Gets the record of a task of this domain.
+   * @param taskId - Id of the task.
+   */
+  getTask(taskId: string): TaskRecord | undefined {
+    return this.cache.getTask(taskId)?.record;
+  }
+
+  /** Gets the number of pending tasks of this domain. */
+  getPendingCount(): number {
+    return this.cache.getPending().length;
+  }
+
+  /** Gets what was learned about interference. */
+  getModel(): InterferenceModel {
+    return this.model;
+  }
+
+  private async refresh(): Promise<void> {
+    const waiters = this.refreshWaiters;
+    this.refreshWaiters = [];
+    const refreshed = await this.cache.refresh();
+    if (refreshed.isErr()) {
+      this.refreshWaiters.push(...waiters);
+      this.reportTableFailure(refreshed.error.message);
+      return;
+    }
+    for (const resume of waiters) resume();
+  }
+
+  /** Resolves when all changes up to now have been read. */
+  private waitForRefresh(): Promise<void> {
+    return new Promise(resolve => this.refreshWaiters.push(resolve));
+  }
+
+  /** A view may be acted on once rows were read that are newer than its lease. */
+  private async syncView(view: WorkerView): Promise<void> {
+    const refreshed = await this.cache.refresh();
+    if (refreshed.isErr()) {
+      this.options.clock.setTimer(REFRESH_MS, () => {
+        if (this.isCurrent(view)) void this.syncView(view);
+      });
+      return;
+    }
+    view.isSynced = true;
+    if (this.isCurrent(view)) this.reconcile(view);
+  }
+
+  private isCurrent(view: WorkerView): boolean {
+    return !this.isStopped && this.views.get(view.workerId) === view;
+  }
+
+  private takeInReports(view: WorkerView): void {
+    const status = view.lease.getStatus();
+    view.reports = status.attempts;
+    this.updateLeaving(view, status.isLeaving);
+    for (const report of status.attempts) {
+      if (report.state !== 'running') {
+        this.removeEnded(view, report);
+        continue;
+      }
+      this.sizes.addReport(report);
+      view.addTask(this.getPlacedTask(report));
+    }
+    this.learn(view, status.attempts);
+  }
+
+  /** The report may be of an earlier attempt than the one that is placed. */
+  private removeEnded(view: WorkerView, report: AttemptReport): void {
+    const record = this.cache.getTask(report.taskId)?.record;
+    const isLater = record !== undefined && record.attempt > report.attempt;
+    if (!isLater) view.removeTask(report.taskId);
+  }
+
+  private updateLeaving(view: WorkerView, isReported: boolean): void {
+    const vm = this.vms.find(candidate => candidate.id === view.workerId);
+    view.isLeaving = isReported || vm?.state === 'leaving';
+    if (!view.isLeaving) this.leavingSince.delete(view.workerId);
+    else if (!this.leavingSince.has(view.workerId)) {
+      this.leavingSince.set(view.workerId, this.options.clock.getMonotonicMs());
+    }
+  }
+
+  private getPlacedTask(report: AttemptReport): PlacedTask {
+    const {taskId, kind, name} = report;
+    const record = this.cache.getTask(taskId)?.record;
+    return {
+      taskId,
+      kind,
+      name,
+      isUrgent: record?.isUrgent ?? false,
+      charged: {
+        cores: report.cores,
+        memoryMb: report.memoryMb,
+        accelerators: report.accelerators,
+      },
+    };
+  }
+
+  private learn(view: WorkerView, reports: readonly AttemptReport[]): void {
+    const nowMs = this.options.clock.getWallMs();
+    let history = this.histories.get(view.workerId);
+    if (history === undefined) {
+      history = PlacementHistory.create();
+      this.histories.set(view.workerId, history);
+    }
+    history.addState(nowMs, getNeighbors(reports));
+    for (const report of reports) {
+      if (report.kind !== 'service' || report.state !== 'running') continue;
+      const neighbors = history.getStateAt(report.measuredAtMs);
+      if (neighbors === undefined) continue;
+      this.model.addSample({
+        serviceName: report.name,
+        slowdown: report.slowdown,
+        neighbors,
+      });
+    }
+  }
+
+  /** Compares rows and reports of one worker and acts on each difference. */
+  private reconcile(view: WorkerView): void {
+    if (!view.isSynced || !view.lease.isValid()) return;
+    const commands: WorkerCommand[] = [];
+    for (const report of view.reports) {
+      this.reconcileReport(view, report, commands);
+    }
+    for (const taskId of this.cache.getBoundIds(view.workerId)) {
+      this.reconcileBound(view, taskId);
+    }
+    this.reconcileLeaving(view, commands);
+    this.reconcileDisturbance(view, commands);
+    if (commands.length > 0) void this.sendCommands(view, commands);
+  }
+
+  private reconcileReport(
+    view: WorkerView,
+    report: AttemptReport,
+    commands: WorkerCommand[],
+  ): void {
+    const {taskId, attempt} = report;
+    const task = this.cache.getTask(taskId);
+    if (task?.isWriting) return;
+    const name = {taskId, attempt};
+    if (task === undefined || !isBoundTo(task.record, view, attempt)) {
+      const kind = report.state === 'running' ? 'stop' : 'acknowledge';
+      commands.push({kind, name});
+      return;
+    }
+    switch (report.state) {
+      case 'running':
+        if (this.isUnwanted(task.record)) this.requestStop(task, 'cancelled');
+        if (this.stopping.has(taskId)) commands.push({kind: 'stop', name});
+        return;
+      case 'finished':
+        void this.commitEnd(view, task, report, 'done');
+        return;
+      case 'failed':
+        this.noteStartHealth(view, true);
+        void this.commitEnd(view, task, report, 'failed');
+        return;
+      case 'stopped':
+        void this.commitEnd(view, task, report, 'stopped');
+        return;
+    }
+  }
+
+  /** Starts attempts that are bound here but not reported, or frees them from an earlier boot. */
+  private reconcileBound(view: WorkerView, taskId: string): void {
+    const task = this.cache.getTask(taskId);
+    if (task === undefined || task.isWriting) return;
+    const {record} = task;
+    if (view.isReported(taskId, record.attempt)) return;
+    if (this.starting.has(taskId)) return;
+    if (record.bootId !== view.lease.getStatus().bootId) {
+      void this.commitUnbind(task, 'the worker was restarted');
+      return;
+    }
+    if (this.isUnwanted(record)) {
+      void this.commitCancelled(task);
+      return;
+    }
+    if (view.isLeaving) {
+      void this.commitUnbind(task, 'the worker is leaving');
+      return;
+    }
+    void this.startBound(view, task);
+  }
+
+  private reconcileLeaving(view: WorkerView, commands: WorkerCommand[]): void {
+    const sinceMs = this.leavingSince.get(view.workerId);
+    if (sinceMs === undefined) return;
+    const leavingMs = this.options.clock.getMonotonicMs() - sinceMs;
+    for (const report of view.reports) {
+      if (report.state !== 'running') continue;
+      const isService = report.kind === 'service';
+      if (isService && leavingMs < LEAVING_GRACE_MS) continue;
+      const {taskId, attempt} = report;
+      this.stopping.set(taskId, 'moved');
+      commands.push({kind: 'stop', name: {taskId, attempt}});
+    }
+  }
+
+  private reconcileDisturbance(
+    view: WorkerView,
+    commands: WorkerCommand[],
+  ): void {
+    if (this.options.isThrottling === false) return;
+    const service = getSlowestService(view.reports);
+    if (service === undefined || this.controller === undefined) return;
+    const action = this.controller.getAction({
+      workerId: view.workerId,
+      slowdown: service.slowdown,
+      measuredAtMs: service.measuredAtMs,
+      nowMs: this.options.clock.getWallMs(),
+      neighbors: this.getBatchNeighbors(view, service.name),
+    });
+    if (action.kind === 'none') return;
+    const {taskId, attempt} = action.target;
+    const {workerId} = view;
+    const name = {taskId, attempt};
+    if (action.kind === 'throttle') {
+      const {cpuShare} = action;
+      commands.push({kind: 'throttle', name, cpuShare});
+      const detail = `processor share ${cpuShare}; ${service.name} is slowed ${service.slowdown.toFixed(2)} times`;
+      this.options.onEvent('task-throttled', {taskId, workerId, detail});
+      return;
+    }
+    this.stopping.set(taskId, 'evicted');
+    commands.push({kind: 'stop', name});
+  }
+
+  private getBatchNeighbors(
+    view: WorkerView,
+    serviceName: string,
+  ): BatchNeighbor[] {
+    const neighbors: BatchNeighbor[] = [];
+    for (const report of view.reports) {
+      const {taskId, attempt, cpuShare, progress, name, cores} = report;
+      if (report.kind !== 'batch' || report.state !== 'running') continue;
+      if (this.stopping.has(taskId)) continue;
+      const perCore = this.model.getEffect(serviceName, name);
+      const effect = perCore * cores * cpuShare;
+      neighbors.push({taskId, attempt, cpuShare, progress, effect});
+    }
+    return neighbors;
+  }
+
+  private async sendCommands(
+    view: WorkerView,
+    commands: readonly WorkerCommand[],
+  ): Promise<void> {
+    if (!view.lease.isValid()) return;
+    const {address} = view.lease;
+    await this.options.client.runCommands(
+      address,
+      view.lease.getEpoch(),
+      commands,
+    );
+  }
+
+  /** Starts an attempt whose row is written, if the worker has room for it. */
+  private async startBound(view: WorkerView, task: CachedTask): Promise<void> {
+    const {record} = task;
+    const {taskId} = record;
+    const placed = this.createPlacedTask(record);
+    if (!view.isPlaced(taskId)) {
+      // Room that was made for urgent work is not for attempts bound ahead.
+      if (this.isUrgentWaiting && !record.isUrgent) return;
+      if (!view.isFitting(placed.charged)) return;
+      view.addTask(placed);
+    }
+    if (!view.lease.isValid()) return;
+    this.starting.add(taskId);
+    const outcome = await this.options.client.runCommands(
+      view.lease.address,
+      view.lease.getEpoch(),
+      [{kind: 'start', start: createAttemptStart(record)}],
+    );
+    this.starting.delete(taskId);
+    this.backlog.get(view.workerId)?.delete(taskId);
+    // Without an answer the next renewal tells whether the attempt runs.
+    if (outcome.isErr()) return;
+    const [answer] = outcome.value;
+    if (!answer.isAccepted) {
+      view.removeTask(taskId);
+      return;
+    }
+    const detail = `attempt ${record.attempt}`;
+    const {workerId} = view;
+    this.options.onEvent('task-started', {taskId, workerId, detail});
+  }
+
+  private async commitEnd(
+    view: WorkerView,
+    task: CachedTask,
+    report: AttemptReport,
+    end: 'done' | 'failed' | 'stopped',
+  ): Promise<void> {
+    const {taskId} = task.record;
+    const stopReason = this.stopping.get(taskId);
+    const next = this.getEndRecord(task.record, report, end);
+    const isWritten = await this.writeRecord(task, next);
+    if (!isWritten) return;
+    this.stopping.delete(taskId);
+    view.removeTask(taskId);
+    if (end === 'done') this.noteStartHealth(view, false);
+    const {workerId} = view;
+    const event = getEndEvent(next.state, end, stopReason);
+    const detail = `attempt ${report.attempt}, ${Math.round(report.coreMs)} core-ms`;
+    this.options.onEvent(event, {taskId, workerId, detail});
+    const name = {taskId, attempt: report.attempt};
+    await this.sendCommands(view, [{kind: 'acknowledge', name}]);
+    this.startBacklog(view);
+  }
+
+  /** Starts attempts that were bound ahead, now that room came free. */
+  private startBacklog(view: WorkerView): void {
+    if (!this.isCurrent(view) || !view.isSynced) return;
+    for (const taskId of this.backlog.get(view.workerId) ?? []) {
+      this.reconcileBound(view, taskId);
+    }
+  }
+
+  private getEndRecord(
+    record: TaskRecord,
+    report: AttemptReport,
+    end: 'done' | 'failed' | 'stopped',
+  ): TaskRecord {
+    const writeToken = this.options.tokens.getNext();
+    if (end === 'done') {
+      return {...record, writeToken, state: 'done', result: report.result};
+    }
+    if (this.isUnwanted(record)) {
+      return {...record, writeToken, state: 'cancelled'};
+    }
+    const checkpoint = report.checkpoint ?? record.checkpoint;
+    if (end === 'stopped') {
+      const evictions = record.evictions + 1;
+      return {...record, writeToken, state: 'pending', evictions, checkpoint};
+    }
+    const failures = record.failures + 1;
+    const isOver = record.kind === 'batch' && failures >= record.maxAttempts;
+    this.setRetryTime(record.taskId, failures);
+    return {
+      ...record,
+      writeToken,
+      failures,
+      state: isOver ? 'failed' : 'pending',
+      reason: `attempt ${record.attempt} failed on ${record.workerId}`,
+    };
+  }
+
+  private setRetryTime(taskId: string, failures: number): void {
+    const backoffMs = Math.min(
+      MAX_RETRY_BACKOFF_MS,
+      RETRY_BACKOFF_MS * 2 ** Math.min(failures, 10),
+    );
+    const nowMs = this.options.clock.getMonotonicMs();
+    this.retryAt.set(taskId, nowMs + backoffMs);
+  }
+
+  private noteStartHealth(view: WorkerView, isFailure: boolean): void {
+    const change = this.health.noteResult(view.workerId, isFailure);
+    if (change !== 'set-aside') return;
+    const {workerId} = view;
+    this.options.onEvent('worker-set-aside', {workerId});
+  }
+
+  private async commitUnbind(task: CachedTask, reason: string): Promise<void> {
+    const {workerId} = task.record;
+    const next: TaskRecord = {
+      ...task.record,
+      writeToken: this.options.tokens.getNext(),
+      state: 'pending',
+      reason,
+    };
+    const isWritten = await this.writeRecord(task, next);
+    if (!isWritten || workerId === undefined) return;
+    this.views.get(workerId)?.removeTask(next.taskId);
+    this.backlog.get(workerId)?.delete(next.taskId);
+  }
+
+  private async commitCancelled(task: CachedTask): Promise<void> {
+    const {workerId, taskId} = task.record;
+    const writeToken = this.options.tokens.getNext();
+    const next: TaskRecord = {...task.record, writeToken, state: 'cancelled'};
+    const isWritten = await this.writeRecord(task, next);
+    if (!isWritten) return;
+    if (workerId !== undefined) this.views.get(workerId)?.removeTask(taskId);
+    this.options.onEvent('task-cancelled', {taskId});
+  }
+
+  /** Writes a record by compare-and-set; rereads the row when that fails. */
+  private async writeRecord(
+    task: CachedTask,
+    record: TaskRecord,
+  ): Promise<boolean> {
+    task.isWriting = true;
+    const outcome = await this.options.committer.write([
+      {
+        kind: 'put',
+        key: task.key,
+        value: record,
+        expectedRevision: task.revision,
+      },
+    ]);
+    if (outcome.kind === 'written') {
+      this.cache.setRecord(task.key, record, outcome.revision);
+      task.isWriting = false;
+      return true;
+    }
+    await this.settleFailedWrite(task, outcome);
+    return false;
+  }
+
+  /** Nothing is done with a row before its state is known again. */
+  private async settleFailedWrite(
+    task: CachedTask,
+    outcome: WriteOutcome,
+  ): Promise<void> {
+    if (outcome.kind === 'unavailable') this.reportTableFailure(outcome.reason);
+    await this.waitForRefresh();
+    if (outcome.kind === 'conflict') {
+      // The changes do not tell of a row that was deleted.
+      const reread = await this.cache.refreshTask(task);
+      if (reread.isErr()) return this.settleFailedWrite(task, outcome);
+    }
+    task.isWriting = false;
+  }
+
+  private tick(): void {
+    if (this.document === undefined || this.placement === undefined) return;
+    this.unbindFromGoneWorkers();
+    const pending = this.getOwnPending();
+    this.isUrgentWaiting = false;
+    if (pending.length === 0) return;
+    const queue = FairShareQueue.create(
+      this.getDomainTeams(this.document.teams),
+      this.getUsedCores(),
+      pending,
+    );
+    const usable = this.getUsableViews();
+    let binds = 0;
+    let isFull = false;
+    for (;;) {
+      const next = queue.removeNext();
+      if (next === undefined || binds >= MAX_BINDS_PER_TICK) return;
+      const task = this.cache.getTask(next.taskId);
+      if (task === undefined || task.isWriting) continue;
+      if (isFull && next.kind === 'batch' && !next.isUrgent) return;
+      const view = this.chooseView(task.record, usable);
+      if (view !== undefined) {
+        binds++;
+        queue.notePlaced(next);
+        void this.bind(view, task, true);
+        continue;
+      }
+      if (next.kind === 'service' || next.isUrgent) {
+        this.isUrgentWaiting = true;
+        this.makeRoom(task.record, usable);
+        continue;
+      }
+      isFull = !this.bindAhead(task, usable);
+      if (!isFull) queue.notePlaced(next);
+    }
+  }
+
+  /** Each domain enforces its part of a quota, by its part of the workers. */
+  private getDomainTeams(teams: readonly TeamDeclaration[]): TeamDeclaration[] {
+    const counts = this.getWorkersByDomain();
+    let total = 0;
+    for (const count of counts.values()) total += count;
+    const own = counts.get(this.options.failureDomain) ?? 0;
+    const fraction = total === 0 ? 1 : own / total;
+    return teams.map(team => ({
+      ...team,
+      quotaCores: team.quotaCores * fraction,
+    }));
+  }
+
+  private getOwnPending(): PendingTask[] {
+    const nowMs = this.options.clock.getMonotonicMs();
+    const own: PendingTask[] = [];
+    for (const task of this.cache.getPending()) {
+      const {record} = task;
+      if (this.isUnwanted(record)) {
+        void this.commitCancelled(task);
+        continue;
+      }
+      if ((this.retryAt.get(record.taskId) ?? 0) > nowMs) continue;
+      if (!this.isOwn(record) || this.setInfeasible(task)) continue;
+      own.push(record);
+    }
+    return own;
+  }
+
+  /** Each task has a preferred scheduler; the others wait before they take it. */
+  private isOwn(record: TaskRecord): boolean {
+    const {clock} = this.options;
+    const rank = this.getRank(record.taskId);
+    if (rank === 0) return true;
+    const ageMs = clock.getWallMs() - record.submittedAtMs;
+    const delayMs = record.isUrgent
+      ? FOREIGN_TASK_DELAY_MS / 4
+      : FOREIGN_TASK_DELAY_MS;
+    return ageMs > delayMs * rank;
+  }
+
+  private getRank(taskId: string): number {
+    const known = this.ranks.get(taskId);
+    if (known !== undefined) return known;
+    const {schedulerId} = this.options;
+    const rank = getPreferenceRank(taskId, this.schedulers, schedulerId);
+    this.ranks.set(taskId, rank);
+    return rank;
+  }
+
+  private setInfeasible(task: CachedTask): boolean {
+    const {record} = task;
+    const team = this.document?.teams.find(({name}) => name === record.team);
+    const reason = getInfeasibleReason(record, this.workerSizes, team);
+    if (reason === undefined) return false;
+    const writeToken = this.options.tokens.getNext();
+    const next: TaskRecord = {
+      ...record,
+      writeToken,
+      state: 'infeasible',
+      reason,
+    };
+    const {taskId} = record;
+    void this.writeRecord(task, next).then(isWritten => {
+      if (!isWritten) return;
+      this.options.onEvent('job-infeasible', {taskId, detail: reason});
+    });
+    return true;
+  }
+
+  private getUsedCores(): Map<string, number> {
+    const used = new Map<string, number>();
+    for (const {record} of this.cache.getBound()) {
+      if (record.kind !== 'batch') continue;
+      used.set(record.team, (used.get(record.team) ?? 0) + record.cores);
+    }
+    return used;
+  }
+
+  private getUsableViews(): WorkerView[] {
+    const usable: WorkerView[] = [];
+    for (const view of this.views.values()) {
+      if (!view.isSynced || view.isLeaving || !view.lease.isValid()) continue;
+      if (this.health.isUsable(view.workerId)) usable.push(view);
+    }
+    return usable;
+  }
+
+  private chooseView(
+    record: TaskRecord,
+    usable: readonly WorkerView[],
+  ): WorkerView | undefined {
+    return this.placement?.chooseWorker(
+      this.createPlacementRequest(record),
+      usable.filter(view => this.health.isUsable(view.workerId)),
+    );
+  }
+
+  private createPlacementRequest(record: TaskRecord): PlacementRequest {
+    const placed = this.createPlacedTask(record);
+    if (record.kind === 'batch') return placed;
+    const replicasByRack = new Map<string, number>();
+    for (const {record: other} of this.cache.getBound()) {
+      if (other.kind !== 'service' || other.name !== record.name) continue;
+      const rack = this.vms.find(vm => vm.id === other.workerId)?.rack ?? '';
+      replicasByRack.set(rack, (replicasByRack.get(rack) ?? 0) + 1);
+    }
+    return {...placed, replicasByRack};
+  }
+
+  private createPlacedTask(record: TaskRecord): PlacedTask {
+    const {taskId, kind, name, isUrgent} = record;
+    const charged = this.sizes.getCharged(
+      name,
+      record,
+      this.getLargestWorker(),
+    );
+    return {taskId, kind, name, isUrgent, charged};
+  }
+
+  private getLargestWorker(): ResourceAmount {
+    let largest: ResourceAmount = {cores: 0, memoryMb: 0, accelerators: 0};
+    for (const {capacity} of this.views.values()) {
+      if (capacity.cores > largest.cores) largest = capacity;
+    }
+    return largest;
+  }
+
+  private async bind(
+    view: WorkerView,
+    task: CachedTask,
+    isStartedNow: boolean,
+  ): Promise<void> {
+    const {taskId} = task.record;
+    if (isStartedNow) {
+      view.addTask(this.createPlacedTask(task.record));
+      this.health.noteDispatch(view.workerId);
+    }
+    const next: TaskRecord = {
+      ...task.record,
+      writeToken: this.options.tokens.getNext(),
+      state: 'bound',
+      attempt: task.record.attempt + 1,
+      workerId: view.workerId,
+      bootId: view.lease.getStatus().bootId,
+      reason: undefined,
+    };
+    const isWritten = await this.writeRecord(task, next);
+    if (!isWritten) {
+      this.releaseUnbound(view, taskId);
+      return;
+    }
+    const detail = `attempt ${next.attempt}`;
+    const {workerId} = view;
+    this.options.onEvent('task-bound', {taskId, workerId, detail});
+    if (this.isCurrent(view) && view.lease.isValid()) {
+      await this.startBound(view, task);
+    }
+  }
+
+  /** A bind that was reported as failed may turn out to be written. */
+  private releaseUnbound(view: WorkerView, taskId: string): void {
+    const record = this.cache.getTask(taskId)?.record;
+    const isBound =
+      record?.state === 'bound' && record.workerId === view.workerId;
+    if (!isBound) view.removeTask(taskId);
+    this.backlog.get(view.workerId)?.delete(taskId);
+  }
+
+  /** Binds a task that starts when room comes free, even without the table service. */
+  private bindAhead(task: CachedTask, usable: readonly WorkerView[]): boolean {
+    for (const view of usable) {
+      const ahead = this.backlog.get(view.workerId) ?? new Set<string>();
+      if (ahead.size >= BACKLOG_PER_WORKER) continue;
+      if (!isFittingAlone(task.record, view)) continue;
+      ahead.add(task.record.taskId);
+      this.backlog.set(view.workerId, ahead);
+      void this.bind(view, task, false);
+      return true;
+    }
+    return false;
+  }
+
+  /** Evicts the least batch work that makes room for an urgent task. */
+  private makeRoom(record: TaskRecord, usable: readonly WorkerView[]): void {
+    const request = this.createPlacementRequest(record);
+    const {charged} = request;
+    for (const view of usable) {
+      if (hasReplica(request, view)) continue;
+      const victims = getVictims(view, charged, this.stopping);
+      if (victims === undefined) continue;
+      const commands: WorkerCommand[] = [];
+      for (const {taskId, attempt} of victims) {
+        this.stopping.set(taskId, 'evicted');
+        commands.push({kind: 'stop', name: {taskId, attempt}});
+      }
+      void this.sendCommands(view, commands);
+      return;
+    }
+  }
+
+  private isUnwanted(record: TaskRecord): boolean {
+    if (record.kind === 'batch') return this.cancelledJobs.has(record.name);
+    if (this.document === undefined || this.vms.length === 0) return false;
+    return !this.getWantedReplicas().has(record.taskId);
+  }
+
+  private getWantedReplicas() {
+    const {failureDomain} = this.options;
+    if (this.document === undefined) return new Map<string, never>();
+    return getWantedReplicas(
+      this.document,
+      failureDomain,
+      this.getWorkersByDomain(),
+    );
+  }
+
+  private getWorkersByDomain(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const vm of this.vms) {
+      if (vm.role !== 'worker') continue;
+      counts.set(vm.failureDomain, (counts.get(vm.failureDomain) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  private requestStop(task: CachedTask, reason: StopReason): void {
+    if (!this.stopping.has(task.record.taskId)) {
+      this.stopping.set(task.record.taskId, reason);
+    }
+  }
+
+  private async refreshJobs(): Promise<void> {
+    await this.refreshCancellations();
+    await this.createReplicas();
+    await this.createJobTasks();
+  }
+
+  private async refreshCancellations(): Promise<void> {
+    const page = await this.options.table.getChanges({
+      prefix: CANCEL_PREFIX,
+      sinceRevision: this.cancelRevision,
+      limit: MAX_BINDS_PER_TICK,
+    });
+    if (page.isErr()) return;
+    this.cancelRevision = page.value.revision;
+    for (const row of page.value.rows) {
+      this.cancelledJobs.add(row.key.slice(CANCEL_PREFIX.length));
+    }
+  }
+
+  private async createReplicas(): Promise<void> {
+    if (this.vms.length === 0 || !this.isFirstScheduler()) return;
+    const {failureDomain, committer, tokens, clock} = this.options;
+    const writes: Array<Promise<unknown>> = [];
+    for (const [taskId, service] of this.getWantedReplicas()) {
+      const known = this.cache.getTask(taskId);
+      if (known !== undefined && known.record.state !== 'cancelled') continue;
+      if (known?.isWriting) continue;
+      const value = {
+        ...createReplicaRecord(
+          service,
+          taskId,
+          tokens.getNext(),
+          clock.getWallMs(),
+        ),
+        attempt: known?.record.attempt ?? 0,
+      };
+      const key = getTaskKey(failureDomain, taskId);
+      const expectedRevision = known?.revision ?? ABSENT_REVISION;
+      writes.push(
+        committer.write([{kind: 'put', key, value, expectedRevision}]),
+      );
+    }
+    await Promise.all(writes);
+  }
+
+  private isFirstScheduler(): boolean {
+    return this.schedulers[0] === this.options.schedulerId;
+  }
+
+  private async createJobTasks(): Promise<void> {
+    if (this.document === undefined || !this.isFirstScheduler()) return;
+    const failureDomains = [...this.getWorkersByDomain().keys()].sort();
+    if (failureDomains[0] !== this.options.failureDomain) return;
+    const {table, committer, tokens, clock} = this.options;
+    for (const job of this.document.batchJobs) {
+      const jobKey = JOB_PREFIX + job.name;
+      const row = await table.getRow(jobKey);
+      if (row.isErr()) return;
+      const known = jobRecordSchema.safeParse(row.value?.value);
+      let createdTasks = known.success ? known.data.createdTasks : 0;
+      let revision = row.value?.revision ?? ABSENT_REVISION;
+      while (createdTasks < job.tasks) {
+        const plan = {job, jobKey, revision, createdTasks, failureDomains};
+        const unit = createJobOperations(plan, tokens, clock.getWallMs());
+        const outcome = await committer.write(unit);
+        if (outcome.kind !== 'written') return;
+        revision = outcome.revision;
+        createdTasks = Math.min(job.tasks, createdTasks + unit.length - 1);
+      }
+    }
+  }
+
+  /** Takes pending batch tasks of another domain when this one has room and no work. */
+  private async stealTasks(): Promise<void> {
+    if (this.cache.getPending().length > 0) return;
+    const usable = this.getUsableViews();
+    const hasRoom = usable.some(view => view.getFree().cores >= 1);
+    const domains = [...this.getWorkersByDomain().keys()].filter(
+      domain => domain !== this.options.failureDomain,
+    );
+    if (!hasRoom || domains.length === 0) return;
+    const {random, table} = this.options;
+    const domain = domains[random.getIndex(domains.length)];
+    const other = TaskCache.create(table, domain);
+    const refreshed = await other.refresh();
+    if (refreshed.isErr()) return;
+    const nowMs = this.options.clock.getWallMs();
+    let stolen = 0;
+    for (const task of other.getPending()) {
+      const ageMs = nowMs - task.record.submittedAtMs;
+      if (task.record.kind !== 'batch' || ageMs < STEAL_MIN_AGE_MS) continue;
+      if (!usable.some(view => view.isFitting(task.record))) continue;
+      if (++stolen > MAX_STOLEN_TASKS) return;
+      void this.moveHere(task);
+    }
+  }
+
+  private async moveHere(task: CachedTask): Promise<void> {
+    const {failureDomain, committer, tokens} = this.options;
+    const {taskId} = task.record;
+    const key = getTaskKey(failureDomain, taskId);
+    const record: TaskRecord = {
+      ...task.record,
+      writeToken: tokens.getNext(),
+    };
+    const outcome = await committer.write([
+      {kind: 'put', key, value: record, expectedRevision: ABSENT_REVISION},
+      {kind: 'delete', key: task.key, expectedRevision: task.revision},
+    ]);
+    if (outcome.kind !== 'written') return;
+    this.cache.setRecord(key, record, outcome.revision);
+  }
+
+  private updateGoneWorkers(): void {
+    const listed = new Set(this.vms.map(vm => vm.id));
+    const nowMs = this.options.clock.getMonotonicMs();
+    if (nowMs - this.lastListReadMs > MAX_LIST_AGE_MS) {
+      this.goneSince.clear();
+      return;
+    }
+    for (const workerId of this.cache.getBoundWorkerIds()) {
+      if (listed.has(workerId)) this.goneSince.delete(workerId);
+      else if (!this.goneSince.has(workerId)) {
+        this.goneSince.set(workerId, nowMs);
+      }
+    }
+  }
+
+  /**
+   * The platform lists a VM until it has stopped it. After the list's lag and
+   * the task lease, nothing of it can run any more.
+   */
+  private unbindFromGoneWorkers(): void {
+    this.updateGoneWorkers();
+    const nowMs = this.options.clock.getMonotonicMs();
+    const waitMs = this.options.listLagMs + TASK_LEASE_MS;
+    for (const [workerId, sinceMs] of this.goneSince) {
+      if (nowMs - sinceMs < waitMs) continue;
+      for (const taskId of this.cache.getBoundIds(workerId)) {
+        const task = this.cache.getTask(taskId);
+        if (task === undefined || task.isWriting) continue;
+        void this.commitUnbind(task, `worker ${workerId} is gone`);
+      }
+      this.goneSince.delete(workerId);
+    }
+  }
+
+  private reportTableFailure(detail: string): void {
+    this.options.onEvent('table-failed', {detail});
+  }
+
+  private repeat(
+    name: string,
+    intervalMs: number,
+    action: () => void | Promise<void>,
+  ): void {
+    if (this.isStopped) return;
+    const timer = this.options.clock.setTimer(intervalMs, () => {
+      void Promise.resolve(action()).then(() =>
+        this.repeat(name, intervalMs, action),
+      );
+    });
+    this.timers.set(name, timer);
+  }
+}
+
+function getDistinctSizes(vms: readonly Vm[]): ResourceAmount[] {
+  const sizes = new Map<string, ResourceAmount>();
+  for (const {role, cores, memoryMb, accelerators} of vms) {
+    if (role !== 'worker') continue;
+    sizes.set(`${cores}/${memoryMb}/${accelerators}`, {
+      cores,
+      memoryMb,
+      accelerators,
+    });
+  }
+  return [...sizes.values()];
+}
+
+type StopReason = 'cancelled' | 'evicted' | 'moved';
+
+function isBoundTo(
+  record: TaskRecord,
+  view: WorkerView,
+  attempt: number,
+): boolean {
+  return (
+    record.state === 'bound' &&
+    record.workerId === view.workerId &&
+    record.attempt === attempt
+  );
+}
+
+function isFittingAlone(record: TaskRecord, view: WorkerView): boolean {
+  const {cores, memoryMb, accelerators} = view.capacity;
+  return (
+    record.cores <= cores &&
+    record.memoryMb <= memoryMb &&
+    record.accelerators <= accelerators
+  );
+}
+
+function createAttemptStart(record: TaskRecord): AttemptStart {
+  const {taskId, attempt, kind, team, name} = record;
+  const {cores, memoryMb, accelerators, expectedRunMs} = record;
+  const {slots, connections, checkpoint} = record;
+  return {
+    taskId,
+    attempt,
+    kind,
+    team,
+    name,
+    cores,
+    memoryMb,
+    accelerators,
+    expectedRunMs,
+    slots,
+    connections,
+    ...(checkpoint !== undefined && {checkpoint}),
+  };
+}
+
+function getNeighbors(reports: readonly AttemptReport[]): Neighbor[] {
+  const neighbors: Neighbor[] = [];
+  for (const {kind, state, name, cores, cpuShare} of reports) {
+    if (kind !== 'batch' || state !== 'running') continue;
+    neighbors.push({name, cores: cores * cpuShare});
+  }
+  return neighbors;
+}
+
+function getSlowestService(
+  reports: Iterable<AttemptReport>,
+): AttemptReport | undefined {
+  let slowest: AttemptReport | undefined;
+  for (const report of reports) {
+    if (report.kind !== 'service' || report.state !== 'running') continue;
+    if (slowest === undefined || report.slowdown > slowest.slowdown) {
+      slowest = report;
+    }
+  }
+  return slowest;
+}
+
+/** Batch attempts, least progress first, whose end makes a task fit. */
+function getVictims(
+  view: WorkerView,
+  charged: ResourceAmount,
+  stopping: ReadonlyMap<string, unknown>,
+): AttemptReport[] | undefined {
+  const candidates: AttemptReport[] = [];
+  let {cores, memoryMb, accelerators} = view.getFree();
+  for (const report of view.reports) {
+    if (report.kind !== 'batch' || report.state !== 'running') continue;
+    if (!stopping.has(report.taskId)) {
+      candidates.push(report);
+      continue;
+    }
+    cores += report.cores;
+    memoryMb += report.memoryMb;
+    accelerators += report.accelerators;
+  }
+  candidates.sort((left, right) => left.progress - right.progress);
+  const victims: AttemptReport[] = [];
+  for (;;) {
+    const fits =
+      charged.cores <= cores &&
+      charged.memoryMb <= memoryMb &&
+      charged.accelerators <= accelerators;
+    if (fits) return victims;
+    const victim = candidates.shift();
+    if (victim === undefined) return undefined;
+    victims.push(victim);
+    cores += victim.cores;
+    memoryMb += victim.memoryMb;
+    accelerators += victim.accelerators;
+  }
+}
+
+function getEndEvent(
+  state: TaskRecord['state'],
+  end: 'done' | 'failed' | 'stopped',
+  stopReason: StopReason | undefined,
+): SchedulerEvent {
+  if (end === 'done') return 'task-finished';
+  if (state === 'cancelled' || stopReason === 'cancelled') {
+    return 'task-cancelled';
+  }
+  return end === 'failed' ? 'task-failed' : 'task-evicted';
+}
