--- /dev/null
+++ b/packages/entry/src/caller_server.ts
@@ -0,0 +1,222 @@
+/** HTTP towards callers. */
+
+import {Context, Hono} from 'hono';
+import {bodyLimit} from 'hono/body-limit';
+import {Clock} from '@mustardlug/base/clock';
+import {
+  EnvironmentDocument,
+  ServiceDeclaration,
+} from '@mustardlug/document/environment_document';
+import {MAX_BODY_BYTES} from '@mustardlug/protocol/messages';
+import {
+  CallerAnswer,
+  CallerRequest,
+  RequestCoordinator,
+} from '@mustardlug/routing/request_coordinator';
+import {filterHeaders} from './header_filter.js';
+
+/** Readiness as the balancer sees it. */
+export interface Readiness {
+  readonly isReady: boolean;
+  /** Reason when not ready. */
+  readonly reason: string;
+}
+
+/** What the caller server needs. */
+export interface CallerServerOptions {
+  readonly nodeId: string;
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly coordinator: RequestCoordinator;
+  readonly getDocument: () => EnvironmentDocument | undefined;
+  readonly getReadiness: () => Readiness;
+  readonly isStopping: () => boolean;
+  readonly onAnswered: (
+    request: CallerRequest,
+    answer: CallerAnswer,
+    durationMs: number,
+  ) => void;
+}
+
+const OUTCOME_HEADER = 'x-mustardlug-outcome';
+const REQUEST_HEADER = 'x-mustardlug-request';
+const WORKER_HEADER = 'x-mustardlug-worker';
+const REPEATED_HEADER = 'x-mustardlug-repeated';
+const DEADLINE_HEADER = 'x-deadline-ms';
+const KEY_HEADER = 'idempotency-key';
+const MAX_KEY_LENGTH = 256;
+const NO_DOCUMENT_RETRY_AFTER_MS = 2_000;
+const MS_PER_SECOND = 1_000;
+
+/** Statuses that must not carry a body. */
+const EMPTY_STATUSES: ReadonlySet<number> = new Set([204, 205, 304]);
+
+/** Checks callers' requests and renders their answers. */
+export class CallerServer {
+  private requestCount = 0;
+  private openCount = 0;
+
+  private constructor(private readonly options: CallerServerOptions) {}
+
+  /**
+   * Creates a server.
+   * @param options - Coordinator, document and readiness.
+   */
+  static create(options: CallerServerOptions): CallerServer {
+    return new CallerServer(options);
+  }
+
+  /** Gets the number of callers' requests in progress. */
+  getOpenCount(): number {
+    return this.openCount;
+  }
+
+  /** Gets the HTTP routes. */
+  getApp(): Hono {
+    const app = new Hono();
+    app.get('/-/live', context => context.text('live\n'));
+    app.get('/-/ready', context => {
+      const {isReady, reason} = this.options.getReadiness();
+      return context.text(
+        isReady ? 'ready\n' : `${reason}\n`,
+        isReady ? 200 : 503,
+      );
+    });
+    const limit = bodyLimit({
+      maxSize: MAX_BODY_BYTES,
+      onError: context => this.renderTooLarge(context, MAX_BODY_BYTES),
+    });
+    app.all('*', limit, context => this.handle(context));
+    app.onError((error, context) =>
+      this.renderError(context, 400, `malformed request (${error.message})`, 0),
+    );
+    return app;
+  }
+
+  private async handle(context: Context): Promise<Response> {
+    this.openCount++;
+    try {
+      return await this.handleCounted(context);
+    } finally {
+      this.openCount--;
+    }
+  }
+
+  private async handleCounted(context: Context): Promise<Response> {
+    const startedMs = this.options.clock.getMonotonicMs();
+    const document = this.options.getDocument();
+    if (document === undefined) {
+      const reason = 'no environment document is in force yet';
+      return this.renderError(context, 503, reason, NO_DOCUMENT_RETRY_AFTER_MS);
+    }
+    const target = parseTarget(context.req.url, document);
+    if (target === undefined) {
+      const reason = 'no such service; the path must start with /SERVICE/';
+      return this.renderError(context, 404, reason, 0);
+    }
+    const key = context.req.header(KEY_HEADER);
+    if (key !== undefined && (key === '' || key.length > MAX_KEY_LENGTH)) {
+      const reason = `Idempotency-Key must have 1 to ${MAX_KEY_LENGTH} characters`;
+      return this.renderError(context, 400, reason, 0);
+    }
+    const body = new Uint8Array(await context.req.arrayBuffer());
+    if (body.length > target.service.maxBodyBytes) {
+      return this.renderTooLarge(context, target.service.maxBodyBytes);
+    }
+    const request: CallerRequest = {
+      id: this.getNextId(),
+      service: target.service,
+      method: context.req.method,
+      path: target.path,
+      headers: filterHeaders(context.req.header()),
+      body,
+      idempotencyKey: key,
+      deadlineMs: startedMs + getDeadlineMs(context, target.service),
+    };
+    const answer = await this.options.coordinator.runRequest(request);
+    const durationMs = this.options.clock.getMonotonicMs() - startedMs;
+    this.options.onAnswered(request, answer, durationMs);
+    return this.renderAnswer(request, answer);
+  }
+
+  private getNextId(): string {
+    const {nodeId, incarnation} = this.options;
+    return `${nodeId}/${incarnation}/${++this.requestCount}`;
+  }
+
+  private renderAnswer(request: CallerRequest, answer: CallerAnswer): Response {
+    const headers = this.createHeaders(request.id, answer);
+    if (answer.outcome !== 'ran') {
+      headers.set('content-type', 'application/json');
+      const {outcome, reason, retryAfterMs, status} = answer;
+      const error = {outcome, reason, retryAfterMs, requestId: request.id};
+      return new Response(JSON.stringify({error}), {status, headers});
+    }
+    const {status} = answer;
+    const body = EMPTY_STATUSES.has(status) ? null : Buffer.from(answer.body);
+    return new Response(body, {status, headers});
+  }
+
+  private createHeaders(requestId: string, answer: CallerAnswer): Headers {
+    const headers = new Headers();
+    for (let index = 0; index + 1 < answer.headers.length; index += 2) {
+      headers.append(answer.headers[index], answer.headers[index + 1]);
+    }
+    headers.set(OUTCOME_HEADER, answer.outcome);
+    headers.set(REQUEST_HEADER, requestId);
+    if (answer.workerId !== '') headers.set(WORKER_HEADER, answer.workerId);
+    if (answer.isRepeated) headers.set(REPEATED_HEADER, 'true');
+    if (answer.retryAfterMs > 0) {
+      headers.set('retry-after', getRetryAfterSeconds(answer.retryAfterMs));
+    }
+    if (this.options.isStopping()) headers.set('connection', 'close');
+    return headers;
+  }
+
+  private renderTooLarge(context: Context, limitBytes: number): Response {
+    const reason = `the body is larger than ${limitBytes} bytes`;
+    return this.renderError(context, 413, reason, 0);
+  }
+
+  private renderError(
+    context: Context,
+    status: 400 | 404 | 413 | 503,
+    reason: string,
+    retryAfterMs: number,
+  ): Response {
+    context.header(OUTCOME_HEADER, 'not-run');
+    if (retryAfterMs > 0) {
+      context.header('retry-after', getRetryAfterSeconds(retryAfterMs));
+    }
+    const error = {outcome: 'not-run', reason, retryAfterMs};
+    return context.json({error}, status);
+  }
+}
+
+interface RequestTarget {
+  readonly service: ServiceDeclaration;
+  readonly path: string;
+}
+
+function parseTarget(
+  url: string,
+  document: EnvironmentDocument,
+): RequestTarget | undefined {
+  const {pathname, search} = new URL(url);
+  const separator = pathname.indexOf('/', 1);
+  const name = pathname.slice(1, separator < 0 ? undefined : separator);
+  const service = document.services.find(candidate => candidate.name === name);
+  if (service === undefined) return undefined;
+  const rest = separator < 0 ? '/' : pathname.slice(separator);
+  return {service, path: rest + search};
+}
+
+function getDeadlineMs(context: Context, service: ServiceDeclaration): number {
+  const given = Number(context.req.header(DEADLINE_HEADER));
+  if (!Number.isFinite(given) || given <= 0) return service.deadlineMs;
+  return Math.min(given, service.deadlineMs);
+}
+
+function getRetryAfterSeconds(retryAfterMs: number): string {
+  return String(Math.ceil(retryAfterMs / MS_PER_SECOND));
+}
--- /dev/null
+++ b/packages/runtime/src/program.ts
@@ -0,0 +1,67 @@
+/** What all programs share: exit statuses, settings files and signals. */
+
+import {dirname, resolve} from 'node:path';
+import {Result} from 'neverthrow';
+import {z} from 'zod';
+import {AppError, InvalidInputError} from '@mustardlug/base/errors';
+import {readJsonFile} from '@mustardlug/base/settings_reader';
+
+/** Exit statuses of all programs. */
+export const EXIT_STATUS = {
+  ok: 0,
+  failed: 1,
+  invalidInput: 2,
+  conflict: 3,
+  unavailable: 4,
+} as const;
+
+/**
+ * Gets the exit status for an error.
+ * @param error - Error that ends the program.
+ */
+export function getExitStatus(error: AppError): number {
+  switch (error.kind) {
+    case 'invalid-input':
+      return EXIT_STATUS.invalidInput;
+    case 'conflict':
+      return EXIT_STATUS.conflict;
+    case 'unavailable':
+      return EXIT_STATUS.unavailable;
+    default:
+      return EXIT_STATUS.failed;
+  }
+}
+
+/**
+ * Ends the program with a message.
+ * @param program - Name of the program.
+ * @param error - Error to report.
+ */
+export function exitWithError(program: string, error: AppError): never {
+  process.stderr.write(`${program}: ${error.message}\n`);
+  process.exit(getExitStatus(error));
+}
+
+/**
+ * Reads a settings file; a relative `keyFile` is taken from the file's folder.
+ * @param path - Path of the settings file.
+ * @param schema - Schema of the settings.
+ */
+export function readSettings<T extends {readonly keyFile: string}>(
+  path: string,
+  schema: z.ZodType<T>,
+): Result<T, InvalidInputError> {
+  return readJsonFile(path, schema).map(settings => ({
+    ...settings,
+    keyFile: resolve(dirname(path), settings.keyFile),
+  }));
+}
+
+/**
+ * Calls a function once when the process is asked to stop.
+ * @param stop - Function that ends the program.
+ */
+export function onStopSignal(stop: () => void): void {
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
--- /dev/null
+++ b/packages/scheduler/src/local_entry.ts
@@ -0,0 +1,55 @@
+/** What the entry process on the same VM knows, for times without the platform. */
+
+import {z} from 'zod';
+import {JsonClient} from '@mustardlug/platform/json_client';
+import {VmSnapshot, vmSnapshotSchema} from '@mustardlug/platform/vm_list';
+import {PeerKey} from '@mustardlug/protocol/peer_key';
+
+const HTTP_OK = 200;
+const documentSchema = z.object({version: z.number(), text: z.string()});
+
+/** Document of the entry process. */
+export type LocalDocument = z.infer<typeof documentSchema>;
+
+/** Client of the entry process on the same VM. */
+export class LocalEntry {
+  private constructor(
+    private readonly client: JsonClient,
+    private readonly key: PeerKey,
+    private readonly baseUrl: string,
+  ) {}
+
+  /**
+   * Creates a client.
+   * @param client - JSON client to use.
+   * @param key - Key for operator calls.
+   * @param baseUrl - Operator address of the entry process.
+   */
+  static create(client: JsonClient, key: PeerKey, baseUrl: string): LocalEntry {
+    return new LocalEntry(client, key, baseUrl);
+  }
+
+  /** Gets the document in force there, if it answers. */
+  getDocument(): Promise<LocalDocument | undefined> {
+    return this.get('document', documentSchema);
+  }
+
+  /** Gets the last VM list that was read there, if it answers. */
+  getVms(): Promise<VmSnapshot | undefined> {
+    return this.get('vms', vmSnapshotSchema);
+  }
+
+  private async get<T>(
+    resource: string,
+    schema: z.ZodType<T>,
+  ): Promise<T | undefined> {
+    const answer = await this.client.call({
+      method: 'GET',
+      url: `${this.baseUrl}/operator/${resource}`,
+      headers: {authorization: this.key.getHeader()},
+    });
+    if (answer.isErr() || answer.value.status !== HTTP_OK) return undefined;
+    const parsed = schema.safeParse(answer.value.body);
+    return parsed.success ? parsed.data : undefined;
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/scheduler_process.ts
@@ -0,0 +1,336 @@
+/** One scheduler process: its parts and their life. */
+
+import {err, ok, Result} from 'neverthrow';
+import {Clock, Timer} from '@mustardlug/base/clock';
+import {AppError} from '@mustardlug/base/errors';
+import {RandomSource} from '@mustardlug/base/random_source';
+import {DocumentFollower} from '@mustardlug/document/document_follower';
+import {DocumentStore} from '@mustardlug/document/document_store';
+import {
+  DEFAULT_LEASE_TIMING,
+  LeaseKeeper,
+} from '@mustardlug/membership/lease_keeper';
+import {
+  getWorkerAddress,
+  VmDirectory,
+} from '@mustardlug/membership/vm_directory';
+import {WorkerLease} from '@mustardlug/membership/worker_lease';
+import {GroupCommitter} from '@mustardlug/platform/group_committer';
+import {
+  HttpObjectStore,
+  HttpTableService,
+  HttpVmList,
+} from '@mustardlug/platform/http_platform';
+import {HttpWorkerClient} from '@mustardlug/platform/http_worker_client';
+import {JsonClient} from '@mustardlug/platform/json_client';
+import {RandomTokenSource} from '@mustardlug/platform/row_token';
+import {SettledTable} from '@mustardlug/platform/settled_table';
+import {PeerKey} from '@mustardlug/protocol/peer_key';
+import {HttpListener} from '@mustardlug/runtime/http_listener';
+import {createOperatorApp} from '@mustardlug/runtime/operator_server';
+import {TaskScheduler} from '@mustardlug/scheduling/task_scheduler';
+import {UsageRecorder} from '@mustardlug/scheduling/usage_recorder';
+import {EventName} from '@mustardlug/telemetry/event_catalogue';
+import {
+  EventRecorder,
+  EventSubject,
+} from '@mustardlug/telemetry/event_recorder';
+import {HybridLogicalClock} from '@mustardlug/telemetry/hybrid_logical_clock';
+import {createLogSink} from '@mustardlug/telemetry/logger';
+import {ProcessMetrics} from '@mustardlug/telemetry/process_metrics';
+import {LocalEntry} from './local_entry.js';
+import {SchedulerSettings} from './scheduler_settings.js';
+
+const VM_LIST_POLL_MS = 1_000;
+const DOCUMENT_POLL_MS = 2_000;
+
+/** A running scheduler process. */
+export class SchedulerProcess {
+  private readonly events: EventRecorder;
+  private readonly metrics = ProcessMetrics.create();
+  private readonly client: JsonClient;
+  private readonly committer: GroupCommitter;
+  private readonly directory: VmDirectory;
+  private readonly follower: DocumentFollower;
+  private readonly localEntry: LocalEntry;
+  private readonly scheduler: TaskScheduler;
+  private readonly usage: UsageRecorder;
+  private readonly leases: LeaseKeeper;
+  private listener: HttpListener | undefined;
+  private listTimer: Timer | undefined;
+  private isStopped = false;
+  private drained: Promise<void> | undefined;
+
+  private constructor(
+    private readonly settings: SchedulerSettings,
+    private readonly key: PeerKey,
+    private readonly clock: Clock,
+    random: RandomSource,
+  ) {
+    const {nodeId, failureDomain} = settings;
+    this.events = EventRecorder.create({
+      nodeId: `${nodeId}/scheduler`,
+      clock: HybridLogicalClock.create(clock),
+      sink: createLogSink(settings.logLevel),
+    });
+    this.client = JsonClient.create(settings.platformTimeoutMs);
+    const address = {baseUrl: settings.platformUrl, failureDomain};
+    const table = HttpTableService.create(this.client, address);
+    const settledTable = SettledTable.create({table, clock});
+    const tokens = RandomTokenSource.create();
+    const client = HttpWorkerClient.create(this.client);
+    this.localEntry = LocalEntry.create(this.client, key, settings.entryUrl);
+    this.directory = VmDirectory.create(
+      HttpVmList.create(this.client, address),
+    );
+    this.committer = GroupCommitter.create({
+      table,
+      settledTable,
+      clock,
+      commitIntervalMs: settings.commitIntervalMs,
+    });
+    this.scheduler = TaskScheduler.create({
+      schedulerId: nodeId,
+      failureDomain,
+      clock,
+      random,
+      table,
+      committer: this.committer,
+      tokens,
+      client,
+      listLagMs: settings.listLagMs,
+      onEvent: (name, subject) => this.addEvent(name, subject),
+    });
+    this.usage = UsageRecorder.create({
+      clock,
+      committer: this.committer,
+      tokens,
+      intervalMs: settings.usageIntervalMs,
+    });
+    this.follower = DocumentFollower.create({
+      store: DocumentStore.create({
+        table,
+        settledTable,
+        objects: HttpObjectStore.create(this.client, address),
+        tokens,
+      }),
+      stage: settings.stage,
+      clock,
+      random,
+      pollMs: DOCUMENT_POLL_MS,
+      listener: {
+        onInForce: current => {
+          this.scheduler.setDocument(current.document);
+          const detail = `version ${current.version}`;
+          this.addEvent('document-in-force', {detail});
+        },
+        onReadFailed: detail => {
+          this.addEvent('document-read-failed', {detail});
+          void this.askLocalEntryForDocument();
+        },
+      },
+    });
+    this.leases = LeaseKeeper.create({
+      scope: 'tasks',
+      holderId: nodeId,
+      clock,
+      random,
+      client,
+      timing: DEFAULT_LEASE_TIMING,
+      listener: {
+        onAcquired: lease => this.handleAcquired(lease),
+        onRenewed: lease => this.handleRenewed(lease),
+        onLost: (lease, detail) => this.handleLost(lease, detail),
+      },
+    });
+    this.addMetrics();
+  }
+
+  /**
+   * Creates a process; nothing listens before `start`.
+   * @param settings - Checked settings.
+   * @param clock - Clock of the process.
+   * @param random - Random numbers.
+   * @returns `invalid-input` when the key file cannot be used.
+   */
+  static create(
+    settings: SchedulerSettings,
+    clock: Clock,
+    random: RandomSource,
+  ): Result<SchedulerProcess, AppError> {
+    return PeerKey.read(settings.keyFile).map(
+      key => new SchedulerProcess(settings, key, clock, random),
+    );
+  }
+
+  /** Listens for operators, then follows the platform. */
+  async start(): Promise<Result<void, AppError>> {
+    const {host, operatorPort} = this.settings;
+    const app = createOperatorApp({
+      key: this.key,
+      getStatus: () => this.getStatus(),
+      getEvents: () => this.events.getEvents(),
+      getMetrics: () => this.metrics.getText(),
+      getDocument: () => undefined,
+      getVms: () => this.directory.getSnapshot(),
+      startDrain: () => void this.drain(),
+      onKeyRefused: detail => this.addEvent('peer-key-refused', {detail}),
+    });
+    const listener = await HttpListener.listen(app, {host, port: operatorPort});
+    if (listener.isErr()) return err(listener.error);
+    this.listener = listener.value;
+    this.scheduler.start();
+    void this.follower.start();
+    void this.followVmList();
+    const detail = `operators on port ${this.listener.getPort()}`;
+    this.addEvent('process-started', {detail});
+    return ok(undefined);
+  }
+
+  /** Gets the port for operators. */
+  getOperatorPort(): number {
+    return this.listener?.getPort() ?? 0;
+  }
+
+  /** Stops as planned: hands all leases back. */
+  drain(): Promise<void> {
+    this.drained ??= this.runDrain();
+    return this.drained;
+  }
+
+  /** Stops at once. */
+  kill(): void {
+    this.isStopped = true;
+    this.listTimer?.cancel();
+    this.follower.stop();
+    this.scheduler.stop();
+    this.leases.setWorkers([]);
+    this.listener?.destroy();
+    void this.client.close();
+  }
+
+  /** Gets what operators see of this node. */
+  getStatus() {
+    const {nodeId, region, failureDomain} = this.settings;
+    return {
+      nodeId,
+      role: 'scheduler',
+      region,
+      failureDomain,
+      documentVersion: this.follower.getVersion(),
+      isReady: this.follower.getCurrent() !== undefined,
+      degraded: this.getDegradations(),
+      leases: this.leases.getValidLeases().map(lease => ({
+        workerId: lease.address.workerId,
+        epoch: lease.getEpoch(),
+      })),
+      pendingTasks: this.scheduler.getPendingCount(),
+      transactions: this.committer.getTransactionCount(),
+      platformTraffic: this.client.byteCounts,
+    };
+  }
+
+  private getDegradations(): string[] {
+    const degraded: string[] = [];
+    if (this.follower.getCurrent() === undefined) {
+      degraded.push('no environment document is in force');
+    }
+    if (this.directory.getVersion() === 0) {
+      degraded.push('the VM list was never read');
+    }
+    return degraded;
+  }
+
+  private async runDrain(): Promise<void> {
+    this.addEvent('process-draining');
+    this.scheduler.stop();
+    await this.leases.releaseAll();
+    this.addEvent('process-stopped');
+    this.kill();
+  }
+
+  private async followVmList(): Promise<void> {
+    await this.refreshVmList();
+    if (this.isStopped) return;
+    this.listTimer = this.clock.setTimer(VM_LIST_POLL_MS, () => {
+      void this.followVmList();
+    });
+  }
+
+  private async refreshVmList(): Promise<void> {
+    const outcome = await this.directory.refresh();
+    if (outcome === 'failed') {
+      this.addEvent('vm-list-failed');
+      if (this.directory.getVersion() > 0) return;
+      const vms = await this.localEntry.getVms();
+      if (vms === undefined || !this.directory.offerSnapshot(vms)) return;
+      this.applyVmList();
+      return;
+    }
+    this.scheduler.noteVmListRead();
+    if (outcome === 'changed') this.applyVmList();
+  }
+
+  private applyVmList(): void {
+    if (this.isStopped) return;
+    const {nodeId, failureDomain} = this.settings;
+    const schedulers = new Set([nodeId]);
+    for (const vm of this.directory.getEntries()) {
+      const isNear = vm.failureDomain === failureDomain;
+      if (isNear && vm.state === 'live') schedulers.add(vm.id);
+    }
+    const sorted = [...schedulers].sort();
+    const vms = this.directory.getSnapshot()?.vms ?? [];
+    this.scheduler.setVms(vms, sorted);
+    this.leases.setCandidates(sorted);
+    this.leases.setWorkers(
+      this.directory.getWorkers(failureDomain).map(getWorkerAddress),
+    );
+  }
+
+  private async askLocalEntryForDocument(): Promise<void> {
+    const document = await this.localEntry.getDocument();
+    if (document === undefined) return;
+    this.follower.offerDocument(document.version, document.text);
+  }
+
+  private handleAcquired(lease: WorkerLease): void {
+    const {workerId} = lease.address;
+    this.scheduler.addWorker(lease);
+    const detail = `epoch ${lease.getEpoch()}`;
+    this.addEvent('lease-acquired', {workerId, detail});
+  }
+
+  private handleRenewed(lease: WorkerLease): void {
+    this.scheduler.updateWorker(lease);
+    void this.usage.addReport(lease);
+  }
+
+  private handleLost(lease: WorkerLease, detail: string): void {
+    const {workerId} = lease.address;
+    this.scheduler.removeWorker(workerId);
+    this.addEvent('lease-lost', {workerId, detail});
+  }
+
+  private addMetrics(): void {
+    this.metrics.addGauge(
+      'mustardlug_pending_tasks',
+      'Tasks of the failure domain that wait for a worker.',
+      () => this.scheduler.getPendingCount(),
+    );
+    this.metrics.addGauge(
+      'mustardlug_held_worker_leases',
+      'Worker leases that this process holds.',
+      () => this.leases.getValidLeases().length,
+    );
+    this.metrics.addGauge(
+      'mustardlug_table_transactions',
+      'Transactions sent to the table service since the start.',
+      () => this.committer.getTransactionCount(),
+    );
+  }
+
+  private addEvent(name: EventName, subject: EventSubject = {}): void {
+    this.events.addEvent(name, subject);
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/scheduler_settings.ts
@@ -0,0 +1,31 @@
+/** Settings of a scheduler process. */
+
+import {z} from 'zod';
+
+const port = z.number().int().min(0).max(65_535);
+
+/** Schema of the settings file. */
+export const schedulerSettingsSchema = z.strictObject({
+  /** Id of the VM; the entry process on it has the same. */
+  nodeId: z.string().min(1),
+  region: z.string().min(1),
+  failureDomain: z.string().min(1),
+  host: z.string().default('127.0.0.1'),
+  operatorPort: port,
+  /** Operator address of the entry process on this VM. */
+  entryUrl: z.string().startsWith('http'),
+  /** File with the shared keys, one a line. */
+  keyFile: z.string(),
+  platformUrl: z.string().startsWith('http'),
+  stage: z.enum(['trial', 'production']).default('production'),
+  logLevel: z
+    .enum(['error', 'warn', 'info', 'debug', 'silent'])
+    .default('info'),
+  commitIntervalMs: z.number().int().positive().default(100),
+  usageIntervalMs: z.number().int().positive().default(60_000),
+  listLagMs: z.number().int().nonnegative().default(15_000),
+  platformTimeoutMs: z.number().int().positive().default(2_000),
+});
+
+/** Checked settings of a scheduler process. */
+export type SchedulerSettings = z.infer<typeof schedulerSettingsSchema>;
