--- /dev/null
+++ b/packages/ctl/src/mustardlugctl.ts
@@ -0,0 +1,141 @@
+#!/usr/bin/env node
+/** The operators' command line. */
+
+import {Argument, Command} from 'commander';
+import {Result} from 'neverthrow';
+import {AppError} from '@mustardlug/base/errors';
+import {exitWithError} from '@mustardlug/runtime/program';
+import {createCtlContext, CtlContext} from './ctl_context.js';
+import {
+  CommandOutput,
+  promoteDocument,
+  publishTrial,
+  validateDocument,
+} from './document_commands.js';
+import {cancelJob, explain, ExplainSubject, submitJob} from './job_commands.js';
+import {drainNode, getStatus, showTimeline} from './node_commands.js';
+import {showUsage} from './usage_command.js';
+
+const PROGRAM = 'mustardlugctl';
+const DEFAULT_SETTINGS = 'ctl.json';
+
+interface GlobalOptions {
+  readonly settings: string;
+  readonly json?: boolean;
+}
+
+interface TimelineOptions {
+  readonly request?: string;
+  readonly task?: string;
+  readonly worker?: string;
+  readonly node?: string;
+}
+
+const program = new Command(PROGRAM)
+  .description('Operates a mustardlug environment.')
+  .option('--settings <file>', 'settings of the command line', DEFAULT_SETTINGS)
+  .option('--json', 'print JSON for programs')
+  .addHelpText(
+    'after',
+    `
+Exit status: 0 done, 1 refused or not found, 2 input not valid, 3 lost a race
+with another operator, 4 platform or node cannot be reached.
+
+Examples:
+  ${PROGRAM} validate document.json
+  ${PROGRAM} --settings ctl.json trial document.json
+  ${PROGRAM} explain task batch.nightly-report.0`,
+  );
+
+function print(result: Result<CommandOutput, AppError>): void {
+  if (result.isErr()) return exitWithError(PROGRAM, result.error);
+  const {json} = program.opts<GlobalOptions>();
+  const text = json
+    ? `${JSON.stringify(result.value.json, null, 2)}\n`
+    : result.value.text;
+  // The clients keep connections open, so the program ends by itself here.
+  process.stdout.write(text, () => process.exit(0));
+}
+
+async function run(
+  action: (context: CtlContext) => Promise<Result<CommandOutput, AppError>>,
+): Promise<void> {
+  const {settings} = program.opts<GlobalOptions>();
+  const context = createCtlContext(settings);
+  if (context.isErr()) return exitWithError(PROGRAM, context.error);
+  print(await action(context.value));
+}
+
+program
+  .command('validate')
+  .description('checks a document without publishing it')
+  .argument('<file>', 'environment document')
+  .action((file: string) => print(validateDocument(file)));
+program
+  .command('trial')
+  .description('puts a document in force in the trial environment')
+  .argument('<file>', 'environment document')
+  .action((file: string) => run(context => publishTrial(context, file)));
+program
+  .command('promote')
+  .description('puts a tried document in force in production')
+  .argument('<digest>', 'digest that trial printed')
+  .action((digest: string) => run(context => promoteDocument(context, digest)));
+program
+  .command('status')
+  .description('shows all nodes, their document version, leases and problems')
+  .action(() => run(getStatus));
+program
+  .command('submit')
+  .description('submits a batch job')
+  .argument('<file>', 'JSON file with one batch job')
+  .action((file: string) => run(context => submitJob(context, file)));
+program
+  .command('cancel')
+  .description('cancels a batch job')
+  .argument('<job>', 'name of the job')
+  .action((job: string) => run(context => cancelJob(context, job)));
+program
+  .command('drain')
+  .description('begins a planned stop of a node')
+  .argument('<node>', 'id of the node')
+  .action((node: string) => run(context => drainNode(context, node)));
+program
+  .command('explain')
+  .description('explains where a task, request or worker stands')
+  .addArgument(
+    new Argument('<kind>', 'what to explain').choices([
+      'task',
+      'request',
+      'worker',
+    ]),
+  )
+  .argument('<id>', 'id of the task, request or worker')
+  .action((kind: ExplainSubject, id: string) =>
+    run(context => explain(context, kind, id)),
+  );
+program
+  .command('timeline')
+  .description('shows the merged events of all processes')
+  .option('--request <id>', 'only of this request')
+  .option('--task <id>', 'only of this task')
+  .option('--worker <id>', 'only of this worker')
+  .option('--node <id>', 'only of this node')
+  .action((options: TimelineOptions) =>
+    run(context =>
+      showTimeline(context, {
+        requestId: options.request,
+        taskId: options.task,
+        workerId: options.worker,
+        nodeId: options.node,
+      }),
+    ),
+  );
+program
+  .command('usage')
+  .description('shows where every core-hour went')
+  .option('--svg <file>', 'write a plot, too')
+  .action((options: {readonly svg?: string}) =>
+    run(context => showUsage(context, options.svg)),
+  );
+await program.parseAsync();
--- /dev/null
+++ b/packages/ctl/src/node_commands.ts
@@ -0,0 +1,122 @@
+/** Commands on the running processes: status, drain, timeline. */
+
+import {err, ok, Result} from 'neverthrow';
+import {AppError, createNotFoundError} from '@mustardlug/base/errors';
+import {RecordedEvent} from '@mustardlug/telemetry/event_recorder';
+import {mergeTimeline, TimelineFilter} from '@mustardlug/telemetry/timeline';
+import {CtlContext} from './ctl_context.js';
+import {CommandOutput} from './document_commands.js';
+import {renderTable} from './text_table.js';
+
+/**
+ * Shows all processes.
+ * @param context - Clients.
+ */
+export async function getStatus(
+  context: CtlContext,
+): Promise<Result<CommandOutput, AppError>> {
+  const answers = await context.nodes.getStatuses();
+  const published = await context.documents.getPublished('production');
+  const version = published.map(({version: number}) => String(number));
+  const rows = answers.map(({url, answer}) =>
+    answer.match(
+      status => [
+        status.nodeId,
+        status.role,
+        status.failureDomain,
+        status.isReady ? 'ready' : 'not ready',
+        String(status.documentVersion),
+        String(status.leases.length),
+        status.degraded.join('; ') || '-',
+      ],
+      error => [url, '?', '?', 'no answer', '?', '?', error.message],
+    ),
+  );
+  const header = [
+    'NODE',
+    'ROLE',
+    'DOMAIN',
+    'STATE',
+    'DOCUMENT',
+    'LEASES',
+    'DEGRADED',
+  ];
+  return ok({
+    text: `published document version: ${version.unwrapOr('unknown, the table service does not answer')}\n${renderTable(header, rows)}`,
+    json: answers.map(({url, answer}) =>
+      answer.match<unknown>(
+        status => status,
+        error => ({url, error: error.message}),
+      ),
+    ),
+  });
+}
+
+/**
+ * Begins a planned stop of a node.
+ * @param context - Clients.
+ * @param nodeId - Id of the node.
+ */
+export async function drainNode(
+  context: CtlContext,
+  nodeId: string,
+): Promise<Result<CommandOutput, AppError>> {
+  const drained = await context.nodes.drain(nodeId);
+  if (drained.isErr()) return err(drained.error);
+  if (drained.value.length === 0) {
+    const message = `no process of node ${nodeId} answered; "mustardlugctl status" lists the nodes`;
+    return err(createNotFoundError(message));
+  }
+  return ok({
+    text: `${nodeId} is stopping (${drained.value.length} processes)\n`,
+    json: {nodeId, processes: drained.value},
+  });
+}
+
+/**
+ * Gets the merged events of all processes that answer.
+ * @param context - Clients.
+ * @param filter - Events to show.
+ */
+export async function getTimeline(
+  context: CtlContext,
+  filter: TimelineFilter,
+): Promise<RecordedEvent[]> {
+  const answers = await context.nodes.getEvents();
+  const sources = answers.map(({answer}) => answer.unwrapOr([]));
+  return mergeTimeline(sources, filter);
+}
+
+/**
+ * Shows the merged events of all processes.
+ * @param context - Clients.
+ * @param filter - Events to show.
+ */
+export async function showTimeline(
+  context: CtlContext,
+  filter: TimelineFilter,
+): Promise<Result<CommandOutput, AppError>> {
+  const events = await getTimeline(context, filter);
+  return ok({text: renderEvents(events), json: events});
+}
+
+/**
+ * Renders events, one a line.
+ * @param events - Events in order.
+ */
+export function renderEvents(events: readonly RecordedEvent[]): string {
+  const lines = events.map(event => {
+    const time = new Date(event.at.wallMs).toISOString();
+    const subject = [
+      event.requestId,
+      event.taskId,
+      event.workerId,
+      event.peerId,
+    ]
+      .filter(part => part !== undefined && part !== '')
+      .join(' ');
+    const detail = event.detail ?? '';
+    return `${time} ${event.number} ${event.nodeId} ${event.name} ${subject} ${detail}`.trimEnd();
+  });
+  return lines.length === 0 ? 'no events\n' : `${lines.join('\n')}\n`;
+}
--- a/packages/document/src/environment_document.ts
+++ b/packages/document/src/environment_document.ts
@@ -45,7 +45,8 @@
   routes: z.array(routeSchema).default([]),
 });
 
-const batchJobSchema = z.strictObject({
+/** Schema of a batch job. */
+export const batchJobSchema = z.strictObject({
   name: nameSchema,
   team: nameSchema,
   tasks: z.number().int().positive().max(100_000),
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -81,6 +81,8 @@
 const DRAIN_CHECK_MS = 50;
 const PAUSE_CHECK_MS = 500;
 const MAX_DRAIN_MS = 60_000;
+/** Longest time for which a started process waits for holders. */
+const MAX_WARM_UP_MS = 10_000;
 /** Heartbeats after which every peer has seen that this process is leaving. */
 const LEAVING_HEARTBEATS = 2;
 /** Bodies above this size wait behind urgent ones on the inner connections. */
@@ -107,6 +109,7 @@
   private readonly registry: HolderRegistry;
   private readonly holders: HolderDirectory;
   private readonly peers: PeerNetwork;
+  private readonly network: HolderNetwork;
   private readonly callers: CallerServer;
   private callerListener: HttpListener | undefined;
   private innerListener: HttpListener | undefined;
@@ -115,6 +118,8 @@
   private isStopped = false;
   private previousDocument: EnvironmentDocument | undefined;
   private lastTickMs = 0;
+  private startedAtMs = 0;
+  private hasBeenWarm = false;
   private drained: Promise<void> | undefined;
 
   private constructor(
@@ -191,6 +196,12 @@
       tls,
       onKeyRefused: detail => this.addEvent('peer-key-refused', {detail}),
     });
+    this.network = new EntryHolderNetwork(
+      this.self,
+      this.registry,
+      this.holders,
+      this.peers,
+    );
     this.callers = this.createCallerServer(
       IdempotencyRecords.create({
         table,
@@ -261,7 +272,8 @@
     }
     this.callerListener = caller.value;
     this.setPeerAddresses();
-    this.lastTickMs = this.clock.getMonotonicMs();
+    this.startedAtMs = this.clock.getMonotonicMs();
+    this.lastTickMs = this.startedAtMs;
     this.repeat(VM_LIST_POLL_MS, () => this.refreshDirectory());
     this.repeat(PAUSE_CHECK_MS, () => this.checkPause());
     void this.refreshDirectory();
@@ -412,12 +424,7 @@
       clock: this.clock,
       random: this.random,
       records,
-      network: new EntryHolderNetwork(
-        this.self,
-        this.registry,
-        this.holders,
-        this.peers,
-      ),
+      network: this.network,
       retryBudget: RetryBudget.create(DEFAULT_RETRY_BUDGET),
     });
     return CallerServer.create({
@@ -520,9 +527,29 @@
     if (this.follower.getCurrent() === undefined) {
       return {isReady: false, reason: 'no environment document is in force'};
     }
+    if (!this.isWarm()) {
+      return {isReady: false, reason: 'no holder of a service is known yet'};
+    }
     return {isReady: true, reason: ''};
   }
 
+  /**
+   * A process that has just started knows no holders and would refuse requests
+   * that other entries can serve. It waits for one of each service, but not for long.
+   */
+  private isWarm(): boolean {
+    if (this.hasBeenWarm) return true;
+    const nowMs = this.clock.getMonotonicMs();
+    const services = this.follower.getCurrent()?.document.services ?? [];
+    const isServed = services.every(service =>
+      this.network
+        .getCandidates(service.name)
+        .some(candidate => candidate.load.slots > 0),
+    );
+    this.hasBeenWarm = isServed || nowMs - this.startedAtMs > MAX_WARM_UP_MS;
+    return this.hasBeenWarm;
+  }
+
   private getDegradations(): string[] {
     const degraded: string[] = [];
     const readiness = this.getReadiness();
