--- a/packages/entry/src/caller_server.ts
+++ b/packages/entry/src/caller_server.ts
@@ -11,8 +11,8 @@
 import {
   CallerAnswer,
   CallerRequest,
-  RequestCoordinator,
-} from '@mustardlug/routing/request_coordinator';
+  RequestRunner,
+} from '@mustardlug/routing/request_runner';
 import {filterHeaders} from './header_filter.js';
 
 /** Readiness as the balancer sees it. */
@@ -27,7 +27,7 @@
   readonly nodeId: string;
   readonly incarnation: string;
   readonly clock: Clock;
-  readonly coordinator: RequestCoordinator;
+  readonly coordinator: RequestRunner;
   readonly getDocument: () => EnvironmentDocument | undefined;
   readonly getReadiness: () => Readiness;
   readonly isStopping: () => boolean;
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -38,22 +38,20 @@
   PROTOCOL_VERSION,
 } from '@mustardlug/protocol/messages';
 import {
-  ForwardResult,
   KnownRequest,
   PeerHandler,
   WholeRequest,
   WholeResponse,
 } from '@mustardlug/protocol/peer_channel';
 import {PeerKey} from '@mustardlug/protocol/peer_key';
-import {SendLane} from '@mustardlug/protocol/send_scheduler';
-import {HolderCandidate} from '@mustardlug/routing/holder_router';
 import {IdempotencyRecords} from '@mustardlug/routing/idempotency_records';
+import {RequestCoordinator} from '@mustardlug/routing/request_coordinator';
 import {
   CallerAnswer,
   CallerRequest,
   HolderNetwork,
-  RequestCoordinator,
-} from '@mustardlug/routing/request_coordinator';
+} from '@mustardlug/routing/request_runner';
+import {PeerHolderNetwork} from '@mustardlug/routing/peer_holder_network';
 import {
   DEFAULT_RETRY_BUDGET,
   RetryBudget,
@@ -68,8 +66,8 @@
 import {CallerServer, Readiness} from './caller_server.js';
 import {EntryMetrics} from './entry_metrics.js';
 import {EntrySettings} from './entry_settings.js';
-import {HolderDirectory} from './holder_directory.js';
-import {HolderRegistry} from './holder_registry.js';
+import {HolderDirectory} from '@mustardlug/routing/holder_directory';
+import {HolderRegistry} from '@mustardlug/routing/holder_registry';
 import {HttpListener} from '@mustardlug/runtime/http_listener';
 import {createOperatorApp} from '@mustardlug/runtime/operator_server';
 import {PeerAddress, PeerNetwork} from './peer_network.js';
@@ -85,8 +83,6 @@
 const MAX_WARM_UP_MS = 10_000;
 /** Heartbeats after which every peer has seen that this process is leaving. */
 const LEAVING_HEARTBEATS = 2;
-/** Bodies above this size wait behind urgent ones on the inner connections. */
-const URGENT_BODY_BYTES = 64 * 1024;
 
 /** The parts of a process that its settings determine. */
 interface EntryIdentity {
@@ -196,16 +192,17 @@
       tls,
       onKeyRefused: detail => this.addEvent('peer-key-refused', {detail}),
     });
-    this.network = new EntryHolderNetwork(
-      this.self,
-      this.registry,
-      this.holders,
-      this.peers,
-    );
+    this.network = PeerHolderNetwork.create({
+      selfId: this.self.nodeId,
+      registry: this.registry,
+      directory: this.holders,
+      getChannel: nodeId => this.peers.getChannel(nodeId),
+    });
     this.callers = this.createCallerServer(
       IdempotencyRecords.create({
         table,
         tokens,
+        clock,
         committer: GroupCommitter.create({
           table,
           settledTable,
@@ -616,52 +613,3 @@
 function createNotice(current: DocumentInForce): DocumentMessage {
   return {type: 'document', version: current.version, text: current.text};
 }
-
-/** Holders on this process and on its peers. */
-class EntryHolderNetwork extends HolderNetwork {
-  constructor(
-    private readonly self: HelloMessage,
-    private readonly registry: HolderRegistry,
-    private readonly holders: HolderDirectory,
-    private readonly peers: PeerNetwork,
-  ) {
-    super();
-  }
-
-  override getCandidates(service: string): HolderCandidate[] {
-    const candidates = this.holders.getCandidates(service);
-    const load = this.registry.getLoad(service);
-    if (load !== undefined) {
-      candidates.push({
-        nodeId: this.self.nodeId,
-        distance: 'same-domain',
-        load,
-        sentSince: 0,
-      });
-    }
-    return candidates;
-  }
-
-  override async forward(
-    nodeId: string,
-    request: WholeRequest,
-  ): Promise<ForwardResult> {
-    if (nodeId === this.self.nodeId) {
-      const response = await this.registry.runRequest(request);
-      return {kind: 'answered', response};
-    }
-    const channel = this.peers.getChannel(nodeId);
-    if (channel === undefined) {
-      return {kind: 'not-run', reason: 'the peer is not connected'};
-    }
-    const {service} = request.head;
-    this.holders.noteSent(nodeId, service);
-    const lane: SendLane =
-      request.body.length <= URGENT_BODY_BYTES ? 'urgent' : 'bulk';
-    const result = await channel.sendRequest(request, lane);
-    if (result.kind === 'answered') {
-      this.holders.setAnswerLoad(nodeId, service, result.response.head);
-    }
-    return result;
-  }
-}
--- a/packages/platform/src/group_committer.ts
+++ b/packages/platform/src/group_committer.ts
@@ -33,6 +33,8 @@
 }
 
 const MAX_GROUP_OPERATIONS = 250;
+/** Time after a failure in which the service counts as down. */
+const DOWN_MS = 1_000;
 
 /** Collects writes and commits them together, one transaction at a time. */
 export class GroupCommitter {
@@ -40,6 +42,7 @@
   private isCommitting = false;
   private lastCommitMs = -Infinity;
   private transactionCount = 0;
+  private downUntilMs = -Infinity;
 
   private constructor(private readonly options: GroupCommitterOptions) {}
 
@@ -51,6 +54,14 @@
     return new GroupCommitter(options);
   }
 
+  /**
+   * Checks whether the table service failed a moment ago. Callers that can do
+   * without a write need not wait then; one write in each interval goes through.
+   */
+  isDown(): boolean {
+    return this.options.clock.getMonotonicMs() < this.downUntilMs;
+  }
+
   /** Gets the number of transactions that were sent. */
   getTransactionCount(): number {
     return this.transactionCount;
@@ -122,8 +133,11 @@
       return;
     }
     if (outcome.error.kind === 'unavailable') {
+      const {clock} = this.options;
+      this.downUntilMs = clock.getMonotonicMs() + DOWN_MS;
       const reason = outcome.error.message;
-      for (const waiting of group) {
+      // What waits behind the group has not been sent; it need not wait longer.
+      for (const waiting of [...group, ...this.waiting.splice(0)]) {
         waiting.settle({kind: 'unavailable', reason});
       }
       return;
--- a/packages/entry/src/holder_directory.ts
+++ b/packages/routing/src/holder_directory.ts
@@ -1,6 +1,6 @@
 /** What this process knows of the load of each holder. */
 
-import {Distance, HolderCandidate} from '@mustardlug/routing/holder_router';
+import {Distance, HolderCandidate} from './holder_router.js';
 import {
   HelloMessage,
   HeartbeatMessage,
--- a/packages/entry/src/holder_registry.ts
+++ b/packages/routing/src/holder_registry.ts
@@ -11,16 +11,10 @@
   WholeRequest,
   WholeResponse,
 } from '@mustardlug/protocol/peer_channel';
-import {RequestLedger} from '@mustardlug/routing/request_ledger';
-import {
-  DEFAULT_RETRY_BUDGET,
-  RetryBudget,
-} from '@mustardlug/routing/retry_budget';
-import {
-  HolderObserver,
-  ServiceHolder,
-} from '@mustardlug/routing/service_holder';
-import {Upstream} from '@mustardlug/routing/upstream';
+import {RequestLedger} from './request_ledger.js';
+import {DEFAULT_RETRY_BUDGET, RetryBudget} from './retry_budget.js';
+import {HolderObserver, ServiceHolder} from './service_holder.js';
+import {Upstream} from './upstream.js';
 
 /** Options of the registry. */
 export interface HolderRegistryOptions {
--- a/packages/routing/src/idempotency_records.ts
+++ b/packages/routing/src/idempotency_records.ts
@@ -1,6 +1,7 @@
 /** Records of keyed requests: the first to claim a key may run, all others may not. */
 
 import {createHash} from 'node:crypto';
+import {Clock} from '@mustardlug/base/clock';
 import {
   GroupCommitter,
   WriteOutcome,
@@ -48,18 +49,27 @@
 export interface IdempotencyRecordsOptions {
   readonly table: TableService;
   readonly committer: GroupCommitter;
+  readonly clock: Clock;
   readonly tokens: TokenSource;
 }
 
 const MAX_RECORDED_BODY_BYTES = 4096;
+const FIRST_RETRY_DELAY_MS = 500;
+const MAX_RETRY_DELAY_MS = 10_000;
+/** Together with the delays, long enough for an outage of an hour. */
+const MAX_WRITE_ATTEMPTS = 400;
+/** Bounds the memory that records of ended requests take during an outage. */
+const MAX_RETRYING_WRITES = 5_000;
 
 /** Idempotency records in the platform's table, written in groups. */
 export class IdempotencyRecords {
+  private retrying = 0;
+
   private constructor(private readonly options: IdempotencyRecordsOptions) {}
 
   /**
    * Creates the records of one process.
-   * @param options - Table, committer and tokens.
+   * @param options - Table, committer, tokens and clock.
    */
   static create(options: IdempotencyRecordsOptions): IdempotencyRecords {
     return new IdempotencyRecords(options);
@@ -71,6 +81,10 @@
    * @param key - Key that the caller gave.
    */
   async claim(service: string, key: string): Promise<ClaimResult> {
+    const {committer} = this.options;
+    if (committer.isDown()) {
+      return {kind: 'unavailable', reason: 'the table service is down'};
+    }
     const rowKey = getRowKey(service, key);
     const first = await this.write(rowKey, ABSENT_REVISION, {state: 'claimed'});
     if (first.kind === 'written') return toClaimed(rowKey, first.revision);
@@ -87,7 +101,7 @@
    * @param claim - Claim to free.
    */
   async release(claim: KeyClaim): Promise<void> {
-    await this.write(claim.rowKey, claim.revision, {state: 'released'});
+    await this.writeEventually(claim, {state: 'released'});
   }
 
   /**
@@ -97,7 +111,7 @@
    */
   async addAnswer(claim: KeyClaim, answer: RecordedAnswer): Promise<void> {
     if (answer.body.length > MAX_RECORDED_BODY_BYTES) return;
-    await this.write(claim.rowKey, claim.revision, {
+    await this.writeEventually(claim, {
       state: 'answered',
       status: answer.status,
       contentType: answer.contentType,
@@ -105,6 +119,23 @@
     });
   }
 
+  /** Repeats a write through an outage, so that later repeats of the request get their answer. */
+  private async writeEventually(
+    claim: KeyClaim,
+    record: Omit<IdempotencyRecord, 'writeToken'>,
+  ): Promise<void> {
+    if (this.retrying >= MAX_RETRYING_WRITES) return;
+    this.retrying++;
+    let delayMs = FIRST_RETRY_DELAY_MS;
+    for (let attempt = 0; attempt < MAX_WRITE_ATTEMPTS; attempt++) {
+      const outcome = await this.write(claim.rowKey, claim.revision, record);
+      if (outcome.kind !== 'unavailable') break;
+      await this.options.clock.sleep(delayMs);
+      delayMs = Math.min(delayMs * 2, MAX_RETRY_DELAY_MS);
+    }
+    this.retrying--;
+  }
+
   private async claimExisting(
     row: TableRow<IdempotencyRecord>,
   ): Promise<ClaimResult> {
--- a/packages/routing/src/request_coordinator.ts
+++ b/packages/routing/src/request_coordinator.ts
@@ -2,7 +2,6 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {RandomSource} from '@mustardlug/base/random_source';
-import {ServiceDeclaration} from '@mustardlug/document/environment_document';
 import {Outcome, RequestMessage} from '@mustardlug/protocol/messages';
 import {ForwardResult, WholeRequest} from '@mustardlug/protocol/peer_channel';
 import {chooseHolder, HolderCandidate} from './holder_router.js';
@@ -11,55 +10,14 @@
   IdempotencyRecords,
   KeyClaim,
 } from './idempotency_records.js';
+import {
+  CallerAnswer,
+  CallerRequest,
+  HolderNetwork,
+  RequestRunner,
+} from './request_runner.js';
 import {RetryBudget} from './retry_budget.js';
 
-/** A caller's request. */
-export interface CallerRequest {
-  readonly id: string;
-  readonly service: ServiceDeclaration;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: string[];
-  readonly body: Uint8Array;
-  readonly idempotencyKey: string | undefined;
-  /** Monotonic time by which the caller must have its answer. */
-  readonly deadlineMs: number;
-}
-
-/** Final answer to a caller. */
-export interface CallerAnswer {
-  readonly outcome: Outcome;
-  readonly status: number;
-  readonly headers: readonly string[];
-  readonly body: Uint8Array;
-  /** Reason of an outcome other than `ran`. */
-  readonly reason: string;
-  /** Time after which the caller may try again, in milliseconds; 0 if not given. */
-  readonly retryAfterMs: number;
-  readonly workerId: string;
-  /** Whether a recorded answer was repeated. */
-  readonly isRepeated: boolean;
-}
-
-/** Sends requests to holders. */
-export abstract class HolderNetwork {
-  /**
-   * Gets the holders that can be reached for a service.
-   * @param service - Name of the service.
-   */
-  abstract getCandidates(service: string): HolderCandidate[];
-
-  /**
-   * Sends a request to a holder, which may be this process.
-   * @param nodeId - Holder to use.
-   * @param request - Whole request.
-   */
-  abstract forward(
-    nodeId: string,
-    request: WholeRequest,
-  ): Promise<ForwardResult>;
-}
-
 /** Options of a coordinator. */
 export interface RequestCoordinatorOptions {
   readonly clock: Clock;
@@ -81,8 +39,10 @@
 const EMPTY_BODY = new Uint8Array(0);
 
 /** Runs callers' requests at most once. */
-export class RequestCoordinator {
-  private constructor(private readonly options: RequestCoordinatorOptions) {}
+export class RequestCoordinator extends RequestRunner {
+  private constructor(private readonly options: RequestCoordinatorOptions) {
+    super();
+  }
 
   /**
    * Creates a coordinator.
@@ -92,11 +52,7 @@
     return new RequestCoordinator(options);
   }
 
-  /**
-   * Runs a request.
-   * @param request - Request of a caller.
-   */
-  async runRequest(request: CallerRequest): Promise<CallerAnswer> {
+  override async runRequest(request: CallerRequest): Promise<CallerAnswer> {
     this.options.retryBudget.addRequest();
     if (request.idempotencyKey === undefined) return this.forward(request);
     return this.runKeyed(request, request.idempotencyKey);
@@ -241,7 +197,13 @@
   return false;
 }
 
-function createWholeRequest(
+/**
+ * Creates the message for a holder.
+ * @param request - Request of a caller.
+ * @param attempt - Number of the holder that is tried, from 1.
+ * @param remainingMs - Time that the holder has.
+ */
+export function createWholeRequest(
   request: CallerRequest,
   attempt: number,
   remainingMs: number,
@@ -260,7 +222,11 @@
   return {head, body: request.body};
 }
 
-function toCallerAnswer(result: ForwardResult): CallerAnswer {
+/**
+ * Converts the end of a forwarded request to an answer.
+ * @param result - End of the request.
+ */
+export function toCallerAnswer(result: ForwardResult): CallerAnswer {
   if (result.kind === 'not-run') {
     return createAnswer(
       'not-run',
--- /dev/null
+++ b/packages/routing/test/request_fault_matrix.test.ts
@@ -0,0 +1,220 @@
+import {expect} from 'chai';
+import {CallerAnswer} from '../src/request_runner.js';
+import {
+  EntryNode,
+  REQUEST_STEPS,
+  RequestHarness,
+  RequestStep,
+} from './request_harness.js';
+
+/** Faults that strike a process, the table or a link. */
+const FAULTS = [
+  'kill-origin',
+  'kill-holder',
+  'kill-holder-suddenly',
+  'freeze-origin',
+  'freeze-holder',
+  'cut-links',
+  'silent-links',
+  'table-outage',
+  'lose-answer',
+  'late-write',
+  'freeze-holder-and-table-outage',
+  'kill-holder-and-lose-answer',
+] as const;
+type Fault = (typeof FAULTS)[number];
+
+const FREEZE_MS = 9_000;
+const OUTAGE_MS = 6_000;
+const DEADLINE_MS = 3_000;
+/** Time that a settled answer may take beyond the deadline. */
+const ANSWER_MARGIN_MS = 100;
+const SEED = 5;
+
+interface SentRequest {
+  readonly id: string;
+  readonly body: string;
+  readonly origin: EntryNode;
+  readonly sentMs: number;
+  answer: CallerAnswer | undefined;
+  answeredMs: number;
+}
+
+/** One case of the matrix. */
+class MatrixCase {
+  readonly harness: RequestHarness;
+  readonly sent: SentRequest[] = [];
+  isStruck = false;
+
+  constructor(
+    private readonly step: RequestStep,
+    private readonly fault: Fault,
+    isNaive: boolean,
+  ) {
+    this.harness = new RequestHarness({
+      seed: SEED,
+      entries: {a: 2, b: 2},
+      workers: {a: 2, b: 2},
+      isNaive,
+    });
+  }
+
+  /** Runs the case: the first request, then two repeats by its key, elsewhere. */
+  async run(): Promise<void> {
+    const {harness} = this;
+    const [first, second] = harness.nodes;
+    await harness.clock.advance(8_000);
+    // The holder of another domain is used, so that every step crosses a link.
+    for (const node of harness.nodes) {
+      if (node.domain === first.domain) node.leases.setWorkers([]);
+    }
+    await harness.clock.advance(2_000);
+    harness.setTrap((step, node) => this.handleStep(step, node, first));
+    this.send(first, 'charge-1', 'key-1');
+    await harness.clock.advance(1_000);
+    this.send(second, 'charge-1', 'key-1');
+    await harness.clock.advance(15_000);
+    harness.setTrap(undefined);
+    this.send(second, 'charge-1', 'key-1');
+    this.send(second, 'charge-2');
+    await harness.clock.advance(15_000);
+  }
+
+  private send(origin: EntryNode, body: string, key?: string): void {
+    const {harness} = this;
+    const request: SentRequest = {
+      id: origin.getNextId(),
+      body,
+      origin,
+      sentMs: harness.clock.getMonotonicMs(),
+      answer: undefined,
+      answeredMs: 0,
+    };
+    this.sent.push(request);
+    void harness
+      .sendRequest(origin, body, key, 'POST', request.id)
+      .then(answer => {
+        request.answer = answer;
+        request.answeredMs = harness.clock.getMonotonicMs();
+      });
+  }
+
+  private handleStep(
+    step: RequestStep,
+    node: EntryNode,
+    origin: EntryNode,
+  ): void {
+    if (this.isStruck || step !== this.step) return;
+    this.isStruck = true;
+    const holder = node === origin ? this.getHolder() : node;
+    this.strike(origin, holder);
+  }
+
+  private getHolder(): EntryNode {
+    const {nodes} = this.harness;
+    return (
+      nodes.find(node => node.leases.getValidLeases().length > 0) ?? nodes[2]
+    );
+  }
+
+  private strike(origin: EntryNode, holder: EntryNode): void {
+    const {harness} = this;
+    switch (this.fault) {
+      case 'kill-origin':
+        return harness.killNode(origin, false);
+      case 'kill-holder':
+        return harness.killNode(holder, false);
+      case 'kill-holder-suddenly':
+        return harness.killNode(holder, true);
+      case 'freeze-origin':
+        return this.freeze(origin);
+      case 'freeze-holder':
+        return this.freeze(holder);
+      case 'cut-links':
+        for (const link of origin.links.values()) link.cut();
+        return;
+      case 'silent-links':
+        for (const link of origin.links.values()) link.silence();
+        return;
+      case 'table-outage':
+        return this.startOutage();
+      case 'lose-answer':
+        harness.table.faults.loseNextAnswers = 1;
+        return;
+      case 'late-write':
+        harness.table.faults.applyNextLate = 1;
+        return;
+      case 'freeze-holder-and-table-outage':
+        this.freeze(holder);
+        return this.startOutage();
+      case 'kill-holder-and-lose-answer':
+        harness.table.faults.loseNextAnswers = 2;
+        return harness.killNode(holder, false);
+    }
+  }
+
+  private freeze(node: EntryNode): void {
+    node.clock.freeze();
+    this.harness.clock.setTimer(FREEZE_MS, () => node.clock.thaw());
+  }
+
+  private startOutage(): void {
+    const {faults} = this.harness.table;
+    faults.isOutage = true;
+    this.harness.clock.setTimer(OUTAGE_MS, () => {
+      faults.isOutage = false;
+    });
+  }
+}
+
+async function doTest(
+  step: RequestStep,
+  fault: Fault,
+  isNaive = false,
+): Promise<void> {
+  const matrixCase = new MatrixCase(step, fault, isNaive);
+  await matrixCase.run();
+  const {harness, sent} = matrixCase;
+  expect(matrixCase.isStruck, 'the step was reached').to.equal(true);
+  expect(harness.runs.get('charge-1') ?? 0).to.be.at.most(1);
+  expect(harness.runs.get('charge-2') ?? 0).to.be.at.most(1);
+  const isFrozen = fault.startsWith('freeze-origin');
+  for (const request of sent) {
+    const {answer, body, origin, sentMs, answeredMs} = request;
+    if (answer === undefined) {
+      expect(origin.clock.isRunning(), 'only a dead entry is silent').to.equal(
+        false,
+      );
+      continue;
+    }
+    if (!isFrozen) {
+      expect(answeredMs - sentMs).to.be.at.most(DEADLINE_MS + ANSWER_MARGIN_MS);
+    }
+    const runs = harness.getRunCountOf(request.id);
+    if (answer.outcome === 'not-run') expect(runs).to.equal(0);
+    if (answer.outcome === 'ran') {
+      expect(Buffer.from(answer.body).toString()).to.equal(`answer to ${body}`);
+      expect(harness.runs.get(body)).to.equal(1);
+    }
+  }
+}
+
+describe('request fault matrix', () => {
+  it('catches the naive coordinator', async () => {
+    const caught: string[] = [];
+    for (const step of REQUEST_STEPS) {
+      if (step === 'before-record' || step === 'record-decided') continue;
+      for (const fault of FAULTS) {
+        await doTest(step, fault, true).catch(() => caught.push(fault));
+      }
+    }
+    expect(caught).to.include.members(['cut-links', 'silent-links']);
+  });
+
+  for (const step of REQUEST_STEPS) {
+    for (const fault of FAULTS) {
+      it(`keeps the promises when ${fault} strikes at ${step}`, () =>
+        doTest(step, fault));
+    }
+  }
+});
--- /dev/null
+++ b/packages/routing/test/request_harness.ts
@@ -0,0 +1,542 @@
+/** Entries, workers and a table in virtual time, for tests of requests under faults. */
+
+import {RandomSource} from '@mustardlug/base/random_source';
+import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {
+  EnvironmentDocument,
+  environmentDocumentSchema,
+  ServiceDeclaration,
+} from '@mustardlug/document/environment_document';
+import {
+  DEFAULT_LEASE_TIMING,
+  LeaseKeeper,
+} from '@mustardlug/membership/lease_keeper';
+import {WorkerLease} from '@mustardlug/membership/worker_lease';
+import {GroupCommitter} from '@mustardlug/platform/group_committer';
+import {CountingTokenSource} from '@mustardlug/platform/row_token';
+import {SettledTable} from '@mustardlug/platform/settled_table';
+import {
+  HeartbeatMessage,
+  HelloMessage,
+  InnerMessage,
+} from '@mustardlug/protocol/messages';
+import {
+  KnownRequest,
+  PeerChannel,
+  PeerHandler,
+  WholeRequest,
+  WholeResponse,
+} from '@mustardlug/protocol/peer_channel';
+import {MemoryTable} from '@mustardlug/standins/memory_table';
+import {ModelWorkerClient} from '@mustardlug/standins/model_worker_client';
+import {NodeClock} from '@mustardlug/standins/node_clock';
+import {RemoteTable} from '@mustardlug/standins/remote_table';
+import {WorkerModel} from '@mustardlug/standins/worker_model';
+import {HolderDirectory} from '../src/holder_directory.js';
+import {HolderRegistry} from '../src/holder_registry.js';
+import {IdempotencyRecords} from '../src/idempotency_records.js';
+import {PeerHolderNetwork} from '../src/peer_holder_network.js';
+import {NaiveCoordinator} from '../src/naive_coordinator.js';
+import {RequestCoordinator} from '../src/request_coordinator.js';
+import {CallerAnswer, RequestRunner} from '../src/request_runner.js';
+import {DEFAULT_RETRY_BUDGET, RetryBudget} from '../src/retry_budget.js';
+import {Upstream, UpstreamRequest, UpstreamResult} from '../src/upstream.js';
+import {MemoryLink} from './memory_link.js';
+
+/** Steps of a request at which a fault can strike. */
+export const REQUEST_STEPS = [
+  'before-record',
+  'record-decided',
+  'request-arrives',
+  'dispatched',
+  'upstream-done',
+  'response-arrives',
+] as const;
+
+/** Step of a request. */
+export type RequestStep = (typeof REQUEST_STEPS)[number];
+
+/** Options of a harness. */
+export interface RequestHarnessOptions {
+  readonly seed: number;
+  /** Entries by failure domain. */
+  readonly entries: Readonly<Record<string, number>>;
+  /** Workers by failure domain. */
+  readonly workers: Readonly<Record<string, number>>;
+  readonly service?: Partial<ServiceDeclaration>;
+  readonly serviceTimeMs?: number;
+  /** Uses the baseline instead of the coordinator. */
+  readonly isNaive?: boolean;
+}
+
+/** Name of the service. */
+export const SERVICE = 'class-desk';
+const LINK_DELAY_MS = 2;
+const WORKER_DELAY_MS = 1;
+const REDIAL_MS = 200;
+const HEARTBEAT_MS = 1_000;
+const SILENCE_MS = 3_000;
+
+/** One entry process. */
+export class EntryNode implements PeerHandler {
+  readonly channels = new Map<string, PeerChannel>();
+  readonly links = new Map<string, MemoryLink>();
+  readonly hello: HelloMessage;
+  readonly registry: HolderRegistry;
+  readonly leases: LeaseKeeper;
+  readonly coordinator: RequestRunner;
+  readonly directory: HolderDirectory;
+  readonly client: ModelWorkerClient;
+  isDraining = false;
+  private requestCount = 0;
+
+  constructor(
+    readonly nodeId: string,
+    readonly domain: string,
+    readonly clock: NodeClock,
+    harness: RequestHarness,
+    seed: number,
+  ) {
+    const random = RandomSource.create(seed);
+    this.hello = {
+      type: 'hello',
+      protocolVersion: 1,
+      nodeId,
+      incarnation: `start-${seed}`,
+      region: domain,
+      failureDomain: domain,
+    };
+    this.directory = HolderDirectory.create(this.hello);
+    this.registry = HolderRegistry.create({
+      clock,
+      random,
+      upstream: new ModelUpstream(harness, clock),
+      observer: {
+        onDispatched: () => harness.noteStep('dispatched', this),
+        onHealthChange: () => undefined,
+        onSilent: () => undefined,
+      },
+    });
+    this.registry.setDocument(harness.document, undefined);
+    this.client = ModelWorkerClient.create(harness.models, clock);
+    this.leases = LeaseKeeper.create({
+      scope: 'requests',
+      holderId: nodeId,
+      clock,
+      random,
+      client: this.client,
+      timing: DEFAULT_LEASE_TIMING,
+      listener: {
+        onAcquired: lease => this.registry.setWorker(lease),
+        onRenewed: lease => this.registry.setWorker(lease),
+        onLost: lease => this.registry.removeWorker(lease.address.workerId),
+      },
+    });
+    const table = RemoteTable.create(harness.table, clock, {
+      onSend: () => harness.noteStep('before-record', this),
+      onDecided: () => harness.noteStep('record-decided', this),
+    });
+    const network = PeerHolderNetwork.create({
+      selfId: nodeId,
+      registry: this.registry,
+      directory: this.directory,
+      getChannel: peerId => this.channels.get(peerId),
+    });
+    if (harness.options.isNaive) {
+      this.coordinator = NaiveCoordinator.create({clock, random, network});
+      return;
+    }
+    this.coordinator = RequestCoordinator.create({
+      clock,
+      random,
+      network,
+      records: IdempotencyRecords.create({
+        table,
+        clock,
+        tokens: CountingTokenSource.create(`${nodeId}-${seed}`),
+        committer: GroupCommitter.create({
+          table,
+          settledTable: SettledTable.create({table, clock}),
+          clock,
+          commitIntervalMs: 20,
+        }),
+      }),
+      retryBudget: RetryBudget.create(DEFAULT_RETRY_BUDGET),
+    });
+  }
+
+  /** Gets an id that no other request has. */
+  getNextId(): string {
+    return `${this.nodeId}/${this.hello.incarnation}/${++this.requestCount}`;
+  }
+
+  /** Uses a new link to a peer, as after an exchange of introductions. */
+  attach(peer: HelloMessage, link: MemoryLink): void {
+    const known = this.channels.get(peer.nodeId);
+    this.links.set(peer.nodeId, link);
+    if (known?.getPeer().incarnation === peer.incarnation) {
+      known.attachLink(link);
+      return;
+    }
+    known?.retire();
+    const channel = PeerChannel.create({
+      peer,
+      clock: this.clock,
+      handler: this,
+      heartbeatMs: HEARTBEAT_MS,
+      silenceMs: SILENCE_MS,
+    });
+    this.channels.set(peer.nodeId, channel);
+    channel.attachLink(link);
+  }
+
+  handleRequest(
+    _peer: HelloMessage,
+    request: WholeRequest,
+  ): Promise<WholeResponse> {
+    return this.registry.runRequest(request);
+  }
+
+  handleCancel(id: string): void {
+    this.registry.cancelRequest(id);
+  }
+
+  getKnownRequest(id: string): KnownRequest {
+    return this.registry.getKnownRequest(id);
+  }
+
+  handleHeartbeat(peer: HelloMessage, heartbeat: HeartbeatMessage): void {
+    this.directory.setHeartbeat(peer.nodeId, heartbeat);
+  }
+
+  handleDocument(): void {}
+
+  handleHandover(): void {}
+
+  getHeartbeat() {
+    return {
+      isLeaving: this.isDraining,
+      documentVersion: 1,
+      wallMs: this.clock.getWallMs(),
+      counter: 0,
+      loads: this.registry.getLoads(),
+    };
+  }
+
+  handleLinkChange(peer: HelloMessage, isLinked: boolean): void {
+    if (isLinked) this.directory.addPeer(peer);
+    else this.directory.removePeer(peer.nodeId);
+  }
+}
+
+/** Behaviour of the upstream on one worker. */
+export interface UpstreamBehavior {
+  serviceTimeMs: number;
+  isSilent: boolean;
+  status: number;
+}
+
+/** Upstreams on worker models; they run on although their holder ends. */
+class ModelUpstream extends Upstream {
+  constructor(
+    private readonly harness: RequestHarness,
+    private readonly clock: NodeClock,
+  ) {
+    super();
+  }
+
+  override send(
+    lease: WorkerLease,
+    request: UpstreamRequest,
+  ): Promise<UpstreamResult> {
+    return new Promise(resolve => {
+      const timeout = this.clock.setTimer(request.timeoutMs, () =>
+        resolve({kind: 'unknown', reason: 'no answer in time', isSilent: true}),
+      );
+      const settle = (result: UpstreamResult) =>
+        this.clock.setTimer(WORKER_DELAY_MS, () => {
+          timeout.cancel();
+          resolve(result);
+        });
+      if (!lease.isValid()) {
+        settle({kind: 'not-run', reason: 'lease lapsed', isFault: false});
+        return;
+      }
+      const {clock} = this.harness;
+      clock.setTimer(WORKER_DELAY_MS, () =>
+        this.harness.runOnWorker(lease, request, settle),
+      );
+    });
+  }
+}
+
+/** Several failure domains in virtual time. */
+export class RequestHarness {
+  readonly clock = VirtualClock.create();
+  readonly table = MemoryTable.create(this.clock);
+  readonly models = new Map<string, WorkerModel>();
+  readonly upstreams = new Map<string, UpstreamBehavior>();
+  readonly document: EnvironmentDocument;
+  readonly nodes: EntryNode[] = [];
+  /** Runs by the text of the request's body. */
+  readonly runs = new Map<string, number>();
+  /** Runs by request id. */
+  readonly runIds = new Map<string, number>();
+  /** Most requests that any worker ran at once. */
+  mostAtOnce = 0;
+  readonly cutDomains = new Set<string>();
+  private readonly random: RandomSource;
+  private readonly inProgress = new Map<string, number>();
+  private trap: ((step: RequestStep, node: EntryNode) => void) | undefined;
+  private started = 0;
+
+  constructor(readonly options: RequestHarnessOptions) {
+    this.random = RandomSource.create(options.seed);
+    this.table.faults.delayMs = 3;
+    this.document = createDocument(options.service ?? {});
+    for (const [domain, count] of Object.entries(options.workers)) {
+      for (let index = 0; index < count; index++) {
+        this.addWorker(`worker-${domain}-${index}`);
+      }
+    }
+    for (const [domain, count] of Object.entries(options.entries)) {
+      for (let index = 0; index < count; index++) this.addNode(domain);
+    }
+    this.dial();
+  }
+
+  /** Gets the declared service. */
+  getService(): ServiceDeclaration {
+    return this.document.services[0];
+  }
+
+  /** Adds an entry process. */
+  addNode(domain: string): EntryNode {
+    const nodeId = `entry-${++this.started}`;
+    const seed = this.options.seed * 1_000 + this.started;
+    const clock = NodeClock.create(this.clock);
+    const node = new EntryNode(nodeId, domain, clock, this, seed);
+    this.nodes.push(node);
+    this.publishMembers();
+    return node;
+  }
+
+  /** Sends a request through an entry and resolves with its final answer. */
+  sendRequest(
+    node: EntryNode,
+    body: string,
+    key?: string,
+    method = 'POST',
+    id = node.getNextId(),
+  ): Promise<CallerAnswer> {
+    const service = this.getService();
+    return node.coordinator.runRequest({
+      id,
+      service,
+      method,
+      path: '/bookings',
+      headers: [],
+      body: Buffer.from(body),
+      idempotencyKey: key,
+      deadlineMs: node.clock.getMonotonicMs() + service.deadlineMs,
+    });
+  }
+
+  /** Calls a function at every step of requests, until it is replaced. */
+  setTrap(
+    trap: ((step: RequestStep, node: EntryNode) => void) | undefined,
+  ): void {
+    this.trap = trap;
+  }
+
+  /** Gets how often a request ran, over all holders that were tried. */
+  getRunCountOf(requestId: string): number {
+    let count = 0;
+    for (const [id, runs] of this.runIds) {
+      if (id.startsWith(`${requestId}.`)) count += runs;
+    }
+    return count;
+  }
+
+  /** Notes that a request reached a step at a process. */
+  noteStep(step: RequestStep, node: EntryNode): void {
+    this.trap?.(step, node);
+  }
+
+  /** Ends a process; `isSudden` means that its connections are not closed. */
+  killNode(node: EntryNode, isSudden: boolean): void {
+    node.clock.kill();
+    node.leases.setWorkers([]);
+    for (const link of node.links.values()) {
+      if (isSudden) link.silence();
+      else link.cut();
+    }
+    for (const workerId of this.models.keys()) {
+      node.client.faults.cutWorkers.add(workerId);
+    }
+  }
+
+  /** Runs a request on a worker as its upstream does. */
+  runOnWorker(
+    lease: WorkerLease,
+    request: UpstreamRequest,
+    settle: (result: UpstreamResult) => void,
+  ): void {
+    const {workerId} = lease.address;
+    const model = this.models.get(workerId);
+    const behavior = this.upstreams.get(workerId);
+    if (model === undefined || behavior === undefined) {
+      settle({kind: 'not-run', reason: 'connection refused', isFault: true});
+      return;
+    }
+    const begun = model.beginRequest(lease.getEpoch(), SERVICE);
+    if (begun.isErr()) {
+      settle({kind: 'not-run', reason: begun.error.message, isFault: false});
+      return;
+    }
+    this.noteRun(workerId, request);
+    if (behavior.isSilent) return;
+    const timeMs =
+      behavior.serviceTimeMs * (0.4 + this.random.getExponential(0.6));
+    this.clock.setTimer(timeMs, () => {
+      model.endRequest();
+      this.inProgress.set(workerId, (this.inProgress.get(workerId) ?? 1) - 1);
+      const holder = this.nodes.find(
+        node => node.leases.getLease(workerId) === lease,
+      );
+      if (holder !== undefined) this.noteStep('upstream-done', holder);
+      settle({
+        kind: 'answered',
+        status: behavior.status,
+        headers: [],
+        body: Buffer.from(`answer to ${Buffer.from(request.body).toString()}`),
+      });
+    });
+  }
+
+  private noteRun(workerId: string, request: UpstreamRequest): void {
+    const body = Buffer.from(request.body).toString();
+    this.runs.set(body, (this.runs.get(body) ?? 0) + 1);
+    this.runIds.set(request.id, (this.runIds.get(request.id) ?? 0) + 1);
+    const atOnce = (this.inProgress.get(workerId) ?? 0) + 1;
+    this.inProgress.set(workerId, atOnce);
+    this.mostAtOnce = Math.max(this.mostAtOnce, atOnce);
+  }
+
+  private addWorker(workerId: string): void {
+    const size = {cores: 8, memoryMb: 8_000, accelerators: 0};
+    const model = WorkerModel.create(workerId, 'boot-1', size, this.clock);
+    const lease = model.requestLease({
+      scope: 'tasks',
+      holderId: 'scheduler',
+      ttlMs: Number.MAX_SAFE_INTEGER,
+    });
+    const service = this.getService();
+    model.runCommands(lease._unsafeUnwrap().epoch, [
+      {
+        kind: 'start',
+        start: {
+          taskId: `service.${workerId}`,
+          attempt: 1,
+          kind: 'service',
+          team: 'team-a',
+          name: SERVICE,
+          cores: 2,
+          memoryMb: 1_000,
+          accelerators: 0,
+          expectedRunMs: 1,
+          slots: service.slotsPerReplica,
+          connections: service.connectionsPerReplica,
+        },
+      },
+    ]);
+    this.models.set(workerId, model);
+    this.upstreams.set(workerId, {
+      serviceTimeMs: this.options.serviceTimeMs ?? 20,
+      isSilent: false,
+      status: 200,
+    });
+  }
+
+  private publishMembers(): void {
+    for (const node of this.nodes) {
+      const members = this.nodes.filter(other => other.domain === node.domain);
+      node.leases.setCandidates(members.map(other => other.nodeId));
+      node.leases.setWorkers(
+        [...this.models.keys()]
+          .filter(workerId => workerId.startsWith(`worker-${node.domain}-`))
+          .map(workerId => ({workerId, host: 'none', port: 1})),
+      );
+    }
+  }
+
+  private dial(): void {
+    for (const left of this.nodes) {
+      for (const right of this.nodes) {
+        if (left.nodeId < right.nodeId) this.dialPair(left, right);
+      }
+    }
+    this.clock.setTimer(REDIAL_MS, () => this.dial());
+  }
+
+  private dialPair(left: EntryNode, right: EntryNode): void {
+    if (!left.clock.isRunning() || !right.clock.isRunning()) return;
+    if (this.isCut(left, right)) return;
+    if (left.channels.get(right.nodeId)?.isLinked()) return;
+    const [near, far] = MemoryLink.createPair(
+      left.clock,
+      right.clock,
+      LINK_DELAY_MS,
+      message => this.noteDelivery(message, left, right),
+    );
+    left.attach(right.hello, near);
+    right.attach(left.hello, far);
+  }
+
+  private isCut(left: EntryNode, right: EntryNode): boolean {
+    if (left.domain === right.domain) return false;
+    return (
+      this.cutDomains.has(left.domain) || this.cutDomains.has(right.domain)
+    );
+  }
+
+  private noteDelivery(
+    message: InnerMessage,
+    left: EntryNode,
+    right: EntryNode,
+  ): void {
+    const origin =
+      'id' in message && message.id.startsWith(`${left.nodeId}/`)
+        ? left
+        : right;
+    const holder = origin === left ? right : left;
+    if (message.type === 'request') this.noteStep('request-arrives', holder);
+    if (message.type === 'response') this.noteStep('response-arrives', origin);
+  }
+}
+
+function createDocument(
+  service: Partial<ServiceDeclaration>,
+): EnvironmentDocument {
+  return environmentDocumentSchema.parse({
+    environment: 'test',
+    objective: {
+      tailLatencyWeight: 1,
+      evictionWeight: 1,
+      throughputWeight: 1,
+    },
+    teams: [{name: 'team-a', quotaCores: 100}],
+    services: [
+      {
+        name: SERVICE,
+        team: 'team-a',
+        replicas: 4,
+        resources: {cores: 2, memoryMb: 1_000},
+        deadlineMs: 3_000,
+        upstreamTimeoutMs: 1_500,
+        ...service,
+      },
+    ],
+    batchJobs: [],
+  });
+}
--- a/packages/scheduling/test/scheduler_harness.ts
+++ b/packages/scheduling/test/scheduler_harness.ts
@@ -13,14 +13,33 @@
 import {GroupCommitter} from '@mustardlug/platform/group_committer';
 import {CountingTokenSource} from '@mustardlug/platform/row_token';
 import {SettledTable} from '@mustardlug/platform/settled_table';
+import {TableOperation} from '@mustardlug/platform/table_service';
 import {Vm} from '@mustardlug/platform/vm_list';
+import {WorkerCommand} from '@mustardlug/platform/worker_client';
 import {MemoryTable} from '@mustardlug/standins/memory_table';
 import {ModelWorkerClient} from '@mustardlug/standins/model_worker_client';
+import {NodeClock} from '@mustardlug/standins/node_clock';
+import {RemoteTable} from '@mustardlug/standins/remote_table';
 import {WorkerModel, WorkerSize} from '@mustardlug/standins/worker_model';
 import {PlacementPolicy} from '../src/placement_policy.js';
 import {TaskRecord} from '../src/task_record.js';
 import {SchedulerEvent, TaskScheduler} from '../src/task_scheduler.js';
 
+/** Steps of a task at which a fault can strike. */
+export const TASK_STEPS = [
+  'bind-sent',
+  'bind-decided',
+  'start-sent',
+  'start-decided',
+  'end-sent',
+  'end-decided',
+  'evict-sent',
+  'evict-decided',
+] as const;
+
+/** Step of a task. */
+export type TaskStep = (typeof TASK_STEPS)[number];
+
 /** Options of a harness. */
 export interface HarnessOptions {
   readonly seed: number;
@@ -36,6 +55,7 @@
 /** One scheduler with its lease keeper. */
 export interface SchedulerNode {
   readonly id: string;
+  readonly clock: NodeClock;
   readonly scheduler: TaskScheduler;
   readonly leases: LeaseKeeper;
   readonly client: ModelWorkerClient;
@@ -55,6 +75,7 @@
   readonly table = MemoryTable.create(this.clock);
   readonly models = new Map<string, WorkerModel>();
   readonly nodes: SchedulerNode[] = [];
+  private readonly endedModels: WorkerModel[] = [];
   readonly events: Array<{
     name: SchedulerEvent;
     taskId?: string;
@@ -63,6 +84,7 @@
   /** Workers on the platform's list. */
   vms: Vm[] = [];
   private started = 0;
+  private trap: ((step: TaskStep, node: SchedulerNode) => void) | undefined;
 
   private constructor(private readonly options: HarnessOptions) {
     this.table.faults.delayMs = 5;
@@ -80,10 +102,19 @@
     return new SchedulerHarness(options);
   }
 
+  /** Calls a function at every step of tasks, until it is replaced. */
+  setTrap(
+    trap: ((step: TaskStep, node: SchedulerNode) => void) | undefined,
+  ): void {
+    this.trap = trap;
+  }
+
   /** Adds a worker that has just booted. */
   addWorker(workerId: string, rack: string): WorkerModel {
     const size = this.options.size ?? DEFAULT_SIZE;
     const bootId = `boot-${++this.started}`;
+    const former = this.models.get(workerId);
+    if (former !== undefined) this.endedModels.push(former);
     const model = WorkerModel.create(workerId, bootId, size, this.clock);
     this.models.set(workerId, model);
     this.vms = [
@@ -106,7 +137,9 @@
 
   /** Ends a worker and drops it from the list. */
   removeWorker(workerId: string): void {
-    this.models.get(workerId)?.destroy();
+    const model = this.models.get(workerId);
+    if (model !== undefined) this.endedModels.push(model);
+    model?.destroy();
     this.models.delete(workerId);
     this.vms = this.vms.filter(vm => vm.id !== workerId);
     this.publishVms();
@@ -117,19 +150,38 @@
     const id = `scheduler-${++this.started}`;
     const {seed, document} = this.options;
     const random = RandomSource.create(seed * 1000 + this.started);
-    const client = ModelWorkerClient.create(this.models, this.clock);
+    const clock = NodeClock.create(this.clock);
+    const note = (step: TaskStep, count: number) => {
+      if (count > 0) this.trap?.(step, node);
+    };
+    const client = ModelWorkerClient.create(this.models, clock, {
+      onSend: commands => note('start-sent', countStarts(commands)),
+      onDecided: commands => note('start-decided', countStarts(commands)),
+    });
+    const table = RemoteTable.create(this.table, clock, {
+      onSend: operations => {
+        note('bind-sent', countStates(operations, 'bound'));
+        note('end-sent', countStates(operations, 'done'));
+        note('evict-sent', countEvictions(operations));
+      },
+      onDecided: operations => {
+        note('bind-decided', countStates(operations, 'bound'));
+        note('end-decided', countStates(operations, 'done'));
+        note('evict-decided', countEvictions(operations));
+      },
+    });
     const committer = GroupCommitter.create({
-      table: this.table,
-      settledTable: SettledTable.create({table: this.table, clock: this.clock}),
-      clock: this.clock,
+      table,
+      settledTable: SettledTable.create({table, clock}),
+      clock,
       commitIntervalMs: this.options.commitIntervalMs ?? 100,
     });
     const scheduler = TaskScheduler.create({
       schedulerId: id,
       failureDomain: DOMAIN,
-      clock: this.clock,
+      clock,
       random,
-      table: this.table,
+      table,
       committer,
       tokens: CountingTokenSource.create(id),
       client,
@@ -142,7 +194,7 @@
     const leases = LeaseKeeper.create({
       scope: 'tasks',
       holderId: id,
-      clock: this.clock,
+      clock,
       random,
       client,
       timing: DEFAULT_LEASE_TIMING,
@@ -152,7 +204,15 @@
         onLost: lease => scheduler.removeWorker(lease.address.workerId),
       },
     });
-    const node = {id, scheduler, leases, client, committer, isDead: false};
+    const node: SchedulerNode = {
+      id,
+      clock,
+      scheduler,
+      leases,
+      client,
+      committer,
+      isDead: false,
+    };
     this.nodes.push(node);
     this.publishVms();
     scheduler.setDocument(document);
@@ -164,6 +224,7 @@
   /** Kills a scheduler process without any farewell. */
   killNode(node: SchedulerNode): void {
     node.isDead = true;
+    node.clock.kill();
     node.scheduler.stop();
     node.leases.setWorkers([]);
     for (const vm of this.vms) node.client.faults.cutWorkers.add(vm.id);
@@ -182,7 +243,7 @@
 
   /** Gets all violations that workers noted. */
   getViolations(): string[] {
-    return [...this.models.values()].flatMap(model => model.violations);
+    return this.getAllModels().flatMap(model => model.violations);
   }
 
   /** Gets the tasks that run on more than one worker now. */
@@ -202,7 +263,7 @@
   getRepeatedStarts(): string[] {
     const seen = new Set<string>();
     const repeated: string[] = [];
-    for (const model of this.models.values()) {
+    for (const model of this.getAllModels()) {
       for (const {taskId, attempt} of model.startedAttempts) {
         const key = `${taskId}#${attempt}`;
         if (seen.has(key)) repeated.push(key);
@@ -212,6 +273,36 @@
     return repeated;
   }
 
+  /** Gets the checkpoints from which more than one attempt resumed. */
+  getRepeatedResumes(): string[] {
+    const seen = new Set<string>();
+    const repeated: string[] = [];
+    for (const model of this.getAllModels()) {
+      for (const {taskId, checkpoint} of model.startedAttempts) {
+        if (checkpoint === undefined) continue;
+        const key = `${taskId}@${checkpoint}`;
+        if (seen.has(key)) repeated.push(key);
+        seen.add(key);
+      }
+    }
+    return repeated;
+  }
+
+  /** Gets the number of service replicas that run now. */
+  countRunningServices(): number {
+    let count = 0;
+    for (const model of this.models.values()) {
+      for (const {taskId} of model.getRunningAttempts()) {
+        if (taskId.startsWith('service.')) count++;
+      }
+    }
+    return count;
+  }
+
+  private getAllModels(): WorkerModel[] {
+    return [...this.endedModels, ...this.models.values()];
+  }
+
   private publishVms(): void {
     const live = this.nodes.filter(node => !node.isDead).map(node => node.id);
     for (const node of this.nodes) {
@@ -227,10 +318,35 @@
   private readList(node: SchedulerNode): void {
     if (node.isDead) return;
     node.scheduler.noteVmListRead();
-    this.clock.setTimer(LIST_READ_MS, () => this.readList(node));
+    node.clock.setTimer(LIST_READ_MS, () => this.readList(node));
   }
 }
 
+function countStarts(commands: readonly WorkerCommand[]): number {
+  return commands.filter(command => command.kind === 'start').length;
+}
+
+function getRecords(operations: readonly TableOperation[]): TaskRecord[] {
+  return operations.flatMap(operation =>
+    operation.kind === 'put' && operation.key.startsWith('task/')
+      ? [operation.value as TaskRecord]
+      : [],
+  );
+}
+
+function countStates(
+  operations: readonly TableOperation[],
+  state: TaskRecord['state'],
+): number {
+  return getRecords(operations).filter(record => record.state === state).length;
+}
+
+function countEvictions(operations: readonly TableOperation[]): number {
+  return getRecords(operations).filter(
+    record => record.state === 'pending' && record.evictions > 0,
+  ).length;
+}
+
 /** Parts of a document that a test sets. */
 export interface DocumentParts {
   readonly services?: object[];
--- /dev/null
+++ b/packages/scheduling/test/task_fault_matrix.test.ts
@@ -0,0 +1,175 @@
+import {expect} from 'chai';
+import {
+  createDocument,
+  createJob,
+  createService,
+  SchedulerHarness,
+  SchedulerNode,
+  TASK_STEPS,
+  TaskStep,
+} from './scheduler_harness.js';
+
+const FAULTS = [
+  'kill-scheduler',
+  'freeze-scheduler',
+  'cut-workers',
+  'lose-answer',
+  'late-write',
+  'table-outage',
+  'lose-worker-answer',
+  'worker-dies',
+  'worker-reboots',
+  'kill-scheduler-and-lose-answer',
+  'freeze-scheduler-and-late-write',
+  'table-outage-and-worker-dies',
+] as const;
+type Fault = (typeof FAULTS)[number];
+
+const SEED = 3;
+const TASKS = 24;
+const REPLICAS = 4;
+const FREEZE_MS = 15_000;
+const OUTAGE_MS = 20_000;
+const CHECK_MS = 100;
+const RUN_MS = 60_000;
+/** Long enough for the evidence that a worker is gone. */
+const SETTLE_MS = 150_000;
+
+/** One case of the matrix. */
+class MatrixCase {
+  readonly harness = SchedulerHarness.create({
+    seed: SEED,
+    schedulers: 3,
+    workers: 5,
+    document: createDocument({
+      services: [createService(REPLICAS)],
+      batchJobs: [createJob(TASKS)],
+    }),
+  });
+  readonly doubleRuns: string[] = [];
+  isStruck = false;
+
+  constructor(
+    private readonly step: TaskStep,
+    private readonly fault: Fault,
+  ) {}
+
+  /** Runs the tasks; a worker begins to leave on the way, so that tasks are evicted. */
+  async run(): Promise<void> {
+    const {harness} = this;
+    harness.setTrap((step, node) => this.handleStep(step, node));
+    await this.advance(4_000);
+    this.setLeaving(true);
+    await this.advance(RUN_MS);
+    this.setLeaving(false);
+    await this.advance(SETTLE_MS);
+  }
+
+  private setLeaving(isLeaving: boolean): void {
+    const model = this.harness.models.get('worker-0');
+    if (model !== undefined) model.behavior.isLeaving = isLeaving;
+  }
+
+  private async advance(durationMs: number): Promise<void> {
+    for (let elapsed = 0; elapsed < durationMs; elapsed += CHECK_MS) {
+      await this.harness.clock.advance(CHECK_MS);
+      this.doubleRuns.push(...this.harness.getDoubleRuns());
+    }
+  }
+
+  private handleStep(step: TaskStep, node: SchedulerNode): void {
+    if (this.isStruck || step !== this.step) return;
+    this.isStruck = true;
+    this.strike(node);
+  }
+
+  private strike(node: SchedulerNode): void {
+    const {harness} = this;
+    const {faults} = harness.table;
+    switch (this.fault) {
+      case 'kill-scheduler':
+        return harness.killNode(node);
+      case 'freeze-scheduler':
+        return this.freeze(node);
+      case 'cut-workers':
+        return this.cutWorkers(node);
+      case 'lose-answer':
+        faults.loseNextAnswers = 1;
+        return;
+      case 'late-write':
+        faults.applyNextLate = 1;
+        return;
+      case 'table-outage':
+        return this.startOutage();
+      case 'lose-worker-answer':
+        node.client.faults.loseNextAnswers = 1;
+        return;
+      case 'worker-dies':
+        return this.killWorker();
+      case 'worker-reboots':
+        return this.rebootWorker();
+      case 'kill-scheduler-and-lose-answer':
+        faults.loseNextAnswers = 1;
+        return harness.killNode(node);
+      case 'freeze-scheduler-and-late-write':
+        faults.applyNextLate = 1;
+        return this.freeze(node);
+      case 'table-outage-and-worker-dies':
+        this.startOutage();
+        return this.killWorker();
+    }
+  }
+
+  private freeze(node: SchedulerNode): void {
+    node.clock.freeze();
+    this.harness.clock.setTimer(FREEZE_MS, () => node.clock.thaw());
+  }
+
+  private cutWorkers(node: SchedulerNode): void {
+    const {cutWorkers} = node.client.faults;
+    for (const workerId of this.harness.models.keys()) cutWorkers.add(workerId);
+    this.harness.clock.setTimer(OUTAGE_MS, () => cutWorkers.clear());
+  }
+
+  private startOutage(): void {
+    const {faults} = this.harness.table;
+    faults.isOutage = true;
+    this.harness.clock.setTimer(OUTAGE_MS, () => {
+      faults.isOutage = false;
+    });
+  }
+
+  private killWorker(): void {
+    this.harness.removeWorker('worker-1');
+  }
+
+  private rebootWorker(): void {
+    this.harness.models.get('worker-1')?.destroy();
+    this.harness.addWorker('worker-1', 'rack-1');
+  }
+}
+
+async function doTest(step: TaskStep, fault: Fault): Promise<void> {
+  const matrixCase = new MatrixCase(step, fault);
+  await matrixCase.run();
+  const {harness} = matrixCase;
+  expect(matrixCase.isStruck, 'the step was reached').to.equal(true);
+  expect(matrixCase.doubleRuns, 'tasks in two places').to.deep.equal([]);
+  expect(harness.getViolations(), 'beyond capacity').to.deep.equal([]);
+  expect(harness.getRepeatedStarts(), 'attempts started twice').to.deep.equal(
+    [],
+  );
+  expect(harness.getRepeatedResumes(), 'resumed twice').to.deep.equal([]);
+  expect(harness.countTasks('done'), 'batch tasks done').to.equal(TASKS);
+  expect(harness.countTasks('bound'), 'replicas bound').to.equal(REPLICAS);
+  expect(harness.countRunningServices(), 'replicas running').to.equal(REPLICAS);
+}
+
+describe('task fault matrix', () => {
+  for (const step of TASK_STEPS) {
+    for (const fault of FAULTS) {
+      it(`keeps the promises when ${fault} strikes at ${step}`, () =>
+        doTest(step, fault));
+    }
+  }
+});
--- a/packages/standins/src/model_worker_client.ts
+++ b/packages/standins/src/model_worker_client.ts
@@ -25,6 +25,14 @@
   loseNextAnswers: number;
 }
 
+/** Called around each group of commands, for tests that bring about faults. */
+export interface CommandObserver {
+  /** The commands are about to be sent. */
+  onSend(commands: readonly WorkerCommand[]): void;
+  /** The worker has run the commands; its answer is under way. */
+  onDecided(commands: readonly WorkerCommand[]): void;
+}
+
 /** Worker client for tests in virtual time. */
 export class ModelWorkerClient extends WorkerClient {
   /** Faults in force; change them at any time. */
@@ -37,6 +45,7 @@
   private constructor(
     private readonly models: ReadonlyMap<string, WorkerModel>,
     private readonly clock: Clock,
+    private readonly observer: CommandObserver | undefined,
   ) {
     super();
   }
@@ -44,13 +53,15 @@
   /**
    * Creates a client.
    * @param models - Workers by id.
-   * @param clock - Clock for delays.
+   * @param clock - Clock of the calling process.
+   * @param observer - Receives the steps of commands.
    */
   static create(
     models: ReadonlyMap<string, WorkerModel>,
     clock: Clock,
+    observer?: CommandObserver,
   ): ModelWorkerClient {
-    return new ModelWorkerClient(models, clock);
+    return new ModelWorkerClient(models, clock, observer);
   }
 
   override requestLease(
@@ -72,7 +83,12 @@
     epoch: number,
     commands: readonly WorkerCommand[],
   ): Promise<Result<CommandOutcome[], WorkerError>> {
-    return this.call(address, model => model.runCommands(epoch, commands));
+    this.observer?.onSend(commands);
+    return this.call(address, model => {
+      const result = model.runCommands(epoch, commands);
+      this.observer?.onDecided(commands);
+      return result;
+    });
   }
 
   private async call<T>(
--- a/packages/standins/src/worker_model.ts
+++ b/packages/standins/src/worker_model.ts
@@ -29,6 +29,11 @@
   readonly accelerators: number;
 }
 
+/** An attempt and the checkpoint that it began or ended with. */
+export interface StartedAttempt extends AttemptName {
+  readonly checkpoint: string | undefined;
+}
+
 /** Behaviour that tests set. */
 export interface WorkerBehavior {
   /** Every attempt fails soon after its start. */
@@ -80,8 +85,10 @@
   };
   /** What the system did although it must not. */
   readonly violations: string[] = [];
-  /** Every attempt that ran here, by task. */
-  readonly startedAttempts: AttemptName[] = [];
+  /** Every attempt that was started here, in order. */
+  readonly startedAttempts: StartedAttempt[] = [];
+  /** Every checkpoint that an attempt left here, in order. */
+  readonly checkpoints: StartedAttempt[] = [];
   private readonly leases: Record<LeaseScope, ScopeLease>;
   private readonly attempts = new Map<string, RunningAttempt>();
   private readonly acknowledged = new Set<string>();
@@ -273,8 +280,8 @@
       timer: undefined,
     };
     this.attempts.set(key, attempt);
-    const {taskId, attempt: number} = start;
-    this.startedAttempts.push({taskId, attempt: number});
+    const {taskId, attempt: number, checkpoint} = start;
+    this.startedAttempts.push({taskId, attempt: number, checkpoint});
     this.scheduleEnd(attempt);
     return {isAccepted: true};
   }
@@ -323,6 +330,11 @@
     attempt.timer?.cancel();
     attempt.state = state;
     if (state === 'finished') attempt.doneAtSince = 1;
+    if (attempt.checkpoint !== undefined) {
+      const {taskId, attempt: number} = attempt.start;
+      const {checkpoint} = attempt;
+      this.checkpoints.push({taskId, attempt: number, checkpoint});
+    }
     this.addUsage(attempt);
   }
 
