--- a/packages/experiments/src/mustardlug_experiment.ts
+++ b/packages/experiments/src/mustardlug_experiment.ts
@@ -2,6 +2,7 @@
 /** Command line of the experiments in virtual time. */
 
 import {Command, InvalidArgumentError} from 'commander';
+import {measureDecisions} from './decision_benchmark.js';
 import {renderMarkdownTable} from './markdown_table.js';
 import {PlacementFigures, runPlacementCell} from './placement_experiment.js';
 import {
@@ -124,6 +125,32 @@
   return renderMarkdownTable(header, rows);
 }
 
+const DECISION_SIZES = [
+  {workers: 33, tasks: 590},
+  {workers: 130, tasks: 2_320},
+  {workers: 325, tasks: 5_800},
+  {workers: 650, tasks: 11_600},
+];
+
+function decisions(): void {
+  const rows: string[][] = [];
+  for (const {workers, tasks} of DECISION_SIZES) {
+    for (const policy of ['mustardlug', 'first-fit'] as const) {
+      const figures = measureDecisions(workers, tasks, policy);
+      rows.push([
+        policy,
+        String(workers),
+        String(tasks),
+        figures.p50Us.toFixed(1),
+        figures.p99Us.toFixed(1),
+        figures.maxUs.toFixed(0),
+      ]);
+    }
+  }
+  const header = ['policy', 'workers', 'tasks', 'p50 us', 'p99 us', 'max us'];
+  print(renderMarkdownTable(header, rows));
+}
+
 function formatPercent(fraction: number, digits: number): string {
   return `${(fraction * 100).toFixed(digits)} %`;
 }
@@ -152,4 +179,8 @@
   .option('--seconds <number>', 'virtual time of each cell', parseNumber, 120)
   .option('--json', 'print JSON')
   .action(placement);
+program
+  .command('decisions')
+  .description('time of one placement decision, in real time')
+  .action(decisions);
 await program.parseAsync();
--- a/packages/scheduling/src/placement_policy.ts
+++ b/packages/scheduling/src/placement_policy.ts
@@ -80,9 +80,6 @@
   worker: WorkerView,
 ): boolean {
   if (request.kind !== 'service') return false;
-  for (const task of worker.getPlaced()) {
-    const isSame = task.kind === 'service' && task.name === request.name;
-    if (isSame && task.taskId !== request.taskId) return true;
-  }
-  return false;
+  if (!worker.getReplicaCounts().has(request.name)) return false;
+  return !worker.isPlaced(request.taskId);
 }
--- a/packages/scheduling/src/scored_placement.ts
+++ b/packages/scheduling/src/scored_placement.ts
@@ -22,7 +22,9 @@
   readonly slowdownLimit: number;
 }
 
-const SAMPLE_SIZE = 24;
+const BATCH_SAMPLE_SIZE = 24;
+/** Replicas are placed rarely and for long, and racks are to be spread over. */
+const SERVICE_SAMPLE_SIZE = 96;
 const SAME_RACK_PENALTY = 1;
 const ACCELERATOR_WASTE_PENALTY = 3;
 const LEFTOVER_WEIGHT = 0.5;
@@ -45,19 +47,22 @@
     request: PlacementRequest,
     workers: readonly WorkerView[],
   ): WorkerView | undefined {
-    if (request.kind === 'service' || workers.length <= SAMPLE_SIZE) {
-      return this.chooseBest(request, workers);
-    }
+    const sampleSize =
+      request.kind === 'service' ? SERVICE_SAMPLE_SIZE : BATCH_SAMPLE_SIZE;
+    if (workers.length <= sampleSize) return this.chooseBest(request, workers);
+    const sample = this.getSample(workers, sampleSize);
     return (
-      this.chooseBest(request, this.getSample(workers)) ??
-      this.chooseFirstFit(request, workers)
+      this.chooseBest(request, sample) ?? this.chooseFirstFit(request, workers)
     );
   }
 
-  private getSample(workers: readonly WorkerView[]): WorkerView[] {
+  private getSample(
+    workers: readonly WorkerView[],
+    size: number,
+  ): WorkerView[] {
     const {random} = this.options;
     const sample: WorkerView[] = [];
-    for (let count = 0; count < SAMPLE_SIZE; count++) {
+    for (let count = 0; count < size; count++) {
       sample.push(workers[random.getIndex(workers.length)]);
     }
     return sample;
@@ -103,9 +108,8 @@
     worker: WorkerView,
   ): boolean {
     if (request.kind === 'service') return super.isCompatible(request, worker);
-    for (const task of worker.getPlaced()) {
-      if (task.kind !== 'service') continue;
-      const expected = this.getExpectedSlowdown(task.name, request, worker);
+    for (const serviceName of worker.getReplicaCounts().keys()) {
+      const expected = this.getExpectedSlowdown(serviceName, request, worker);
       if (expected > this.options.slowdownLimit) return false;
     }
     return true;
@@ -119,9 +123,8 @@
     const {model} = this.options;
     const perCore = model.getEffect(serviceName, request.name);
     let slowdown = 1 + perCore * request.charged.cores;
-    for (const {kind, name, charged} of worker.getPlaced()) {
-      if (kind !== 'batch') continue;
-      slowdown += model.getEffect(serviceName, name) * charged.cores;
+    for (const [name, cores] of worker.getBatchCores()) {
+      slowdown += model.getEffect(serviceName, name) * cores;
     }
     return slowdown;
   }
@@ -144,12 +147,15 @@
   ): number {
     const {model} = this.options;
     let sum = 0;
-    for (const task of worker.getPlaced()) {
-      if (task.kind === request.kind) continue;
-      sum +=
-        request.kind === 'batch'
-          ? model.getEffect(task.name, request.name) * request.charged.cores
-          : model.getEffect(request.name, task.name) * task.charged.cores;
+    if (request.kind === 'batch') {
+      for (const serviceName of worker.getReplicaCounts().keys()) {
+        const perCore = model.getEffect(serviceName, request.name);
+        sum += perCore * request.charged.cores;
+      }
+      return sum;
+    }
+    for (const [name, cores] of worker.getBatchCores()) {
+      sum += model.getEffect(request.name, name) * cores;
     }
     return sum;
   }
--- a/packages/scheduling/src/worker_view.ts
+++ b/packages/scheduling/src/worker_view.ts
@@ -31,6 +31,8 @@
   /** Attempts in the worker's latest report. */
   reports: readonly AttemptReport[] = [];
   private readonly placed = new Map<string, PlacedTask>();
+  private readonly batchCores = new Map<string, number>();
+  private readonly replicaCounts = new Map<string, number>();
   private usedCores = 0;
   private usedMemoryMb = 0;
   private usedAccelerators = 0;
@@ -77,6 +79,16 @@
     return this.placed.values();
   }
 
+  /** Gets the cores of the placed batch tasks, by job name. */
+  getBatchCores(): ReadonlyMap<string, number> {
+    return this.batchCores;
+  }
+
+  /** Gets the number of placed replicas, by service name. */
+  getReplicaCounts(): ReadonlyMap<string, number> {
+    return this.replicaCounts;
+  }
+
   /** Gets the number of placed tasks. */
   getPlacedCount(): number {
     return this.placed.size;
@@ -122,6 +134,7 @@
     this.usedCores += task.charged.cores;
     this.usedMemoryMb += task.charged.memoryMb;
     this.usedAccelerators += task.charged.accelerators;
+    this.addToIndexes(task, 1);
   }
 
   /**
@@ -135,5 +148,22 @@
     this.usedCores -= task.charged.cores;
     this.usedMemoryMb -= task.charged.memoryMb;
     this.usedAccelerators -= task.charged.accelerators;
+    this.addToIndexes(task, -1);
   }
+
+  private addToIndexes(task: PlacedTask, sign: 1 | -1): void {
+    const {kind, name, charged} = task;
+    if (kind === 'service') addToSum(this.replicaCounts, name, sign);
+    else addToSum(this.batchCores, name, sign * charged.cores);
+  }
+}
+
+function addToSum(
+  sums: Map<string, number>,
+  name: string,
+  amount: number,
+): void {
+  const sum = (sums.get(name) ?? 0) + amount;
+  if (sum > CORE_EPSILON) sums.set(name, sum);
+  else sums.delete(name);
 }
