--- a/packages/experiments/src/mustardlug_experiment.ts
+++ b/packages/experiments/src/mustardlug_experiment.ts
@@ -2,6 +2,7 @@
 /** Command line of the experiments in virtual time. */
 
 import {Command, InvalidArgumentError} from 'commander';
+import {measureCapacity} from './capacity_experiment.js';
 import {measureDecisions} from './decision_benchmark.js';
 import {renderMarkdownTable} from './markdown_table.js';
 import {PlacementFigures, runPlacementCell} from './placement_experiment.js';
@@ -151,6 +152,38 @@
   print(renderMarkdownTable(header, rows));
 }
 
+async function capacity(options: {readonly workers: string}): Promise<void> {
+  const rows: string[][] = [];
+  for (const workers of options.workers.split(',').map(Number)) {
+    const figures = await measureCapacity(workers);
+    rows.push([
+      String(figures.workers),
+      String(figures.runningTasks),
+      figures.startsPerS.toFixed(1),
+      figures.cpuMsPerS.toFixed(0),
+      figures.transactionsPerS.toFixed(1),
+      figures.rowsPerS.toFixed(0),
+      figures.readsPerS.toFixed(1),
+      figures.workerBytesPerS.toFixed(0),
+      figures.tableBytesPerS.toFixed(0),
+      figures.heapMb.toFixed(0),
+    ]);
+  }
+  const header = [
+    'workers',
+    'bound tasks',
+    'starts / s',
+    'CPU ms / s, 3 schedulers and fakes',
+    'transactions / s',
+    'rows / s',
+    'reads / s',
+    'bytes / s a worker',
+    'table bytes / s',
+    'heap MB',
+  ];
+  print(renderMarkdownTable(header, rows));
+}
+
 function formatPercent(fraction: number, digits: number): string {
   return `${(fraction * 100).toFixed(digits)} %`;
 }
@@ -183,4 +216,9 @@
   .command('decisions')
   .description('time of one placement decision, in real time')
   .action(decisions);
+program
+  .command('capacity')
+  .description('cost of scheduling at three sizes of a failure domain')
+  .option('--workers <list>', 'workers of the domain', '31,62,93')
+  .action(capacity);
 await program.parseAsync();
--- a/packages/experiments/src/scheduler_harness.ts
+++ b/packages/experiments/src/scheduler_harness.ts
@@ -53,6 +53,8 @@
   readonly commitIntervalMs?: number;
   readonly isThrottling?: boolean;
   readonly placement?: PlacementPolicy;
+  /** Counts the bytes of calls to workers and the table. */
+  readonly isCountingBytes?: boolean;
 }
 
 /** One scheduler with its lease keeper. */
@@ -63,6 +65,7 @@
   readonly leases: LeaseKeeper;
   readonly client: ModelWorkerClient;
   readonly committer: GroupCommitter;
+  readonly table: RemoteTable;
   isDead: boolean;
 }
 
@@ -173,6 +176,8 @@
         note('evict-decided', countEvictions(operations));
       },
     });
+    client.isCountingBytes = this.options.isCountingBytes ?? false;
+    table.isCountingBytes = this.options.isCountingBytes ?? false;
     const committer = GroupCommitter.create({
       table,
       settledTable: SettledTable.create({table, clock}),
@@ -215,6 +220,7 @@
       leases,
       client,
       committer,
+      table,
       isDead: false,
     };
     this.nodes.push(node);
--- a/packages/membership/src/lease_keeper.ts
+++ b/packages/membership/src/lease_keeper.ts
@@ -53,6 +53,8 @@
   readonly client: WorkerClient;
   readonly timing: LeaseTiming;
   readonly listener: LeaseListener;
+  /** Whether the next renewal of a worker should bring its usage. */
+  readonly isUsageWanted?: (workerId: string) => boolean;
 }
 
 interface TrackedWorker {
@@ -66,6 +68,8 @@
 
 /** Holders that keep a lease this long before they hand it to a preferred one. */
 const MIN_HOLD_MS = 10_000;
+const FIRST_SUCCESSOR_RANK = 1;
+const DISTANT_POLL_FACTOR = 3;
 /** Lower-ranked processes wait a little, so that the preferred one comes first. */
 const POLL_NOW_DIVISOR = 10;
 
@@ -197,7 +201,8 @@
 
   private getFirstDelayMs(workerId: string): number {
     const rank = this.getRank(workerId, this.options.holderId);
-    return Math.min(rank * this.options.timing.renewMs, this.getPollDelayMs());
+    const {renewMs, pollMs} = this.options.timing;
+    return Math.min(rank * renewMs, pollMs);
   }
 
   private getRank(workerId: string, holderId: string): number {
@@ -225,7 +230,7 @@
     tracked.isVisiting = false;
     const isHeld = tracked.lease !== undefined;
     const {renewMs} = this.options.timing;
-    this.schedule(tracked, isHeld ? renewMs : this.getPollDelayMs());
+    this.schedule(tracked, isHeld ? renewMs : this.getPollDelayMs(tracked));
   }
 
   private async acquireOrRenew(tracked: TrackedWorker): Promise<void> {
@@ -236,10 +241,12 @@
     else await this.renew(tracked, tracked.lease);
   }
 
-  private getPollDelayMs(): number {
-    return (
-      this.options.timing.pollMs * (0.75 + this.options.random.getFloat() / 2)
-    );
+  /** The first successor asks often; the others are there in case it is dead, too. */
+  private getPollDelayMs(tracked: TrackedWorker): number {
+    const {random, timing, holderId} = this.options;
+    const rank = this.getRank(tracked.address.workerId, holderId);
+    const factor = rank <= FIRST_SUCCESSOR_RANK ? 1 : DISTANT_POLL_FACTOR;
+    return factor * timing.pollMs * (0.75 + random.getFloat() / 2);
   }
 
   private async acquire(tracked: TrackedWorker): Promise<void> {
@@ -268,6 +275,8 @@
       holderId,
       ttlMs: timing.ttlMs,
       epoch: lease.getEpoch(),
+      knownReport: lease.getStatus().reportNumber,
+      withUsage: this.options.isUsageWanted?.(lease.address.workerId) ?? false,
     });
     if (this.isUnwanted(tracked)) return;
     if (renewed.isOk()) {
--- a/packages/membership/src/worker_lease.ts
+++ b/packages/membership/src/worker_lease.ts
@@ -1,7 +1,12 @@
 /** A worker lease as its holder sees it. */
 
 import {Clock} from '@mustardlug/base/clock';
-import {WorkerAddress, WorkerStatus} from '@mustardlug/platform/worker_client';
+import {
+  AttemptName,
+  AttemptReport,
+  WorkerAddress,
+  WorkerStatus,
+} from '@mustardlug/platform/worker_client';
 
 /** Fraction of a lease that is given up to cover clocks that run at different rates. */
 const DRIFT_MARGIN_FRACTION = 0.1;
@@ -40,7 +45,7 @@
     return this.status.epoch;
   }
 
-  /** Gets the worker's state at the last grant or renewal. */
+  /** Gets the worker's state at the last grant or renewal, with all its attempts. */
   getStatus(): WorkerStatus {
     return this.status;
   }
@@ -58,7 +63,9 @@
    */
   extend(sentAtMs: number, ttlMs: number, status: WorkerStatus): void {
     this.validUntilMs = sentAtMs + ttlMs * (1 - DRIFT_MARGIN_FRACTION);
-    this.status = status;
+    this.status = status.isWholeReport
+      ? status
+      : {...status, attempts: mergeAttempts(this.status.attempts, status)};
   }
 
   /** Ends the lease at this process. */
@@ -66,3 +73,22 @@
     this.validUntilMs = 0;
   }
 }
+
+function mergeAttempts(
+  known: readonly AttemptReport[],
+  changes: WorkerStatus,
+): AttemptReport[] {
+  const merged = new Map(
+    known.map(report => [getAttemptKey(report), report] as const),
+  );
+  for (const name of changes.removedAttempts)
+    merged.delete(getAttemptKey(name));
+  for (const report of changes.attempts) {
+    merged.set(getAttemptKey(report), report);
+  }
+  return [...merged.values()];
+}
+
+function getAttemptKey(name: AttemptName): string {
+  return `${name.taskId}#${name.attempt}`;
+}
--- a/packages/platform/src/worker_client.ts
+++ b/packages/platform/src/worker_client.ts
@@ -80,10 +80,18 @@
   /** Service requests in progress, of all epochs. */
   requestsInProgress: z.number().int(),
   replicas: z.array(replicaReportSchema),
+  /** Number of this report of the `tasks` scope. */
+  reportNumber: z.number().int(),
+  /** Whether `attempts` are all; else only those that changed since the known report. */
+  isWholeReport: z.boolean(),
   /** Only for the `tasks` scope. */
   attempts: z.array(attemptReportSchema),
-  /** Only for the `tasks` scope. */
-  usage: z.array(ownerUsageSchema),
+  /** Attempts that are no longer listed since the known report. */
+  removedAttempts: z.array(
+    z.object({taskId: z.string(), attempt: z.number().int()}),
+  ),
+  /** Only for the `tasks` scope, and only when asked for. */
+  usage: z.array(ownerUsageSchema).optional(),
   uptimeMs: z.number(),
   cores: z.number(),
   memoryMb: z.number(),
@@ -116,6 +124,10 @@
   readonly holderId: string;
   readonly ttlMs: number;
   readonly epoch?: number;
+  /** Report that the holder has; the worker then sends only changes. */
+  readonly knownReport?: number;
+  /** Whether usage is wanted. */
+  readonly withUsage?: boolean;
 }
 
 /** Hands a lease back. */
--- a/packages/scheduler/src/scheduler_process.ts
+++ b/packages/scheduler/src/scheduler_process.ts
@@ -139,6 +139,7 @@
       random,
       client,
       timing: DEFAULT_LEASE_TIMING,
+      isUsageWanted: workerId => this.usage.isDue(workerId),
       listener: {
         onAcquired: lease => this.handleAcquired(lease),
         onRenewed: lease => this.handleRenewed(lease),
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -33,6 +33,7 @@
   WorkerCommand,
   WorkerStatus,
 } from '@mustardlug/platform/worker_client';
+import {CommandBatcher} from './command_batcher.js';
 import {
   BatchNeighbor,
   DisturbanceController,
@@ -116,6 +117,8 @@
 const STEAL_MIN_AGE_MS = 3_000;
 const MAX_STOLEN_TASKS = 50;
 const MAX_BINDS_PER_TICK = 400;
+/** Jobs without a fitting worker that are looked at in one round. */
+const MAX_BLOCKED_JOBS = 40;
 /** Attempts bound ahead on each worker, which start without the table service. */
 const BACKLOG_PER_WORKER = 2;
 const MAX_ASIDE_FRACTION = 0.2;
@@ -131,6 +134,7 @@
 /** Scheduler of the workers that this process holds. */
 export class TaskScheduler {
   private readonly cache: TaskCache;
+  private readonly batcher: CommandBatcher;
   private readonly views = new Map<string, WorkerView>();
   private readonly histories = new Map<string, PlacementHistory>();
   private readonly starting = new Set<string>();
@@ -161,6 +165,7 @@
 
   private constructor(private readonly options: TaskSchedulerOptions) {
     this.cache = TaskCache.create(options.table, options.failureDomain);
+    this.batcher = CommandBatcher.create(options.client, options.clock);
     this.health = OutlierTracker.create({
       clock: options.clock,
       maxAsideFraction: MAX_ASIDE_FRACTION,
@@ -523,12 +528,8 @@
     view: WorkerView,
     commands: readonly WorkerCommand[],
   ): Promise<void> {
-    if (!view.lease.isValid()) return;
-    const {address} = view.lease;
-    await this.options.client.runCommands(
-      address,
-      view.lease.getEpoch(),
-      commands,
+    await Promise.all(
+      commands.map(command => this.batcher.addCommand(view, command)),
     );
     const isStopping = commands.some(command => command.kind === 'stop');
     if (isStopping) this.options.renewSoon(view.workerId, STOP_CHECK_MS);
@@ -547,16 +548,14 @@
     }
     if (!view.lease.isValid()) return;
     this.starting.add(taskId);
-    const outcome = await this.options.client.runCommands(
-      view.lease.address,
-      view.lease.getEpoch(),
-      [{kind: 'start', start: createAttemptStart(record)}],
-    );
+    const answer = await this.batcher.addCommand(view, {
+      kind: 'start',
+      start: createAttemptStart(record),
+    });
     this.starting.delete(taskId);
     this.backlog.get(view.workerId)?.delete(taskId);
     // Without an answer the next renewal tells whether the attempt runs.
-    if (outcome.isErr()) return;
-    const [answer] = outcome.value;
+    if (answer === undefined) return;
     if (!answer.isAccepted) {
       view.removeTask(taskId);
       return;
@@ -707,39 +706,60 @@
   private tick(): void {
     if (this.document === undefined || this.placement === undefined) return;
     this.unbindFromGoneWorkers();
-    const pending = this.getOwnPending();
     this.isUrgentWaiting = false;
     this.promisedRoom.clear();
-    if (pending.length === 0) return;
+    const {own, foreign} = this.getEligiblePending();
+    const usable = this.getUsableViews();
+    const isRoomLeft = this.scheduleTasks(own, usable);
+    // Schedulers would race for the same tasks if all took the oldest first.
+    if (isRoomLeft) this.scheduleTasks(foreign, usable);
+  }
+
+  /** Places tasks in their fair order; returns whether all found a worker. */
+  private scheduleTasks(
+    pending: readonly PendingTask[],
+    usable: readonly WorkerView[],
+  ): boolean {
+    if (pending.length === 0) return true;
     const queue = FairShareQueue.create(
-      this.getDomainTeams(this.document.teams),
+      this.getDomainTeams(this.document?.teams ?? []),
       this.getUsedCores(),
       pending,
     );
-    const usable = this.getUsableViews();
-    let binds = 0;
-    let isFull = false;
-    for (;;) {
+    const blockedNames = new Set<string>();
+    for (let binds = 0; binds < MAX_BINDS_PER_TICK;) {
       const next = queue.removeNext();
-      if (next === undefined || binds >= MAX_BINDS_PER_TICK) return;
+      if (next === undefined) break;
       const task = this.cache.getTask(next.taskId);
       if (task === undefined || task.isWriting) continue;
-      if (isFull && next.kind === 'batch' && !next.isUrgent) return;
-      const view = this.chooseView(task.record, usable);
-      if (view !== undefined) {
+      if (blockedNames.has(task.record.name)) continue;
+      if (this.scheduleTask(task, usable)) {
         binds++;
         queue.notePlaced(next);
-        void this.bind(view, task, true);
-        continue;
-      }
-      if (next.kind === 'service' || next.isUrgent) {
-        this.isUrgentWaiting = true;
-        this.makeRoom(task.record, usable);
         continue;
       }
-      isFull = !this.bindAhead(task, usable);
-      if (!isFull) queue.notePlaced(next);
+      if (next.kind === 'service' || next.isUrgent) continue;
+      blockedNames.add(task.record.name);
+      if (blockedNames.size >= MAX_BLOCKED_JOBS) break;
+    }
+    return blockedNames.size === 0;
+  }
+
+  private scheduleTask(
+    task: CachedTask,
+    usable: readonly WorkerView[],
+  ): boolean {
+    const view = this.chooseView(task.record, usable);
+    if (view !== undefined) {
+      void this.bind(view, task, true);
+      return true;
+    }
+    if (task.record.kind === 'batch' && !task.record.isUrgent) {
+      return this.bindAhead(task, usable);
     }
+    this.isUrgentWaiting = true;
+    this.makeRoom(task.record, usable);
+    return false;
   }
 
   /** Each domain enforces its part of a quota, by its part of the workers. */
@@ -755,28 +775,30 @@
     }));
   }
 
-  private getOwnPending(): PendingTask[] {
+  /** Each task has a preferred scheduler; the others wait before they take it. */
+  private getEligiblePending(): EligibleTasks {
     const nowMs = this.options.clock.getMonotonicMs();
     const own: PendingTask[] = [];
+    const foreign: PendingTask[] = [];
     for (const task of this.cache.getPending()) {
       const {record} = task;
+      const rank = this.getRank(record.taskId);
+      if (rank > 0 && !this.isOverdue(record, rank)) continue;
+      if ((this.retryAt.get(record.taskId) ?? 0) > nowMs) continue;
       if (this.isUnwanted(record)) {
         void this.commitCancelled(task);
         continue;
       }
-      if ((this.retryAt.get(record.taskId) ?? 0) > nowMs) continue;
-      if (!this.isOwn(record) || this.setInfeasible(task)) continue;
-      own.push(record);
+      if (this.setInfeasible(task)) continue;
+      const isPressing = record.kind === 'service' || record.isUrgent;
+      if (rank === 0 || isPressing) own.push(record);
+      else foreign.push(record);
     }
-    return own;
+    return {own, foreign};
   }
 
-  /** Each task has a preferred scheduler; the others wait before they take it. */
-  private isOwn(record: TaskRecord): boolean {
-    const {clock} = this.options;
-    const rank = this.getRank(record.taskId);
-    if (rank === 0) return true;
-    const ageMs = clock.getWallMs() - record.submittedAtMs;
+  private isOverdue(record: TaskRecord, rank: number): boolean {
+    const ageMs = this.options.clock.getWallMs() - record.submittedAtMs;
     const delayMs = record.isUrgent
       ? FOREIGN_TASK_DELAY_MS / 4
       : FOREIGN_TASK_DELAY_MS;
@@ -1158,6 +1180,11 @@
   return [...sizes.values()];
 }
 
+interface EligibleTasks {
+  readonly own: readonly PendingTask[];
+  readonly foreign: readonly PendingTask[];
+}
+
 type StopReason = 'cancelled' | 'evicted' | 'moved';
 
 function isBoundTo(
--- a/packages/scheduling/src/usage_recorder.ts
+++ b/packages/scheduling/src/usage_recorder.ts
@@ -48,6 +48,14 @@
     return new UsageRecorder(options);
   }
 
+  /**
+   * Checks whether the current interval of a worker still lacks its row.
+   * @param workerId - Id of the worker.
+   */
+  isDue(workerId: string): boolean {
+    return this.lastIntervalMs.get(workerId) !== this.getIntervalStartMs();
+  }
+
   /**
    * Writes the row of the current interval, if this process has not tried yet.
    *
@@ -55,11 +63,10 @@
    * @param lease - Lease that was granted or renewed just now.
    */
   async addReport(lease: WorkerLease): Promise<void> {
-    const {clock, committer, tokens, intervalMs} = this.options;
+    const {committer, tokens} = this.options;
     const {workerId, bootId, uptimeMs, cores, usage} = lease.getStatus();
-    const nowMs = clock.getWallMs();
-    const intervalStartMs = nowMs - (nowMs % intervalMs);
-    if (this.lastIntervalMs.get(workerId) === intervalStartMs) return;
+    if (usage === undefined || !this.isDue(workerId)) return;
+    const intervalStartMs = this.getIntervalStartMs();
     this.lastIntervalMs.set(workerId, intervalStartMs);
     const value: UsageRecord = {
       writeToken: tokens.getNext(),
@@ -78,4 +85,10 @@
     // The same interval is tried again with the next renewal.
     if (outcome.kind === 'unavailable') this.lastIntervalMs.delete(workerId);
   }
+
+  private getIntervalStartMs(): number {
+    const {clock, intervalMs} = this.options;
+    const nowMs = clock.getWallMs();
+    return nowMs - (nowMs % intervalMs);
+  }
 }
--- a/packages/standins/src/model_worker_client.ts
+++ b/packages/standins/src/model_worker_client.ts
@@ -33,6 +33,13 @@
   onDecided(commands: readonly WorkerCommand[]): void;
 }
 
+/** Heads of a call or an answer over HTTP, as measured on the stand-ins. */
+const HTTP_HEAD_BYTES = 190;
+
+function getJsonBytes(value: unknown): number {
+  return HTTP_HEAD_BYTES + (JSON.stringify(value) ?? '').length;
+}
+
 /** Worker client for tests in virtual time. */
 export class ModelWorkerClient extends WorkerClient {
   /** Faults in force; change them at any time. */
@@ -41,6 +48,10 @@
     cutWorkers: new Set(),
     loseNextAnswers: 0,
   };
+  /** Size of all calls and answers as JSON over HTTP; counted only if asked for. */
+  carriedBytes = 0;
+  /** Whether to count bytes; takes processor time. */
+  isCountingBytes = false;
 
   private constructor(
     private readonly models: ReadonlyMap<string, WorkerModel>,
@@ -68,14 +79,14 @@
     address: WorkerAddress,
     request: LeaseRequest,
   ): Promise<Result<WorkerStatus, WorkerError>> {
-    return this.call(address, model => model.requestLease(request));
+    return this.call(address, request, model => model.requestLease(request));
   }
 
   override releaseLease(
     address: WorkerAddress,
     release: LeaseRelease,
   ): Promise<Result<void, WorkerError>> {
-    return this.call(address, model => model.releaseLease(release));
+    return this.call(address, release, model => model.releaseLease(release));
   }
 
   override runCommands(
@@ -84,7 +95,7 @@
     commands: readonly WorkerCommand[],
   ): Promise<Result<CommandOutcome[], WorkerError>> {
     this.observer?.onSend(commands);
-    return this.call(address, model => {
+    return this.call(address, {epoch, commands}, model => {
       const result = model.runCommands(epoch, commands);
       this.observer?.onDecided(commands);
       return result;
@@ -93,6 +104,7 @@
 
   private async call<T>(
     address: WorkerAddress,
+    body: unknown,
     action: (model: WorkerModel) => Result<T, WorkerError>,
   ): Promise<Result<T, WorkerError>> {
     await this.clock.sleep(this.faults.delayMs);
@@ -101,6 +113,10 @@
       return err(createUnavailableError('the worker cannot be reached', false));
     }
     const result = action(model);
+    if (this.isCountingBytes) {
+      this.carriedBytes +=
+        getJsonBytes(body) + getJsonBytes(result.unwrapOr(undefined));
+    }
     await this.clock.sleep(this.faults.delayMs);
     if (this.faults.loseNextAnswers > 0 || this.isCut(address)) {
       this.faults.loseNextAnswers = Math.max(
--- a/packages/standins/src/remote_table.ts
+++ b/packages/standins/src/remote_table.ts
@@ -22,8 +22,16 @@
   onDecided(operations: readonly TableOperation[]): void;
 }
 
+/** Heads of a call or an answer over HTTP, as measured on the stand-ins. */
+const HTTP_HEAD_BYTES = 190;
+
 /** A table behind the clock of one process, which may be frozen or killed. */
 export class RemoteTable extends TableService {
+  /** Size of all calls and answers as JSON over HTTP; counted only if asked for. */
+  carriedBytes = 0;
+  /** Whether to count bytes; takes processor time. */
+  isCountingBytes = false;
+
   private constructor(
     private readonly table: TableService,
     private readonly clock: Clock,
@@ -50,7 +58,7 @@
     operations: readonly TableOperation[],
   ): Promise<Result<CommitReceipt, CommitError>> {
     this.observer?.onSend(operations);
-    return this.call(async () => {
+    return this.call(operations, async () => {
       const result = await this.table.commit(operations);
       this.observer?.onDecided(operations);
       return result;
@@ -60,25 +68,36 @@
   override getRow(
     key: string,
   ): Promise<Result<TableRow | undefined, UnavailableError>> {
-    return this.call(() => this.table.getRow(key));
+    return this.call(key, () => this.table.getRow(key));
   }
 
   override getRows(
     query: RowQuery,
   ): Promise<Result<RowPage, UnavailableError>> {
-    return this.call(() => this.table.getRows(query));
+    return this.call(query, () => this.table.getRows(query));
   }
 
   override getChanges(
     query: ChangeQuery,
   ): Promise<Result<RowPage, UnavailableError>> {
-    return this.call(() => this.table.getChanges(query));
+    return this.call(query, () => this.table.getChanges(query));
   }
 
-  private async call<T>(action: () => Promise<T>): Promise<T> {
+  private async call<T, E>(
+    body: unknown,
+    action: () => Promise<Result<T, E>>,
+  ): Promise<Result<T, E>> {
     await this.clock.sleep(1);
     const result = await action();
+    if (this.isCountingBytes) {
+      this.carriedBytes += getJsonBytes(body);
+      this.carriedBytes += getJsonBytes(result.unwrapOr(undefined as T));
+    }
     await this.clock.sleep(1);
     return result;
   }
 }
+
+function getJsonBytes(value: unknown): number {
+  return HTTP_HEAD_BYTES + (JSON.stringify(value) ?? '').length;
+}
--- a/packages/standins/src/worker_model.ts
+++ b/packages/standins/src/worker_model.ts
@@ -72,6 +72,7 @@
 const FAILURE_DELAY_MS = 20;
 const LEASE_CHECK_MS = 1_000;
 const MAX_ACKNOWLEDGED = 10_000;
+const REPORTED_SLOWDOWN = 1.02;
 
 /** State machine of one worker. */
 export class WorkerModel {
@@ -95,6 +96,9 @@
   private readonly usage = new Map<string, OwnerUsage>();
   private readonly bootedAtMs: number;
   private lastTaskLeaseMs: number;
+  private readonly sentSignatures = new Map<string, string>();
+  private readonly removedAttempts: AttemptName[] = [];
+  private reportNumber = 0;
   private requestsInProgress = 0;
   private leaseTimer: Timer | undefined;
 
@@ -165,7 +169,7 @@
     }
     lease.expiresAtMs = nowMs + request.ttlMs;
     if (request.scope === 'tasks') this.lastTaskLeaseMs = lease.expiresAtMs;
-    const status = this.getStatus(request.scope);
+    const status = this.getStatus(request);
     lease.wantedBy = undefined;
     return ok(status);
   }
@@ -373,7 +377,11 @@
     if (attempt?.state === 'running') {
       return {isAccepted: false, reason: 'the attempt still runs'};
     }
-    this.attempts.delete(key);
+    if (this.attempts.delete(key)) {
+      const {taskId, attempt: number} = name;
+      this.removedAttempts.push({taskId, attempt: number});
+    }
+    this.sentSignatures.delete(key);
     this.acknowledged.add(key);
     if (this.acknowledged.size > MAX_ACKNOWLEDGED) {
       const [oldest] = this.acknowledged;
@@ -427,9 +435,13 @@
     return [...totals.values()];
   }
 
-  private getStatus(scope: LeaseScope): WorkerStatus {
+  private getStatus(request: LeaseRequest): WorkerStatus {
+    const {scope, knownReport, withUsage} = request;
     const lease = this.leases[scope];
     const isTasks = scope === 'tasks';
+    const isWholeReport =
+      knownReport === undefined || knownReport !== this.reportNumber;
+    if (isTasks) this.reportNumber++;
     return {
       workerId: this.workerId,
       bootId: this.bootId,
@@ -438,8 +450,11 @@
       reportedAtMs: this.clock.getWallMs(),
       requestsInProgress: this.requestsInProgress,
       replicas: isTasks ? [] : this.getReplicas(),
-      attempts: isTasks ? this.getReports() : [],
-      usage: isTasks ? this.getUsage() : [],
+      reportNumber: this.reportNumber,
+      isWholeReport,
+      removedAttempts: isTasks ? this.takeRemoved() : [],
+      attempts: isTasks ? this.getReports(isWholeReport) : [],
+      ...(isTasks && withUsage && {usage: this.getUsage()}),
       uptimeMs: this.clock.getMonotonicMs() - this.bootedAtMs,
       ...this.size,
       ...(lease.wantedBy !== undefined && {wantedBy: lease.wantedBy}),
@@ -456,7 +471,25 @@
     return replicas;
   }
 
-  private getReports(): AttemptReport[] {
+  private takeRemoved(): AttemptName[] {
+    return this.removedAttempts.splice(0);
+  }
+
+  /** Gets the attempts of which the holder should know something new. */
+  private getReports(isWholeReport: boolean): AttemptReport[] {
+    const reports: AttemptReport[] = [];
+    for (const report of this.getAllReports()) {
+      const key = getAttemptKey(report);
+      const signature = getSignature(report);
+      const isKnown = this.sentSignatures.get(key) === signature;
+      if (isKnown && !isWholeReport && !isDisturbed(report)) continue;
+      this.sentSignatures.set(key, signature);
+      reports.push(report);
+    }
+    return reports;
+  }
+
+  private getAllReports(): AttemptReport[] {
     const slowdown = this.getServiceSlowdown();
     return [...this.attempts.values()].map(attempt => {
       this.settleProgress(attempt);
@@ -524,6 +557,17 @@
   return `${name.taskId}#${name.attempt}`;
 }
 
+/** What of an attempt is worth a new report. */
+function getSignature(report: AttemptReport): string {
+  const {state, cpuShare, usedCores} = report;
+  return `${state}/${cpuShare}/${usedCores.toFixed(1)}`;
+}
+
+/** A disturbed service is reported each time, as actions wait for new measurements. */
+function isDisturbed(report: AttemptReport): boolean {
+  return report.slowdown > REPORTED_SLOWDOWN;
+}
+
 function getCheckpointProgress(checkpoint: string | undefined): number {
   if (checkpoint === undefined) return 0;
   return Number(checkpoint.replace('progress:', ''));
