--- /dev/null
+++ b/packages/base/test/settings_reader.test.ts
@@ -0,0 +1,37 @@
+import {expect} from 'chai';
+import {z} from 'zod';
+import {parseJson} from '../src/settings_reader.js';
+
+const schema = z.strictObject({
+  port: z.number().int().max(65_535),
+  peers: z.array(z.strictObject({host: z.string()})),
+});
+
+describe('settings_reader', () => {
+  describe('parseJson', () => {
+    function doTest(text: string, path: string, expected: RegExp): void {
+      const problems = parseJson('settings', schema, text).match(
+        () => [],
+        error => [...error.problems],
+      );
+      const problem = problems.find(candidate => candidate.path === path);
+      expect(problem?.expected).to.match(expected);
+      expect(problem?.remedy).to.not.equal('');
+    }
+
+    it('names the path of a wrong type', () =>
+      doTest('{"port": "x", "peers": []}', 'port', /expected number/));
+
+    it('names the path inside a list', () =>
+      doTest('{"port": 1, "peers": [{"host": 5}]}', 'peers.0.host', /string/));
+
+    it('names an unknown field', () =>
+      doTest('{"port": 1, "peers": [], "x": 1}', '(top level)', /"x"/));
+
+    it('names a value that is too large', () =>
+      doTest('{"port": 70000, "peers": []}', 'port', /<=65535/));
+
+    it('reports text that is no JSON', () =>
+      doTest('{port', '(whole file)', /expected JSON/));
+  });
+});
--- /dev/null
+++ b/packages/document/test/document_store.test.ts
@@ -0,0 +1,191 @@
+import {readFileSync} from 'node:fs';
+import {resolve} from 'node:path';
+import {expect} from 'chai';
+import * as fc from 'fast-check';
+import {RandomSource} from '@mustardlug/base/random_source';
+import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {CountingTokenSource} from '@mustardlug/platform/row_token';
+import {SettledTable} from '@mustardlug/platform/settled_table';
+import {MemoryObjectStore} from '@mustardlug/standins/memory_object_store';
+import {MemoryTable} from '@mustardlug/standins/memory_table';
+import {DocumentFollower} from '../src/document_follower.js';
+import {DocumentStore} from '../src/document_store.js';
+import {
+  getDocumentDigest,
+  parseEnvironmentDocument,
+} from '../src/environment_document.js';
+
+const EXAMPLES = resolve(import.meta.dirname, '../../../../examples');
+const POLL_MS = 2_000;
+/** Stated bound: a published document is in force everywhere within this time. */
+const IN_FORCE_MS = 10_000;
+const FOLLOWERS = 3;
+
+function createText(number: number): string {
+  return JSON.stringify({
+    environment: `version-${number}`,
+    objective: {tailLatencyWeight: 1, evictionWeight: 1, throughputWeight: 1},
+    teams: [],
+    services: [],
+    batchJobs: [],
+  });
+}
+
+function createWorld() {
+  const clock = VirtualClock.create();
+  const table = MemoryTable.create(clock);
+  const objects = MemoryObjectStore.create();
+  const createStore = (name: string) =>
+    DocumentStore.create({
+      table,
+      settledTable: SettledTable.create({table, clock}),
+      objects,
+      tokens: CountingTokenSource.create(name),
+    });
+  return {clock, table, objects, createStore};
+}
+
+describe('DocumentStore', () => {
+  it('promotes only a digest that the trial accepted', async () => {
+    const {createStore} = createWorld();
+    const store = createStore('operator');
+    const text = createText(1);
+    const early = await store.promote(getDocumentDigest(text));
+    expect(early._unsafeUnwrapErr().kind).to.equal('refused');
+    const tried = (await store.publishTrial(text))._unsafeUnwrap();
+    const changed = await store.promote(getDocumentDigest(`${text} `));
+    expect(changed.isErr()).to.equal(true);
+    const promoted = await store.promote(tried.digest);
+    expect(promoted._unsafeUnwrap().version).to.equal(1);
+  });
+
+  it('tells the loser of a race what won', async () => {
+    const {clock, table, createStore} = createWorld();
+    const first = createStore('first');
+    const second = createStore('second');
+    const one = (await first.publishTrial(createText(1)))._unsafeUnwrap();
+    const two = (await first.publishTrial(createText(2)))._unsafeUnwrap();
+    table.faults.delayMs = 5;
+    const race = Promise.all([
+      first.promote(one.digest),
+      second.promote(two.digest),
+    ]);
+    await clock.advance(1_000);
+    const results = await race;
+    const losers = results.filter(result => result.isErr());
+    expect(losers).to.have.length(1);
+    expect(losers[0]._unsafeUnwrapErr().message).to.match(/version 1 .*first/);
+  });
+
+  for (const name of ['red-clay', 'kavango', 'demo']) {
+    it(`accepts the example ${name}`, () => {
+      const text = readFileSync(`${EXAMPLES}/${name}/document.json`, 'utf8');
+      expect(parseEnvironmentDocument(text).isOk()).to.equal(true);
+    });
+  }
+
+  it('names path and remedy of a team that is not declared', () => {
+    const document = JSON.parse(
+      readFileSync(`${EXAMPLES}/demo/document.json`, 'utf8'),
+    ) as {teams: unknown[]};
+    document.teams = [{name: 'reports', quotaCores: 8}];
+    const result = parseEnvironmentDocument(JSON.stringify(document));
+    const error = result._unsafeUnwrapErr();
+    expect(error.problems[0].path).to.equal('services.0.team');
+    expect(error.message).to.match(/declare the team/);
+  });
+});
+
+describe('DocumentFollower', () => {
+  const step = fc.oneof(
+    fc.constant('publish'),
+    fc.constant('outage'),
+    fc.constant('object-outage'),
+    fc.constant('recover'),
+    fc.constant('restart'),
+    fc.constant('lose'),
+    fc.constant('gossip'),
+  );
+
+  it('is never set back and ends on the newest, through outages and restarts', async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.array(step, {maxLength: 30}), async steps => {
+        const world = createWorld();
+        const {clock, table, objects} = world;
+        const publisher = world.createStore('publisher');
+        const seen: number[] = Array.from({length: FOLLOWERS}, () => 0);
+        const startFollower = (index: number) => {
+          const follower = DocumentFollower.create({
+            store: world.createStore(`follower-${index}`),
+            stage: 'production',
+            clock,
+            random: RandomSource.create(index),
+            pollMs: POLL_MS,
+            listener: {
+              onInForce: current => {
+                expect(current.version).to.be.at.least(seen[index]);
+                seen[index] = current.version;
+              },
+              onReadFailed: () => undefined,
+            },
+          });
+          // A restarted process asks its peers before it serves.
+          for (const other of followers) {
+            const current = other?.getCurrent();
+            if (current === undefined || other === followers[index]) continue;
+            follower.offerDocument(current.version, current.text);
+          }
+          void follower.start();
+          return follower;
+        };
+        const followers: Array<DocumentFollower | undefined> = [];
+        for (let index = 0; index < FOLLOWERS; index++) {
+          followers[index] = startFollower(index);
+        }
+        let published = 0;
+        for (const [number, kind] of steps.entries()) {
+          if (kind === 'publish') {
+            void publisher.publishTrial(createText(number)).then(tried => {
+              if (tried.isErr()) return;
+              void publisher.promote(tried.value.digest).then(done => {
+                if (done.isOk()) published = done.value.version;
+              });
+            });
+          }
+          if (kind === 'outage') table.faults.isOutage = true;
+          if (kind === 'object-outage') objects.isOutage = true;
+          if (kind === 'lose') table.faults.loseNextAnswers++;
+          if (kind === 'recover') {
+            table.faults.isOutage = false;
+            objects.isOutage = false;
+          }
+          if (kind === 'restart') {
+            const index = number % FOLLOWERS;
+            const reachable = seen.filter((_, other) => other !== index);
+            seen[index] = Math.min(seen[index], Math.max(...reachable));
+            followers[index]?.stop();
+            followers[index] = startFollower(index);
+          }
+          if (kind === 'gossip') {
+            const current = followers[number % FOLLOWERS]?.getCurrent();
+            if (current !== undefined) {
+              followers[(number + 1) % FOLLOWERS]?.offerDocument(
+                current.version,
+                current.text,
+              );
+            }
+          }
+          await clock.advance(700);
+        }
+        table.faults.isOutage = false;
+        objects.isOutage = false;
+        await clock.advance(IN_FORCE_MS);
+        for (const follower of followers) {
+          expect(follower?.getVersion()).to.be.at.least(published);
+          follower?.stop();
+        }
+      }),
+      {seed: 8, numRuns: 60},
+    );
+  });
+});
--- a/packages/experiments/src/placement_experiment.ts
+++ b/packages/experiments/src/placement_experiment.ts
@@ -1,17 +1,13 @@
 /** Placement against first fit without throttling, in virtual time. */
 
 import {
-  batchJobSchema,
   EnvironmentDocument,
   environmentDocumentSchema,
   Objective,
 } from '@mustardlug/document/environment_document';
-import {CountingTokenSource} from '@mustardlug/platform/row_token';
-import {ABSENT_REVISION} from '@mustardlug/platform/table_service';
-import {createJobOperations} from '@mustardlug/scheduling/job_expander';
 import {FirstFitPlacement} from '@mustardlug/scheduling/placement_policy';
 import {TaskRecord} from '@mustardlug/scheduling/task_record';
-import {DOMAIN, SchedulerHarness} from './scheduler_harness.js';
+import {SchedulerHarness} from './scheduler_harness.js';
 
 /** What places tasks. */
 export type PlacementVariant = 'mustardlug' | 'first-fit';
@@ -79,7 +75,11 @@
   }
   await harness.clock.advance(WARM_UP_MS);
   const slowdowns: number[] = [];
-  harness.clock.setTimer(cell.durationMs / 2, () => submitUrgent(harness));
+  harness.clock.setTimer(cell.durationMs / 2, () => {
+    harness.submitJob(
+      createJob('urgent-holds', URGENT_TASKS, 2, 3_000, {isUrgent: true}),
+    );
+  });
   for (let elapsed = 0; elapsed < cell.durationMs; elapsed += SAMPLE_MS) {
     await harness.clock.advance(SAMPLE_MS);
     for (const model of harness.models.values()) {
@@ -91,24 +91,6 @@
   return createFigures(cell, harness, slowdowns);
 }
 
-/** Submits urgent tasks while the workers are full. */
-function submitUrgent(harness: SchedulerHarness): void {
-  const operations = createJobOperations(
-    {
-      job: batchJobSchema.parse(
-        createJob('urgent-holds', URGENT_TASKS, 2, 3_000, {isUrgent: true}),
-      ),
-      jobKey: 'job/urgent-holds',
-      revision: ABSENT_REVISION,
-      createdTasks: 0,
-      failureDomains: [DOMAIN],
-    },
-    CountingTokenSource.create('submitter'),
-    harness.clock.getWallMs(),
-  );
-  void harness.table.commit(operations);
-}
-
 function createFigures(
   cell: PlacementCell,
   harness: SchedulerHarness,
--- a/packages/experiments/src/scheduler_harness.ts
+++ b/packages/experiments/src/scheduler_harness.ts
@@ -3,6 +3,7 @@
 import {RandomSource} from '@mustardlug/base/random_source';
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
 import {
+  batchJobSchema,
   EnvironmentDocument,
   environmentDocumentSchema,
 } from '@mustardlug/document/environment_document';
@@ -13,7 +14,12 @@
 import {GroupCommitter} from '@mustardlug/platform/group_committer';
 import {CountingTokenSource} from '@mustardlug/platform/row_token';
 import {SettledTable} from '@mustardlug/platform/settled_table';
-import {TableOperation} from '@mustardlug/platform/table_service';
+import {
+  ABSENT_REVISION,
+  TableOperation,
+} from '@mustardlug/platform/table_service';
+import {createJobOperations} from '@mustardlug/scheduling/job_expander';
+import {UsageRecorder} from '@mustardlug/scheduling/usage_recorder';
 import {Vm} from '@mustardlug/platform/vm_list';
 import {WorkerCommand} from '@mustardlug/platform/worker_client';
 import {MemoryTable} from '@mustardlug/standins/memory_table';
@@ -22,7 +28,7 @@
 import {RemoteTable} from '@mustardlug/standins/remote_table';
 import {WorkerModel, WorkerSize} from '@mustardlug/standins/worker_model';
 import {PlacementPolicy} from '@mustardlug/scheduling/placement_policy';
-import {TaskRecord} from '@mustardlug/scheduling/task_record';
+import {JOB_PREFIX, TaskRecord} from '@mustardlug/scheduling/task_record';
 import {
   SchedulerEvent,
   TaskScheduler,
@@ -53,6 +59,8 @@
   readonly commitIntervalMs?: number;
   readonly isThrottling?: boolean;
   readonly placement?: PlacementPolicy;
+  /** Interval of usage rows; absent means none. */
+  readonly usageIntervalMs?: number;
   /** Counts the bytes of calls to workers and the table. */
   readonly isCountingBytes?: boolean;
 }
@@ -200,6 +208,16 @@
       onEvent: (name, {taskId}) =>
         this.events.push({name, taskId, atMs: this.clock.getWallMs()}),
     });
+    const {usageIntervalMs} = this.options;
+    const usage =
+      usageIntervalMs === undefined
+        ? undefined
+        : UsageRecorder.create({
+            clock,
+            committer,
+            tokens: CountingTokenSource.create(`${id}-usage`),
+            intervalMs: usageIntervalMs,
+          });
     const leases: LeaseKeeper = LeaseKeeper.create({
       scope: 'tasks',
       holderId: id,
@@ -207,9 +225,13 @@
       random,
       client,
       timing: DEFAULT_LEASE_TIMING,
+      isUsageWanted: workerId => usage?.isDue(workerId) ?? false,
       listener: {
         onAcquired: lease => scheduler.addWorker(lease),
-        onRenewed: lease => scheduler.updateWorker(lease),
+        onRenewed: lease => {
+          scheduler.updateWorker(lease);
+          void usage?.addReport(lease);
+        },
         onLost: lease => scheduler.removeWorker(lease.address.workerId),
       },
     });
@@ -241,6 +263,28 @@
     this.publishVms();
   }
 
+  /**
+   * Submits a job to the table.
+   * @returns Wall time of the submission.
+   */
+  submitJob(job: object): number {
+    const declaration = batchJobSchema.parse(job);
+    const nowMs = this.clock.getWallMs();
+    const operations = createJobOperations(
+      {
+        job: declaration,
+        jobKey: JOB_PREFIX + declaration.name,
+        revision: ABSENT_REVISION,
+        createdTasks: 0,
+        failureDomains: [DOMAIN],
+      },
+      CountingTokenSource.create('submitter'),
+      nowMs,
+    );
+    void this.table.commit(operations);
+    return nowMs;
+  }
+
   /** Gets all task records. */
   getTasks(): TaskRecord[] {
     return this.table.getMatching('task/').map(row => row.value as TaskRecord);
--- /dev/null
+++ b/packages/routing/test/retry_budget.test.ts
@@ -0,0 +1,21 @@
+import {expect} from 'chai';
+import * as fc from 'fast-check';
+import {DEFAULT_RETRY_BUDGET, RetryBudget} from '../src/retry_budget.js';
+
+describe('RetryBudget', () => {
+  it('never allows more than its ratio and what was saved up', () => {
+    fc.assert(
+      fc.property(fc.array(fc.boolean(), {maxLength: 500}), wishes => {
+        const budget = RetryBudget.create(DEFAULT_RETRY_BUDGET);
+        let retries = 0;
+        for (const [index, isRetryWanted] of wishes.entries()) {
+          budget.addRequest();
+          if (isRetryWanted && budget.takeRetry()) retries++;
+          const {ratio, maxTokens} = DEFAULT_RETRY_BUDGET;
+          expect(retries).to.be.at.most(maxTokens + ratio * (index + 1));
+        }
+      }),
+      {seed: 10},
+    );
+  });
+});
--- /dev/null
+++ b/packages/standins/test/group_committer.test.ts
@@ -0,0 +1,111 @@
+import {expect} from 'chai';
+import * as fc from 'fast-check';
+import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {MemoryTable} from '../src/memory_table.js';
+import {
+  GroupCommitter,
+  WriteOutcome,
+} from '@mustardlug/platform/group_committer';
+import {SettledTable} from '@mustardlug/platform/settled_table';
+import {StoredValue} from '@mustardlug/platform/table_service';
+
+interface NumberValue extends StoredValue {
+  readonly owner: string;
+}
+
+/** Two processes write to few rows while answers are lost and writes come late. */
+async function runHistory(
+  steps: ReadonlyArray<{row: number; process: number; fault: string}>,
+) {
+  const clock = VirtualClock.create();
+  const table = MemoryTable.create(clock);
+  const committers = [0, 1].map(() =>
+    GroupCommitter.create({
+      table,
+      settledTable: SettledTable.create({table, clock}),
+      clock,
+      commitIntervalMs: 50,
+    }),
+  );
+  const claims: Array<{token: string; key: string; outcome?: WriteOutcome}> =
+    [];
+  let count = 0;
+  for (const {row, process, fault} of steps) {
+    if (fault === 'lose') table.faults.loseNextAnswers++;
+    if (fault === 'late') table.faults.applyNextLate++;
+    if (fault === 'outage') {
+      table.faults.isOutage = true;
+      clock.setTimer(300, () => {
+        table.faults.isOutage = false;
+      });
+    }
+    const token = `token-${count++}`;
+    const key = `row-${row}`;
+    const claim: (typeof claims)[number] = {token, key};
+    claims.push(claim);
+    const value: NumberValue = {writeToken: token, owner: `process-${process}`};
+    void committers[process]
+      .write([{kind: 'put', key, value, expectedRevision: 0}])
+      .then(outcome => {
+        claim.outcome = outcome;
+      });
+    await clock.advance(20);
+  }
+  table.faults.isOutage = false;
+  await clock.advance(120_000);
+  return {table, claims};
+}
+
+describe('GroupCommitter', () => {
+  describe('write', () => {
+    it('tells exactly one claimant of each row that it won, as the table shows', async () => {
+      const step = fc.record({
+        row: fc.nat({max: 4}),
+        process: fc.nat({max: 1}),
+        fault: fc.constantFrom('none', 'none', 'lose', 'late', 'outage'),
+      });
+      await fc.assert(
+        fc.asyncProperty(
+          fc.array(step, {minLength: 1, maxLength: 25}),
+          async steps => {
+            const {table, claims} = await runHistory(steps);
+            for (const {token, key, outcome} of claims) {
+              expect(outcome, 'every write ends').to.not.equal(undefined);
+              const [row] = table.getMatching(key);
+              const isOwner = row?.value.writeToken === token;
+              if (outcome?.kind === 'written') expect(isOwner).to.equal(true);
+              if (outcome?.kind === 'conflict') {
+                expect(isOwner).to.equal(false);
+              }
+            }
+          },
+        ),
+        {seed: 7, numRuns: 150},
+      );
+    });
+
+    it('needs few transactions for many writes', async () => {
+      const clock = VirtualClock.create();
+      const table = MemoryTable.create(clock);
+      const committer = GroupCommitter.create({
+        table,
+        settledTable: SettledTable.create({table, clock}),
+        clock,
+        commitIntervalMs: 100,
+      });
+      for (let index = 0; index < 590; index++) {
+        void committer.write([
+          {
+            kind: 'put',
+            key: `row-${index}`,
+            value: {writeToken: `token-${index}`},
+            expectedRevision: 0,
+          },
+        ]);
+      }
+      await clock.advance(1_000);
+      expect(table.counts.writtenRows).to.equal(590);
+      expect(table.counts.transactions).to.be.at.most(4);
+    });
+  });
+});
