--- a/packages/dev/src/standin_environment.ts
+++ b/packages/dev/src/standin_environment.ts
@@ -157,6 +157,10 @@
     routes.get('/standin/observations', context =>
       context.json(this.getObservations()),
     );
+    routes.all('/direct/*', context => {
+      const [worker] = this.workers.values();
+      return worker.answerDirectly(context);
+    });
     routes.post('/standin/faults', async context => {
       const parsed = faultRequestSchema.safeParse(await context.req.json());
       if (!parsed.success) {
--- a/packages/dev/src/standin_worker.ts
+++ b/packages/dev/src/standin_worker.ts
@@ -74,6 +74,17 @@
     this.listener?.destroy();
   }
 
+  /**
+   * Answers a request as an upstream does, without leases or slots; the
+   * benchmark compares with it.
+   * @param context - Request to answer.
+   */
+  async answerDirectly(context: Context): Promise<Response> {
+    const response = await this.runRequest(context);
+    response.headers.set('x-mustardlug-outcome', 'ran');
+    return response;
+  }
+
   private createApp(): Hono {
     const {model} = this.options;
     const app = new Hono();
--- /dev/null
+++ b/packages/dev/test/new_user.test.ts
@@ -0,0 +1,98 @@
+import {writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import {join} from 'node:path';
+import {expect} from 'chai';
+import {ProcessHarness} from './process_harness.js';
+
+const DOCUMENT = {
+  environment: 'test',
+  objective: {tailLatencyWeight: 1, evictionWeight: 1, throughputWeight: 1},
+  teams: [],
+  services: [],
+  batchJobs: [],
+};
+
+describe('programs for a new user', () => {
+  let harness: ProcessHarness;
+
+  beforeEach(async () => {
+    harness = await ProcessHarness.create({}, DOCUMENT);
+  });
+
+  afterEach(() => harness.stop());
+
+  function writeJson(name: string, value: unknown): void {
+    writeFileSync(join(harness.folder, name), JSON.stringify(value));
+  }
+
+  it('name the field, the expectation and the remedy of a broken document', async () => {
+    writeJson('broken.json', {
+      ...DOCUMENT,
+      teams: [{name: 'A', quotaCores: 0}],
+    });
+    const end = await harness.runCtl(['validate', 'broken.json']);
+    expect(end.exitStatus).to.equal(2);
+    expect(end.stderr).to.match(/teams\.0\.name: expected lower-case/);
+    expect(end.stderr).to.match(/teams\.0\.quotaCores: .*give at least 0/);
+    expect(end.stderr).to.not.match(/at Object|node:internal/);
+  });
+
+  it('start nothing with wrong settings', async () => {
+    writeJson('entry.json', {nodeId: 'entry', callerPort: 'x'});
+    const end = await harness.runProgram('entry', ['entry.json']);
+    expect(end.exitStatus).to.equal(2);
+    expect(end.stderr).to.match(/callerPort: .*expected number/);
+  });
+
+  it('say which port is in use', async () => {
+    const [plan] = harness.plans;
+    const blocker = createServer();
+    await new Promise<void>(resolve =>
+      blocker.listen(plan.callerPort, '127.0.0.1', resolve),
+    );
+    const end = await harness.runProgram('entry', [`${plan.nodeId}.json`]);
+    blocker.close();
+    expect(end.exitStatus).to.equal(4);
+    expect(end.stderr).to.match(/cannot listen on .*choose a free port/);
+  });
+
+  it('say when the platform cannot be reached', async () => {
+    const end = await harness.runCtl(['trial', 'document.json']);
+    expect(end.exitStatus).to.equal(4);
+    expect(end.stderr).to.match(/did not answer .*check that it runs/);
+  });
+
+  it('start without the platform and become ready once it is there', async () => {
+    const [plan] = harness.plans;
+    harness.startEntry(plan.nodeId);
+    const url = `http://127.0.0.1:${plan.callerPort}/-/ready`;
+    const getReady = async () => {
+      try {
+        return (await fetch(url)).status;
+      } catch {
+        return 0;
+      }
+    };
+    await harness.waitFor(async () => (await getReady()) === 503);
+    const starting = harness.start('none', 0);
+    await starting;
+    await harness.waitFor(async () => (await getReady()) === 200);
+  });
+
+  it('refuse a wrong key before anything is read', async () => {
+    await harness.start('none', 0);
+    writeFileSync(join(harness.folder, 'other.txt'), 'x'.repeat(32));
+    const [plan] = harness.plans;
+    writeJson('wrong.json', {
+      keyFile: 'other.txt',
+      platformUrl: `http://127.0.0.1:${harness.layout.basePort}`,
+      nodes: [`http://127.0.0.1:${plan.innerPort}`],
+    });
+    await harness.waitFor(async () => {
+      const end = await harness.runCtl(['--settings', 'wrong.json', 'status']);
+      return end.stdout.includes('refused the key');
+    });
+    const events = await harness.runCtl(['timeline', '--json']);
+    expect(events.stdout).to.match(/peer-key-refused/);
+  });
+});
--- a/packages/dev/test/process_harness.ts
+++ b/packages/dev/test/process_harness.ts
@@ -111,6 +111,16 @@
     return this.plans.map(plan => `http://127.0.0.1:${plan.callerPort}`);
   }
 
+  /** Gets the process id of a program that this harness started. */
+  getPid(name: string): number | undefined {
+    return this.children.get(name)?.pid;
+  }
+
+  /** Gets the address that answers service `direct` without any entry between. */
+  getDirectUrl(): string {
+    return this.getStandInUrl();
+  }
+
   /** Sends a signal to a process that this harness started. */
   signal(name: string, signal: NodeJS.Signals): void {
     this.children.get(name)?.kill(signal);
--- a/packages/document/test/document_store.test.ts
+++ b/packages/document/test/document_store.test.ts
@@ -107,6 +107,22 @@
     fc.constant('gossip'),
   );
 
+  it('keeps the newer of two documents that peers offer', () => {
+    const {clock, createStore} = createWorld();
+    const follower = DocumentFollower.create({
+      store: createStore('follower'),
+      stage: 'production',
+      clock,
+      random: RandomSource.create(1),
+      pollMs: POLL_MS,
+      listener: {onInForce: () => undefined, onReadFailed: () => undefined},
+    });
+    expect(follower.offerDocument(2, createText(2))).to.equal(true);
+    expect(follower.offerDocument(1, createText(1))).to.equal(false);
+    expect(follower.offerDocument(2, createText(3))).to.equal(false);
+    expect(follower.getCurrent()?.text).to.equal(createText(2));
+  });
+
   it('is never set back and ends on the newest, through outages and restarts', async () => {
     await fc.assert(
       fc.asyncProperty(fc.array(step, {maxLength: 30}), async steps => {
@@ -185,7 +201,7 @@
           follower?.stop();
         }
       }),
-      {seed: 8, numRuns: 60},
+      {seed: 8, numRuns: 200},
     );
   });
 });
--- a/packages/experiments/test/request_fault_matrix.test.ts
+++ b/packages/experiments/test/request_fault_matrix.test.ts
@@ -16,6 +16,7 @@
   'freeze-holder',
   'cut-links',
   'silent-links',
+  'silent-upstreams',
   'table-outage',
   'lose-answer',
   'late-write',
@@ -136,6 +137,8 @@
       case 'silent-links':
         for (const link of origin.links.values()) link.silence();
         return;
+      case 'silent-upstreams':
+        return this.silenceUpstreams();
       case 'table-outage':
         return this.startOutage();
       case 'lose-answer':
@@ -158,6 +161,15 @@
     this.harness.clock.setTimer(FREEZE_MS, () => node.clock.thaw());
   }
 
+  /** Upstreams take requests in and never answer them. */
+  private silenceUpstreams(): void {
+    const {clock, upstreams} = this.harness;
+    for (const behavior of upstreams.values()) behavior.isSilent = true;
+    clock.setTimer(OUTAGE_MS, () => {
+      for (const behavior of upstreams.values()) behavior.isSilent = false;
+    });
+  }
+
   private startOutage(): void {
     const {faults} = this.harness.table;
     faults.isOutage = true;
--- /dev/null
+++ b/tools/run_mutations.js
@@ -0,0 +1,211 @@
+/**
+ * Shows that the tests bite: removes one protection at a time from a copy of
+ * the compiled code and runs the tests that should notice.
+ *
+ * Usage: node tools/run_mutations.js [name of a mutation]
+ */
+
+import {spawnSync} from 'node:child_process';
+import {
+  cpSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+const REQUESTS = 'packages/experiments/dist/test/request_fault_matrix.test.js';
+const LEASES = 'packages/experiments/dist/test/requests_under_leases.test.js';
+const TASKS = 'packages/experiments/dist/test/task_fault_matrix.test.js';
+const BATCH = 'packages/experiments/dist/test/batch_work.test.js';
+const DOCUMENT = 'packages/document/dist/test/document_store.test.js';
+const COMMITTER = 'packages/standins/dist/test/group_committer.test.js';
+
+/** Protections: where they stand, what replaces them, and which tests should fail. */
+const MUTATIONS = [
+  {
+    name: 'keys are not recorded',
+    file: 'routing/dist/src/request_coordinator.js',
+    find: 'if (request.idempotencyKey === undefined)',
+    replace: 'if (true)',
+    test: REQUESTS,
+  },
+  {
+    name: 'a taken key runs again',
+    file: 'routing/dist/src/idempotency_records.js',
+    find: "if (state === 'claimed')",
+    replace:
+      "if (state === 'claimed') return toClaimed(row.key, row.revision);\n        if (false)",
+    test: REQUESTS,
+  },
+  {
+    name: 'a key is released although the outcome is unknown',
+    file: 'routing/dist/src/request_coordinator.js',
+    find: "if (answer.outcome === 'not-run')\n            void records.release",
+    replace: "if (answer.outcome !== 'ran')\n            void records.release",
+    test: REQUESTS,
+  },
+  {
+    name: 'a holder says not-run of a request in progress',
+    file: 'routing/dist/src/request_ledger.js',
+    find: "return { state: 'in-progress' };",
+    replace: "return { state: 'not-run' };",
+    test: REQUESTS,
+  },
+  {
+    name: 'unknown outcomes are tried elsewhere',
+    file: 'routing/dist/src/request_coordinator.js',
+    find: "answer.outcome === 'not-run' || isReadOnlyRequest(request)",
+    replace: 'true',
+    test: REQUESTS,
+  },
+  {
+    name: 'silent links are never noticed',
+    file: 'protocol/dist/src/peer_channel.js',
+    find: 'if (this.isSilent()) {',
+    replace: 'if (false) {',
+    test: LEASES,
+  },
+  {
+    name: 'leaving workers go on getting requests',
+    file: 'routing/dist/src/slot_table.js',
+    find: 'replica === undefined || status.isLeaving',
+    replace: 'replica === undefined',
+    test: LEASES,
+  },
+  {
+    name: 'any epoch is current at the worker, and leases never lapse',
+    file: 'standins/dist/src/worker_model.js',
+    find: 'return isHeld && lease.holderId !== undefined && lease.epoch === epoch;',
+    replace: 'return true;',
+    also: {
+      file: 'membership/dist/src/worker_lease.js',
+      find: 'return this.clock.getMonotonicMs() < this.validUntilMs;',
+      replace: 'return true;',
+    },
+    test: TASKS,
+  },
+  {
+    name: 'rows are not read again after a lease was granted',
+    file: 'scheduling/dist/src/task_scheduler.js',
+    find: 'if (!view.isSynced || !view.lease.isValid())\n            return;',
+    replace: '',
+    test: TASKS,
+  },
+  {
+    name: 'an end is acknowledged although its row was not written',
+    file: 'scheduling/dist/src/task_scheduler.js',
+    find: 'const isWritten = await this.writeRecord(task, next);\n        if (!isWritten)\n            return;\n        this.stopping.delete(taskId);',
+    replace:
+      'void this.writeRecord(task, next);\n        this.stopping.delete(taskId);',
+    test: TASKS,
+  },
+  {
+    name: 'attempts are not numbered anew',
+    file: 'scheduling/dist/src/task_scheduler.js',
+    find: 'attempt: task.record.attempt + 1',
+    replace: 'attempt: task.record.attempt',
+    test: TASKS,
+  },
+  {
+    name: 'bindings to an earlier boot are kept',
+    file: 'scheduling/dist/src/task_scheduler.js',
+    find: 'if (record.bootId !== view.lease.getStatus().bootId)',
+    replace: 'if (false)',
+    test: TASKS,
+  },
+  {
+    name: 'tasks of workers that are gone stay bound',
+    file: 'scheduling/dist/src/task_scheduler.js',
+    find: 'this.unbindFromGoneWorkers();',
+    replace: '',
+    test: TASKS,
+  },
+  {
+    name: 'checkpoints are forgotten',
+    file: 'scheduling/dist/src/task_scheduler.js',
+    find: '...(checkpoint !== undefined && { checkpoint }),',
+    replace: '',
+    test: BATCH,
+  },
+  {
+    name: 'capacity is not checked',
+    file: 'scheduling/dist/src/worker_view.js',
+    find: 'return (this.usedCores + amount.cores <= cores + CORE_EPSILON &&',
+    replace: 'return (true ||',
+    test: TASKS,
+  },
+  {
+    name: 'a conflict is never read back',
+    file: 'platform/dist/src/settled_table.js',
+    find: 'if (!isUncertain)\n                    return outcome;',
+    replace: 'return outcome;',
+    also: {
+      file: 'platform/dist/src/group_committer.js',
+      find: 'row.value?.value.writeToken !== first.value.writeToken',
+      replace: 'true',
+    },
+    test: COMMITTER,
+  },
+  {
+    name: 'an older document may replace a newer one',
+    file: 'document/dist/src/document_follower.js',
+    find: 'if (version <= this.getVersion())\n            return false;',
+    replace: '',
+    test: DOCUMENT,
+  },
+  {
+    name: 'promotion does not ask for a trial',
+    file: 'document/dist/src/document_store.js',
+    find: 'if (accepted.value === undefined) {',
+    replace: 'if (false) {',
+    test: DOCUMENT,
+  },
+];
+
+const TIMEOUT_MS = 300_000;
+
+/** Edits one file of the copy; fails when the protection is not where it was. */
+function applyEdit(folder, {file, find, replace}) {
+  const path = join(folder, 'packages', file);
+  const text = readFileSync(path, 'utf8');
+  if (!text.includes(find)) throw new Error(`${file} has no "${find}"`);
+  writeFileSync(path, text.replace(find, replace));
+}
+
+function runMutation(mutation) {
+  const folder = mkdtempSync(join(tmpdir(), 'mustardlug-mutation-'));
+  try {
+    cpSync('packages', join(folder, 'packages'), {recursive: true});
+    cpSync('examples', join(folder, 'examples'), {recursive: true});
+    cpSync('node_modules', join(folder, 'node_modules'), {
+      recursive: true,
+      verbatimSymlinks: true,
+    });
+    applyEdit(folder, mutation);
+    if (mutation.also !== undefined) applyEdit(folder, mutation.also);
+    const run = spawnSync(
+      process.execPath,
+      ['node_modules/mocha/bin/mocha.js', '--timeout', '60000', mutation.test],
+      {cwd: folder, timeout: TIMEOUT_MS, encoding: 'utf8'},
+    );
+    const failing = /(\d+) failing/.exec(run.stdout)?.[1];
+    return failing ?? (run.status === 0 ? '0' : 'ended early');
+  } finally {
+    rmSync(folder, {recursive: true});
+  }
+}
+
+let survivors = 0;
+const [, , wanted] = process.argv;
+for (const mutation of MUTATIONS) {
+  if (wanted !== undefined && mutation.name !== wanted) continue;
+  const failing = runMutation(mutation);
+  if (failing === '0') survivors++;
+  console.log(
+    `| ${mutation.name} | \`${mutation.test.split('/').pop()}\` | ${failing} |`,
+  );
+}
+console.log(`${survivors} mutations survived`);
