Fold ended tasks into job summaries; carry TLS to operator calls, with a test

Ended batch tasks are folded after 10 minutes, 200 a transaction, counts and deletions together. Relative paths of certificates are taken from the folder of the settings file.

--- a/packages/ctl/src/ctl_context.ts
+++ b/packages/ctl/src/ctl_context.ts
@@ -2,6 +2,7 @@
 
 import {err, ok, Result} from 'neverthrow';
 import {AppError} from '@mustardlug/base/errors';
+import {readTextFile} from '@mustardlug/base/settings_reader';
 import {SystemClock} from '@mustardlug/base/clock';
 import {DocumentStore} from '@mustardlug/document/document_store';
 import {
@@ -43,7 +44,9 @@
   if (settings.isErr()) return err(settings.error);
   const key = PeerKey.read(settings.value.keyFile);
   if (key.isErr()) return err(key.error);
-  const client = JsonClient.create(CALL_TIMEOUT_MS);
+  const authority = readAuthority(settings.value);
+  if (authority.isErr()) return err(authority.error);
+  const client = JsonClient.create(CALL_TIMEOUT_MS, authority.value);
   const address = {baseUrl: settings.value.platformUrl, failureDomain: ''};
   const table = HttpTableService.create(client, address);
   const settledTable = SettledTable.create({
@@ -66,3 +69,12 @@
     nodes: NodeClient.create(client, key.value, settings.value.nodes),
   });
 }
+
+function readAuthority(
+  settings: CtlSettings,
+): Result<string | undefined, AppError> {
+  const {authorityFile} = settings;
+  return authorityFile === undefined
+    ? ok(undefined)
+    : readTextFile(authorityFile);
+}
--- a/packages/ctl/src/ctl_settings.ts
+++ b/packages/ctl/src/ctl_settings.ts
@@ -9,6 +9,8 @@
   platformUrl: z.string().startsWith('http'),
   /** Operator addresses of all entry and scheduler processes. */
   nodes: z.array(z.string().startsWith('http')).min(1),
+  /** Certificate authority of the nodes, if they use TLS. */
+  authorityFile: z.string().optional(),
   usageIntervalMs: z.number().int().positive().default(60_000),
 });
 
--- a/packages/ctl/src/job_commands.ts
+++ b/packages/ctl/src/job_commands.ts
@@ -164,7 +164,7 @@
   if (records.isErr()) return err(records.error);
   const record = records.value.find(candidate => candidate.taskId === taskId);
   if (record === undefined) {
-    const message = `there is no task ${taskId}; task ids look like batch.JOB.0 or service.NAME.DOMAIN.0`;
+    const message = `there is no task ${taskId}; task ids look like batch.JOB.0 or service.NAME.DOMAIN.0, and ended batch tasks are kept for 10 minutes`;
     return err(createNotFoundError(message));
   }
   const events = await getTimeline(context, {taskId});
--- /dev/null
+++ b/packages/dev/test/tls.test.ts
@@ -0,0 +1,95 @@
+import {readFileSync, writeFileSync} from 'node:fs';
+import {join, resolve} from 'node:path';
+import {expect} from 'chai';
+import {Agent, request} from 'undici';
+import {ProcessHarness} from './process_harness.js';
+
+const TLS_FOLDER = resolve(import.meta.dirname, '../../test/tls');
+const CERTIFICATE = join(TLS_FOLDER, 'certificate.pem');
+const TLS = {
+  certificateFile: CERTIFICATE,
+  keyFile: join(TLS_FOLDER, 'key.pem'),
+  authorityFile: CERTIFICATE,
+};
+const SERVICE = 'class-desk';
+const REPLICAS = 2;
+const SLOTS = 8;
+const DOCUMENT = {
+  environment: 'test',
+  objective: {tailLatencyWeight: 1, evictionWeight: 1, throughputWeight: 1},
+  teams: [{name: 'team-a', quotaCores: 64}],
+  services: [
+    {
+      name: SERVICE,
+      team: 'team-a',
+      replicas: REPLICAS,
+      resources: {cores: 2, memoryMb: 2_000},
+    },
+  ],
+  batchJobs: [],
+};
+
+type JsonObject = Record<string, unknown>;
+
+describe('TLS', () => {
+  let harness: ProcessHarness;
+
+  beforeEach(async () => {
+    harness = await ProcessHarness.create({}, DOCUMENT);
+    for (const {nodeId} of harness.plans) {
+      edit(`${nodeId}.json`, settings => ({...settings, tls: TLS}));
+      const name = nodeId.replace('entry-', 'scheduler-');
+      edit(`${name}.json`, settings => ({
+        ...settings,
+        tls: TLS,
+        entryUrl: toHttps(String(settings.entryUrl)),
+      }));
+    }
+    edit('ctl.json', settings => ({
+      ...settings,
+      authorityFile: CERTIFICATE,
+      nodes: (settings.nodes as string[]).map(toHttps),
+    }));
+    await harness.start(SERVICE, REPLICAS * SLOTS);
+  });
+
+  afterEach(() => harness.stop());
+
+  function edit(name: string, change: (value: JsonObject) => JsonObject): void {
+    const path = join(harness.folder, name);
+    const value = JSON.parse(readFileSync(path, 'utf8')) as JsonObject;
+    writeFileSync(path, JSON.stringify(change(value)));
+  }
+
+  it('protects callers, inner links and operator calls', async () => {
+    const ca = readFileSync(CERTIFICATE, 'utf8');
+    const dispatcher = new Agent({connect: {ca}});
+    // Requests through every entry, so that some cross an inner link.
+    for (const target of harness.getTargets()) {
+      const url = `${toHttps(target)}/${SERVICE}/bookings`;
+      const answer = await request(url, {
+        dispatcher,
+        method: 'POST',
+        body: 'seat',
+      });
+      expect(await answer.body.text()).to.equal('seat');
+      expect(answer.headers['x-mustardlug-outcome']).to.equal('ran');
+    }
+    await dispatcher.close();
+    const status = await harness.runCtl(['status']);
+    expect(status.stdout).to.match(/entry-north-a-1 +entry +north-a +ready/);
+  });
+
+  it('refuses callers without TLS', async () => {
+    const [target] = harness.getTargets();
+    let isRefused = false;
+    await request(`${target}/${SERVICE}/bookings`).catch(() => {
+      isRefused = true;
+    });
+    expect(isRefused).to.equal(true);
+  });
+});
+
+function toHttps(url: string): string {
+  return url.replace('http://', 'https://');
+}
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -227,10 +227,6 @@
   ): Result<EntryProcess, AppError> {
     const key = PeerKey.read(settings.keyFile);
     if (key.isErr()) return err(key.error);
-    if (settings.tls === undefined) {
-      const identity = {settings, key: key.value, tls: undefined};
-      return ok(new EntryProcess(identity, clock, random));
-    }
     return readTlsFiles(settings.tls).map(
       tls => new EntryProcess({settings, key: key.value, tls}, clock, random),
     );
--- a/packages/experiments/test/batch_work.test.ts
+++ b/packages/experiments/test/batch_work.test.ts
@@ -1,7 +1,14 @@
 import {expect} from 'chai';
 import * as fc from 'fast-check';
-import {OwnerTotal} from '@mustardlug/scheduling/usage_report';
-import {createUsageReport} from '@mustardlug/scheduling/usage_report';
+import {
+  ENDED_TASK_RETENTION_MS,
+  JobSummary,
+  SUMMARY_PREFIX,
+} from '@mustardlug/scheduling/task_purger';
+import {
+  createUsageReport,
+  OwnerTotal,
+} from '@mustardlug/scheduling/usage_report';
 import {UsageRecord} from '@mustardlug/scheduling/usage_recorder';
 import {
   createDocument,
@@ -125,6 +132,34 @@
     }
   });
 
+  it('folds ended tasks into a summary, each once, through kills and lost answers', async () => {
+    const harness = SchedulerHarness.create({
+      seed: 40,
+      schedulers: 3,
+      workers: 4,
+      document: createDocument({
+        services: [createService(2)],
+        batchJobs: [createJob(300, {expectedRunMs: 2_000})],
+      }),
+    });
+    await harness.clock.advance(ENDED_TASK_RETENTION_MS);
+    harness.table.faults.loseNextAnswers = 2;
+    await harness.clock.advance(5_000);
+    harness.killNode(harness.nodes[0]);
+    harness.addNode();
+    harness.table.faults.applyNextLate = 1;
+    await harness.clock.advance(ENDED_TASK_RETENTION_MS);
+    const [summary] = harness.table
+      .getMatching(SUMMARY_PREFIX)
+      .map(row => row.value as JobSummary);
+    expect(summary.done).to.equal(300);
+    expect(harness.getTasks().map(task => task.kind)).to.deep.equal([
+      'service',
+      'service',
+    ]);
+    expectPromisesKept(harness);
+  });
+
   it('spreads the replicas of a service over the racks', async () => {
     const harness = SchedulerHarness.create({
       seed: 36,
--- a/packages/platform/src/json_client.ts
+++ b/packages/platform/src/json_client.ts
@@ -44,12 +44,13 @@
   /**
    * Creates a client.
    * @param timeoutMs - Time limit of one call.
+   * @param authority - Certificate authority of HTTPS services, in PEM.
    */
-  static create(timeoutMs: number): JsonClient {
+  static create(timeoutMs: number, authority?: string): JsonClient {
     const agent = new Agent({
       connections: CONNECTIONS_PER_ORIGIN,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: {timeout: timeoutMs},
+      connect: {timeout: timeoutMs, ...(authority && {ca: authority})},
     });
     return new JsonClient(timeoutMs, agent);
   }
--- a/packages/runtime/src/program.ts
+++ b/packages/runtime/src/program.ts
@@ -5,6 +5,7 @@
 import {z} from 'zod';
 import {AppError, InvalidInputError} from '@mustardlug/base/errors';
 import {readJsonFile} from '@mustardlug/base/settings_reader';
+import {TlsSettings} from './tls_files.js';
 
 /** Exit statuses of all programs. */
 export const EXIT_STATUS = {
@@ -42,18 +43,36 @@
   process.exit(getExitStatus(error));
 }
 
+/** Fields of settings that name files. */
+interface FileSettings {
+  readonly keyFile: string;
+  readonly authorityFile?: string | undefined;
+  readonly tls?: TlsSettings | undefined;
+}
+
 /**
- * Reads a settings file; a relative `keyFile` is taken from the file's folder.
+ * Reads a settings file; relative paths in it are taken from the file's folder.
  * @param path - Path of the settings file.
  * @param schema - Schema of the settings.
  */
-export function readSettings<T extends {readonly keyFile: string}>(
+export function readSettings<T extends FileSettings>(
   path: string,
   schema: z.ZodType<T>,
 ): Result<T, InvalidInputError> {
+  const resolveFile = (file: string) => resolve(dirname(path), file);
   return readJsonFile(path, schema).map(settings => ({
     ...settings,
-    keyFile: resolve(dirname(path), settings.keyFile),
+    keyFile: resolveFile(settings.keyFile),
+    ...(settings.authorityFile !== undefined && {
+      authorityFile: resolveFile(settings.authorityFile),
+    }),
+    ...(settings.tls !== undefined && {
+      tls: {
+        certificateFile: resolveFile(settings.tls.certificateFile),
+        keyFile: resolveFile(settings.tls.keyFile),
+        authorityFile: resolveFile(settings.tls.authorityFile),
+      },
+    }),
   }));
 }
 
--- a/packages/runtime/src/tls_files.ts
+++ b/packages/runtime/src/tls_files.ts
@@ -1,6 +1,6 @@
 /** Reads the files for TLS. */
 
-import {Result} from 'neverthrow';
+import {ok, Result} from 'neverthrow';
 import {InvalidInputError} from '@mustardlug/base/errors';
 import {readTextFile} from '@mustardlug/base/settings_reader';
 import {z} from 'zod';
@@ -25,11 +25,12 @@
 
 /**
  * Reads certificate, key and authority.
- * @param settings - Paths of the files.
+ * @param settings - Paths of the files, or `undefined` for plain TCP.
  */
 export function readTlsFiles(
-  settings: TlsSettings,
-): Result<TlsMaterial, InvalidInputError> {
+  settings: TlsSettings | undefined,
+): Result<TlsMaterial | undefined, InvalidInputError> {
+  if (settings === undefined) return ok(undefined);
   return readTextFile(settings.certificateFile).andThen(cert =>
     readTextFile(settings.keyFile).andThen(key =>
       readTextFile(settings.authorityFile).map(ca => ({cert, key, ca})),
--- a/packages/scheduler/src/scheduler_process.ts
+++ b/packages/scheduler/src/scheduler_process.ts
@@ -28,6 +28,7 @@
 import {PeerKey} from '@mustardlug/protocol/peer_key';
 import {HttpListener} from '@mustardlug/runtime/http_listener';
 import {createOperatorApp} from '@mustardlug/runtime/operator_server';
+import {readTlsFiles, TlsMaterial} from '@mustardlug/runtime/tls_files';
 import {TaskScheduler} from '@mustardlug/scheduling/task_scheduler';
 import {UsageRecorder} from '@mustardlug/scheduling/usage_recorder';
 import {EventName} from '@mustardlug/telemetry/event_catalogue';
@@ -64,6 +65,7 @@
   private constructor(
     private readonly settings: SchedulerSettings,
     private readonly key: PeerKey,
+    private readonly tls: TlsMaterial | undefined,
     private readonly clock: Clock,
     random: RandomSource,
   ) {
@@ -73,7 +75,7 @@
       clock: HybridLogicalClock.create(clock),
       sink: createLogSink(settings.logLevel),
     });
-    this.client = JsonClient.create(settings.platformTimeoutMs);
+    this.client = JsonClient.create(settings.platformTimeoutMs, tls?.ca);
     const address = {baseUrl: settings.platformUrl, failureDomain};
     const table = HttpTableService.create(this.client, address);
     const settledTable = SettledTable.create({table, clock});
@@ -161,8 +163,10 @@
     clock: Clock,
     random: RandomSource,
   ): Result<SchedulerProcess, AppError> {
-    return PeerKey.read(settings.keyFile).map(
-      key => new SchedulerProcess(settings, key, clock, random),
+    return PeerKey.read(settings.keyFile).andThen(key =>
+      readTlsFiles(settings.tls).map(
+        tls => new SchedulerProcess(settings, key, tls, clock, random),
+      ),
     );
   }
 
@@ -179,7 +183,11 @@
       startDrain: () => void this.drain(),
       onKeyRefused: detail => this.addEvent('peer-key-refused', {detail}),
     });
-    const listener = await HttpListener.listen(app, {host, port: operatorPort});
+    const listener = await HttpListener.listen(
+      app,
+      {host, port: operatorPort},
+      this.tls,
+    );
     if (listener.isErr()) return err(listener.error);
     this.listener = listener.value;
     this.scheduler.start();
--- a/packages/scheduler/src/scheduler_settings.ts
+++ b/packages/scheduler/src/scheduler_settings.ts
@@ -1,6 +1,7 @@
 /** Settings of a scheduler process. */
 
 import {z} from 'zod';
+import {tlsSettingsSchema} from '@mustardlug/runtime/tls_files';
 
 const port = z.number().int().min(0).max(65_535);
 
@@ -16,6 +17,8 @@
   entryUrl: z.string().startsWith('http'),
   /** File with the shared keys, one a line. */
   keyFile: z.string(),
+  /** Files for TLS towards operators and the entry process; absent means plain TCP. */
+  tls: tlsSettingsSchema.optional(),
   platformUrl: z.string().startsWith('http'),
   stage: z.enum(['trial', 'production']).default('production'),
   logLevel: z
--- a/packages/scheduling/src/task_cache.ts
+++ b/packages/scheduling/src/task_cache.ts
@@ -3,12 +3,7 @@
 import {Result, ok} from 'neverthrow';
 import {UnavailableError} from '@mustardlug/base/errors';
 import {TableRow, TableService} from '@mustardlug/platform/table_service';
-import {
-  FINAL_STATES,
-  getTaskPrefix,
-  TaskRecord,
-  taskRecordSchema,
-} from './task_record.js';
+import {getTaskPrefix, TaskRecord, taskRecordSchema} from './task_record.js';
 
 /** A cached row. */
 export interface CachedTask {
@@ -158,13 +153,17 @@
     this.tasks.delete(taskId);
   }
 
-  /** Checks whether all tasks of a job have ended. */
-  isJobEnded(jobName: string): boolean {
+  /**
+   * Forgets tasks that ended before a time; their rows may be gone.
+   * @param limitMs - Wall time in milliseconds.
+   */
+  removeEndedBefore(limitMs: number): void {
     for (const {record} of this.tasks.values()) {
-      if (record.name !== jobName) continue;
-      if (!FINAL_STATES.has(record.state)) return false;
+      const {taskId, endedAtMs} = record;
+      if (endedAtMs !== undefined && endedAtMs < limitMs) {
+        this.removeTask(taskId);
+      }
     }
-    return true;
   }
 
   private addToIndexes(record: TaskRecord): void {
--- /dev/null
+++ b/packages/scheduling/src/task_purger.ts
@@ -0,0 +1,154 @@
+/**
+ * Folds ended batch tasks into a summary row of their job, so that the table
+ * does not grow with every task that ever ran.
+ */
+
+import {z} from 'zod';
+import {Clock} from '@mustardlug/base/clock';
+import {GroupCommitter} from '@mustardlug/platform/group_committer';
+import {TokenSource} from '@mustardlug/platform/row_token';
+import {
+  ABSENT_REVISION,
+  StoredValue,
+  TableService,
+} from '@mustardlug/platform/table_service';
+import {CachedTask, TaskCache} from './task_cache.js';
+import {FINAL_STATES} from './task_record.js';
+
+/** Schema of a summary row: ended tasks of a job that have no row any more. */
+export const jobSummarySchema = z.object({
+  writeToken: z.string(),
+  jobName: z.string(),
+  done: z.number().int(),
+  failed: z.number().int(),
+  cancelled: z.number().int(),
+  infeasible: z.number().int(),
+  evictions: z.number().int(),
+});
+
+/** Ended tasks of one job and failure domain. */
+export type JobSummary = z.infer<typeof jobSummarySchema> & StoredValue;
+
+/** Prefix of the summary rows. */
+export const SUMMARY_PREFIX = 'summary/';
+
+/** Options of a purger. */
+export interface TaskPurgerOptions {
+  readonly failureDomain: string;
+  readonly clock: Clock;
+  readonly table: TableService;
+  readonly committer: GroupCommitter;
+  readonly tokens: TokenSource;
+  readonly cache: TaskCache;
+}
+
+/** Time for which an ended task can still be looked at. */
+export const ENDED_TASK_RETENTION_MS = 600_000;
+
+/** Ended tasks that one transaction folds. */
+const TASKS_PER_TRANSACTION = 200;
+
+/** Purges the ended tasks of one failure domain. */
+export class TaskPurger {
+  private constructor(private readonly options: TaskPurgerOptions) {}
+
+  /**
+   * Creates a purger.
+   * @param options - Table, cache and clock.
+   */
+  static create(options: TaskPurgerOptions): TaskPurger {
+    return new TaskPurger(options);
+  }
+
+  /** Folds tasks that ended long ago; one job after the other. */
+  async purge(): Promise<void> {
+    for (const [jobName, tasks] of this.getOldTasks()) {
+      for (
+        let start = 0;
+        start < tasks.length;
+        start += TASKS_PER_TRANSACTION
+      ) {
+        const group = tasks.slice(start, start + TASKS_PER_TRANSACTION);
+        const isFolded = await this.foldTasks(jobName, group);
+        if (!isFolded) return;
+      }
+    }
+  }
+
+  private getOldTasks(): Map<string, CachedTask[]> {
+    const limitMs = this.options.clock.getWallMs() - ENDED_TASK_RETENTION_MS;
+    const byJob = new Map<string, CachedTask[]>();
+    for (const task of this.options.cache.getTasks()) {
+      const {kind, state, name, endedAtMs} = task.record;
+      if (kind !== 'batch' || !FINAL_STATES.has(state)) continue;
+      if (task.isWriting || endedAtMs === undefined) continue;
+      if (endedAtMs > limitMs) continue;
+      const tasks = byJob.get(name) ?? [];
+      tasks.push(task);
+      byJob.set(name, tasks);
+    }
+    return byJob;
+  }
+
+  /** Counts and rows change in one transaction, so that no task counts twice. */
+  private async foldTasks(
+    jobName: string,
+    tasks: readonly CachedTask[],
+  ): Promise<boolean> {
+    const {table, committer, tokens, failureDomain, cache} = this.options;
+    const key = `${SUMMARY_PREFIX}${jobName}/${failureDomain}`;
+    const row = await table.getRow(key);
+    if (row.isErr()) return false;
+    const known = jobSummarySchema.safeParse(row.value?.value);
+    const value = addTasks(
+      known.success ? known.data : createEmptySummary(jobName),
+      tasks,
+      tokens.getNext(),
+    );
+    const outcome = await committer.write([
+      {
+        kind: 'put',
+        key,
+        value,
+        expectedRevision: row.value?.revision ?? ABSENT_REVISION,
+      },
+      ...tasks.map(task => ({
+        kind: 'delete' as const,
+        key: task.key,
+        expectedRevision: task.revision,
+      })),
+    ]);
+    // After a conflict the rows may be gone; the cache forgets them by age.
+    if (outcome.kind !== 'written') return false;
+    for (const task of tasks) cache.removeTask(task.record.taskId);
+    return true;
+  }
+}
+
+function createEmptySummary(jobName: string): JobSummary {
+  return {
+    writeToken: '',
+    jobName,
+    done: 0,
+    failed: 0,
+    cancelled: 0,
+    infeasible: 0,
+    evictions: 0,
+  };
+}
+
+function addTasks(
+  summary: JobSummary,
+  tasks: readonly CachedTask[],
+  writeToken: string,
+): JobSummary {
+  const sums = {...summary, writeToken};
+  for (const {record} of tasks) {
+    sums.evictions += record.evictions;
+    if (record.state === 'done') sums.done++;
+    if (record.state === 'failed') sums.failed++;
+    if (record.state === 'cancelled') sums.cancelled++;
+    if (record.state === 'infeasible') sums.infeasible++;
+  }
+  return sums;
+}
--- a/packages/scheduling/src/task_record.ts
+++ b/packages/scheduling/src/task_record.ts
@@ -34,6 +34,8 @@
   slots: z.number().int(),
   connections: z.number().int(),
   submittedAtMs: z.number(),
+  /** Time at which the task ended for good. */
+  endedAtMs: z.number().optional(),
   /** Worker and boot that the attempt is bound to. */
   workerId: z.string().optional(),
   bootId: z.string().optional(),
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -48,7 +48,8 @@
 import {ScoredPlacement} from './scored_placement.js';
 import {SizeEstimator} from './size_estimator.js';
 import {CachedTask, TaskCache} from './task_cache.js';
-import {TaskRecord} from './task_record.js';
+import {ENDED_TASK_RETENTION_MS, TaskPurger} from './task_purger.js';
+import {FINAL_STATES, TaskRecord} from './task_record.js';
 import {PlacedTask, ResourceAmount, WorkerView} from './worker_view.js';
 
 /** Kinds of things that the scheduler reports. */
@@ -101,6 +102,7 @@
 /** Tasks whose home is another scheduler are taken over after this time. */
 const FOREIGN_TASK_DELAY_MS = 1_500;
 const STEAL_INTERVAL_MS = 2_000;
+const PURGE_INTERVAL_MS = 10_000;
 const MAX_BINDS_PER_TICK = 400;
 /** Jobs without a fitting worker that are looked at in one round. */
 const MAX_BLOCKED_JOBS = 40;
@@ -121,6 +123,7 @@
   private readonly fleet: Fleet;
   private readonly jobs: JobMaintainer;
   private readonly goneWorkers: GoneWorkerTracker;
+  private readonly purger: TaskPurger;
   private readonly disturbance: DisturbanceWatch;
   private readonly evictions = EvictionPlanner.create();
   private readonly views = new Map<string, WorkerView>();
@@ -145,6 +148,7 @@
     this.fleet = Fleet.create(schedulerId, failureDomain);
     this.goneWorkers = GoneWorkerTracker.create(clock, listLagMs);
     this.disturbance = DisturbanceWatch.create(clock);
+    this.purger = TaskPurger.create({...options, cache: this.cache});
     this.jobs = JobMaintainer.create({
       ...options,
       cache: this.cache,
@@ -169,6 +173,7 @@
     this.repeat('tick', TICK_MS, () => this.tick());
     this.repeat('refresh', REFRESH_MS, () => this.refresh());
     this.repeat('jobs', JOBS_REFRESH_MS, () => this.jobs.refresh());
+    this.repeat('purge', PURGE_INTERVAL_MS, () => this.purge());
     this.repeat('steal', STEAL_INTERVAL_MS, () => this.stealTasks());
   }
 
@@ -609,8 +614,11 @@
   /** Writes a record by compare-and-set; rereads the row when that fails. */
   private async writeRecord(
     task: CachedTask,
-    record: TaskRecord,
+    next: TaskRecord,
   ): Promise<boolean> {
+    const record = FINAL_STATES.has(next.state)
+      ? {...next, endedAtMs: this.options.clock.getWallMs()}
+      : next;
     task.isWriting = true;
     const outcome = await this.options.committer.write([
       {
@@ -908,6 +916,14 @@
     }
   }
 
+  /** Every scheduler forgets old ended tasks; the first one removes their rows. */
+  private async purge(): Promise<void> {
+    if (this.fleet.isFirstScheduler()) await this.purger.purge();
+    this.cache.removeEndedBefore(
+      this.options.clock.getWallMs() - 2 * ENDED_TASK_RETENTION_MS,
+    );
+  }
+
   private async stealTasks(): Promise<void> {
     if (this.cache.getPending().length > 0) return;
     const usable = this.getUsableViews();
