Let rows of ended tasks tell other schedulers what a job really uses

Cause: a new test of lying sizes found 16 used cores on a worker of 8. A scheduler that had just taken the worker over had observed nothing and charged declared sizes. Ruled out: the charging itself (4 tasks of 2 used cores stood on the other workers). Rows of ended tasks now carry the peak, and running attempts of a new worker are charged as learned. Before: 16 of 8 cores.

--- a/packages/dev/src/standin_environment.ts
+++ b/packages/dev/src/standin_environment.ts
@@ -143,7 +143,11 @@
     for (const bandwidth of this.bandwidths.values()) {
       regionBytes += bandwidth.getCarriedBytes();
     }
+    const connections = [...this.workers.values()].map(
+      worker => worker.mostConnections,
+    );
     return {
+      mostConnections: Math.max(0, ...connections),
       runs: this.runs.getRunCount(),
       repeatedRuns: this.runs.getRepeated(),
       violations,
--- a/packages/dev/src/standin_worker.ts
+++ b/packages/dev/src/standin_worker.ts
@@ -42,6 +42,9 @@
     isSilent: false,
     failsRequests: false,
   };
+  /** Most connections that were open at once, those to the agent included. */
+  mostConnections = 0;
+  private connections = 0;
   private listener: HttpListener | undefined;
 
   private constructor(private readonly options: StandInWorkerOptions) {}
@@ -65,6 +68,11 @@
     const listener = await HttpListener.listen(this.createApp(), address);
     if (listener.isErr()) throw new Error(listener.error.message);
     this.listener = listener.value;
+    this.listener.getServer().on('connection', socket => {
+      this.connections++;
+      this.mostConnections = Math.max(this.mostConnections, this.connections);
+      socket.once('close', () => this.connections--);
+    });
     return this.listener.getPort();
   }
 
--- a/packages/dev/test/process_harness.ts
+++ b/packages/dev/test/process_harness.ts
@@ -40,6 +40,8 @@
   readonly runs: number;
   readonly repeatedRuns: readonly string[];
   readonly violations: readonly string[];
+  /** Most connections to one worker at once. */
+  readonly mostConnections: number;
 }
 
 /** A small environment whose programs run as processes. */
--- a/packages/experiments/test/batch_work.test.ts
+++ b/packages/experiments/test/batch_work.test.ts
@@ -160,6 +160,30 @@
     expectPromisesKept(harness);
   });
 
+  it('charges tasks that use more than they declare as what they use', async () => {
+    const factor = 2;
+    const harness = SchedulerHarness.create({
+      seed: 41,
+      schedulers: 2,
+      workers: 3,
+      document: createDocument({
+        batchJobs: [createJob(200, {expectedRunMs: 4_000})],
+      }),
+    });
+    for (const model of harness.models.values()) {
+      model.behavior.usedCoresFactor = factor;
+    }
+    // The first tasks show their size; they must end before it counts.
+    await harness.clock.advance(15_000);
+    for (let count = 0; count < 100; count++) {
+      await harness.clock.advance(200);
+      for (const model of harness.models.values()) {
+        const usedCores = model.getRunningAttempts().length * factor;
+        expect(usedCores).to.be.at.most(model.size.cores);
+      }
+    }
+  });
+
   it('spreads the replicas of a service over the racks', async () => {
     const harness = SchedulerHarness.create({
       seed: 36,
--- a/packages/scheduling/src/size_estimator.ts
+++ b/packages/scheduling/src/size_estimator.ts
@@ -3,9 +3,10 @@
 import {AttemptReport} from '@mustardlug/platform/worker_client';
 import {ResourceAmount} from './worker_view.js';
 
-interface ObservedPeak {
-  cores: number;
-  memoryMb: number;
+/** Largest observed use of the tasks of a job. */
+export interface ObservedPeak {
+  readonly cores: number;
+  readonly memoryMb: number;
 }
 
 /** Weight with which an old peak fades when new observations are lower. */
@@ -34,6 +35,27 @@
     });
   }
 
+  /**
+   * Takes in what another scheduler observed.
+   * @param name - Name of the job or service.
+   * @param peak - Its observation.
+   */
+  addPeak(name: string, peak: ObservedPeak): void {
+    const known = this.peaks.get(name);
+    this.peaks.set(name, {
+      cores: Math.max(peak.cores, known?.cores ?? 0),
+      memoryMb: Math.max(peak.memoryMb, known?.memoryMb ?? 0),
+    });
+  }
+
+  /**
+   * Gets the observed peak of a job, if its tasks were observed.
+   * @param name - Name of the job or service.
+   */
+  getPeak(name: string): ObservedPeak | undefined {
+    return this.peaks.get(name);
+  }
+
   /**
    * Gets the size to charge: the declared one, or the observed peak where that is larger.
    * @param name - Name of the job or service.
@@ -46,7 +68,10 @@
     limit: ResourceAmount,
   ): ResourceAmount {
     const peak = this.peaks.get(name);
-    if (peak === undefined) return declared;
+    if (peak === undefined) {
+      const {cores, memoryMb, accelerators} = declared;
+      return {cores, memoryMb, accelerators};
+    }
     return {
       cores: Math.max(declared.cores, Math.min(peak.cores, limit.cores)),
       memoryMb: Math.max(
--- a/packages/scheduling/src/task_cache.ts
+++ b/packages/scheduling/src/task_cache.ts
@@ -27,15 +27,21 @@
   private constructor(
     private readonly table: TableService,
     private readonly failureDomain: string,
+    private readonly onRead: (record: TaskRecord) => void,
   ) {}
 
   /**
    * Creates an empty cache.
    * @param table - Table to follow.
    * @param failureDomain - Domain whose tasks are cached.
+   * @param onRead - Receives each record that was read.
    */
-  static create(table: TableService, failureDomain: string): TaskCache {
-    return new TaskCache(table, failureDomain);
+  static create(
+    table: TableService,
+    failureDomain: string,
+    onRead: (record: TaskRecord) => void = () => undefined,
+  ): TaskCache {
+    return new TaskCache(table, failureDomain, onRead);
   }
 
   /** Reads all changes since the last call. */
@@ -120,6 +126,7 @@
   setRow(row: TableRow): void {
     const parsed = taskRecordSchema.safeParse(row.value);
     if (!parsed.success) return;
+    this.onRead(parsed.data);
     this.setRecord(row.key, parsed.data, row.revision);
   }
 
--- a/packages/scheduling/src/task_record.ts
+++ b/packages/scheduling/src/task_record.ts
@@ -42,6 +42,9 @@
   /** Checkpoint to resume from. */
   checkpoint: z.string().optional(),
   result: z.string().optional(),
+  /** Largest observed use of the job's tasks when this one ended; tells other schedulers. */
+  peakCores: z.number().optional(),
+  peakMemoryMb: z.number().optional(),
   /** Reason of the state, for operators. */
   reason: z.string().optional(),
 });
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -142,7 +142,11 @@
   private isStopped = false;
 
   private constructor(private readonly options: TaskSchedulerOptions) {
-    this.cache = TaskCache.create(options.table, options.failureDomain);
+    this.cache = TaskCache.create(
+      options.table,
+      options.failureDomain,
+      record => this.learnSize(record),
+    );
     this.batcher = CommandBatcher.create(options.client, options.clock);
     const {schedulerId, failureDomain, clock, listLagMs} = options;
     this.fleet = Fleet.create(schedulerId, failureDomain);
@@ -278,6 +282,13 @@
     return this.disturbance.getModel();
   }
 
+  /** Ended tasks tell what their job really uses, whoever ran them. */
+  private learnSize(record: TaskRecord): void {
+    const {name, peakCores, peakMemoryMb} = record;
+    if (peakCores === undefined || peakMemoryMb === undefined) return;
+    this.sizes.addPeak(name, {cores: peakCores, memoryMb: peakMemoryMb});
+  }
+
   private async refresh(): Promise<void> {
     const waiters = this.refreshWaiters;
     this.refreshWaiters = [];
@@ -349,17 +360,13 @@
   private getPlacedTask(report: AttemptReport): PlacedTask {
     const {taskId, kind, name} = report;
     const record = this.cache.getTask(taskId)?.record;
-    return {
-      taskId,
-      kind,
+    const isUrgent = record?.isUrgent ?? false;
+    const charged = this.sizes.getCharged(
       name,
-      isUrgent: record?.isUrgent ?? false,
-      charged: {
-        cores: report.cores,
-        memoryMb: report.memoryMb,
-        accelerators: report.accelerators,
-      },
-    };
+      report,
+      this.getLargestWorker(),
+    );
+    return {taskId, kind, name, isUrgent, charged};
   }
 
   /** Compares rows and reports of one worker and acts on each difference. */
@@ -549,7 +556,15 @@
   ): TaskRecord {
     const writeToken = this.options.tokens.getNext();
     if (end === 'done') {
-      return {...record, writeToken, state: 'done', result: report.result};
+      const peak = this.sizes.getPeak(record.name);
+      return {
+        ...record,
+        writeToken,
+        state: 'done',
+        result: report.result,
+        peakCores: peak?.cores,
+        peakMemoryMb: peak?.memoryMb,
+      };
     }
     if (this.jobs.isUnwanted(record)) {
       return {...record, writeToken, state: 'cancelled'};
