--- a/packages/ctl/src/ctl_context.ts
+++ b/packages/ctl/src/ctl_context.ts
@@ -5,17 +5,12 @@
 import {readTextFile} from '@mustardlug/base/settings_reader';
 import {SystemClock} from '@mustardlug/base/clock';
 import {DocumentStore} from '@mustardlug/document/document_store';
-import {
-  HttpObjectStore,
-  HttpTableService,
-  HttpVmList,
-} from '@mustardlug/platform/http_platform';
-import {JsonClient} from '@mustardlug/platform/json_client';
-import {RandomTokenSource, TokenSource} from '@mustardlug/platform/row_token';
+import {TokenSource} from '@mustardlug/platform/row_token';
 import {SettledTable} from '@mustardlug/platform/settled_table';
 import {TableService} from '@mustardlug/platform/table_service';
 import {VmList} from '@mustardlug/platform/vm_list';
 import {PeerKey} from '@mustardlug/protocol/peer_key';
+import {PlatformClients} from '@mustardlug/runtime/platform_clients';
 import {readSettings} from '@mustardlug/runtime/program';
 import {CtlSettings, ctlSettingsSchema} from './ctl_settings.js';
 import {NodeClient} from './node_client.js';
@@ -46,27 +41,22 @@
   if (key.isErr()) return err(key.error);
   const authority = readAuthority(settings.value);
   if (authority.isErr()) return err(authority.error);
-  const client = JsonClient.create(CALL_TIMEOUT_MS, authority.value);
-  const address = {baseUrl: settings.value.platformUrl, failureDomain: ''};
-  const table = HttpTableService.create(client, address);
-  const settledTable = SettledTable.create({
-    table,
+  const platform = PlatformClients.create({
+    platformUrl: settings.value.platformUrl,
+    failureDomain: '',
+    timeoutMs: CALL_TIMEOUT_MS,
+    authority: authority.value,
     clock: SystemClock.create(),
   });
-  const tokens = RandomTokenSource.create();
+  const {table, settledTable, documents, vmList, tokens, json} = platform;
   return ok({
     settings: settings.value,
     table,
     settledTable,
+    documents,
+    vmList,
     tokens,
-    documents: DocumentStore.create({
-      table,
-      settledTable,
-      objects: HttpObjectStore.create(client, address),
-      tokens,
-    }),
-    vmList: HttpVmList.create(client, address),
-    nodes: NodeClient.create(client, key.value, settings.value.nodes),
+    nodes: NodeClient.create(json, key.value, settings.value.nodes),
   });
 }
 
--- a/packages/dev/test/new_user.test.ts
+++ b/packages/dev/test/new_user.test.ts
@@ -1,5 +1,5 @@
 import {writeFileSync} from 'node:fs';
-import {createServer} from 'node:net';
+import {connect, createServer} from 'node:net';
 import {join} from 'node:path';
 import {expect} from 'chai';
 import {ProcessHarness} from './process_harness.js';
@@ -79,6 +79,28 @@
     await harness.waitFor(async () => (await getReady()) === 200);
   });
 
+  it('survive malformed and oversized input', async () => {
+    await harness.start('none', 0);
+    const [plan] = harness.plans;
+    const base = `http://127.0.0.1:${plan.callerPort}`;
+    const isReady = async () => (await fetch(`${base}/-/ready`)).ok;
+    await harness.waitFor(async () => isReady().catch(() => false));
+    const inputs = [
+      'garbage\r\n\r\n',
+      'GET / HTTP/9.9\r\n\r\n',
+      `GET / HTTP/1.1\r\nhost: x\r\nx-large: ${'x'.repeat(40_000)}\r\n\r\n`,
+      'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999\r\n\r\n',
+      'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n',
+    ];
+    for (const port of [plan.callerPort, plan.innerPort]) {
+      for (const input of inputs) {
+        const answer = await sendRaw(port, input);
+        expect(answer).to.match(/^(HTTP\/1\.1 4\d\d |$)/);
+      }
+    }
+    expect(await isReady()).to.equal(true);
+  });
+
   it('refuse a wrong key before anything is read', async () => {
     await harness.start('none', 0);
     writeFileSync(join(harness.folder, 'other.txt'), 'x'.repeat(32));
@@ -96,3 +118,15 @@
     expect(events.stdout).to.match(/peer-key-refused/);
   });
 });
+
+/** Sends bytes and gets what comes back before the connection ends or a second has passed. */
+function sendRaw(port: number, input: string): Promise<string> {
+  return new Promise(resolve => {
+    let answer = '';
+    const socket = connect(port, '127.0.0.1', () => socket.write(input));
+    socket.setTimeout(1_000, () => socket.destroy());
+    socket.on('data', data => (answer += String(data)));
+    socket.on('error', () => undefined);
+    socket.on('close', () => resolve(answer));
+  });
+}
--- a/packages/dev/test/process_harness.ts
+++ b/packages/dev/test/process_harness.ts
@@ -44,6 +44,26 @@
   readonly mostConnections: number;
 }
 
+/**
+ * Creates a document of one team.
+ * @param services - Services, without their team and size.
+ * @param batchJobs - Batch jobs, without their team.
+ */
+export function createTestDocument(
+  services: readonly object[],
+  batchJobs: readonly object[] = [],
+): object {
+  const team = 'team-a';
+  const resources = {cores: 2, memoryMb: 2_000};
+  return {
+    environment: 'test',
+    objective: {tailLatencyWeight: 1, evictionWeight: 1, throughputWeight: 1},
+    teams: [{name: team, quotaCores: 64}],
+    services: services.map(service => ({team, resources, ...service})),
+    batchJobs: batchJobs.map(job => ({team, ...job})),
+  };
+}
+
 /** A small environment whose programs run as processes. */
 export class ProcessHarness {
   readonly clock = SystemClock.create();
--- a/packages/dev/test/processes.test.ts
+++ b/packages/dev/test/processes.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {LoadOptions, LoadRunner} from '@mustardlug/load/load_runner';
-import {ProcessHarness} from './process_harness.js';
+import {createTestDocument, ProcessHarness} from './process_harness.js';
 
 const SERVICE = 'class-desk';
 const REPLICAS = 4;
@@ -8,31 +8,25 @@
 /** Connections that a worker may have, of all holders. */
 const CONNECTIONS = 64;
 
-const DOCUMENT = {
-  environment: 'test',
-  objective: {tailLatencyWeight: 1, evictionWeight: 1, throughputWeight: 1},
-  teams: [{name: 'team-a', quotaCores: 64}],
-  services: [
+const DOCUMENT = createTestDocument(
+  [
     {
       name: SERVICE,
-      team: 'team-a',
       replicas: REPLICAS,
-      resources: {cores: 2, memoryMb: 2_000},
       deadlineMs: 10_000,
       upstreamTimeoutMs: 4_000,
       routes: [{pathPrefix: '/', isReadOnly: true}],
     },
   ],
-  batchJobs: [
+  [
     {
       name: 'reports',
-      team: 'team-a',
       tasks: 20,
       resources: {cores: 1, memoryMb: 500},
       expectedRunMs: 500,
     },
   ],
-};
+);
 
 function createLoad(
   harness: ProcessHarness,
--- a/packages/dev/test/tls.test.ts
+++ b/packages/dev/test/tls.test.ts
@@ -2,7 +2,7 @@
 import {join, resolve} from 'node:path';
 import {expect} from 'chai';
 import {Agent, request} from 'undici';
-import {ProcessHarness} from './process_harness.js';
+import {createTestDocument, ProcessHarness} from './process_harness.js';
 
 const TLS_FOLDER = resolve(import.meta.dirname, '../../test/tls');
 const CERTIFICATE = join(TLS_FOLDER, 'certificate.pem');
@@ -14,20 +14,7 @@
 const SERVICE = 'class-desk';
 const REPLICAS = 2;
 const SLOTS = 8;
-const DOCUMENT = {
-  environment: 'test',
-  objective: {tailLatencyWeight: 1, evictionWeight: 1, throughputWeight: 1},
-  teams: [{name: 'team-a', quotaCores: 64}],
-  services: [
-    {
-      name: SERVICE,
-      team: 'team-a',
-      replicas: REPLICAS,
-      resources: {cores: 2, memoryMb: 2_000},
-    },
-  ],
-  batchJobs: [],
-};
+const DOCUMENT = createTestDocument([{name: SERVICE, replicas: REPLICAS}]);
 
 type JsonObject = Record<string, unknown>;
 
--- a/packages/entry/src/caller_server.ts
+++ b/packages/entry/src/caller_server.ts
@@ -14,13 +14,7 @@
   RequestRunner,
 } from '@mustardlug/routing/request_runner';
 import {filterHeaders} from './header_filter.js';
-
-/** Readiness as the balancer sees it. */
-export interface Readiness {
-  readonly isReady: boolean;
-  /** Reason when not ready. */
-  readonly reason: string;
-}
+import {Readiness} from './readiness_probe.js';
 
 /** What the caller server needs. */
 export interface CallerServerOptions {
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -9,7 +9,6 @@
   DocumentFollower,
   DocumentInForce,
 } from '@mustardlug/document/document_follower';
-import {DocumentStore} from '@mustardlug/document/document_store';
 import {EnvironmentDocument} from '@mustardlug/document/environment_document';
 import {
   DEFAULT_LEASE_TIMING,
@@ -20,16 +19,6 @@
   VmDirectory,
 } from '@mustardlug/membership/vm_directory';
 import {WorkerLease} from '@mustardlug/membership/worker_lease';
-import {
-  HttpObjectStore,
-  HttpTableService,
-  HttpVmList,
-} from '@mustardlug/platform/http_platform';
-import {HttpWorkerClient} from '@mustardlug/platform/http_worker_client';
-import {GroupCommitter} from '@mustardlug/platform/group_committer';
-import {JsonClient} from '@mustardlug/platform/json_client';
-import {RandomTokenSource} from '@mustardlug/platform/row_token';
-import {SettledTable} from '@mustardlug/platform/settled_table';
 import {
   DocumentMessage,
   HandoverMessage,
@@ -63,15 +52,17 @@
 } from '@mustardlug/telemetry/event_recorder';
 import {HybridLogicalClock} from '@mustardlug/telemetry/hybrid_logical_clock';
 import {createLogSink} from '@mustardlug/telemetry/logger';
-import {CallerServer, Readiness} from './caller_server.js';
+import {CallerServer} from './caller_server.js';
 import {EntryMetrics} from './entry_metrics.js';
 import {EntrySettings} from './entry_settings.js';
 import {HolderDirectory} from '@mustardlug/routing/holder_directory';
 import {HolderRegistry} from '@mustardlug/routing/holder_registry';
 import {HttpListener} from '@mustardlug/runtime/http_listener';
+import {PlatformClients} from '@mustardlug/runtime/platform_clients';
 import {createOperatorApp} from '@mustardlug/runtime/operator_server';
 import {PeerAddress, PeerNetwork} from './peer_network.js';
 import {readTlsFiles, TlsMaterial} from '@mustardlug/runtime/tls_files';
+import {ReadinessProbe} from './readiness_probe.js';
 import {UndiciUpstream} from './undici_upstream.js';
 
 const VM_LIST_POLL_MS = 1_000;
@@ -79,8 +70,6 @@
 const DRAIN_CHECK_MS = 50;
 const PAUSE_CHECK_MS = 500;
 const MAX_DRAIN_MS = 60_000;
-/** Longest time for which a started process waits for holders. */
-const MAX_WARM_UP_MS = 10_000;
 /** Heartbeats after which every peer has seen that this process is leaving. */
 const LEAVING_HEARTBEATS = 2;
 
@@ -97,7 +86,7 @@
   private readonly events: EventRecorder;
   private readonly hybridClock: HybridLogicalClock;
   private readonly metrics = EntryMetrics.create();
-  private readonly client: JsonClient;
+  private readonly platform: PlatformClients;
   private readonly directory: VmDirectory;
   private readonly follower: DocumentFollower;
   private readonly leases: LeaseKeeper;
@@ -106,6 +95,7 @@
   private readonly holders: HolderDirectory;
   private readonly peers: PeerNetwork;
   private readonly network: HolderNetwork;
+  private readonly probe: ReadinessProbe;
   private readonly callers: CallerServer;
   private callerListener: HttpListener | undefined;
   private innerListener: HttpListener | undefined;
@@ -114,8 +104,6 @@
   private isStopped = false;
   private previousDocument: EnvironmentDocument | undefined;
   private lastTickMs = 0;
-  private startedAtMs = 0;
-  private hasBeenWarm = false;
   private drained: Promise<void> | undefined;
 
   private constructor(
@@ -138,24 +126,15 @@
       clock: this.hybridClock,
       sink: createLogSink(settings.logLevel),
     });
-    this.client = JsonClient.create(settings.platformTimeoutMs);
-    const address = {
-      baseUrl: settings.platformUrl,
+    this.platform = PlatformClients.create({
+      platformUrl: settings.platformUrl,
       failureDomain: settings.failureDomain,
-    };
-    const table = HttpTableService.create(this.client, address);
-    const settledTable = SettledTable.create({table, clock});
-    const tokens = RandomTokenSource.create();
-    this.directory = VmDirectory.create(
-      HttpVmList.create(this.client, address),
-    );
+      timeoutMs: settings.platformTimeoutMs,
+      clock,
+    });
+    this.directory = VmDirectory.create(this.platform.vmList);
     this.follower = DocumentFollower.create({
-      store: DocumentStore.create({
-        table,
-        settledTable,
-        objects: HttpObjectStore.create(this.client, address),
-        tokens,
-      }),
+      store: this.platform.documents,
       stage: settings.stage,
       clock,
       random,
@@ -198,19 +177,15 @@
       directory: this.holders,
       getChannel: nodeId => this.peers.getChannel(nodeId),
     });
-    this.callers = this.createCallerServer(
-      IdempotencyRecords.create({
-        table,
-        tokens,
-        clock,
-        committer: GroupCommitter.create({
-          table,
-          settledTable,
-          clock,
-          commitIntervalMs: settings.recordCommitIntervalMs,
-        }),
-      }),
-    );
+    this.probe = ReadinessProbe.create({
+      clock,
+      follower: this.follower,
+      directory: this.directory,
+      network: this.network,
+      peers: this.peers,
+      isDraining: () => this.isDraining,
+    });
+    this.callers = this.createCallerServer();
   }
 
   /**
@@ -265,8 +240,7 @@
     }
     this.callerListener = caller.value;
     this.setPeerAddresses();
-    this.startedAtMs = this.clock.getMonotonicMs();
-    this.lastTickMs = this.startedAtMs;
+    this.lastTickMs = this.clock.getMonotonicMs();
     this.repeat(VM_LIST_POLL_MS, () => this.refreshDirectory());
     this.repeat(PAUSE_CHECK_MS, () => this.checkPause());
     void this.refreshDirectory();
@@ -302,7 +276,7 @@
     this.callerListener?.destroy();
     this.innerListener?.destroy();
     void this.upstream.destroy();
-    void this.client.close();
+    void this.platform.json.close();
   }
 
   handleRequest(
@@ -367,15 +341,15 @@
 
   /** Gets what operators see of this node. */
   getStatus() {
-    const readiness = this.getReadiness();
+    const {isReady} = this.probe.getReadiness();
     return {
       nodeId: this.self.nodeId,
       role: 'entry',
       region: this.self.region,
       failureDomain: this.self.failureDomain,
       documentVersion: this.follower.getVersion(),
-      isReady: readiness.isReady,
-      degraded: this.getDegradations(),
+      isReady,
+      degraded: this.probe.getDegradations(),
       leases: this.leases.getValidLeases().map(lease => ({
         workerId: lease.address.workerId,
         epoch: lease.getEpoch(),
@@ -387,7 +361,7 @@
         openRequests: channel.getOpenCount(),
       })),
       innerTraffic: this.peers.traffic,
-      platformTraffic: this.client.byteCounts,
+      platformTraffic: this.platform.json.byteCounts,
     };
   }
 
@@ -397,7 +371,7 @@
       holderId: this.self.nodeId,
       clock: this.clock,
       random: this.random,
-      client: HttpWorkerClient.create(this.client),
+      client: this.platform.workers,
       timing: DEFAULT_LEASE_TIMING,
       listener: {
         onAcquired: lease => this.handleLease('lease-acquired', lease),
@@ -416,7 +390,15 @@
     });
   }
 
-  private createCallerServer(records: IdempotencyRecords): CallerServer {
+  private createCallerServer(): CallerServer {
+    const {table, tokens} = this.platform;
+    const {recordCommitIntervalMs} = this.identity.settings;
+    const records = IdempotencyRecords.create({
+      table,
+      tokens,
+      clock: this.clock,
+      committer: this.platform.createCommitter(recordCommitIntervalMs),
+    });
     const coordinator = RequestCoordinator.create({
       clock: this.clock,
       random: this.random,
@@ -430,7 +412,7 @@
       clock: this.clock,
       coordinator,
       getDocument: () => this.follower.getCurrent()?.document,
-      getReadiness: () => this.getReadiness(),
+      getReadiness: () => this.probe.getReadiness(),
       isStopping: () => this.isDraining,
       onAnswered: (request, answer, durationMs) =>
         this.handleAnswered(request, answer, durationMs),
@@ -519,48 +501,6 @@
     this.addEvent('pause-detected', {detail: `${Math.round(gapMs)} ms`});
   }
 
-  private getReadiness(): Readiness {
-    if (this.isDraining) return {isReady: false, reason: 'draining'};
-    if (this.follower.getCurrent() === undefined) {
-      return {isReady: false, reason: 'no environment document is in force'};
-    }
-    if (!this.isWarm()) {
-      return {isReady: false, reason: 'no holder of a service is known yet'};
-    }
-    return {isReady: true, reason: ''};
-  }
-
-  /**
-   * A process that has just started knows no holders and would refuse requests
-   * that other entries can serve. It waits for one of each service, but not for long.
-   */
-  private isWarm(): boolean {
-    if (this.hasBeenWarm) return true;
-    const nowMs = this.clock.getMonotonicMs();
-    const services = this.follower.getCurrent()?.document.services ?? [];
-    const isServed = services.every(service =>
-      this.network
-        .getCandidates(service.name)
-        .some(candidate => candidate.load.slots > 0),
-    );
-    this.hasBeenWarm = isServed || nowMs - this.startedAtMs > MAX_WARM_UP_MS;
-    return this.hasBeenWarm;
-  }
-
-  private getDegradations(): string[] {
-    const degraded: string[] = [];
-    const readiness = this.getReadiness();
-    if (!readiness.isReady) degraded.push(readiness.reason);
-    if (this.directory.getVersion() === 0) {
-      degraded.push('the VM list was never read');
-    }
-    for (const channel of this.peers.getChannels()) {
-      if (channel.isLinked()) continue;
-      degraded.push(`no connection to ${channel.getPeer().nodeId}`);
-    }
-    return degraded;
-  }
-
   private async runDrain(): Promise<void> {
     const {settings} = this.identity;
     this.isDraining = true;
--- a/packages/experiments/src/mustardlug_experiment.ts
+++ b/packages/experiments/src/mustardlug_experiment.ts
@@ -7,6 +7,7 @@
 import {measureDecisions} from './decision_benchmark.js';
 import {renderMarkdownTable} from './markdown_table.js';
 import {PlacementFigures, runPlacementCell} from './placement_experiment.js';
+import {measureTaskMemory} from './memory_benchmark.js';
 import {
   BadWorker,
   RequestFigures,
@@ -205,6 +206,16 @@
   print(renderMarkdownTable(header, rows));
 }
 
+const MEMORY_SIZES = [10_000, 30_000, 60_000];
+
+function memory(): void {
+  const rows = MEMORY_SIZES.map(size => {
+    const {tasks, heapMb, bytesPerTask} = measureTaskMemory(size);
+    return [String(tasks), heapMb.toFixed(1), bytesPerTask.toFixed(0)];
+  });
+  print(renderMarkdownTable(['cached tasks', 'heap MB', 'B / task'], rows));
+}
+
 function formatPercent(fraction: number, digits: number): string {
   return `${(fraction * 100).toFixed(digits)} %`;
 }
@@ -246,4 +257,8 @@
   .command('codec')
   .description('size of inner messages with and without codec and compression')
   .action(codec);
+program
+  .command('memory')
+  .description('memory of cached task rows')
+  .action(memory);
 await program.parseAsync();
--- /dev/null
+++ b/packages/runtime/src/platform_clients.ts
@@ -0,0 +1,81 @@
+/** The clients of the platform that every program uses. */
+
+import {Clock} from '@mustardlug/base/clock';
+import {DocumentStore} from '@mustardlug/document/document_store';
+import {GroupCommitter} from '@mustardlug/platform/group_committer';
+import {
+  HttpObjectStore,
+  HttpTableService,
+  HttpVmList,
+} from '@mustardlug/platform/http_platform';
+import {HttpWorkerClient} from '@mustardlug/platform/http_worker_client';
+import {JsonClient} from '@mustardlug/platform/json_client';
+import {RandomTokenSource, TokenSource} from '@mustardlug/platform/row_token';
+import {SettledTable} from '@mustardlug/platform/settled_table';
+import {TableService} from '@mustardlug/platform/table_service';
+import {VmList} from '@mustardlug/platform/vm_list';
+import {WorkerClient} from '@mustardlug/platform/worker_client';
+
+/** Options of the clients. */
+export interface PlatformClientsOptions {
+  readonly platformUrl: string;
+  /** Failure domain of the program; empty for operators. */
+  readonly failureDomain: string;
+  /** Time limit of one call. */
+  readonly timeoutMs: number;
+  /** Certificate authority of HTTPS services, in PEM. */
+  readonly authority?: string | undefined;
+  readonly clock: Clock;
+}
+
+/** Table, object store, VM list and workers over one set of connections. */
+export class PlatformClients {
+  readonly json: JsonClient;
+  readonly table: TableService;
+  readonly settledTable: SettledTable;
+  readonly tokens: TokenSource = RandomTokenSource.create();
+  readonly documents: DocumentStore;
+  readonly vmList: VmList;
+  readonly workers: WorkerClient;
+
+  private constructor(
+    private readonly clock: Clock,
+    options: PlatformClientsOptions,
+  ) {
+    const {platformUrl, failureDomain, timeoutMs, authority} = options;
+    const address = {baseUrl: platformUrl, failureDomain};
+    this.json = JsonClient.create(timeoutMs, authority);
+    this.table = HttpTableService.create(this.json, address);
+    this.settledTable = SettledTable.create({table: this.table, clock});
+    this.documents = DocumentStore.create({
+      table: this.table,
+      settledTable: this.settledTable,
+      objects: HttpObjectStore.create(this.json, address),
+      tokens: this.tokens,
+    });
+    this.vmList = HttpVmList.create(this.json, address);
+    this.workers = HttpWorkerClient.create(this.json);
+  }
+
+  /**
+   * Creates the clients; connections are opened as they are needed.
+   * @param options - Address, time limit and clock.
+   */
+  static create(options: PlatformClientsOptions): PlatformClients {
+    return new PlatformClients(options.clock, options);
+  }
+
+  /**
+   * Creates a committer for group writes.
+   * @param commitIntervalMs - Shortest time between two transactions.
+   */
+  createCommitter(commitIntervalMs: number): GroupCommitter {
+    const {table, settledTable, clock} = this;
+    return GroupCommitter.create({
+      table,
+      settledTable,
+      clock,
+      commitIntervalMs,
+    });
+  }
+}
--- a/packages/scheduler/src/scheduler_process.ts
+++ b/packages/scheduler/src/scheduler_process.ts
@@ -5,7 +5,6 @@
 import {AppError} from '@mustardlug/base/errors';
 import {RandomSource} from '@mustardlug/base/random_source';
 import {DocumentFollower} from '@mustardlug/document/document_follower';
-import {DocumentStore} from '@mustardlug/document/document_store';
 import {
   DEFAULT_LEASE_TIMING,
   LeaseKeeper,
@@ -16,17 +15,9 @@
 } from '@mustardlug/membership/vm_directory';
 import {WorkerLease} from '@mustardlug/membership/worker_lease';
 import {GroupCommitter} from '@mustardlug/platform/group_committer';
-import {
-  HttpObjectStore,
-  HttpTableService,
-  HttpVmList,
-} from '@mustardlug/platform/http_platform';
-import {HttpWorkerClient} from '@mustardlug/platform/http_worker_client';
-import {JsonClient} from '@mustardlug/platform/json_client';
-import {RandomTokenSource} from '@mustardlug/platform/row_token';
-import {SettledTable} from '@mustardlug/platform/settled_table';
 import {PeerKey} from '@mustardlug/protocol/peer_key';
 import {HttpListener} from '@mustardlug/runtime/http_listener';
+import {PlatformClients} from '@mustardlug/runtime/platform_clients';
 import {createOperatorApp} from '@mustardlug/runtime/operator_server';
 import {readTlsFiles, TlsMaterial} from '@mustardlug/runtime/tls_files';
 import {TaskScheduler} from '@mustardlug/scheduling/task_scheduler';
@@ -49,7 +40,7 @@
 export class SchedulerProcess {
   private readonly events: EventRecorder;
   private readonly metrics = ProcessMetrics.create();
-  private readonly client: JsonClient;
+  private readonly platform: PlatformClients;
   private readonly committer: GroupCommitter;
   private readonly directory: VmDirectory;
   private readonly follower: DocumentFollower;
@@ -75,22 +66,17 @@
       clock: HybridLogicalClock.create(clock),
       sink: createLogSink(settings.logLevel),
     });
-    this.client = JsonClient.create(settings.platformTimeoutMs, tls?.ca);
-    const address = {baseUrl: settings.platformUrl, failureDomain};
-    const table = HttpTableService.create(this.client, address);
-    const settledTable = SettledTable.create({table, clock});
-    const tokens = RandomTokenSource.create();
-    const client = HttpWorkerClient.create(this.client);
-    this.localEntry = LocalEntry.create(this.client, key, settings.entryUrl);
-    this.directory = VmDirectory.create(
-      HttpVmList.create(this.client, address),
-    );
-    this.committer = GroupCommitter.create({
-      table,
-      settledTable,
+    this.platform = PlatformClients.create({
+      platformUrl: settings.platformUrl,
+      failureDomain,
+      timeoutMs: settings.platformTimeoutMs,
+      authority: tls?.ca,
       clock,
-      commitIntervalMs: settings.commitIntervalMs,
     });
+    const {table, tokens, json, workers} = this.platform;
+    this.localEntry = LocalEntry.create(json, key, settings.entryUrl);
+    this.directory = VmDirectory.create(this.platform.vmList);
+    this.committer = this.platform.createCommitter(settings.commitIntervalMs);
     this.scheduler = TaskScheduler.create({
       schedulerId: nodeId,
       failureDomain,
@@ -99,7 +85,7 @@
       table,
       committer: this.committer,
       tokens,
-      client,
+      client: workers,
       renewSoon: (workerId, delayMs) =>
         this.leases.renewSoon(workerId, delayMs),
       listLagMs: settings.listLagMs,
@@ -112,12 +98,7 @@
       intervalMs: settings.usageIntervalMs,
     });
     this.follower = DocumentFollower.create({
-      store: DocumentStore.create({
-        table,
-        settledTable,
-        objects: HttpObjectStore.create(this.client, address),
-        tokens,
-      }),
+      store: this.platform.documents,
       stage: settings.stage,
       clock,
       random,
@@ -139,7 +120,7 @@
       holderId: nodeId,
       clock,
       random,
-      client,
+      client: workers,
       timing: DEFAULT_LEASE_TIMING,
       isUsageWanted: workerId => this.usage.isDue(workerId),
       listener: {
@@ -217,7 +198,7 @@
     this.scheduler.stop();
     this.leases.setWorkers([]);
     this.listener?.destroy();
-    void this.client.close();
+    void this.platform.json.close();
   }
 
   /** Gets what operators see of this node. */
@@ -237,7 +218,7 @@
       })),
       pendingTasks: this.scheduler.getPendingCount(),
       transactions: this.committer.getTransactionCount(),
-      platformTraffic: this.client.byteCounts,
+      platformTraffic: this.platform.json.byteCounts,
     };
   }
 
--- a/tools/benchmark_requests.js
+++ b/tools/benchmark_requests.js
@@ -8,7 +8,10 @@
 
 import {readFileSync} from 'node:fs';
 import {LoadRunner} from '../packages/load/dist/src/load_runner.js';
-import {ProcessHarness} from '../packages/dev/dist/test/process_harness.js';
+import {
+  createTestDocument,
+  ProcessHarness,
+} from '../packages/dev/dist/test/process_harness.js';
 
 const SERVICE = 'class-desk';
 const DURATION_MS = 6_000;
@@ -17,23 +20,15 @@
 const PAGE_BYTES = 4_096;
 const BYTES_PER_MB = 1024 * 1024;
 
-const DOCUMENT = {
-  environment: 'benchmark',
-  objective: {tailLatencyWeight: 1, evictionWeight: 1, throughputWeight: 1},
-  teams: [{name: 'team-a', quotaCores: 64}],
-  services: [
-    {
-      name: SERVICE,
-      team: 'team-a',
-      replicas: 4,
-      slotsPerReplica: 64,
-      resources: {cores: 2, memoryMb: 2_000},
-      deadlineMs: 5_000,
-      routes: [{pathPrefix: '/', isReadOnly: true}],
-    },
-  ],
-  batchJobs: [],
-};
+const DOCUMENT = createTestDocument([
+  {
+    name: SERVICE,
+    replicas: 4,
+    slotsPerReplica: 64,
+    deadlineMs: 5_000,
+    routes: [{pathPrefix: '/', isReadOnly: true}],
+  },
+]);
 
 /** Processor seconds and resident memory of a process, from the system's own records of it. */
 function readProcess(pid) {
