--- a/packages/experiments/src/memory_benchmark.ts
+++ b/packages/experiments/src/memory_benchmark.ts
@@ -5,12 +5,13 @@
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
 import {createBatchRecord} from '@mustardlug/scheduling/job_expander';
 import {TaskCache} from '@mustardlug/scheduling/task_cache';
-import {getTaskKey} from '@mustardlug/scheduling/task_record';
+import {getTaskKey, taskRecordSchema} from '@mustardlug/scheduling/task_record';
 import {MemoryTable} from '@mustardlug/standins/memory_table';
 
 /** Figures of one size. */
 export interface MemoryFigures {
   readonly tasks: number;
+  readonly isEnded: boolean;
   readonly heapMb: number;
   readonly bytesPerTask: number;
 }
@@ -21,25 +22,32 @@
 /**
  * Measures the heap that the cached rows of a domain take.
  * @param tasks - Number of rows.
+ * @param isEnded - Whether they are of tasks that have ended.
  */
-export function measureTaskMemory(tasks: number): MemoryFigures {
+export function measureTaskMemory(
+  tasks: number,
+  isEnded: boolean,
+): MemoryFigures {
   const collectGarbage = getGarbageCollector();
   const table = MemoryTable.create(VirtualClock.create());
   const cache = TaskCache.create(table, DOMAIN);
   collectGarbage();
   const before = process.memoryUsage().heapUsed;
-  for (let index = 0; index < tasks; index++) addTask(cache, index);
+  for (let index = 0; index < tasks; index++) addTask(cache, index, isEnded);
   collectGarbage();
   const usedBytes = process.memoryUsage().heapUsed - before;
-  const kept = [...cache.getPending()].length;
+  const kept = isEnded
+    ? [...cache.getEnded()].length
+    : cache.getPending().length;
   return {
     tasks: kept,
+    isEnded,
     heapMb: usedBytes / BYTES_PER_MB,
     bytesPerTask: usedBytes / kept,
   };
 }
 
-function addTask(cache: TaskCache, index: number): void {
+function addTask(cache: TaskCache, index: number, isEnded: boolean): void {
   const taskId = `batch.nightly-report-${index % 100}.${index}`;
   const record = createBatchRecord(
     {
@@ -55,7 +63,11 @@
     `token-${index}`,
     index,
   );
-  cache.setRecord(getTaskKey(DOMAIN, taskId), record, index + 1);
+  const state = isEnded ? 'done' : 'pending';
+  // Rows come as JSON, so their strings are not shared.
+  const text = JSON.stringify({...record, state});
+  const read = taskRecordSchema.parse(JSON.parse(text));
+  cache.setRecord(getTaskKey(DOMAIN, taskId), read, index + 1);
 }
 
 function getGarbageCollector(): () => void {
--- a/packages/experiments/src/mustardlug_experiment.ts
+++ b/packages/experiments/src/mustardlug_experiment.ts
@@ -209,11 +209,21 @@
 const MEMORY_SIZES = [10_000, 30_000, 60_000];
 
 function memory(): void {
-  const rows = MEMORY_SIZES.map(size => {
-    const {tasks, heapMb, bytesPerTask} = measureTaskMemory(size);
-    return [String(tasks), heapMb.toFixed(1), bytesPerTask.toFixed(0)];
-  });
-  print(renderMarkdownTable(['cached tasks', 'heap MB', 'B / task'], rows));
+  const rows: string[][] = [];
+  for (const isEnded of [false, true]) {
+    for (const size of MEMORY_SIZES) {
+      const {tasks, heapMb, bytesPerTask} = measureTaskMemory(size, isEnded);
+      rows.push([
+        isEnded ? 'ended' : 'pending',
+        String(tasks),
+        heapMb.toFixed(1),
+        bytesPerTask.toFixed(0),
+      ]);
+    }
+  }
+  print(
+    renderMarkdownTable(['state', 'cached tasks', 'heap MB', 'B / task'], rows),
+  );
 }
 
 function formatPercent(fraction: number, digits: number): string {
--- a/packages/load/src/load_runner.ts
+++ b/packages/load/src/load_runner.ts
@@ -57,6 +57,14 @@
   readonly reasons: Readonly<Record<string, number>>;
 }
 
+interface PlannedRequest {
+  readonly target: string;
+  readonly runId: string;
+  readonly isKeyed: boolean;
+  /** Body of a POST; `null` for a GET. */
+  readonly body: Buffer | null;
+}
+
 interface Counts {
   sent: number;
   notSent: number;
@@ -148,42 +156,15 @@
   }
 
   private async sendRequest(index: number, plannedMs: number): Promise<void> {
-    const {service, seed, timeoutMs, maxInProgress} = this.options;
+    const {maxInProgress} = this.options;
     if (this.inProgress >= (maxInProgress ?? DEFAULT_MAX_IN_PROGRESS)) {
       this.counts.notSent++;
       return;
     }
-    const target =
-      this.readyTargets[this.random.getIndex(this.readyTargets.length)];
-    const runId = `load-${seed}-${index}`;
-    const kind = this.random.getFloat();
-    const isRead = kind < this.options.readFraction;
-    const isKeyed =
-      !isRead && kind < this.options.readFraction + this.options.keyedFraction;
-    const body = isRead ? null : this.createBody(index);
     this.counts.sent++;
     this.inProgress++;
     try {
-      const response = await this.agent.request({
-        origin: target,
-        path: `/${service}${this.options.path ?? '/bookings'}?id=${runId}`,
-        method: isRead ? 'GET' : 'POST',
-        body,
-        headers: {
-          'x-run-id': runId,
-          ...(isKeyed && {'idempotency-key': runId}),
-        },
-        signal: AbortSignal.timeout(timeoutMs),
-      });
-      const answer = Buffer.from(await response.body.arrayBuffer());
-      const outcome = String(response.headers['x-mustardlug-outcome']);
-      if (response.statusCode >= SERVER_ERROR_STATUS && outcome === 'ran') {
-        this.counts.serverErrors++;
-      }
-      this.noteAnswer(outcome, answer);
-      if (outcome !== 'ran') return;
-      this.checkAnswer(runId, body, answer, response.headers);
-      this.noteLatency(plannedMs);
+      await this.exchange(this.planRequest(index), plannedMs);
     } catch (error) {
       this.counts.connectionErrors++;
       this.noteReason(`connection: ${(error as Error).message}`);
@@ -192,6 +173,47 @@
     }
   }
 
+  private planRequest(index: number): PlannedRequest {
+    const {seed, readFraction, keyedFraction} = this.options;
+    const targetIndex = this.random.getIndex(this.readyTargets.length);
+    const kind = this.random.getFloat();
+    const isRead = kind < readFraction;
+    return {
+      target: this.readyTargets[targetIndex],
+      runId: `load-${seed}-${index}`,
+      isKeyed: !isRead && kind < readFraction + keyedFraction,
+      body: isRead ? null : this.createBody(index),
+    };
+  }
+
+  private async exchange(
+    planned: PlannedRequest,
+    plannedMs: number,
+  ): Promise<void> {
+    const {service, timeoutMs, path} = this.options;
+    const {target, runId, isKeyed, body} = planned;
+    const response = await this.agent.request({
+      origin: target,
+      path: `/${service}${path ?? '/bookings'}?id=${runId}`,
+      method: body === null ? 'GET' : 'POST',
+      body,
+      headers: {
+        'x-run-id': runId,
+        ...(isKeyed && {'idempotency-key': runId}),
+      },
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    const answer = Buffer.from(await response.body.arrayBuffer());
+    const outcome = String(response.headers['x-mustardlug-outcome']);
+    if (response.statusCode >= SERVER_ERROR_STATUS && outcome === 'ran') {
+      this.counts.serverErrors++;
+    }
+    this.noteAnswer(outcome, answer);
+    if (outcome !== 'ran') return;
+    this.checkAnswer(runId, body, answer, response.headers);
+    this.noteLatency(plannedMs);
+  }
+
   private createBody(index: number): Buffer {
     const {maxBodyBytes} = this.options;
     const isLarge = index % LARGE_BODY_EVERY === 0;
--- a/packages/platform/src/table_service.ts
+++ b/packages/platform/src/table_service.ts
@@ -6,6 +6,9 @@
 /** Expected revision of a row that must not exist. */
 export const ABSENT_REVISION = 0;
 
+/** Rows that one page holds when all rows are read. */
+const PAGE_ROWS = 1_000;
+
 /** Fields that every stored value carries. */
 export interface StoredValue {
   /** Token of the transaction that wrote the row; settles lost answers. */
@@ -123,5 +126,3 @@
     afterKey = rows[rows.length - 1].key;
   }
 }
-
-const PAGE_ROWS = 1000;
--- a/packages/routing/src/service_holder.ts
+++ b/packages/routing/src/service_holder.ts
@@ -48,6 +48,9 @@
 const INITIAL_LATENCY_FRACTION = 0.02;
 const SERVER_ERROR_STATUS = 500;
 const RETRY_AFTER_LOST_MS = 1_000;
+const PROBE_INTERVAL_MS = 250;
+const SERVICE_UNAVAILABLE_STATUS = 503;
+const GATEWAY_TIMEOUT_STATUS = 504;
 
 /** Statuses with which an upstream says that it did not do the work. */
 const RETRYABLE_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
@@ -359,7 +362,3 @@
     return {slots, inProgress, queued};
   }
 }
-
-const PROBE_INTERVAL_MS = 250;
-const SERVICE_UNAVAILABLE_STATUS = 503;
-const GATEWAY_TIMEOUT_STATUS = 504;
--- a/packages/scheduling/src/task_cache.ts
+++ b/packages/scheduling/src/task_cache.ts
@@ -3,7 +3,12 @@
 import {Result, ok} from 'neverthrow';
 import {UnavailableError} from '@mustardlug/base/errors';
 import {TableRow, TableService} from '@mustardlug/platform/table_service';
-import {getTaskPrefix, TaskRecord, taskRecordSchema} from './task_record.js';
+import {
+  FINAL_STATES,
+  getTaskPrefix,
+  TaskRecord,
+  taskRecordSchema,
+} from './task_record.js';
 
 /** A cached row. */
 export interface CachedTask {
@@ -14,12 +19,24 @@
   isWriting: boolean;
 }
 
+/** What is kept of a batch task that has ended: enough to purge its row. */
+export interface EndedTask {
+  readonly key: string;
+  readonly taskId: string;
+  readonly jobName: string;
+  readonly state: TaskRecord['state'];
+  readonly evictions: number;
+  readonly endedAtMs: number;
+  readonly revision: number;
+}
+
 const PAGE_ROWS = 1_000;
 const NO_TASKS: ReadonlySet<string> = new Set();
 
 /** Tasks by id, by worker and by state. */
 export class TaskCache {
   private readonly tasks = new Map<string, CachedTask>();
+  private readonly ended = new Map<string, EndedTask>();
   private readonly pendingIds = new Set<string>();
   private readonly idsByWorker = new Map<string, Set<string>>();
   private revision = 0;
@@ -72,14 +89,14 @@
   }
 
   /**
-   * Gets a task.
+   * Gets a task, unless it is a batch task that has ended.
    * @param taskId - Id of the task.
    */
   getTask(taskId: string): CachedTask | undefined {
     return this.tasks.get(taskId);
   }
 
-  /** Gets all tasks. */
+  /** Gets all tasks that have not ended, and all replicas. */
   getTasks(): Iterable<CachedTask> {
     return this.tasks.values();
   }
@@ -137,8 +154,14 @@
    * @param revision - Revision of the row.
    */
   setRecord(key: string, record: TaskRecord, revision: number): void {
+    if (this.ended.has(record.taskId)) return;
     const known = this.tasks.get(record.taskId);
     if (known !== undefined && known.revision >= revision) return;
+    if (isEndedBatch(record)) {
+      this.removeTask(record.taskId);
+      this.ended.set(record.taskId, createEndedTask(key, record, revision));
+      return;
+    }
     if (known !== undefined) this.removeFromIndexes(known.record);
     this.addToIndexes(record);
     if (known === undefined) {
@@ -160,16 +183,26 @@
     this.tasks.delete(taskId);
   }
 
+  /** Gets the batch tasks that have ended. */
+  getEnded(): Iterable<EndedTask> {
+    return this.ended.values();
+  }
+
+  /**
+   * Forgets a task that has ended.
+   * @param taskId - Id of the task.
+   */
+  removeEnded(taskId: string): void {
+    this.ended.delete(taskId);
+  }
+
   /**
    * Forgets tasks that ended before a time; their rows may be gone.
    * @param limitMs - Wall time in milliseconds.
    */
   removeEndedBefore(limitMs: number): void {
-    for (const {record} of this.tasks.values()) {
-      const {taskId, endedAtMs} = record;
-      if (endedAtMs !== undefined && endedAtMs < limitMs) {
-        this.removeTask(taskId);
-      }
+    for (const {taskId, endedAtMs} of this.ended.values()) {
+      if (endedAtMs < limitMs) this.ended.delete(taskId);
     }
   }
 
@@ -192,3 +225,24 @@
     if (ids?.size === 0) this.idsByWorker.delete(record.workerId);
   }
 }
+
+function isEndedBatch(record: TaskRecord): boolean {
+  return record.kind === 'batch' && FINAL_STATES.has(record.state);
+}
+
+function createEndedTask(
+  key: string,
+  record: TaskRecord,
+  revision: number,
+): EndedTask {
+  const {taskId, name, state, evictions, endedAtMs} = record;
+  return {
+    key,
+    taskId,
+    jobName: name,
+    state,
+    evictions,
+    endedAtMs: endedAtMs ?? record.submittedAtMs,
+    revision,
+  };
+}
--- a/packages/scheduling/src/task_purger.ts
+++ b/packages/scheduling/src/task_purger.ts
@@ -12,8 +12,7 @@
   StoredValue,
   TableService,
 } from '@mustardlug/platform/table_service';
-import {CachedTask, TaskCache} from './task_cache.js';
-import {FINAL_STATES} from './task_record.js';
+import {EndedTask, TaskCache} from './task_cache.js';
 
 /** Schema of a summary row: ended tasks of a job that have no row any more. */
 export const jobSummarySchema = z.object({
@@ -75,17 +74,14 @@
     }
   }
 
-  private getOldTasks(): Map<string, CachedTask[]> {
+  private getOldTasks(): Map<string, EndedTask[]> {
     const limitMs = this.options.clock.getWallMs() - ENDED_TASK_RETENTION_MS;
-    const byJob = new Map<string, CachedTask[]>();
-    for (const task of this.options.cache.getTasks()) {
-      const {kind, state, name, endedAtMs} = task.record;
-      if (kind !== 'batch' || !FINAL_STATES.has(state)) continue;
-      if (task.isWriting || endedAtMs === undefined) continue;
-      if (endedAtMs > limitMs) continue;
-      const tasks = byJob.get(name) ?? [];
+    const byJob = new Map<string, EndedTask[]>();
+    for (const task of this.options.cache.getEnded()) {
+      if (task.endedAtMs > limitMs) continue;
+      const tasks = byJob.get(task.jobName) ?? [];
       tasks.push(task);
-      byJob.set(name, tasks);
+      byJob.set(task.jobName, tasks);
     }
     return byJob;
   }
@@ -93,7 +89,7 @@
   /** Counts and rows change in one transaction, so that no task counts twice. */
   private async foldTasks(
     jobName: string,
-    tasks: readonly CachedTask[],
+    tasks: readonly EndedTask[],
   ): Promise<boolean> {
     const {table, committer, tokens, failureDomain, cache} = this.options;
     const key = `${SUMMARY_PREFIX}${jobName}/${failureDomain}`;
@@ -120,7 +116,7 @@
     ]);
     // After a conflict the rows may be gone; the cache forgets them by age.
     if (outcome.kind !== 'written') return false;
-    for (const task of tasks) cache.removeTask(task.record.taskId);
+    for (const task of tasks) cache.removeEnded(task.taskId);
     return true;
   }
 }
@@ -139,16 +135,16 @@
 
 function addTasks(
   summary: JobSummary,
-  tasks: readonly CachedTask[],
+  tasks: readonly EndedTask[],
   writeToken: string,
 ): JobSummary {
   const sums = {...summary, writeToken};
-  for (const {record} of tasks) {
-    sums.evictions += record.evictions;
-    if (record.state === 'done') sums.done++;
-    if (record.state === 'failed') sums.failed++;
-    if (record.state === 'cancelled') sums.cancelled++;
-    if (record.state === 'infeasible') sums.infeasible++;
+  for (const {state, evictions} of tasks) {
+    sums.evictions += evictions;
+    if (state === 'done') sums.done++;
+    if (state === 'failed') sums.failed++;
+    if (state === 'cancelled') sums.cancelled++;
+    if (state === 'infeasible') sums.infeasible++;
   }
   return sums;
 }
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -265,7 +265,7 @@
   }
 
   /**
-   * Gets the record of a task of this domain.
+   * Gets the record of a task of this domain that has not ended.
    * @param taskId - Id of the task.
    */
   getTask(taskId: string): TaskRecord | undefined {
