--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -14,10 +14,7 @@
   TeamDeclaration,
 } from '@mustardlug/document/environment_document';
 import {WorkerLease} from '@mustardlug/membership/worker_lease';
-import {
-  GroupCommitter,
-  WriteOutcome,
-} from '@mustardlug/platform/group_committer';
+import {GroupCommitter} from '@mustardlug/platform/group_committer';
 import {TokenSource} from '@mustardlug/platform/row_token';
 import {TableService} from '@mustardlug/platform/table_service';
 import {Vm} from '@mustardlug/platform/vm_list';
@@ -49,7 +46,8 @@
 import {SizeEstimator} from './size_estimator.js';
 import {CachedTask, TaskCache} from './task_cache.js';
 import {ENDED_TASK_RETENTION_MS, TaskPurger} from './task_purger.js';
-import {FINAL_STATES, TaskRecord} from './task_record.js';
+import {TaskRecord} from './task_record.js';
+import {TaskWriter} from './task_writer.js';
 import {PlacedTask, ResourceAmount, WorkerView} from './worker_view.js';
 
 /** Kinds of things that the scheduler reports. */
@@ -119,6 +117,7 @@
 /** Scheduler of the workers that this process holds. */
 export class TaskScheduler {
   private readonly cache: TaskCache;
+  private readonly writer: TaskWriter;
   private readonly batcher: CommandBatcher;
   private readonly fleet: Fleet;
   private readonly jobs: JobMaintainer;
@@ -138,7 +137,6 @@
   private document: EnvironmentDocument | undefined;
   private timers = new Map<string, Timer>();
   private isUrgentWaiting = false;
-  private refreshWaiters: Array<() => void> = [];
   private isStopped = false;
 
   private constructor(private readonly options: TaskSchedulerOptions) {
@@ -147,6 +145,12 @@
       options.failureDomain,
       record => this.learnSize(record),
     );
+    this.writer = TaskWriter.create({
+      cache: this.cache,
+      committer: options.committer,
+      clock: options.clock,
+      onTableFailure: detail => options.onEvent('table-failed', {detail}),
+    });
     this.batcher = CommandBatcher.create(options.client, options.clock);
     const {schedulerId, failureDomain, clock, listLagMs} = options;
     this.fleet = Fleet.create(schedulerId, failureDomain);
@@ -175,7 +179,7 @@
   /** Begins to schedule. */
   start(): void {
     this.repeat('tick', TICK_MS, () => this.tick());
-    this.repeat('refresh', REFRESH_MS, () => this.refresh());
+    this.repeat('refresh', REFRESH_MS, () => this.writer.refresh());
     this.repeat('jobs', JOBS_REFRESH_MS, () => this.jobs.refresh());
     this.repeat('purge', PURGE_INTERVAL_MS, () => this.purge());
     this.repeat('steal', STEAL_INTERVAL_MS, () => this.stealTasks());
@@ -289,23 +293,6 @@
     this.sizes.addPeak(name, {cores: peakCores, memoryMb: peakMemoryMb});
   }
 
-  private async refresh(): Promise<void> {
-    const waiters = this.refreshWaiters;
-    this.refreshWaiters = [];
-    const refreshed = await this.cache.refresh();
-    if (refreshed.isErr()) {
-      this.refreshWaiters.push(...waiters);
-      this.reportTableFailure(refreshed.error.message);
-      return;
-    }
-    for (const resume of waiters) resume();
-  }
-
-  /** Resolves when all changes up to now have been read. */
-  private waitForRefresh(): Promise<void> {
-    return new Promise(resolve => this.refreshWaiters.push(resolve));
-  }
-
   /** A view may be acted on once rows were read that are newer than its lease. */
   private async syncView(view: WorkerView): Promise<void> {
     const refreshed = await this.cache.refresh();
@@ -527,7 +514,7 @@
     const {taskId} = task.record;
     const stopReason = this.stopping.get(taskId);
     const next = this.getEndRecord(task.record, report, end);
-    const isWritten = await this.writeRecord(task, next);
+    const isWritten = await this.writer.writeRecord(task, next);
     if (!isWritten) return;
     this.stopping.delete(taskId);
     view.removeTask(taskId);
@@ -610,7 +597,7 @@
       state: 'pending',
       reason,
     };
-    const isWritten = await this.writeRecord(task, next);
+    const isWritten = await this.writer.writeRecord(task, next);
     if (!isWritten || workerId === undefined) return;
     this.views.get(workerId)?.removeTask(next.taskId);
     this.backlog.get(workerId)?.delete(next.taskId);
@@ -620,53 +607,12 @@
     const {workerId, taskId} = task.record;
     const writeToken = this.options.tokens.getNext();
     const next: TaskRecord = {...task.record, writeToken, state: 'cancelled'};
-    const isWritten = await this.writeRecord(task, next);
+    const isWritten = await this.writer.writeRecord(task, next);
     if (!isWritten) return;
     if (workerId !== undefined) this.views.get(workerId)?.removeTask(taskId);
     this.options.onEvent('task-cancelled', {taskId});
   }
 
-  /** Writes a record by compare-and-set; rereads the row when that fails. */
-  private async writeRecord(
-    task: CachedTask,
-    next: TaskRecord,
-  ): Promise<boolean> {
-    const record = FINAL_STATES.has(next.state)
-      ? {...next, endedAtMs: this.options.clock.getWallMs()}
-      : next;
-    task.isWriting = true;
-    const outcome = await this.options.committer.write([
-      {
-        kind: 'put',
-        key: task.key,
-        value: record,
-        expectedRevision: task.revision,
-      },
-    ]);
-    if (outcome.kind === 'written') {
-      this.cache.setRecord(task.key, record, outcome.revision);
-      task.isWriting = false;
-      return true;
-    }
-    await this.settleFailedWrite(task, outcome);
-    return false;
-  }
-
-  /** Nothing is done with a row before its state is known again. */
-  private async settleFailedWrite(
-    task: CachedTask,
-    outcome: WriteOutcome,
-  ): Promise<void> {
-    if (outcome.kind === 'unavailable') this.reportTableFailure(outcome.reason);
-    await this.waitForRefresh();
-    if (outcome.kind === 'conflict') {
-      // The changes do not tell of a row that was deleted.
-      const reread = await this.cache.refreshTask(task);
-      if (reread.isErr()) return this.settleFailedWrite(task, outcome);
-    }
-    task.isWriting = false;
-  }
-
   private tick(): void {
     if (this.document === undefined || this.placement === undefined) return;
     this.unbindFromGoneWorkers();
@@ -782,7 +728,7 @@
       reason,
     };
     const {taskId} = record;
-    void this.writeRecord(task, next).then(isWritten => {
+    void this.writer.writeRecord(task, next).then(isWritten => {
       if (!isWritten) return;
       this.options.onEvent('job-infeasible', {taskId, detail: reason});
     });
@@ -866,7 +812,7 @@
       bootId: view.lease.getStatus().bootId,
       reason: undefined,
     };
-    const isWritten = await this.writeRecord(task, next);
+    const isWritten = await this.writer.writeRecord(task, next);
     if (!isWritten) {
       this.releaseUnbound(view, taskId);
       return;
@@ -962,10 +908,6 @@
     }
   }
 
-  private reportTableFailure(detail: string): void {
-    this.options.onEvent('table-failed', {detail});
-  }
-
   private repeat(
     name: string,
     intervalMs: number,
--- a/tools/run_mutations.js
+++ b/tools/run_mutations.js
@@ -97,9 +97,9 @@
   {
     name: 'an end is acknowledged although its row was not written',
     file: 'scheduling/dist/src/task_scheduler.js',
-    find: 'const isWritten = await this.writeRecord(task, next);\n        if (!isWritten)\n            return;\n        this.stopping.delete(taskId);',
+    find: 'const isWritten = await this.writer.writeRecord(task, next);\n        if (!isWritten)\n            return;\n        this.stopping.delete(taskId);',
     replace:
-      'void this.writeRecord(task, next);\n        this.stopping.delete(taskId);',
+      'void this.writer.writeRecord(task, next);\n        this.stopping.delete(taskId);',
     test: TASKS,
   },
   {
