--- a/packages/dev/src/demo.ts
+++ b/packages/dev/src/demo.ts
@@ -23,7 +23,7 @@
   readonly onLine: (line: string) => void;
 }
 
-const BATCH_TIMEOUT_MS = 60_000;
+const BATCH_TIMEOUT_MS = 180_000;
 const CHECK_MS = 250;
 const USAGE_INTERVAL_MS = 5_000;
 const KEYED_FRACTION = 0.3;
