Let a probe that never reports be followed by another

Cause, found by reading: the one probe of a member that is set aside blocked all further ones until its result. A batch attempt that is evicted, cancelled or unbound reports none, so its worker stayed aside for good. Ruled out for requests: each of them ends with a result.

--- a/packages/base/src/outlier_tracker.ts
+++ b/packages/base/src/outlier_tracker.ts
@@ -13,7 +13,8 @@
   failureRate: number;
   samples: number;
   asideUntilMs: number | undefined;
-  isProbing: boolean;
+  /** Time until which the result of the one probe is waited for. */
+  probingUntilMs: number | undefined;
   probeDelayMs: number;
 }
 
@@ -24,6 +25,8 @@
 const FLEET_FAILURE_RATE = 0.2;
 const FIRST_PROBE_DELAY_MS = 1_000;
 const MAX_PROBE_DELAY_MS = 16_000;
+/** A probe whose work was moved or cancelled never reports; another may follow it. */
+const PROBE_TIMEOUT_MS = 60_000;
 
 /** Failure rates of the members of a fleet. */
 export class OutlierTracker {
@@ -49,7 +52,7 @@
       failureRate: 0,
       samples: 0,
       asideUntilMs: undefined,
-      isProbing: false,
+      probingUntilMs: undefined,
       probeDelayMs: FIRST_PROBE_DELAY_MS,
     });
   }
@@ -69,8 +72,9 @@
   isUsable(memberId: string): boolean {
     const record = this.records.get(memberId);
     if (record?.asideUntilMs === undefined) return true;
-    if (record.isProbing) return false;
-    return this.options.clock.getMonotonicMs() >= record.asideUntilMs;
+    const nowMs = this.options.clock.getMonotonicMs();
+    if (nowMs < (record.probingUntilMs ?? -Infinity)) return false;
+    return nowMs >= record.asideUntilMs;
   }
 
   /**
@@ -87,7 +91,9 @@
    */
   noteDispatch(memberId: string): void {
     const record = this.records.get(memberId);
-    if (record?.asideUntilMs !== undefined) record.isProbing = true;
+    if (record?.asideUntilMs === undefined) return;
+    const nowMs = this.options.clock.getMonotonicMs();
+    record.probingUntilMs = nowMs + PROBE_TIMEOUT_MS;
   }
 
   /**
@@ -117,7 +123,7 @@
     record: HealthRecord,
     isFailure: boolean,
   ): 'unchanged' | 'restored' {
-    if (!record.isProbing) return 'unchanged';
+    if (record.probingUntilMs === undefined) return 'unchanged';
     if (isFailure) {
       record.probeDelayMs = Math.min(
         record.probeDelayMs * 2,
@@ -127,7 +133,7 @@
       return 'unchanged';
     }
     record.asideUntilMs = undefined;
-    record.isProbing = false;
+    record.probingUntilMs = undefined;
     record.failureRate = 0;
     record.samples = 0;
     record.probeDelayMs = FIRST_PROBE_DELAY_MS;
@@ -135,7 +141,7 @@
   }
 
   private setAside(record: HealthRecord): void {
-    record.isProbing = false;
+    record.probingUntilMs = undefined;
     record.asideUntilMs =
       this.options.clock.getMonotonicMs() + record.probeDelayMs;
   }
