Wait in process tests until every entry is ready

Ruled out: TLS itself, as the entry answered over it with its outcome and Retry-After. The harness now waits for the readiness of all entries, as well as for the slots; what the tests expect of answers is unchanged.

--- a/packages/dev/test/process_harness.ts
+++ b/packages/dev/test/process_harness.ts
@@ -122,7 +122,7 @@
         `scheduler-${name}.json`,
       ]);
     }
-    await this.waitFor(async () => (await this.getSlots(service)) >= slots);
+    await this.waitFor(() => this.isServing(service, slots));
   }
 
   /** Starts an entry process. */
@@ -213,20 +213,25 @@
     throw new Error('the condition did not come true');
   }
 
-  /** Gets the slots that all entries together offer for a service. */
-  async getSlots(service: string): Promise<number> {
+  /** Checks whether all entries are ready and together offer a number of slots. */
+  private async isServing(service: string, wanted: number): Promise<boolean> {
     const status = await this.runCtl(['--json', 'status']);
-    if (status.exitStatus !== 0) return 0;
+    if (status.exitStatus !== 0) return false;
     const nodes = JSON.parse(status.stdout) as Array<{
+      role?: string;
+      isReady?: boolean;
       loads?: Array<{service: string; slots: number}>;
     }>;
     let slots = 0;
-    for (const {loads} of nodes) {
+    let ready = 0;
+    for (const {role, isReady, loads} of nodes) {
+      if (role === 'entry' && isReady) ready++;
       for (const load of loads ?? []) {
         if (load.service === service) slots += load.slots;
       }
     }
-    return slots;
+    // Callers reach ready entries only, as behind a balancer.
+    return slots >= wanted && ready === this.plans.length;
   }
 
   /** Ends all processes that this harness started. */
