--- /dev/null
+++ b/packages/coordination/src/job_desk.ts
@@ -0,0 +1,276 @@
+/** Takes callers' jobs at any node. What it answers rests on the shared tables alone. */
+
+import {Clock} from '@mustardlug/base/clock';
+import {
+  createUnavailableError,
+  NotFoundError,
+  createNotFoundError,
+  RefusedError,
+  UnavailableError,
+} from '@mustardlug/base/errors';
+import {
+  decodeRowValue,
+  encodeRowValue,
+  StoredJob,
+  StoredProgress,
+} from '@mustardlug/jobs/job_codec';
+import {JobSpec} from '@mustardlug/jobs/job_spec';
+import {JobPhase} from '@mustardlug/jobs/job_state';
+import {QueueConfig} from '@mustardlug/jobs/queue_config';
+import {
+  ABSENT_VERSION,
+  RowAddress,
+  RowCommitError,
+  RowStore,
+  StoredRow,
+} from '@mustardlug/platform/row_store';
+import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {err, ok, Result} from 'neverthrow';
+import {
+  CANCEL_SUFFIX,
+  COORDINATOR_PART,
+  getJobPart,
+  JOB_TABLE,
+  PROGRESS_TABLE,
+} from './tables.js';
+
+/** Options of a job desk. */
+export interface JobDeskOptions {
+  readonly store: RowStore;
+  readonly clock: Clock;
+  readonly events: EventRecorder;
+}
+
+/** A job that a caller hands in. */
+export interface Submission {
+  readonly jobId: string;
+  readonly spec: JobSpec;
+  readonly queue: QueueConfig;
+  /** Monotonic time by which the caller wants an answer. */
+  readonly answerByMs: number;
+  /** Time after which a new job should be tried again; 0 while jobs are accepted. */
+  readonly retryAfterMs: number;
+}
+
+/** A submission that was not stored: the job never runs. */
+export interface SubmissionRefusedError extends RefusedError {
+  readonly retryAfterMs: number;
+}
+
+/** Why a submission was not accepted. */
+export type SubmissionError = SubmissionRefusedError | UnavailableError;
+
+/** Delay before a write without an answer is repeated. */
+const RETRY_MS = 60;
+
+/** Time that is left for the answer's way to the caller. */
+const ANSWER_MARGIN_MS = 150;
+
+/** When to come back after the store turned a write away; usual outages last seconds. */
+const STORE_RETRY_AFTER_MS = 1_000;
+
+/** Submits, cancels and shows jobs. */
+export class JobDesk {
+  private constructor(private readonly options: JobDeskOptions) {}
+
+  /**
+   * Creates a desk.
+   * @param options - Store, clock and events.
+   */
+  static create(options: JobDeskOptions): JobDesk {
+    return new JobDesk(options);
+  }
+
+  /**
+   * Accepts a job, once: repeating it with the same identifier has no further effect.
+   * @param submission - Job, queue and terms.
+   * @returns `refused` when the job never runs, `unavailable` when that is not known.
+   */
+  async submit(
+    submission: Submission,
+  ): Promise<Result<void, SubmissionError>> {
+    const isRefusal = submission.retryAfterMs > 0;
+    const value = encodeRowValue(
+      isRefusal ? {kind: 'refused'} : this.createStoredJob(submission),
+    );
+    const address = getJobAddress(submission.jobId);
+    let version = ABSENT_VERSION;
+    let isUncertain = false;
+    for (;;) {
+      const outcome = await this.options.store.commit({
+        conditions: [{...address, version}],
+        writes: [{...address, value}],
+        removals: [],
+      });
+      if (outcome.isOk()) return this.answerStored(submission);
+      const {error} = outcome;
+      if (error.kind === 'row-conflict') {
+        const row = error.rows.find(each => each.key === address.key);
+        if (row !== undefined && isAcceptedRow(row))
+          return this.answerAccepted(submission, 'repeated');
+        if (isRefusal && row !== undefined)
+          return this.answerStored(submission);
+        version = row?.version ?? ABSENT_VERSION;
+        continue;
+      }
+      isUncertain ||= error.kind === 'unavailable' && error.mayHaveTakenEffect;
+      const isOver = !this.hasTimeLeft(submission.answerByMs);
+      if (!isUncertain) return err(this.refuseForStore(submission, error));
+      if (isOver) return err(this.answerUnknown(submission, error));
+      await this.options.clock.sleep(RETRY_MS);
+    }
+  }
+
+  /**
+   * Cancels a job.
+   * @param jobId - Identifier of the job.
+   * @returns `not-found` when no such job was accepted.
+   */
+  async cancel(
+    jobId: string,
+  ): Promise<Result<void, NotFoundError | UnavailableError>> {
+    const {store, events} = this.options;
+    const address = getJobAddress(jobId);
+    const key = jobId + CANCEL_SUFFIX;
+    // Written for unknown jobs too: a submission still on its way must not start later.
+    const outcome = await store.commit({
+      conditions: [],
+      writes: [{...address, key, value: encodeRowValue({})}],
+      removals: [],
+    });
+    if (outcome.isErr()) {
+      const message = `${outcome.error.message}; repeat the cancellation`;
+      return err(createUnavailableError(message, true));
+    }
+    const rows = await this.getJobRows(jobId);
+    if (rows.isErr()) return err(rows.error);
+    const isKnown = rows.value.some(isAcceptedRow);
+    events.addEvent('job-cancelled', {
+      requestId: jobId,
+      detail: isKnown ? 'accepted' : 'unknown job',
+    });
+    if (!isKnown) return err(createUnknownJobError(jobId));
+    return ok(undefined);
+  }
+
+  /**
+   * Gets the phase of a job.
+   * @param jobId - Identifier of the job.
+   * @returns `not-found` when no such job was accepted.
+   */
+  async getPhase(
+    jobId: string,
+  ): Promise<Result<JobPhase, NotFoundError | UnavailableError>> {
+    const progress = await this.options.store.getRows({
+      table: PROGRESS_TABLE,
+      part: COORDINATOR_PART,
+      fromKey: jobId,
+      toKey: `${jobId}!`,
+      limit: 1,
+    });
+    if (progress.isErr()) return err(progress.error);
+    const row = progress.value.rows.at(0);
+    if (row !== undefined)
+      return ok(decodeRowValue<StoredProgress>(row.value).phase);
+    const rows = await this.getJobRows(jobId);
+    if (rows.isErr()) return err(rows.error);
+    if (!rows.value.some(isAcceptedRow))
+      return err(createUnknownJobError(jobId));
+    const isCancelled = rows.value.some(isCancelRow);
+    return ok(isCancelled ? 'cancelled' : 'pending');
+  }
+
+  private async getJobRows(
+    jobId: string,
+  ): Promise<Result<readonly StoredRow[], UnavailableError>> {
+    const {table, part} = getJobAddress(jobId);
+    const snapshot = await this.options.store.getRows({
+      table,
+      part,
+      fromKey: jobId,
+      toKey: `${jobId}/`,
+    });
+    return snapshot.map(({rows}) => rows);
+  }
+
+  private createStoredJob(submission: Submission): StoredJob {
+    const {spec, queue} = submission;
+    const acceptedMs = this.options.clock.getWallMs();
+    return {kind: 'accepted', job: {spec, queue, acceptedMs}};
+  }
+
+  private answerStored(
+    submission: Submission,
+  ): Result<void, SubmissionError> {
+    const {retryAfterMs} = submission;
+    if (retryAfterMs === 0) return this.answerAccepted(submission, 'stored');
+    const message = `queue ${submission.queue.name} is full; try again later`;
+    return err(this.refuse(submission, message, retryAfterMs));
+  }
+
+  private answerAccepted(
+    submission: Submission,
+    detail: string,
+  ): Result<void, SubmissionError> {
+    this.options.events.addEvent('job-accepted', {
+      requestId: submission.jobId,
+      detail: `${submission.queue.name} ${detail}`,
+    });
+    return ok(undefined);
+  }
+
+  private refuseForStore(
+    submission: Submission,
+    error: RowCommitError,
+  ): SubmissionRefusedError {
+    return this.refuse(submission, error.message, STORE_RETRY_AFTER_MS);
+  }
+
+  private refuse(
+    submission: Submission,
+    message: string,
+    retryAfterMs: number,
+  ): SubmissionRefusedError {
+    this.options.events.addEvent('job-refused', {
+      requestId: submission.jobId,
+      detail: `${submission.queue.name}: ${message}`,
+    });
+    return {kind: 'refused', message, retryAfterMs};
+  }
+
+  private answerUnknown(
+    submission: Submission,
+    error: RowCommitError,
+  ): UnavailableError {
+    this.options.events.addEvent('job-unknown', {
+      requestId: submission.jobId,
+      detail: `${submission.queue.name}: ${error.message}`,
+    });
+    const message = `${error.message}; submit the job again with the same id`;
+    return createUnavailableError(message, true);
+  }
+
+  private hasTimeLeft(answerByMs: number): boolean {
+    const nowMs = this.options.clock.getMonotonicMs();
+    return nowMs + RETRY_MS + ANSWER_MARGIN_MS < answerByMs;
+  }
+}
+
+function getJobAddress(jobId: string): RowAddress {
+  return {table: JOB_TABLE, part: getJobPart(jobId), key: jobId};
+}
+
+function isCancelRow(row: StoredRow): boolean {
+  return row.key.endsWith(CANCEL_SUFFIX);
+}
+
+function isAcceptedRow(row: StoredRow): boolean {
+  if (isCancelRow(row)) return false;
+  return decodeRowValue<StoredJob>(row.value).kind === 'accepted';
+}
+
+function createUnknownJobError(jobId: string): NotFoundError {
+  return createNotFoundError(
+    `no job ${jobId} was accepted; check the identifier`,
+  );
+}
--- /dev/null
+++ b/packages/coordination/src/worker_load.ts
@@ -0,0 +1,160 @@
+/** What runs on a worker, counted against its capacity. */
+
+import {JobState, StepState, TaskRun, TaskState} from '@mustardlug/jobs/job_state';
+import {TaskNeeds} from '@mustardlug/jobs/job_spec';
+
+/** A run together with what it belongs to. */
+export interface AssignedRun {
+  readonly job: JobState;
+  readonly occurrence: number;
+  readonly step: StepState;
+  readonly task: TaskState;
+  readonly run: TaskRun;
+  readonly taskName: string;
+  /** Monotonic time from which a report that does not list the run shows that it is gone. */
+  settledMs: number | undefined;
+}
+
+/** Share of its declared processors that a long-running task uses; the rest is left to fillers. */
+const SERVING_USE_FRACTION = 0.6;
+
+/** Runs of one worker and the capacity that they leave. */
+export class WorkerLoad {
+  private readonly runs = new Map<string, AssignedRun>();
+  private readonly stepCounts = new Map<StepState, number>();
+  private usedCpuMillis = 0;
+  private usedMemoryMb = 0;
+  private usedAccelerators = 0;
+  private fillerCpuMillis = 0;
+  private servingCpuMillis = 0;
+
+  private constructor(private capacity: TaskNeeds) {}
+
+  /**
+   * Creates the load of an empty worker.
+   * @param capacity - Capacity of the worker.
+   */
+  static create(capacity: TaskNeeds): WorkerLoad {
+    return new WorkerLoad(capacity);
+  }
+
+  /**
+   * Replaces the capacity.
+   * @param capacity - Capacity as the worker reports it.
+   */
+  setCapacity(capacity: TaskNeeds): void {
+    this.capacity = capacity;
+  }
+
+  /** Gets the capacity. */
+  getCapacity(): TaskNeeds {
+    return this.capacity;
+  }
+
+  /** Gets all runs. */
+  getRuns(): IterableIterator<AssignedRun> {
+    return this.runs.values();
+  }
+
+  /** Gets the number of runs. */
+  getRunCount(): number {
+    return this.runs.size;
+  }
+
+  /**
+   * Finds a run.
+   * @param taskName - Name of the task.
+   * @param runNumber - Number of the run.
+   */
+  findRun(taskName: string, runNumber: number): AssignedRun | undefined {
+    return this.runs.get(getRunKey(taskName, runNumber));
+  }
+
+  /**
+   * Adds a run.
+   * @param assigned - Run to add.
+   */
+  addRun(assigned: AssignedRun): void {
+    this.runs.set(
+      getRunKey(assigned.taskName, assigned.run.runNumber),
+      assigned,
+    );
+    this.count(assigned, 1);
+  }
+
+  /**
+   * Removes a run.
+   * @param assigned - Run to remove.
+   */
+  removeRun(assigned: AssignedRun): void {
+    const key = getRunKey(assigned.taskName, assigned.run.runNumber);
+    if (!this.runs.delete(key)) return;
+    this.count(assigned, -1);
+  }
+
+  /**
+   * Gets how many tasks of a step run here.
+   * @param step - Step to count.
+   */
+  getStepCount(step: StepState): number {
+    return this.stepCounts.get(step) ?? 0;
+  }
+
+  /** Gets the processors that no run has declared, in thousandths of a core. */
+  getFreeCpuMillis(): number {
+    return this.capacity.cpuMillis - this.usedCpuMillis;
+  }
+
+  /** Gets the free memory in megabytes. */
+  getFreeMemoryMb(): number {
+    return this.capacity.memoryMb - this.usedMemoryMb;
+  }
+
+  /** Gets the processors that fillers may still share, in thousandths of a core. */
+  getUnusedCpuMillis(): number {
+    const servingUse = this.servingCpuMillis * SERVING_USE_FRACTION;
+    const batchUse = this.usedCpuMillis - this.servingCpuMillis;
+    return (
+      this.capacity.cpuMillis - servingUse - batchUse - this.fillerCpuMillis
+    );
+  }
+
+  /** Gets the processors that fillers declare, in thousandths of a core. */
+  getFillerCpuMillis(): number {
+    return this.fillerCpuMillis;
+  }
+
+  /** Gets the processors that long-running tasks declare, in thousandths of a core. */
+  getServingCpuMillis(): number {
+    return this.servingCpuMillis;
+  }
+
+  /**
+   * Checks whether the declared needs fit.
+   * @param needs - Needs of one task.
+   * @param isFiller - Whether its processors are not counted.
+   */
+  hasRoom(needs: TaskNeeds, isFiller: boolean): boolean {
+    if (needs.memoryMb > this.getFreeMemoryMb()) return false;
+    const freeAccelerators = this.capacity.accelerators - this.usedAccelerators;
+    if (needs.accelerators > freeAccelerators) return false;
+    return isFiller || needs.cpuMillis <= this.getFreeCpuMillis();
+  }
+
+  private count(assigned: AssignedRun, sign: 1 | -1): void {
+    const {step} = assigned;
+    const {needs, isFiller, isLongRunning} = step.spec;
+    this.usedMemoryMb += sign * needs.memoryMb;
+    this.usedAccelerators += sign * needs.accelerators;
+    if (isFiller) this.fillerCpuMillis += sign * needs.cpuMillis;
+    else this.usedCpuMillis += sign * needs.cpuMillis;
+    if (isLongRunning) this.servingCpuMillis += sign * needs.cpuMillis;
+    const steps = this.getStepCount(step) + sign;
+    if (steps === 0) this.stepCounts.delete(step);
+    else this.stepCounts.set(step, steps);
+  }
+}
+
+function getRunKey(taskName: string, runNumber: number): string {
+  return `${taskName}#${runNumber}`;
+}
--- /dev/null
+++ b/packages/node/src/config_watch.ts
@@ -0,0 +1,96 @@
+/** Keeps the newest configuration of the deployment at hand. */
+
+import {Clock} from '@mustardlug/base/clock';
+import {AppError} from '@mustardlug/base/errors';
+import {TableFollower} from '@mustardlug/coordination/table_follower';
+import {FleetConfig} from '@mustardlug/jobs/queue_config';
+import {RowStore, StoredRow} from '@mustardlug/platform/row_store';
+import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {Result} from 'neverthrow';
+
+/** Decodes a stored configuration. */
+export type ConfigDecoder = (value: Buffer) => Result<FleetConfig, AppError>;
+
+/** Options of a configuration watch. */
+export interface ConfigWatchOptions {
+  readonly store: RowStore;
+  readonly clock: Clock;
+  readonly events: EventRecorder;
+  /** Table and key of the configuration, in the part without a name. */
+  readonly table: string;
+  readonly key: string;
+  readonly decode: ConfigDecoder;
+}
+
+/** Longest wait for a change; bounds how long a silent connection goes unnoticed. */
+const FEED_WAIT_MS = 1_000;
+
+/** Follows the configuration; versions never go back. */
+export class ConfigWatch {
+  private config: FleetConfig | undefined;
+  private readonly follower: TableFollower;
+
+  private constructor(private readonly options: ConfigWatchOptions) {
+    const {store, clock, events, table} = options;
+    this.follower = TableFollower.create({
+      store,
+      clock,
+      table,
+      part: '',
+      waitMs: FEED_WAIT_MS,
+      reader: {
+        onSnapshot: rows => this.applyRows(rows),
+        onChanges: changes => this.applyRows(changes.rows),
+        onStoreLost: reason =>
+          events.addEvent('store-lost', {detail: `${table}: ${reason}`}),
+        onStoreRegained: () =>
+          events.addEvent('store-regained', {detail: table}),
+      },
+    });
+  }
+
+  /**
+   * Creates a watch; `run` starts it.
+   * @param options - Store, table and decoder.
+   */
+  static create(options: ConfigWatchOptions): ConfigWatch {
+    return new ConfigWatch(options);
+  }
+
+  /** Gets the configuration in force, or `undefined` before the first one. */
+  getConfig(): FleetConfig | undefined {
+    return this.config;
+  }
+
+  /** Follows the configuration until `stop`. */
+  run(): Promise<void> {
+    return this.follower.run();
+  }
+
+  /** Stops following. */
+  stop(): void {
+    this.follower.stop();
+  }
+
+  private applyRows(rows: readonly StoredRow[]): void {
+    for (const row of rows) {
+      if (row.key === this.options.key) this.applyConfig(row.value);
+    }
+  }
+
+  private applyConfig(value: Buffer): void {
+    const decoded = this.options.decode(value);
+    if (decoded.isErr()) {
+      this.options.events.addEvent('config-invalid', {
+        detail: decoded.error.message,
+      });
+      return;
+    }
+    const {version} = decoded.value;
+    if (this.config !== undefined && version <= this.config.version) return;
+    this.config = decoded.value;
+    this.options.events.addEvent('config-in-force', {
+      detail: `version ${version}, ${decoded.value.queues.length} queues`,
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/src/coordinator_role.ts
@@ -0,0 +1,153 @@
+/** Takes and gives up the coordinator role as the board demands. */
+
+import {Clock} from '@mustardlug/base/clock';
+import {Board} from '@mustardlug/coordination/board';
+import {CommitLog} from '@mustardlug/coordination/commit_log';
+import {Coordinator} from '@mustardlug/coordination/coordinator';
+import {Election} from '@mustardlug/coordination/election';
+import {TableFollower} from '@mustardlug/coordination/table_follower';
+import {
+  BOARD_TABLE,
+  COORDINATOR_PART,
+  SINGLE_ROW_KEY,
+} from '@mustardlug/coordination/tables';
+import {decodeRowValue} from '@mustardlug/jobs/job_codec';
+import {RowStore, StoredRow} from '@mustardlug/platform/row_store';
+import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+
+/** Options of the coordinator role. */
+export interface CoordinatorRoleOptions {
+  readonly store: RowStore;
+  readonly clock: Clock;
+  readonly nodeId: string;
+  readonly events: EventRecorder;
+  /** Creates the coordinator of a term that this node tries to take. */
+  readonly createCoordinator: (commitLog: CommitLog) => Coordinator;
+}
+
+/** Longest wait for a change of the board; well below the age at which it lapses. */
+const BOARD_WAIT_MS = 400;
+
+/** Delay after a lost race or term, so that the winner's board arrives first. */
+const RETRY_MS = 200;
+
+/** A board that was received, and when. */
+interface ReceivedBoard {
+  readonly board: Board;
+  readonly receivedMs: number;
+}
+
+/** Watches the board and coordinates when its holder is lost. */
+export class CoordinatorRole {
+  private readonly election = Election.create();
+  private readonly follower: TableFollower;
+  private coordinator: Coordinator | undefined;
+  private received: ReceivedBoard | undefined;
+  private storeMs = 0;
+  private isCandidate = false;
+  private isStopped = false;
+
+  private constructor(private readonly options: CoordinatorRoleOptions) {
+    const {store, clock, events} = options;
+    this.follower = TableFollower.create({
+      store,
+      clock,
+      table: BOARD_TABLE,
+      part: COORDINATOR_PART,
+      waitMs: BOARD_WAIT_MS,
+      reader: {
+        onSnapshot: rows => this.applySnapshot(rows),
+        onChanges: changes => {
+          this.storeMs = changes.storeMs;
+          this.applyRows(changes.rows);
+          this.noteAnswer();
+        },
+        onStoreLost: reason => {
+          this.election.noteStoreLost();
+          events.addEvent('store-lost', {detail: `${BOARD_TABLE}: ${reason}`});
+        },
+        onStoreRegained: () =>
+          events.addEvent('store-regained', {detail: BOARD_TABLE}),
+      },
+    });
+  }
+
+  /**
+   * Creates the role; `run` starts it.
+   * @param options - Store and factory of coordinators.
+   */
+  static create(options: CoordinatorRoleOptions): CoordinatorRole {
+    return new CoordinatorRole(options);
+  }
+
+  /** Watches the board until `stop`. */
+  run(): Promise<void> {
+    return this.follower.run();
+  }
+
+  /** Hands the role over if this node has it, and stops watching. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    this.follower.stop();
+    await this.coordinator?.stop();
+  }
+
+  /** Gets the newest board, and its age since it was received. */
+  getBoard(): {board: Board; ageMs: number} | undefined {
+    if (this.received === undefined) return undefined;
+    const {board, receivedMs} = this.received;
+    return {board, ageMs: this.options.clock.getMonotonicMs() - receivedMs};
+  }
+
+  /** Checks whether this node coordinates. */
+  isCoordinating(): boolean {
+    return this.coordinator !== undefined;
+  }
+
+  private applySnapshot(rows: readonly StoredRow[]): void {
+    if (rows.length === 0) this.election.noteBoard(undefined);
+    this.applyRows(rows);
+    void this.considerTakeover();
+  }
+
+  private applyRows(rows: readonly StoredRow[]): void {
+    for (const row of rows) {
+      if (row.key !== SINGLE_ROW_KEY) continue;
+      const board = decodeRowValue<Board>(row.value);
+      this.election.noteBoard(board);
+      const receivedMs = this.options.clock.getMonotonicMs();
+      this.received = {board, receivedMs};
+    }
+  }
+
+  private noteAnswer(): void {
+    this.election.noteAnswer(this.options.clock.getMonotonicMs());
+    void this.considerTakeover();
+  }
+
+  private async considerTakeover(): Promise<void> {
+    if (this.isCandidate || this.isStopped) return;
+    if (!this.election.isTakeoverDue(this.storeMs)) return;
+    this.isCandidate = true;
+    await this.tryTerm();
+    await this.options.clock.sleep(RETRY_MS);
+    this.isCandidate = false;
+  }
+
+  private async tryTerm(): Promise<void> {
+    const {store, clock, nodeId} = this.options;
+    const sentMs = clock.getMonotonicMs();
+    const snapshot = await CommitLog.readTerm(store);
+    if (snapshot.isErr() || this.isStopped) return;
+    this.election.noteRoundTrip(clock.getMonotonicMs() - sentMs);
+    this.storeMs = snapshot.value.storeMs;
+    if (!this.election.isTakeoverDue(this.storeMs)) return;
+    const log = CommitLog.create(
+      {store, clock, holder: nodeId},
+      snapshot.value,
+    );
+    this.coordinator = this.options.createCoordinator(log);
+    await this.coordinator.run();
+    this.coordinator = undefined;
+  }
+}
--- /dev/null
+++ b/packages/node/src/node_process.ts
@@ -0,0 +1,170 @@
+/** One process of the system on a VM: serves callers, and coordinates when it is elected. */
+
+import {Clock} from '@mustardlug/base/clock';
+import {UnavailableError} from '@mustardlug/base/errors';
+import {
+  Coordinator,
+  WorkerDecoder,
+} from '@mustardlug/coordination/coordinator';
+import {JobDesk} from '@mustardlug/coordination/job_desk';
+import {JobWorkerClient} from '@mustardlug/platform/job_worker';
+import {RowStore} from '@mustardlug/platform/row_store';
+import {HttpListener, ListenAddress} from '@mustardlug/runtime/http_listener';
+import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {ProcessMetrics} from '@mustardlug/telemetry/process_metrics';
+import {Hono} from 'hono';
+import {ok, Result} from 'neverthrow';
+import {CallerApi, CallerFormat} from './caller_api.js';
+import {ConfigDecoder, ConfigWatch} from './config_watch.js';
+import {CoordinatorRole} from './coordinator_role.js';
+
+/** Where a node listens. */
+export interface NodeAddresses {
+  readonly callers: ListenAddress;
+  readonly readiness: ListenAddress;
+  readonly metrics: ListenAddress;
+}
+
+/** What a platform provides. */
+export interface NodePlatform {
+  readonly store: RowStore;
+  readonly workerClient: JobWorkerClient;
+  readonly callerFormat: CallerFormat;
+  readonly decodeConfig: ConfigDecoder;
+  readonly decodeWorker: WorkerDecoder;
+  readonly configTable: string;
+  readonly configKey: string;
+  readonly workerTable: string;
+  readonly readinessPath: string;
+  readonly metricsPath: string;
+  /** Longest lease that workers grant, in milliseconds. */
+  readonly maxLeaseMs: number;
+}
+
+/** Options of a node. */
+export interface NodeProcessOptions {
+  readonly clock: Clock;
+  readonly nodeId: string;
+  readonly addresses: NodeAddresses;
+  readonly platform: NodePlatform;
+  readonly events: EventRecorder;
+}
+
+/** Time for which a stopping node goes on serving, so that the balancer notices its readiness. */
+const DRAIN_MS = 2_500;
+
+/** One process. */
+export class NodeProcess {
+  private isDraining = false;
+  private listeners: HttpListener[] = [];
+
+  private constructor(
+    private readonly options: NodeProcessOptions,
+    private readonly config: ConfigWatch,
+    private readonly role: CoordinatorRole,
+  ) {}
+
+  /**
+   * Creates a node; `start` makes it listen.
+   * @param options - Addresses and platform.
+   */
+  static create(options: NodeProcessOptions): NodeProcess {
+    const {clock, events, platform, nodeId} = options;
+    const {store} = platform;
+    const config = ConfigWatch.create({
+      store,
+      clock,
+      events,
+      table: platform.configTable,
+      key: platform.configKey,
+      decode: platform.decodeConfig,
+    });
+    const role = CoordinatorRole.create({
+      store,
+      clock,
+      nodeId,
+      events,
+      createCoordinator: commitLog =>
+        Coordinator.create({
+          clock,
+          store,
+          workerClient: platform.workerClient,
+          commitLog,
+          nodeId,
+          workerTable: platform.workerTable,
+          decodeWorker: platform.decodeWorker,
+          getConfig: () => config.getConfig(),
+          maxLeaseMs: platform.maxLeaseMs,
+          events,
+        }),
+    });
+    return new NodeProcess(options, config, role);
+  }
+
+  /** Listens, and begins to follow the shared tables. */
+  async start(): Promise<Result<void, UnavailableError>> {
+    const {addresses, events} = this.options;
+    const servers: Array<[Hono, ListenAddress]> = [
+      [this.createCallerApp(), addresses.callers],
+      [this.createReadinessApp(), addresses.readiness],
+      [this.createMetricsApp(), addresses.metrics],
+    ];
+    for (const [app, address] of servers) {
+      const listener = await HttpListener.listen(app, address);
+      if (listener.isErr()) return listener.map(() => undefined);
+      this.listeners.push(listener.value);
+    }
+    void this.config.run();
+    void this.role.run();
+    events.addEvent('process-started');
+    return ok(undefined);
+  }
+
+  /** Stops in an orderly way: no request in progress is cut off. */
+  async stop(): Promise<void> {
+    if (this.isDraining) return;
+    this.isDraining = true;
+    const {clock, events} = this.options;
+    events.addEvent('process-draining');
+    await this.role.stop();
+    await clock.sleep(DRAIN_MS);
+    this.config.stop();
+    await Promise.all(this.listeners.map(listener => listener.close()));
+    events.addEvent('process-stopped');
+  }
+
+  private createCallerApp(): Hono {
+    const {clock, platform, events} = this.options;
+    return CallerApi.createApp({
+      clock,
+      desk: JobDesk.create({store: platform.store, clock, events}),
+      format: platform.callerFormat,
+      getConfig: () => this.config.getConfig(),
+      getBoard: () => this.role.getBoard(),
+    });
+  }
+
+  private createReadinessApp(): Hono {
+    const app = new Hono();
+    app.get(this.options.platform.readinessPath, context => {
+      const isReady =
+        !this.isDraining && this.config.getConfig() !== undefined;
+      return context.body(null, isReady ? 200 : 503);
+    });
+    return app;
+  }
+
+  private createMetricsApp(): Hono {
+    const metrics = ProcessMetrics.create(false);
+    metrics.addGauge(
+      'mustardlug_is_coordinator',
+      'Whether this node has the coordinator role.',
+      () => Number(this.role.isCoordinating()),
+    );
+    const app = new Hono();
+    app.get(this.options.platform.metricsPath, async context =>
+      context.text(await metrics.getText()),
+    );
+    return app;
+  }
+}
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -174,6 +174,106 @@
     level: 'warn',
     text: 'The table service failed or did not answer.',
   },
+  'coordinator-elected': {
+    number: 800,
+    level: 'info',
+    text: 'This node took the coordinator role for a new term.',
+  },
+  'coordinator-ended': {
+    number: 801,
+    level: 'info',
+    text: 'This node gave up the coordinator role or lost it.',
+  },
+  'store-lost': {
+    number: 810,
+    level: 'warn',
+    text: 'The table service does not answer; what was read from it may be out of date.',
+  },
+  'store-regained': {
+    number: 811,
+    level: 'info',
+    text: 'The table service answers again.',
+  },
+  'config-in-force': {
+    number: 812,
+    level: 'info',
+    text: 'A newer configuration is in force on this node.',
+  },
+  'config-invalid': {
+    number: 813,
+    level: 'error',
+    text: 'A configuration could not be read; the last one stays in force.',
+  },
+  'worker-row-invalid': {
+    number: 814,
+    level: 'warn',
+    text: 'A registration could not be read; it names no worker.',
+  },
+  'settings-reloaded': {
+    number: 815,
+    level: 'info',
+    text: 'The settings file was read again.',
+  },
+  'job-accepted': {
+    number: 820,
+    level: 'info',
+    text: 'A job was stored, or had been stored before.',
+  },
+  'job-refused': {
+    number: 821,
+    level: 'warn',
+    text: 'A job was refused and never runs.',
+  },
+  'job-unknown': {
+    number: 822,
+    level: 'warn',
+    text: 'A submission ended without knowing whether the job is stored.',
+  },
+  'job-cancelled': {
+    number: 823,
+    level: 'info',
+    text: 'A cancellation was stored.',
+  },
+  'job-noticed': {
+    number: 824,
+    level: 'info',
+    text: 'The coordinator learned of an accepted job.',
+  },
+  'job-ended': {
+    number: 825,
+    level: 'info',
+    text: 'A job reached its last phase.',
+  },
+  'job-shown': {
+    number: 826,
+    level: 'debug',
+    text: 'A caller was shown the phase of a job.',
+  },
+  'run-started': {
+    number: 830,
+    level: 'info',
+    text: 'The start of a run was ordered.',
+  },
+  'run-ended': {
+    number: 831,
+    level: 'info',
+    text: 'A worker listed the end of a run.',
+  },
+  'run-lost': {
+    number: 832,
+    level: 'warn',
+    text: 'A run is certainly not going on, and no end was listed for it.',
+  },
+  'start-refused': {
+    number: 833,
+    level: 'warn',
+    text: 'A worker refused a start and did nothing.',
+  },
+  'run-paced': {
+    number: 834,
+    level: 'info',
+    text: 'The processor share of a run was changed.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- /dev/null
+++ b/tools/bundle.js
@@ -0,0 +1,37 @@
+/**
+ * Bundles the program of the users' platform into one file below `target/`,
+ * straight from the sources, so that a restart loads little and a build leaves
+ * nothing elsewhere.
+ */
+
+import {existsSync} from 'node:fs';
+import {join} from 'node:path';
+import {build} from 'esbuild';
+
+const SCOPE = /^@mustardlug\/([^/]+)\/(.+)$/;
+
+/** Resolves imports of the workspace's packages to their sources. */
+const workspaceSources = {
+  name: 'workspace-sources',
+  setup(context) {
+    context.onResolve({filter: SCOPE}, ({path}) => {
+      const [, packageName, modulePath] = SCOPE.exec(path);
+      const file = join('packages', packageName, 'src', `${modulePath}.ts`);
+      if (!existsSync(file)) return {errors: [{text: `no module ${path}`}]};
+      return {path: join(process.cwd(), file)};
+    });
+  },
+};
+
+await build({
+  entryPoints: ['platform/src/mustardlug_node.ts'],
+  outfile: 'target/mustardlug-node.cjs',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  minify: true,
+  keepNames: true,
+  plugins: [workspaceSources],
+  logLevel: 'warning',
+});
