Learn what disturbs serving tasks, place fillers by it, and slow or evict them

Also: a coordinator that found the job table empty followed it from a version of the future and missed jobs.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -18,7 +18,6 @@
 } from '@mustardlug/platform/job_worker';
 import {
   getPartRows,
-  getTableRows,
   RowChanges,
   RowStore,
   RowWrite,
@@ -28,7 +27,9 @@
 import {Result} from 'neverthrow';
 import {Board, QueueLoad} from './board.js';
 import {CommitLog, MAX_COMMIT_ROWS} from './commit_log.js';
+import {DisturbanceModel} from './disturbance_model.js';
 import {JobBook, JobChange} from './job_book.js';
+import {PaceControl} from './pace_control.js';
 import {chooseWorker, PackingWorker} from './packing.js';
 import {
   BOARD_TABLE,
@@ -43,7 +44,7 @@
   sortWaitingSteps,
   WaitingStep,
 } from './task_order.js';
-import {AssignedRun} from './worker_load.js';
+import {AssignedRun, WorkerLoad} from './worker_load.js';
 import {SessionListener, WorkerSession} from './worker_session.js';
 
 /** Decodes a registration of the platform's worker table. */
@@ -94,6 +95,11 @@
 /** Longest lease that an earlier coordinator granted, with drift and slack. */
 const EARLIER_LEASE_MS = 4_500;
 
+/** Interval of the log of the fleet's load. */
+const LOAD_LOG_INTERVAL_MS = 2_000;
+
+const MILLIS_PER_CORE = 1_000;
+
 /** Runs of one term are numbered from a base, above those of all earlier terms. */
 const RUNS_PER_TERM = 1_000;
 
@@ -111,6 +117,8 @@
   private readonly runCounters = new Map<string, number>();
   /** Runs of workers that are not registered, and when they have certainly ended. */
   private readonly orphans = new Map<AssignedRun, number>();
+  private readonly disturbance = DisturbanceModel.create();
+  private readonly paceControls = new Map<string, PaceControl>();
   private afterCommit: Array<() => void> = [];
   private followers: TableFollower[] = [];
   private isPassScheduled = false;
@@ -118,6 +126,7 @@
   private isPassNeeded = false;
   private isHandingOver = false;
   private lastBoardMs = -Infinity;
+  private lastLoadLogMs = -Infinity;
   private end: CoordinatorEnd | undefined;
   private resolveEnd: ((end: CoordinatorEnd) => void) | undefined;
 
@@ -201,12 +210,40 @@
   }
 
   onReport(session: WorkerSession): void {
+    this.controlFillers(session);
     const sequence = session.getProcessedSequence();
     const bornMs = session.getBornMs();
     this.afterCommit.push(() => session.acknowledge(sequence, bornMs));
     if (this.dirtyJobs.size === 0 && !this.isCommitting) this.runAfterCommit();
   }
 
+  /** Learns from the latest figures, and slows or evicts what disturbs. */
+  private controlFillers(session: WorkerSession): void {
+    const nowMs = this.options.clock.getMonotonicMs();
+    this.disturbance.addReport(session.load, nowMs);
+    const control = this.getPaceControl(session.getId());
+    for (const action of control.decide(session.load, nowMs)) {
+      const {assigned} = action;
+      const percent = action.kind === 'pace' ? action.percent : 0;
+      this.options.events.addEvent('run-paced', {
+        taskId: assigned.taskName,
+        workerId: session.getId(),
+        detail: action.kind === 'pace' ? `${percent} %` : 'evicted',
+      });
+      if (action.kind === 'pace') void session.paceRun(assigned, percent);
+      else void session.stopRun(assigned);
+    }
+  }
+
+  private getPaceControl(workerId: string): PaceControl {
+    let control = this.paceControls.get(workerId);
+    if (control === undefined) {
+      control = PaceControl.create(this.disturbance);
+      this.paceControls.set(workerId, control);
+    }
+    return control;
+  }
+
   onStartRefused(
     session: WorkerSession,
     assigned: AssignedRun,
@@ -232,45 +269,53 @@
 
   /** Reads all shared state, then follows its changes. */
   private async load(): Promise<void> {
-    const {store, clock} = this.options;
-    for (;;) {
-      if (this.end !== undefined) return;
-      const [workers, jobs, progress] = await Promise.all([
-        getPartRows(store, this.options.workerTable, ''),
-        getTableRows(store, JOB_TABLE),
-        getPartRows(store, PROGRESS_TABLE, COORDINATOR_PART),
-      ]);
-      if (workers.isOk() && jobs.isOk() && progress.isOk()) {
-        const nowMs = clock.getMonotonicMs();
-        this.book.restore(jobs.value.rows, progress.value.rows, nowMs);
-        this.applyWorkerRows(workers.value.rows);
-        this.adoptRestoredRuns();
-        break;
-      }
-      await clock.sleep(TICK_MS);
-    }
-    this.followTable(this.options.workerTable, '', {
-      onSnapshot: rows => this.applyWorkerRows(rows),
+    const {store, clock, workerTable} = this.options;
+    let workerRows: readonly StoredRow[] = [];
+    let jobRows: readonly StoredRow[] = [];
+    let isLoaded = false;
+    const workers = this.createFollower(workerTable, '', {
+      onSnapshot: rows => {
+        workerRows = rows;
+        if (isLoaded) this.replaceWorkerRows(rows);
+      },
       onChanges: changes => this.applyWorkerChanges(changes),
     });
-    this.followTable(JOB_TABLE, undefined, {
-      onSnapshot: rows => this.applyJobRows(rows),
+    const jobs = this.createFollower(JOB_TABLE, undefined, {
+      onSnapshot: rows => {
+        jobRows = rows;
+        if (isLoaded) this.applyJobRows(rows);
+      },
       onChanges: changes => this.applyJobRows(changes.rows),
     });
+    while (this.end === undefined && !isLoaded) {
+      const [hasWorkers, hasJobs, progress] = await Promise.all([
+        workers.readSnapshot(),
+        jobs.readSnapshot(),
+        getPartRows(store, PROGRESS_TABLE, COORDINATOR_PART),
+      ]);
+      isLoaded = hasWorkers && hasJobs && progress.isOk();
+      if (!isLoaded || progress.isErr()) continue;
+      const nowMs = clock.getMonotonicMs();
+      this.book.restore(jobRows, progress.value.rows, nowMs);
+    }
+    if (this.end !== undefined) return;
+    this.applyWorkerRows(workerRows);
+    this.adoptRestoredRuns();
     for (const job of this.book.getActiveJobs()) {
       if (this.book.isCancelled(job.getId())) this.cancelJob(job);
     }
+    for (const follower of this.followers) void follower.run();
     this.schedulePass();
   }
 
-  private followTable(
+  private createFollower(
     table: string,
     part: string | undefined,
     handlers: {
       onSnapshot: (rows: readonly StoredRow[]) => void;
       onChanges: (changes: RowChanges) => void;
     },
-  ): void {
+  ): TableFollower {
     const {store, clock, events} = this.options;
     const follower = TableFollower.create({
       store,
@@ -287,7 +332,16 @@
       },
     });
     this.followers.push(follower);
-    void follower.run();
+    return follower;
+  }
+
+  /** Workers that are missing from a whole table are not registered any more. */
+  private replaceWorkerRows(rows: readonly StoredRow[]): void {
+    const registered = new Set(rows.map(row => row.key));
+    for (const [workerId, session] of this.sessions) {
+      if (!registered.has(workerId)) session.setUnregistered();
+    }
+    this.applyWorkerRows(rows);
   }
 
   private applyWorkerRows(rows: readonly StoredRow[]): void {
@@ -550,7 +604,8 @@
       if (!session.isUsable()) continue;
       const {serviceName, rack, labels} = session.getRecord();
       const list = workers.get(serviceName) ?? [];
-      list.push({session, load: session.load, rack, labels});
+      const takesFillers = this.getPaceControl(session.getId()).isOpen();
+      list.push({session, load: session.load, rack, labels, takesFillers});
       workers.set(serviceName, list);
     }
     return workers;
@@ -578,9 +633,10 @@
     workers: readonly PlacementWorker[],
   ): void {
     const {job, occurrence, step} = waiting;
+    const request = {step, disturbance: this.disturbance};
     for (const task of step.tasks) {
       if (!isWaitingTask(task)) continue;
-      const worker = chooseWorker({step}, workers);
+      const worker = chooseWorker(request, workers);
       if (worker === undefined) return;
       this.placeTask(job, occurrence, step, task, worker.session);
     }
@@ -719,9 +775,35 @@
       this.orphans.delete(assigned);
       this.releaseRun(assigned);
     }
+    if (nowMs - this.lastLoadLogMs >= LOAD_LOG_INTERVAL_MS) this.logLoad(nowMs);
     this.schedulePass();
   }
 
+  private logLoad(nowMs: number): void {
+    this.lastLoadLogMs = nowMs;
+    const sessions = [...this.sessions.values()];
+    const loads = sessions.map(session => session.load);
+    const sum = (read: (load: WorkerLoad) => number) =>
+      Math.round(
+        loads.reduce((total, load) => total + read(load), 0) / MILLIS_PER_CORE,
+      );
+    let waiting = 0;
+    for (const {step} of this.getWaitingSteps(this.options.clock.getWallMs())) {
+      const count = step.tasks.filter(isWaitingTask).length;
+      waiting += count * step.spec.needs.cpuMillis;
+    }
+    const detail = [
+      `workers ${sessions.filter(session => session.isUsable()).length} of ${sessions.length}`,
+      `capacity ${sum(load => load.getCapacity().cpuMillis)}`,
+      `free ${sum(load => load.getFreeCpuMillis())}`,
+      `serving ${sum(load => load.getServingCpuMillis())}`,
+      `filler ${sum(load => load.getFillerCpuMillis())}`,
+      `waiting ${Math.round(waiting / MILLIS_PER_CORE)}`,
+      `workers with serving tasks ${loads.filter(load => load.getServingCpuMillis() > 0).length}`,
+    ].join(', ');
+    this.options.events.addEvent('fleet-load', {detail});
+  }
+
   /** Without the store this node cannot know whether another one has taken over. */
   private isIsolated(): boolean {
     const {commitLog, clock} = this.options;
--- /dev/null
+++ b/packages/coordination/src/effect_estimator.ts
@@ -0,0 +1,115 @@
+/** Recursive least squares: learns a linear relation from a stream of samples. */
+
+/** One input of a sample. */
+export interface EffectInput {
+  readonly name: string;
+  readonly amount: number;
+}
+
+/** Weight that past samples keep at each new one; the memory spans some thousand samples. */
+const FORGETTING = 0.9995;
+
+/** Variance of the prior belief in no effect, relative to that of the noise. */
+const PRIOR_VARIANCE = 100;
+
+/** Variance of the prior belief in the initial offset. */
+const OFFSET_PRIOR_VARIANCE = 0.1;
+
+/** Largest variance that forgetting may restore; keeps rare inputs from running away. */
+const MAX_VARIANCE = 100;
+
+/** Position of the offset among the inputs. */
+const OFFSET_INPUT = 0;
+
+/** Estimates an offset and the effect of each named input. */
+export class EffectEstimator {
+  private readonly positions = new Map<string, number>();
+  private readonly effects: number[];
+  private readonly covariance: number[][] = [[OFFSET_PRIOR_VARIANCE]];
+
+  private constructor(initialOffset: number) {
+    this.effects = [initialOffset];
+  }
+
+  /**
+   * Creates an estimator that expects no effects.
+   * @param initialOffset - Value expected without inputs.
+   */
+  static create(initialOffset: number): EffectEstimator {
+    return new EffectEstimator(initialOffset);
+  }
+
+  /** Gets the value expected without inputs. */
+  getOffset(): number {
+    return this.effects[OFFSET_INPUT];
+  }
+
+  /**
+   * Gets the effect of one unit of an input; never below zero.
+   * @param name - Name of the input.
+   */
+  getEffect(name: string): number {
+    const position = this.positions.get(name);
+    return position === undefined ? 0 : Math.max(0, this.effects[position]);
+  }
+
+  /**
+   * Gets the expected value.
+   * @param inputs - Amounts of the inputs.
+   */
+  getExpected(inputs: readonly EffectInput[]): number {
+    let expected = this.getOffset();
+    for (const {name, amount} of inputs)
+      expected += this.getEffect(name) * amount;
+    return expected;
+  }
+
+  /**
+   * Learns from a sample.
+   * @param inputs - Amounts of the inputs; names may repeat.
+   * @param value - Observed value.
+   */
+  addSample(inputs: readonly EffectInput[], value: number): void {
+    const vector = this.createVector(inputs);
+    const product = this.covariance.map(row => getDotProduct(row, vector));
+    const gainDivisor = FORGETTING + getDotProduct(vector, product);
+    const error = value - getDotProduct(this.effects, vector);
+    for (const [row, rowProduct] of product.entries()) {
+      const gain = rowProduct / gainDivisor;
+      this.effects[row] += gain * error;
+      const cells = this.covariance[row];
+      for (const [column, columnProduct] of product.entries()) {
+        cells[column] =
+          (cells[column] - gain * columnProduct) / FORGETTING;
+      }
+      cells[row] = Math.min(cells[row], MAX_VARIANCE);
+    }
+  }
+
+  private createVector(inputs: readonly EffectInput[]): number[] {
+    for (const {name} of inputs) {
+      if (!this.positions.has(name)) this.addInput(name);
+    }
+    const vector = this.effects.map(() => 0);
+    vector[OFFSET_INPUT] = 1;
+    for (const {name, amount} of inputs)
+      vector[this.positions.get(name) ?? OFFSET_INPUT] += amount;
+    return vector;
+  }
+
+  private addInput(name: string): void {
+    const position = this.effects.length;
+    this.positions.set(name, position);
+    this.effects.push(0);
+    for (const row of this.covariance) row.push(0);
+    const row = new Array<number>(position + 1).fill(0);
+    row[position] = PRIOR_VARIANCE;
+    this.covariance.push(row);
+  }
+}
+
+function getDotProduct(left: readonly number[], right: readonly number[]): number {
+  let sum = 0;
+  for (const [index, value] of left.entries()) sum += value * right[index];
+  return sum;
+}
--- /dev/null
+++ b/packages/coordination/src/pace_control.ts
@@ -0,0 +1,144 @@
+/** Slows or evicts fillers on a worker while a serving task there misses its target. */
+
+import {DisturbanceModel, isFiller, isServing} from './disturbance_model.js';
+import {AssignedRun, WorkerLoad} from './worker_load.js';
+
+/** What to do with one filler. */
+export type PaceAction =
+  | {
+      readonly kind: 'pace';
+      readonly assigned: AssignedRun;
+      readonly percent: number;
+    }
+  | {readonly kind: 'evict'; readonly assigned: AssignedRun};
+
+/** Response time over its target above which fillers are slowed. */
+const OVER_TARGET_RATIO = 0.95;
+
+/** Response time over its target below which fillers are sped up again. */
+const CALM_RATIO = 0.65;
+
+/** Factor on the fillers' share at each step down. */
+const DECREASE_FACTOR = 0.4;
+
+/** Share below which a filler is paused, in percent. */
+const MIN_PERCENT = 10;
+
+/** Step up of the fillers' share, in percent. */
+const INCREASE_PERCENT = 25;
+
+/** Time between two steps: a change shows in the figures of the following half second. */
+const STEP_INTERVAL_MS = 450;
+
+/** Share of the load index below which a filler is not blamed. */
+const BLAMELESS_EFFECT = 0.03;
+
+const FULL_PERCENT = 100;
+
+/** Controls the fillers of one worker. */
+export class PaceControl {
+  private percent = FULL_PERCENT;
+  private lastStepMs = -Infinity;
+
+  private constructor(private readonly model: DisturbanceModel) {}
+
+  /**
+   * Creates the control of one worker.
+   * @param model - Learned effects.
+   */
+  static create(model: DisturbanceModel): PaceControl {
+    return new PaceControl(model);
+  }
+
+  /** Checks whether fillers run at full speed, so that more may be added. */
+  isOpen(): boolean {
+    return this.percent === FULL_PERCENT;
+  }
+
+  /**
+   * Decides on the worker's fillers after a report.
+   * @param load - Runs with their latest figures.
+   * @param nowMs - Monotonic time.
+   */
+  decide(load: WorkerLoad, nowMs: number): PaceAction[] {
+    const runs = [...load.getRuns()];
+    const fillers = runs.filter(
+      each => isFiller(each) && each.run.isConfirmed && !each.run.isStopping,
+    );
+    const worst = getWorstServing(runs);
+    if (worst === undefined) {
+      this.percent = FULL_PERCENT;
+      return this.restore(fillers);
+    }
+    if (nowMs - this.lastStepMs < STEP_INTERVAL_MS) return [];
+    const ratio = getTargetRatio(worst);
+    if (ratio > OVER_TARGET_RATIO) {
+      if (fillers.length === 0) return [];
+      this.lastStepMs = nowMs;
+      const lower = this.percent * DECREASE_FACTOR;
+      this.percent = lower < MIN_PERCENT ? 0 : Math.round(lower);
+      return this.slow(fillers, worst, load);
+    }
+    if (ratio < CALM_RATIO && this.percent < FULL_PERCENT) {
+      this.lastStepMs = nowMs;
+      this.percent = Math.min(FULL_PERCENT, this.percent + INCREASE_PERCENT);
+      return this.restore(fillers);
+    }
+    return [];
+  }
+
+  private slow(
+    fillers: readonly AssignedRun[],
+    worst: AssignedRun,
+    load: WorkerLoad,
+  ): PaceAction[] {
+    const blamed = this.getBlamed(fillers, worst, load);
+    return blamed.map(assigned =>
+      assigned.step.spec.isCheckpointing
+        ? {kind: 'evict', assigned}
+        : {kind: 'pace', assigned, percent: this.percent},
+    );
+  }
+
+  /** When no known effect explains the response time, all fillers are to blame. */
+  private getBlamed(
+    fillers: readonly AssignedRun[],
+    worst: AssignedRun,
+    load: WorkerLoad,
+  ): readonly AssignedRun[] {
+    const known = fillers.filter(
+      filler =>
+        this.model.getEffectOf(filler, worst, load) > BLAMELESS_EFFECT,
+    );
+    return known.length > 0 ? known : fillers;
+  }
+
+  private restore(fillers: readonly AssignedRun[]): PaceAction[] {
+    const actions: PaceAction[] = [];
+    for (const assigned of fillers) {
+      if (assigned.run.pacePercent >= this.percent) continue;
+      actions.push({kind: 'pace', assigned, percent: this.percent});
+    }
+    return actions;
+  }
+}
+
+/**
+ * Gets a serving task's latest response time over its target.
+ * @param serving - Run of a serving task.
+ */
+export function getTargetRatio(serving: AssignedRun): number {
+  return serving.run.usage / serving.step.spec.targetResponseMs;
+}
+
+function getWorstServing(
+  runs: readonly AssignedRun[],
+): AssignedRun | undefined {
+  let worst: AssignedRun | undefined;
+  for (const each of runs) {
+    if (!isServing(each)) continue;
+    if (worst === undefined || getTargetRatio(each) > getTargetRatio(worst))
+      worst = each;
+  }
+  return worst;
+}
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -264,6 +264,7 @@
    */
   async paceRun(assigned: AssignedRun, percent: number): Promise<void> {
     assigned.run.pacePercent = percent;
+    assigned.run.pacedMs = this.options.clock.getMonotonicMs();
     const outcome = await this.options.client.paceRun({
       ...this.createOrder(assigned),
       percent,
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -153,6 +153,7 @@
     isStopping: false,
     progressPercent: 0,
     pacePercent: 100,
+    pacedMs: placedMs,
     usage: 0,
   };
 }
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -27,6 +27,8 @@
   progressPercent: number;
   /** Share of the processor that the run is allowed, 0 to 100. */
   pacePercent: number;
+  /** Monotonic time at which the share was last changed. */
+  pacedMs: number;
   /** Latest response time of a serving task, or processor use of any other. */
   usage: number;
 }
--- a/packages/platform/src/row_store.ts
+++ b/packages/platform/src/row_store.ts
@@ -1,6 +1,6 @@
 /** The platform's table service with parts, conditions and a feed of changes. */
 
-import {Result} from 'neverthrow';
+import {err, ok, Result} from 'neverthrow';
 import {RefusedError, UnavailableError} from '@mustardlug/base/errors';
 
 /** Version that a row has when it does not exist. */
@@ -156,13 +156,12 @@
   let fromKey: string | undefined;
   for (;;) {
     const page = await store.getRows({table, part, fromKey});
-    if (page.isErr()) return page.map(() => ({rows, version: 0}));
+    if (page.isErr()) return err(page.error);
     rows.push(...page.value.rows);
     // Later pages may show newer rows; following from the first misses none.
     version ??= page.value.version;
-    const lowestVersion = version;
     if (!page.value.hasMore || page.value.rows.length === 0)
-      return page.map(() => ({rows, version: lowestVersion}));
+      return ok({rows, version});
     // The smallest key that is greater than the last one of this page.
     fromKey = `${rows[rows.length - 1].key}\u0000`;
   }
@@ -177,17 +176,18 @@
   store: RowStore,
   table: string,
 ): Promise<Result<TableSnapshot, UnavailableError>> {
+  // Parts may appear while they are read; changes since before then are followed.
+  const before = await store.getRows({table, part: '', limit: 1});
+  if (before.isErr()) return err(before.error);
   const parts = await store.getParts(table);
-  if (parts.isErr()) return parts.map(() => ({rows: [], version: 0}));
+  if (parts.isErr()) return err(parts.error);
   const snapshots = await Promise.all(
     parts.value.map(part => getPartRows(store, table, part)),
   );
   const rows: StoredRow[] = [];
-  let version = Number.MAX_SAFE_INTEGER;
   for (const snapshot of snapshots) {
-    if (snapshot.isErr()) return snapshot;
+    if (snapshot.isErr()) return err(snapshot.error);
     rows.push(...snapshot.value.rows);
-    version = Math.min(version, snapshot.value.version);
   }
-  return parts.map(() => ({rows, version}));
+  return ok({rows, version: before.value.version});
 }
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -274,6 +274,11 @@
     level: 'info',
     text: 'The processor share of a run was changed.',
   },
+  'fleet-load': {
+    number: 835,
+    level: 'info',
+    text: 'Cores that run and wait, by kind of work.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
