--- a/packages/coordination/src/pace_control.ts
+++ b/packages/coordination/src/pace_control.ts
@@ -28,11 +28,14 @@
 const INCREASE_PERCENT = 25;
 
 /** Time between two steps: a change shows in the figures of the following half second. */
-const STEP_INTERVAL_MS = 450;
+const STEP_INTERVAL_MS = 600;
 
 /** Share of the load index below which a filler is not blamed. */
 const BLAMELESS_EFFECT = 0.03;
 
+/** Progress above which a filler ends sooner than it could move, in percent. */
+const NEARLY_DONE_PERCENT = 80;
+
 const FULL_PERCENT = 100;
 
 /** Controls the fillers of one worker. */
@@ -93,11 +96,14 @@
     load: WorkerLoad,
   ): PaceAction[] {
     const blamed = this.getBlamed(fillers, worst, load);
-    return blamed.map(assigned =>
-      assigned.step.spec.isCheckpointing
-        ? {kind: 'evict', assigned}
-        : {kind: 'pace', assigned, percent: this.percent},
-    );
+    const actions: PaceAction[] = [];
+    for (const [index, assigned] of blamed.entries()) {
+      // The worst offender goes on elsewhere from its checkpoint, the others wait.
+      const isEvicted = index === 0 && canMove(assigned);
+      if (isEvicted) actions.push({kind: 'evict', assigned});
+      else actions.push({kind: 'pace', assigned, percent: this.percent});
+    }
+    return actions;
   }
 
   /** When no known effect explains the response time, all fillers are to blame. */
@@ -106,11 +112,14 @@
     worst: AssignedRun,
     load: WorkerLoad,
   ): readonly AssignedRun[] {
-    const known = fillers.filter(
-      filler =>
-        this.model.getEffectOf(filler, worst, load) > BLAMELESS_EFFECT,
-    );
-    return known.length > 0 ? known : fillers;
+    const effects = fillers.map(filler => ({
+      filler,
+      effect: this.model.getEffectOf(filler, worst, load),
+    }));
+    const known = effects
+      .filter(({effect}) => effect > BLAMELESS_EFFECT)
+      .sort((left, right) => right.effect - left.effect);
+    return known.length > 0 ? known.map(({filler}) => filler) : fillers;
   }
 
   private restore(fillers: readonly AssignedRun[]): PaceAction[] {
@@ -131,6 +140,13 @@
   return serving.run.usage / serving.step.spec.targetResponseMs;
 }
 
+function canMove(assigned: AssignedRun): boolean {
+  const {run, step} = assigned;
+  return (
+    step.spec.isCheckpointing && run.progressPercent < NEARLY_DONE_PERCENT
+  );
+}
+
 function getWorstServing(
   runs: readonly AssignedRun[],
 ): AssignedRun | undefined {
--- a/packages/coordination/src/packing.ts
+++ b/packages/coordination/src/packing.ts
@@ -21,11 +21,23 @@
   readonly preferredRack?: string;
 }
 
-/** Preference for the rack of the data or of the other tasks, in thousandths of a core. */
-const RACK_PREFERENCE = 1_000_000;
+/** Preference for the rack of the data or of the other tasks. */
+const RACK_PREFERENCE = 10;
 
-/** Weight of the load index that a filler brings serving tasks to, in thousandths of a core. */
-const DISTURBANCE_WEIGHT = 100_000;
+/** Weight of what a filler adds to a load index, against the unused share of a worker. */
+const DISTURBANCE_WEIGHT = 20;
+
+/** Added load index up to which a filler should leave empty workers to others. */
+const HARMLESS_INDEX = 0.03;
+
+/** Preference of a harmless filler for workers with serving tasks. */
+const HARMLESS_PREFERENCE = 1;
+
+/** Preference of a serving task for workers whose serving tasks all have its image. */
+const SAME_IMAGE_PREFERENCE = 4;
+
+/** Preference of a serving task for workers without serving tasks over those of other images. */
+const NO_IMAGE_PREFERENCE = 2;
 
 /**
  * Chooses the best worker that has room.
@@ -75,30 +87,58 @@
   if (maxPerWorker > 0 && load.getStepCount(step) >= maxPerWorker) return false;
   if (!load.hasRoom(needs, isFiller)) return false;
   if (!isFiller) return true;
-  if (!worker.takesFillers) return false;
   if (load.getUnusedCpuMillis() < needs.cpuMillis) return false;
   if (load.getServingCpuMillis() === 0) return true;
-  return disturbance.isHarmless(image ?? '', needs.cpuMillis, load);
+  const {addedIndex, isTolerable} = disturbance.predict(
+    image ?? '',
+    needs.cpuMillis,
+    load,
+  );
+  return isTolerable && (worker.takesFillers || addedIndex < HARMLESS_INDEX);
 }
 
-/**
- * Fillers go where most processors are unused, away from what they disturb.
- * Serving tasks and others fill the fullest worker first, so that whole workers
- * stay free of serving tasks.
- */
 function getScore(request: PackingRequest, worker: PackingWorker): number {
-  const {load, rack} = worker;
   const {spec} = request.step;
   const wantedRack = spec.dataRack ?? request.preferredRack;
   const rackScore =
-    wantedRack !== undefined && wantedRack === rack ? RACK_PREFERENCE : 0;
-  if (!spec.isFiller) {
-    return rackScore - load.getFreeCpuMillis() - load.getFillerCpuMillis();
-  }
-  const image = spec.image ?? '';
-  const index =
-    load.getServingCpuMillis() === 0
-      ? 0
-      : request.disturbance.getWorstIndex(image, spec.needs.cpuMillis, load);
-  return rackScore + load.getUnusedCpuMillis() - index * DISTURBANCE_WEIGHT;
+    wantedRack !== undefined && wantedRack === worker.rack
+      ? RACK_PREFERENCE
+      : 0;
+  if (spec.isFiller) return rackScore + getFillerScore(request, worker);
+  if (spec.isLongRunning)
+    return rackScore + getServingScore(spec.image ?? '', worker.load);
+  return rackScore - getFreeShare(worker.load);
+}
+
+/** Fillers go where most is unused, away from what they disturb. */
+function getFillerScore(request: PackingRequest, worker: PackingWorker): number {
+  const {load} = worker;
+  const {needs, image} = request.step.spec;
+  const unusedShare = load.getUnusedCpuMillis() / load.getCapacity().cpuMillis;
+  if (load.getServingCpuMillis() === 0) return unusedShare;
+  const {addedIndex} = request.disturbance.predict(
+    image ?? '',
+    needs.cpuMillis,
+    load,
+  );
+  if (addedIndex < HARMLESS_INDEX) return unusedShare + HARMLESS_PREFERENCE;
+  return unusedShare - addedIndex * DISTURBANCE_WEIGHT;
+}
+
+/**
+ * Serving tasks of one image share workers, so that a filler that disturbs
+ * that image finds workers without it, and the fullest one comes first.
+ */
+function getServingScore(image: string, load: WorkerLoad): number {
+  const images = load.getServingImages();
+  const freeShare = getFreeShare(load);
+  if (images.size === 0) return NO_IMAGE_PREFERENCE - freeShare;
+  if (images.size === 1 && images.has(image))
+    return SAME_IMAGE_PREFERENCE - freeShare;
+  const familiar = images.has(image) ? 1 : 0;
+  return familiar / images.size - freeShare;
+}
+
+function getFreeShare(load: WorkerLoad): number {
+  return load.getFreeCpuMillis() / load.getCapacity().cpuMillis;
 }
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -129,6 +129,15 @@
     return this.servingCpuMillis;
   }
 
+  /** Gets the images of the long-running tasks. */
+  getServingImages(): ReadonlySet<string> {
+    const images = new Set<string>();
+    for (const {step} of this.runs.values()) {
+      if (step.spec.isLongRunning) images.add(step.spec.image ?? '');
+    }
+    return images;
+  }
+
   /**
    * Checks whether the declared needs fit.
    * @param needs - Needs of one task.
