Stop runs of ended jobs on workers that come back; hand learned effects on

Effects are stored for a successor every 3 s; a stopping process no longer waits past its grace time.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -34,6 +34,7 @@
 import {
   BOARD_TABLE,
   COORDINATOR_PART,
+  EFFECT_TABLE,
   JOB_TABLE,
   PROGRESS_TABLE,
   SINGLE_ROW_KEY,
@@ -95,6 +96,9 @@
 /** Longest lease that an earlier coordinator granted, with drift and slack. */
 const EARLIER_LEASE_MS = 4_500;
 
+/** Interval at which learned effects are stored for a successor. */
+const EFFECTS_INTERVAL_MS = 3_000;
+
 /** Interval of the log of the fleet's load. */
 const LOAD_LOG_INTERVAL_MS = 2_000;
 
@@ -127,6 +131,7 @@
   private isHandingOver = false;
   private lastBoardMs = -Infinity;
   private lastLoadLogMs = -Infinity;
+  private lastEffectsMs = -Infinity;
   private end: CoordinatorEnd | undefined;
   private resolveEnd: ((end: CoordinatorEnd) => void) | undefined;
 
@@ -210,6 +215,7 @@
   }
 
   onReport(session: WorkerSession): void {
+    this.stopUnwantedRuns(session);
     this.controlFillers(session);
     const sequence = session.getProcessedSequence();
     const bornMs = session.getBornMs();
@@ -217,6 +223,15 @@
     if (this.dirtyJobs.size === 0 && !this.isCommitting) this.runAfterCommit();
   }
 
+  /** Runs whose job ended while their worker was not known are stopped once it is. */
+  private stopUnwantedRuns(session: WorkerSession): void {
+    for (const assigned of session.load.getRuns()) {
+      const {job, task, run} = assigned;
+      if (run.isStopping || !(job.isEnded() || task.isDone)) continue;
+      void session.stopRun(assigned);
+    }
+  }
+
   /** Learns from the latest figures, and slows or evicts what disturbs. */
   private controlFillers(session: WorkerSession): void {
     const nowMs = this.options.clock.getMonotonicMs();
@@ -288,13 +303,16 @@
       onChanges: changes => this.applyJobRows(changes.rows),
     });
     while (this.end === undefined && !isLoaded) {
-      const [hasWorkers, hasJobs, progress] = await Promise.all([
+      const [hasWorkers, hasJobs, progress, effects] = await Promise.all([
         workers.readSnapshot(),
         jobs.readSnapshot(),
         getPartRows(store, PROGRESS_TABLE, COORDINATOR_PART),
+        getPartRows(store, EFFECT_TABLE, COORDINATOR_PART),
       ]);
       isLoaded = hasWorkers && hasJobs && progress.isOk();
       if (!isLoaded || progress.isErr()) continue;
+      // What an earlier coordinator learned is useful, but can be learned again.
+      if (effects.isOk()) this.disturbance.restore(effects.value.rows);
       const nowMs = clock.getMonotonicMs();
       this.book.restore(jobRows, progress.value.rows, nowMs);
     }
@@ -703,6 +721,7 @@
       this.options.clock.getMonotonicMs() - this.lastBoardMs >=
       BOARD_INTERVAL_MS;
     if (isBoardDue) writes.push(...this.createBoardChanges().writes);
+    writes.push(...this.createEffectWrites());
     const effects = this.afterCommit;
     this.afterCommit = [];
     while (writes.length > 0) {
@@ -718,6 +737,18 @@
     for (const effect of effects) effect();
   }
 
+  private createEffectWrites(): RowWrite[] {
+    const nowMs = this.options.clock.getMonotonicMs();
+    if (nowMs - this.lastEffectsMs < EFFECTS_INTERVAL_MS) return [];
+    this.lastEffectsMs = nowMs;
+    return this.disturbance.getChanges().map(({image, effects}) => ({
+      table: EFFECT_TABLE,
+      part: COORDINATOR_PART,
+      key: image,
+      value: encodeRowValue(effects),
+    }));
+  }
+
   private runAfterCommit(): void {
     if (this.dirtyJobs.size > 0) return;
     const effects = this.afterCommit;
--- a/packages/coordination/src/disturbance_model.ts
+++ b/packages/coordination/src/disturbance_model.ts
@@ -6,7 +6,13 @@
  * to which fillers add in proportion to the processors they use.
  */
 
-import {EffectEstimator, EffectInput} from './effect_estimator.js';
+import {decodeRowValue} from '@mustardlug/jobs/job_codec';
+import {StoredRow} from '@mustardlug/platform/row_store';
+import {
+  EffectEstimator,
+  EffectInput,
+  StoredEffects,
+} from './effect_estimator.js';
 import {AssignedRun, WorkerLoad} from './worker_load.js';
 
 /** Response time of an idle serving task as a share of its target. */
@@ -38,6 +44,7 @@
 /** Effects of filler images on serving images. */
 export class DisturbanceModel {
   private readonly estimators = new Map<string, EffectEstimator>();
+  private readonly changedImages = new Set<string>();
 
   private constructor() {}
 
@@ -46,6 +53,29 @@
     return new DisturbanceModel();
   }
 
+  /**
+   * Takes over what an earlier coordinator learned.
+   * @param rows - Rows of the table of effects, by serving image.
+   */
+  restore(rows: readonly StoredRow[]): void {
+    for (const {key, value} of rows) {
+      const stored = decodeRowValue<StoredEffects>(value);
+      this.estimators.set(key, EffectEstimator.restore(stored));
+    }
+  }
+
+  /** Gets what was learned since the last call, by serving image. */
+  getChanges(): Array<{image: string; effects: StoredEffects}> {
+    const changes: Array<{image: string; effects: StoredEffects}> = [];
+    for (const image of this.changedImages) {
+      const estimator = this.estimators.get(image);
+      if (estimator !== undefined)
+        changes.push({image, effects: estimator.getStored()});
+    }
+    this.changedImages.clear();
+    return changes;
+  }
+
   /**
    * Learns from a worker's report.
    * @param load - Runs with their latest figures.
@@ -60,6 +90,7 @@
       if (!isSettled(serving, nowMs)) continue;
       const estimator = this.getEstimator(serving);
       estimator.addSample(fillers, getLoadIndex(serving));
+      this.changedImages.add(getImage(serving));
     }
   }
 
--- a/packages/coordination/src/effect_estimator.ts
+++ b/packages/coordination/src/effect_estimator.ts
@@ -6,6 +6,18 @@
   readonly amount: number;
 }
 
+/** Stored state of an estimator. */
+export interface StoredEffects {
+  /** Names of the inputs, in the order of their effects; the offset has none. */
+  readonly names: readonly string[];
+  /** The offset, then the effect of each input. */
+  readonly effects: readonly number[];
+  readonly covariance: readonly (readonly number[])[];
+}
+
+/** Significant digits of stored numbers. */
+const STORED_DIGITS = 5;
+
 /** Weight that past samples keep at each new one; the memory spans some thousand samples. */
 const FORGETTING = 0.9995;
 
@@ -24,8 +36,8 @@
 /** Estimates an offset and the effect of each named input. */
 export class EffectEstimator {
   private readonly positions = new Map<string, number>();
-  private readonly effects: number[];
-  private readonly covariance: number[][] = [[OFFSET_PRIOR_VARIANCE]];
+  private effects: number[];
+  private covariance: number[][] = [[OFFSET_PRIOR_VARIANCE]];
 
   private constructor(initialOffset: number) {
     this.effects = [initialOffset];
@@ -39,6 +51,28 @@
     return new EffectEstimator(initialOffset);
   }
 
+  /**
+   * Creates an estimator that knows what another one learned.
+   * @param stored - State of the other one.
+   */
+  static restore(stored: StoredEffects): EffectEstimator {
+    const estimator = new EffectEstimator(0);
+    for (const [index, name] of stored.names.entries())
+      estimator.positions.set(name, index + 1);
+    estimator.effects = [...stored.effects];
+    estimator.covariance = stored.covariance.map(row => [...row]);
+    return estimator;
+  }
+
+  /** Gets the state for a successor. */
+  getStored(): StoredEffects {
+    return {
+      names: [...this.positions.keys()],
+      effects: this.effects.map(roundForStorage),
+      covariance: this.covariance.map(row => row.map(roundForStorage)),
+    };
+  }
+
   /** Gets the value expected without inputs. */
   getOffset(): number {
     return this.effects[OFFSET_INPUT];
@@ -108,6 +142,10 @@
   }
 }
 
+function roundForStorage(value: number): number {
+  return Number(value.toPrecision(STORED_DIGITS));
+}
+
 function getDotProduct(left: readonly number[], right: readonly number[]): number {
   let sum = 0;
   for (const [index, value] of left.entries()) sum += value * right[index];
--- a/packages/coordination/src/tables.ts
+++ b/packages/coordination/src/tables.ts
@@ -6,6 +6,9 @@
 /** Progress of jobs, written by the coordinator alone. */
 export const PROGRESS_TABLE = 'mustardlug-progress';
 
+/** Learned effects of fillers, a row for each serving image; written by the coordinator. */
+export const EFFECT_TABLE = 'mustardlug-effects';
+
 /** The coordinator's term; every write of a coordinator is conditional on it. */
 export const TERM_TABLE = 'mustardlug-term';
 
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -53,6 +53,9 @@
 /** Time for which a stopping node goes on serving, so that the balancer notices its readiness. */
 const DRAIN_MS = 2_500;
 
+/** Time that requests in progress have to end once nothing new is accepted. */
+const CLOSE_MS = 1_500;
+
 /** One process. */
 export class NodeProcess {
   private isDraining = false;
@@ -129,7 +132,10 @@
     await this.role.stop();
     await clock.sleep(DRAIN_MS);
     this.config.stop();
-    await Promise.all(this.listeners.map(listener => listener.close()));
+    await Promise.race([
+      Promise.all(this.listeners.map(listener => listener.close())),
+      clock.sleep(CLOSE_MS),
+    ]);
     events.addEvent('process-stopped');
   }
 
