--- a/packages/coordination/src/disturbance_model.ts
+++ b/packages/coordination/src/disturbance_model.ts
@@ -25,13 +25,16 @@
 const MEASUREMENT_WINDOW_MS = 700;
 
 /** Load index that fillers may bring a serving task to; leaves room for swings of its own load. */
-const MAX_PLANNED_INDEX = 0.66;
+export const MAX_PLANNED_INDEX = 0.66;
 
-/** Added load index that does not show among the swings of a serving task's own load. */
-const NEGLIGIBLE_INDEX = 0.03;
+/** Effect of a whole worker of a filler image below which its pair counts as harmless. */
+const HARMLESS_EFFECT = 0.3;
+
+/** Processors that fillers of unknown effect may use together, as a share of the worker. */
+const MAX_UNKNOWN_SHARE = 0.15;
 
 /** Index above which response times say little more than that they are too long. */
-const SATURATED_INDEX = 0.95;
+const SATURATED_INDEX = 0.9;
 
 /** What a filler would do to the serving tasks of a worker. */
 export interface Disturbance {
@@ -39,6 +42,8 @@
   readonly addedIndex: number;
   /** Whether all serving tasks are expected to keep their targets. */
   readonly isTolerable: boolean;
+  /** Whether it is known to disturb none of them. */
+  readonly isHarmless: boolean;
 }
 
 /** Effects of filler images on serving images. */
@@ -89,7 +94,13 @@
       if (!isServing(serving) || serving.run.usage <= 0) continue;
       if (!isSettled(serving, nowMs)) continue;
       const estimator = this.getEstimator(serving);
-      estimator.addSample(fillers, getLoadIndex(serving));
+      const index = getLoadIndex(serving);
+      // Beyond saturation the response time only shows that the load is too high.
+      const value =
+        index < SATURATED_INDEX
+          ? index
+          : Math.max(index, estimator.getExpected(fillers));
+      estimator.addSample(fillers, value);
       this.changedImages.add(getImage(serving));
     }
   }
@@ -106,16 +117,49 @@
     const fillers = getFillerUse(load, runs);
     let addedIndex = 0;
     let isTolerable = true;
+    let isHarmless = true;
     for (const serving of runs) {
       if (!isServing(serving)) continue;
       const estimator = this.getEstimator(serving);
-      const added = estimator.getEffect(image) * share;
-      addedIndex = Math.max(addedIndex, added);
-      if (added < NEGLIGIBLE_INDEX) continue;
-      const expected = estimator.getExpected(fillers) + added;
+      if (!estimator.isKnown(image)) {
+        isHarmless = false;
+        const unknownShare = getUnknownShare(estimator, fillers) + share;
+        if (unknownShare > MAX_UNKNOWN_SHARE) isTolerable = false;
+        continue;
+      }
+      const effect = estimator.getEffect(image);
+      if (effect < HARMLESS_EFFECT) continue;
+      isHarmless = false;
+      addedIndex = Math.max(addedIndex, effect * share);
+      const expected = estimator.getExpected(fillers) + effect * share;
       if (expected > MAX_PLANNED_INDEX) isTolerable = false;
     }
-    return {addedIndex, isTolerable};
+    return {addedIndex, isTolerable, isHarmless};
+  }
+
+  /**
+   * Checks whether a filler is known to disturb a serving task.
+   * @param filler - Run of a filler.
+   * @param serving - Run of a serving task.
+   */
+  isHarmfulPair(filler: AssignedRun, serving: AssignedRun): boolean {
+    const estimator = this.getEstimator(serving);
+    return estimator.getEffect(getImage(filler)) >= HARMLESS_EFFECT;
+  }
+
+  /**
+   * Gets the expected load index of a serving task.
+   * @param serving - Run of a serving task.
+   * @param load - Runs of its worker.
+   * @param without - Fillers that are left out.
+   */
+  getExpectedIndex(
+    serving: AssignedRun,
+    load: WorkerLoad,
+    without: ReadonlySet<AssignedRun>,
+  ): number {
+    const runs = [...load.getRuns()].filter(each => !without.has(each));
+    return this.getEstimator(serving).getExpected(getFillerUse(load, runs));
   }
 
   /**
@@ -170,7 +214,7 @@
   const {targetResponseMs} = serving.step.spec;
   const idleMs = targetResponseMs * IDLE_SHARE_OF_TARGET;
   const responseMs = Math.max(idleMs, serving.run.usage);
-  return Math.min(SATURATED_INDEX, 1 - idleMs / responseMs);
+  return 1 - idleMs / responseMs;
 }
 
 function getImage(assigned: AssignedRun): string {
@@ -182,6 +226,17 @@
   return nowMs - sinceMs > MEASUREMENT_WINDOW_MS;
 }
 
+function getUnknownShare(
+  estimator: EffectEstimator,
+  fillers: readonly EffectInput[],
+): number {
+  let share = 0;
+  for (const {name, amount} of fillers) {
+    if (!estimator.isKnown(name)) share += amount;
+  }
+  return share;
+}
+
 /** Gets what fillers use, as shares of the worker's processors. */
 function getFillerUse(
   load: WorkerLoad,
--- a/packages/coordination/src/effect_estimator.ts
+++ b/packages/coordination/src/effect_estimator.ts
@@ -30,12 +30,16 @@
 /** Largest variance that forgetting may restore; keeps rare inputs from running away. */
 const MAX_VARIANCE = 100;
 
+/** Samples after which an input counts as known. */
+const KNOWN_SAMPLES = 4;
+
 /** Position of the offset among the inputs. */
 const OFFSET_INPUT = 0;
 
 /** Estimates an offset and the effect of each named input. */
 export class EffectEstimator {
   private readonly positions = new Map<string, number>();
+  private readonly sampleCounts = new Map<string, number>();
   private effects: number[];
   private covariance: number[][] = [[OFFSET_PRIOR_VARIANCE]];
 
@@ -57,8 +61,10 @@
    */
   static restore(stored: StoredEffects): EffectEstimator {
     const estimator = new EffectEstimator(0);
-    for (const [index, name] of stored.names.entries())
+    for (const [index, name] of stored.names.entries()) {
       estimator.positions.set(name, index + 1);
+      estimator.sampleCounts.set(name, KNOWN_SAMPLES);
+    }
     estimator.effects = [...stored.effects];
     estimator.covariance = stored.covariance.map(row => [...row]);
     return estimator;
@@ -87,6 +93,14 @@
     return position === undefined ? 0 : Math.max(0, this.effects[position]);
   }
 
+  /**
+   * Checks whether an input was seen often enough to judge it.
+   * @param name - Name of the input.
+   */
+  isKnown(name: string): boolean {
+    return (this.sampleCounts.get(name) ?? 0) >= KNOWN_SAMPLES;
+  }
+
   /**
    * Gets the expected value.
    * @param inputs - Amounts of the inputs.
@@ -104,6 +118,10 @@
    * @param value - Observed value.
    */
   addSample(inputs: readonly EffectInput[], value: number): void {
+    for (const {name} of inputs) {
+      const count = this.sampleCounts.get(name) ?? 0;
+      this.sampleCounts.set(name, count + 1);
+    }
     const vector = this.createVector(inputs);
     const product = this.covariance.map(row => getDotProduct(row, vector));
     const gainDivisor = FORGETTING + getDotProduct(vector, product);
--- a/packages/coordination/src/pace_control.ts
+++ b/packages/coordination/src/pace_control.ts
@@ -1,6 +1,11 @@
 /** Slows or evicts fillers on a worker while a serving task there misses its target. */
 
-import {DisturbanceModel, isFiller, isServing} from './disturbance_model.js';
+import {
+  DisturbanceModel,
+  isFiller,
+  isServing,
+  MAX_PLANNED_INDEX,
+} from './disturbance_model.js';
 import {AssignedRun, WorkerLoad} from './worker_load.js';
 
 /** What to do with one filler. */
@@ -25,17 +30,11 @@
 const MIN_PERCENT = 10;
 
 /** Step up of the fillers' share, in percent. */
-const INCREASE_PERCENT = 25;
+const INCREASE_PERCENT = 50;
 
 /** Time between two steps: a change shows in the figures of the following half second. */
 const STEP_INTERVAL_MS = 600;
 
-/** Share of the load index below which a filler is not blamed. */
-const BLAMELESS_EFFECT = 0.03;
-
-/** Progress above which a filler ends sooner than it could move, in percent. */
-const NEARLY_DONE_PERCENT = 80;
-
 const FULL_PERCENT = 100;
 
 /** Controls the fillers of one worker. */
@@ -78,9 +77,7 @@
     if (ratio > OVER_TARGET_RATIO) {
       if (fillers.length === 0) return [];
       this.lastStepMs = nowMs;
-      const lower = this.percent * DECREASE_FACTOR;
-      this.percent = lower < MIN_PERCENT ? 0 : Math.round(lower);
-      return this.slow(fillers, worst, load);
+      return this.relieve(fillers, worst, load);
     }
     if (ratio < CALM_RATIO && this.percent < FULL_PERCENT) {
       this.lastStepMs = nowMs;
@@ -90,36 +87,39 @@
     return [];
   }
 
-  private slow(
+  /**
+   * Removes the fillers that are known to disturb, worst first, until the target
+   * can be kept. When none is known, all share the blame and are slowed.
+   */
+  private relieve(
     fillers: readonly AssignedRun[],
     worst: AssignedRun,
     load: WorkerLoad,
   ): PaceAction[] {
-    const blamed = this.getBlamed(fillers, worst, load);
+    const harmful = fillers
+      .filter(filler => this.model.isHarmfulPair(filler, worst))
+      .map(filler => ({
+        filler,
+        effect: this.model.getEffectOf(filler, worst, load),
+      }))
+      .sort((left, right) => right.effect - left.effect);
+    if (harmful.length === 0) return this.slow(fillers);
     const actions: PaceAction[] = [];
-    for (const [index, assigned] of blamed.entries()) {
-      // The worst offender goes on elsewhere from its checkpoint, the others wait.
-      const isEvicted = index === 0 && canMove(assigned);
-      if (isEvicted) actions.push({kind: 'evict', assigned});
-      else actions.push({kind: 'pace', assigned, percent: this.percent});
+    const removed = new Set<AssignedRun>();
+    for (const {filler} of harmful) {
+      const expected = this.model.getExpectedIndex(worst, load, removed);
+      if (removed.size > 0 && expected <= MAX_PLANNED_INDEX) break;
+      removed.add(filler);
+      actions.push({kind: 'evict', assigned: filler});
     }
     return actions;
   }
 
-  /** When no known effect explains the response time, all fillers are to blame. */
-  private getBlamed(
-    fillers: readonly AssignedRun[],
-    worst: AssignedRun,
-    load: WorkerLoad,
-  ): readonly AssignedRun[] {
-    const effects = fillers.map(filler => ({
-      filler,
-      effect: this.model.getEffectOf(filler, worst, load),
-    }));
-    const known = effects
-      .filter(({effect}) => effect > BLAMELESS_EFFECT)
-      .sort((left, right) => right.effect - left.effect);
-    return known.length > 0 ? known.map(({filler}) => filler) : fillers;
+  private slow(fillers: readonly AssignedRun[]): PaceAction[] {
+    const lower = this.percent * DECREASE_FACTOR;
+    this.percent = lower < MIN_PERCENT ? 0 : Math.round(lower);
+    const {percent} = this;
+    return fillers.map(assigned => ({kind: 'pace', assigned, percent}));
   }
 
   private restore(fillers: readonly AssignedRun[]): PaceAction[] {
@@ -140,13 +140,6 @@
   return serving.run.usage / serving.step.spec.targetResponseMs;
 }
 
-function canMove(assigned: AssignedRun): boolean {
-  const {run, step} = assigned;
-  return (
-    step.spec.isCheckpointing && run.progressPercent < NEARLY_DONE_PERCENT
-  );
-}
-
 function getWorstServing(
   runs: readonly AssignedRun[],
 ): AssignedRun | undefined {
--- a/packages/coordination/src/packing.ts
+++ b/packages/coordination/src/packing.ts
@@ -27,9 +27,6 @@
 /** Weight of what a filler adds to a load index, against the unused share of a worker. */
 const DISTURBANCE_WEIGHT = 20;
 
-/** Added load index up to which a filler should leave empty workers to others. */
-const HARMLESS_INDEX = 0.03;
-
 /** Preference of a harmless filler for workers with serving tasks. */
 const HARMLESS_PREFERENCE = 1;
 
@@ -89,12 +86,12 @@
   if (!isFiller) return true;
   if (load.getUnusedCpuMillis() < needs.cpuMillis) return false;
   if (load.getServingCpuMillis() === 0) return true;
-  const {addedIndex, isTolerable} = disturbance.predict(
+  const {isHarmless, isTolerable} = disturbance.predict(
     image ?? '',
     needs.cpuMillis,
     load,
   );
-  return isTolerable && (worker.takesFillers || addedIndex < HARMLESS_INDEX);
+  return isHarmless || (isTolerable && worker.takesFillers);
 }
 
 function getScore(request: PackingRequest, worker: PackingWorker): number {
@@ -116,12 +113,12 @@
   const {needs, image} = request.step.spec;
   const unusedShare = load.getUnusedCpuMillis() / load.getCapacity().cpuMillis;
   if (load.getServingCpuMillis() === 0) return unusedShare;
-  const {addedIndex} = request.disturbance.predict(
+  const {addedIndex, isHarmless} = request.disturbance.predict(
     image ?? '',
     needs.cpuMillis,
     load,
   );
-  if (addedIndex < HARMLESS_INDEX) return unusedShare + HARMLESS_PREFERENCE;
+  if (isHarmless) return unusedShare + HARMLESS_PREFERENCE;
   return unusedShare - addedIndex * DISTURBANCE_WEIGHT;
 }
 
