--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -617,12 +617,13 @@
   }
 
   private getUsableWorkers(): Map<string, PlacementWorker[]> {
+    const nowMs = this.options.clock.getMonotonicMs();
     const workers = new Map<string, PlacementWorker[]>();
     for (const session of this.sessions.values()) {
       if (!session.isUsable()) continue;
       const {serviceName, rack, labels} = session.getRecord();
       const list = workers.get(serviceName) ?? [];
-      const takesFillers = this.getPaceControl(session.getId()).isOpen();
+      const takesFillers = this.getPaceControl(session.getId()).isOpen(nowMs);
       list.push({session, load: session.load, rack, labels, takesFillers});
       workers.set(serviceName, list);
     }
--- a/packages/coordination/src/disturbance_model.ts
+++ b/packages/coordination/src/disturbance_model.ts
@@ -13,6 +13,7 @@
   EffectInput,
   StoredEffects,
 } from './effect_estimator.js';
+import {FillerHistory} from './filler_history.js';
 import {AssignedRun, WorkerLoad} from './worker_load.js';
 
 /** Response time of an idle serving task as a share of its target. */
@@ -21,8 +22,11 @@
 /** Load index of a serving task without fillers, until it has been observed. */
 const INITIAL_OWN_INDEX = 0.42;
 
-/** Time that a measurement looks back; what changed within it cannot be told apart. */
-const MEASUREMENT_WINDOW_MS = 700;
+/** Time constant with which a worker's figures follow what happens on it. */
+const FIGURE_LAG_MS = 500;
+
+/** Age from which the figure of a serving task is free of its start. */
+const WARM_UP_MS = 1_500;
 
 /** Load index that fillers may bring a serving task to; leaves room for swings of its own load. */
 export const MAX_PLANNED_INDEX = 0.66;
@@ -50,6 +54,7 @@
 export class DisturbanceModel {
   private readonly estimators = new Map<string, EffectEstimator>();
   private readonly changedImages = new Set<string>();
+  private readonly histories = new WeakMap<WorkerLoad, FillerHistory>();
 
   private constructor() {}
 
@@ -87,24 +92,41 @@
    * @param nowMs - Monotonic time of the report.
    */
   addReport(load: WorkerLoad, nowMs: number): void {
-    const runs = [...load.getRuns()];
-    if (runs.some(each => isFiller(each) && !isSettled(each, nowMs))) return;
-    const fillers = getFillerUse(load, runs);
-    for (const serving of runs) {
+    const history = this.getHistory(load);
+    history.advance(getFillerUse(load, [...load.getRuns()]), nowMs);
+    const fillers = history.getAverages();
+    for (const serving of load.getRuns()) {
       if (!isServing(serving) || serving.run.usage <= 0) continue;
-      if (!isSettled(serving, nowMs)) continue;
-      const estimator = this.getEstimator(serving);
-      const index = getLoadIndex(serving);
-      // Beyond saturation the response time only shows that the load is too high.
-      const value =
-        index < SATURATED_INDEX
-          ? index
-          : Math.max(index, estimator.getExpected(fillers));
-      estimator.addSample(fillers, value);
-      this.changedImages.add(getImage(serving));
+      const {run} = serving;
+      if (nowMs - run.placedMs < WARM_UP_MS) continue;
+      const isFalling = run.usage < run.previousUsage;
+      // What disturbed a task that recovers may have ended already.
+      if (isFalling && run.usage > serving.step.spec.targetResponseMs) continue;
+      this.learn(serving, fillers);
     }
   }
 
+  private learn(serving: AssignedRun, fillers: readonly EffectInput[]): void {
+    const estimator = this.getEstimator(serving);
+    const index = getLoadIndex(serving);
+    // Beyond saturation the response time only shows that the load is too high.
+    const value =
+      index < SATURATED_INDEX
+        ? index
+        : Math.max(index, estimator.getExpected(fillers));
+    estimator.addSample(fillers, value);
+    this.changedImages.add(getImage(serving));
+  }
+
+  private getHistory(load: WorkerLoad): FillerHistory {
+    let history = this.histories.get(load);
+    if (history === undefined) {
+      history = FillerHistory.create(FIGURE_LAG_MS);
+      this.histories.set(load, history);
+    }
+    return history;
+  }
+
   /**
    * Predicts what a filler does to the serving tasks of a worker.
    * @param image - Image of the filler.
@@ -131,7 +153,11 @@
       if (effect < HARMLESS_EFFECT) continue;
       isHarmless = false;
       addedIndex = Math.max(addedIndex, effect * share);
-      const expected = estimator.getExpected(fillers) + effect * share;
+      const present = Math.max(
+        estimator.getExpected(fillers),
+        getLoadIndex(serving),
+      );
+      const expected = present + effect * share;
       if (expected > MAX_PLANNED_INDEX) isTolerable = false;
     }
     return {addedIndex, isTolerable, isHarmless};
@@ -221,11 +247,6 @@
   return assigned.step.spec.image ?? '';
 }
 
-function isSettled(assigned: AssignedRun, nowMs: number): boolean {
-  const sinceMs = Math.max(assigned.run.placedMs, assigned.run.pacedMs);
-  return nowMs - sinceMs > MEASUREMENT_WINDOW_MS;
-}
-
 function getUnknownShare(
   estimator: EffectEstimator,
   fillers: readonly EffectInput[],
--- a/packages/coordination/src/pace_control.ts
+++ b/packages/coordination/src/pace_control.ts
@@ -35,12 +35,20 @@
 /** Time between two steps: a change shows in the figures of the following half second. */
 const STEP_INTERVAL_MS = 600;
 
+/** Time after a missed target in which no filler that may disturb is added. */
+const HOLD_OFF_MS = 1_500;
+
+/** Time over the target after which all fillers pause; about half of what the platform allows. */
+const MAX_OVER_MS = 1_800;
+
 const FULL_PERCENT = 100;
 
 /** Controls the fillers of one worker. */
 export class PaceControl {
   private percent = FULL_PERCENT;
   private lastStepMs = -Infinity;
+  private lastOverMs = -Infinity;
+  private overSinceMs: number | undefined;
 
   private constructor(private readonly model: DisturbanceModel) {}
 
@@ -52,8 +60,12 @@
     return new PaceControl(model);
   }
 
-  /** Checks whether fillers run at full speed, so that more may be added. */
-  isOpen(): boolean {
+  /**
+   * Checks whether fillers that may disturb can be added.
+   * @param nowMs - Monotonic time.
+   */
+  isOpen(nowMs: number): boolean {
+    if (nowMs - this.lastOverMs < HOLD_OFF_MS) return false;
     return this.percent === FULL_PERCENT;
   }
 
@@ -72,9 +84,16 @@
       this.percent = FULL_PERCENT;
       return this.restore(fillers);
     }
-    if (nowMs - this.lastStepMs < STEP_INTERVAL_MS) return [];
     const ratio = getTargetRatio(worst);
+    this.noteRatio(ratio, nowMs);
+    if (nowMs - this.lastStepMs < STEP_INTERVAL_MS) return [];
     if (ratio > OVER_TARGET_RATIO) {
+      if (this.isOverForLong(nowMs)) {
+        this.lastStepMs = nowMs;
+        this.percent = 0;
+        return this.pause(fillers);
+      }
+      if (worst.run.usage < worst.run.previousUsage) return [];
       if (fillers.length === 0) return [];
       this.lastStepMs = nowMs;
       return this.relieve(fillers, worst, load);
@@ -115,6 +134,29 @@
     return actions;
   }
 
+  private noteRatio(ratio: number, nowMs: number): void {
+    if (ratio <= 1) {
+      this.overSinceMs = undefined;
+      return;
+    }
+    this.lastOverMs = nowMs;
+    this.overSinceMs ??= nowMs;
+  }
+
+  private isOverForLong(nowMs: number): boolean {
+    if (this.overSinceMs === undefined) return false;
+    return nowMs - this.overSinceMs > MAX_OVER_MS;
+  }
+
+  private pause(fillers: readonly AssignedRun[]): PaceAction[] {
+    const actions: PaceAction[] = [];
+    for (const assigned of fillers) {
+      if (assigned.run.pacePercent === 0) continue;
+      actions.push({kind: 'pace', assigned, percent: 0});
+    }
+    return actions;
+  }
+
   private slow(fillers: readonly AssignedRun[]): PaceAction[] {
     const lower = this.percent * DECREASE_FACTOR;
     this.percent = lower < MIN_PERCENT ? 0 : Math.round(lower);
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -350,7 +350,10 @@
       }
       assigned.run.isConfirmed = true;
       assigned.run.progressPercent = running.progressPercent;
-      assigned.run.usage = running.usage;
+      if (running.usage !== assigned.run.usage) {
+        assigned.run.previousUsage = assigned.run.usage;
+        assigned.run.usage = running.usage;
+      }
       if (running.checkpoint !== '')
         assigned.task.checkpoint = running.checkpoint;
     }
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -155,5 +155,6 @@
     pacePercent: 100,
     pacedMs: placedMs,
     usage: 0,
+    previousUsage: 0,
   };
 }
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -31,6 +31,8 @@
   pacedMs: number;
   /** Latest response time of a serving task, or processor use of any other. */
   usage: number;
+  /** Figure before the latest one. */
+  previousUsage: number;
 }
 
 /** One task. */
