--- a/packages/coordination/src/board.ts
+++ b/packages/coordination/src/board.ts
@@ -15,6 +15,6 @@
   readonly holder: string;
   /** Time of the store when the notice was written, in milliseconds. */
   readonly writtenStoreMs: number;
-  /** Load by the name of the queue. */
-  readonly queues: Readonly<Record<string, QueueLoad>>;
+  /** Load by the name of the queue; absent until the holder has read all jobs. */
+  readonly queues?: Readonly<Record<string, QueueLoad>>;
 }
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -129,6 +129,7 @@
   private isCommitting = false;
   private isPassNeeded = false;
   private isHandingOver = false;
+  private isLoaded = false;
   private lastBoardMs = -Infinity;
   private lastLoadLogMs = -Infinity;
   private lastEffectsMs = -Infinity;
@@ -287,34 +288,33 @@
     const {store, clock, workerTable} = this.options;
     let workerRows: readonly StoredRow[] = [];
     let jobRows: readonly StoredRow[] = [];
-    let isLoaded = false;
     const workers = this.createFollower(workerTable, '', {
       onSnapshot: rows => {
         workerRows = rows;
-        if (isLoaded) this.replaceWorkerRows(rows);
+        if (this.isLoaded) this.replaceWorkerRows(rows);
       },
       onChanges: changes => this.applyWorkerChanges(changes),
     });
     const jobs = this.createFollower(JOB_TABLE, undefined, {
       onSnapshot: rows => {
         jobRows = rows;
-        if (isLoaded) this.applyJobRows(rows);
+        if (this.isLoaded) this.applyJobRows(rows);
       },
       onChanges: changes => this.applyJobRows(changes.rows),
     });
-    while (this.end === undefined && !isLoaded) {
+    while (this.end === undefined && !this.isLoaded) {
       const [hasWorkers, hasJobs, progress, effects] = await Promise.all([
         workers.readSnapshot(),
         jobs.readSnapshot(),
         getPartRows(store, PROGRESS_TABLE, COORDINATOR_PART),
         getPartRows(store, EFFECT_TABLE, COORDINATOR_PART),
       ]);
-      isLoaded = hasWorkers && hasJobs && progress.isOk();
-      if (!isLoaded || progress.isErr()) continue;
+      if (!hasWorkers || !hasJobs || progress.isErr()) continue;
       // What an earlier coordinator learned is useful, but can be learned again.
       if (effects.isOk()) this.disturbance.restore(effects.value.rows);
       const nowMs = clock.getMonotonicMs();
       this.book.restore(jobRows, progress.value.rows, nowMs);
+      this.isLoaded = true;
     }
     if (this.end !== undefined) return;
     this.applyWorkerRows(workerRows);
@@ -764,7 +764,7 @@
       term: commitLog.term,
       holder: this.isHandingOver ? '' : nodeId,
       writtenStoreMs: commitLog.getStoreMs(),
-      queues: this.getQueueLoads(),
+      queues: this.isLoaded ? this.getQueueLoads() : undefined,
     };
     const write: RowWrite = {
       table: BOARD_TABLE,
--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -122,7 +122,7 @@
     const spec = this.options.format.decodeJob(body);
     if (spec.isErr())
       return context.json({error: {reason: spec.error.message}}, 400);
-    const load = this.options.getBoard()?.board.queues[queue.name];
+    const load = this.options.getBoard()?.board.queues?.[queue.name];
     const outcome = await this.options.desk.submit({
       jobId: rest,
       spec: spec.value,
@@ -156,11 +156,14 @@
   private showQueue(request: QueueRequest): Response {
     const {context, queue} = request;
     const received = this.options.getBoard();
-    if (received === undefined || received.ageMs > MAX_BOARD_AGE_MS) {
+    const queues = received?.board.queues;
+    const isCurrent =
+      received !== undefined && received.ageMs <= MAX_BOARD_AGE_MS;
+    if (queues === undefined || !isCurrent) {
       const reason = 'the number of waiting jobs is not known now; try again';
       return renderRefusal(context, 503, reason, NOT_READY_RETRY_MS);
     }
-    const waitingJobs = received.board.queues[queue.name]?.waitingJobs ?? 0;
+    const waitingJobs = queues[queue.name]?.waitingJobs ?? 0;
     return context.json(this.options.format.renderWaiting(waitingJobs));
   }
 
