--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -46,7 +46,11 @@
   WaitingStep,
 } from './task_order.js';
 import {AssignedRun, WorkerLoad} from './worker_load.js';
-import {SessionListener, WorkerSession} from './worker_session.js';
+import {
+  EARLIER_LEASE_MS,
+  SessionListener,
+  WorkerSession,
+} from './worker_session.js';
 
 /** Decodes a registration of the platform's worker table. */
 export type WorkerDecoder = (
@@ -93,9 +97,6 @@
  */
 const ISOLATION_LIMIT_MS = 5_500;
 
-/** Longest lease that an earlier coordinator granted, with drift and slack. */
-const EARLIER_LEASE_MS = 4_500;
-
 /** Interval at which learned effects are stored for a successor. */
 const EFFECTS_INTERVAL_MS = 3_000;
 
@@ -397,8 +398,7 @@
       fencingToken: commitLog.term,
       record,
       maxLeaseMs,
-      earlierLeaseEndMs:
-        clock.getMonotonicMs() + ISOLATION_LIMIT_MS + EARLIER_LEASE_MS,
+      earlierTermMs: ISOLATION_LIMIT_MS,
     });
     this.sessions.set(record.workerId, session);
     this.adoptOrphans(session);
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -46,8 +46,8 @@
   readonly record: WorkerRecord;
   /** Longest lease that the platform grants, in milliseconds. */
   readonly maxLeaseMs: number;
-  /** Monotonic time until which an earlier coordinator may have granted leases. */
-  readonly earlierLeaseEndMs: number;
+  /** Time for which an earlier coordinator may go on granting leases until the worker is fenced. */
+  readonly earlierTermMs: number;
 }
 
 /** Length of a granted lease: bridges the loss of a coordinator. */
@@ -71,6 +71,9 @@
 /** Allowance for the handling of an order at the worker. */
 const LEASE_SLACK_MS = 300;
 
+/** Longest time for which a granted lease keeps runs going. */
+export const EARLIER_LEASE_MS = LEASE_MS * CLOCK_DRIFT_FACTOR + LEASE_SLACK_MS;
+
 /** Age of the last answer beyond which a worker gets no new work. */
 const SILENT_MS = 1_500;
 
@@ -108,7 +111,10 @@
     this.record = options.record;
     this.bornMs = options.record.bornMs;
     this.load = WorkerLoad.create(options.record.capacity);
-    this.leaseEndMs = options.earlierLeaseEndMs;
+    this.leaseEndMs =
+      options.clock.getMonotonicMs() +
+      options.earlierTermMs +
+      EARLIER_LEASE_MS;
   }
 
   /**
@@ -318,6 +324,7 @@
     const receivedMs = this.options.clock.getMonotonicMs();
     this.workerClock = {clockMs: report.clockMs, receivedMs};
     this.lastAnswerMs = receivedMs;
+    if (!this.hasAnswered) this.endEarlierTerms(receivedMs);
     this.hasAnswered = true;
     this.isLastReportFailed = false;
     this.roomBlockedUntilReport = false;
@@ -328,6 +335,11 @@
     this.options.listener.onReport(this);
   }
 
+  /** A worker that knows this term takes no more leases of earlier ones. */
+  private endEarlierTerms(nowMs: number): void {
+    this.leaseEndMs = Math.min(this.leaseEndMs, nowMs + EARLIER_LEASE_MS);
+  }
+
   /** A new process of the worker runs nothing of what the earlier one ran. */
   private noteLifetime(bornMs: number): void {
     if (bornMs !== this.bornMs) {
--- /dev/null
+++ b/packages/experiments/src/job_harness.ts
@@ -0,0 +1,332 @@
+/** A whole deployment in virtual time: nodes, workers, the store, and callers. */
+
+import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {Coordinator} from '@mustardlug/coordination/coordinator';
+import {JobDesk} from '@mustardlug/coordination/job_desk';
+import {JobSpec, StepSpec} from '@mustardlug/jobs/job_spec';
+import {JobPhase} from '@mustardlug/jobs/job_state';
+import {FleetConfig, QueueConfig} from '@mustardlug/jobs/queue_config';
+import {CoordinatorRole} from '@mustardlug/node/coordinator_role';
+import {WorkerRecord} from '@mustardlug/platform/job_worker';
+import {JobWorkerModel} from '@mustardlug/standins/job_worker_model';
+import {
+  createNoRowStoreFaults,
+  MemoryRowStore,
+  RowStoreFaults,
+} from '@mustardlug/standins/memory_row_store';
+import {
+  createNoWorkerLinkFaults,
+  ModelJobWorkerClient,
+  WorkerLinkFaults,
+} from '@mustardlug/standins/model_job_worker_client';
+import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {HybridLogicalClock} from '@mustardlug/telemetry/hybrid_logical_clock';
+import {ok} from 'neverthrow';
+import {PromiseChecker} from './promise_checker.js';
+
+/** Table in which the harness registers workers. */
+const WORKER_TABLE = 'workers';
+
+/** Longest lease that the workers grant. */
+const MAX_LEASE_MS = 10_000;
+
+/** Time that callers wait for an answer. */
+const ANSWER_MS = 3_000;
+
+/** Events kept of each node. */
+const EVENT_CAPACITY = 4_096;
+
+/** Options of a harness. */
+export interface JobHarnessOptions {
+  readonly nodes?: number;
+  readonly workers?: number;
+  /** Processors of each worker, in thousandths of a core. */
+  readonly cpuMillis?: number;
+  readonly queue?: Partial<QueueConfig>;
+  /** Duration of a task; by default the estimate of its step. */
+  readonly getTaskMs?: (taskName: string) => number;
+  readonly isFailing?: (taskName: string, runNumber: number) => boolean;
+}
+
+/** One node of the system. */
+export interface HarnessNode {
+  readonly nodeId: string;
+  readonly storeFaults: RowStoreFaults;
+  readonly linkFaults: WorkerLinkFaults;
+  readonly desk: JobDesk;
+  readonly role: CoordinatorRole;
+  readonly events: EventRecorder;
+}
+
+/** Queue that the harness serves. */
+export const HARNESS_QUEUE: QueueConfig = {
+  name: 'bookings',
+  host: 'desk.example',
+  pathPrefix: '/bookings/',
+  serviceName: 'class-desk',
+  priority: 0,
+  maxAttempts: 3,
+  stretch: 1.5,
+  targetDurationMs: 400,
+};
+
+/**
+ * Creates a step of equal tasks.
+ * @param taskCount - Number of tasks.
+ * @param fields - What differs from a plain step.
+ */
+export function createStep(
+  taskCount: number,
+  fields: Partial<StepSpec> = {},
+): StepSpec {
+  return {
+    taskCount,
+    needs: {cpuMillis: 2_000, memoryMb: 1_000, accelerators: 0},
+    estimatedMs: 800,
+    dependsOn: [],
+    isCheckpointing: false,
+    isGang: false,
+    isSameRackPreferred: false,
+    maxPerWorker: 0,
+    isSpeculative: false,
+    isLongRunning: false,
+    targetResponseMs: 0,
+    isFiller: false,
+    ...fields,
+  };
+}
+
+/** Runs nodes against models of everything that surrounds them. */
+export class JobHarness {
+  readonly clock = VirtualClock.create();
+  readonly store = MemoryRowStore.create(this.clock);
+  readonly workers = new Map<string, JobWorkerModel>();
+  readonly checker = PromiseChecker.create(this.clock);
+  readonly nodes: HarnessNode[] = [];
+  private readonly specs = new Map<string, JobSpec>();
+  private readonly queue: QueueConfig;
+  private nextJob = 1;
+
+  private constructor(private readonly options: JobHarnessOptions) {
+    this.queue = {...HARNESS_QUEUE, ...options.queue};
+    for (let index = 0; index < (options.workers ?? 4); index++)
+      this.addWorker(`worker-${index}`);
+    for (let index = 0; index < (options.nodes ?? 3); index++)
+      this.addNode(`node-${index}`);
+  }
+
+  /**
+   * Creates a deployment whose nodes have just started.
+   * @param options - Sizes and behaviour.
+   */
+  static create(options: JobHarnessOptions = {}): JobHarness {
+    return new JobHarness(options);
+  }
+
+  /**
+   * Lets time pass.
+   * @param durationMs - Time in milliseconds.
+   */
+  advance(durationMs: number): Promise<void> {
+    return this.clock.advance(durationMs);
+  }
+
+  /**
+   * Starts a node.
+   * @param nodeId - Name of the node.
+   */
+  addNode(nodeId: string): HarnessNode {
+    const {clock} = this;
+    const storeFaults = createNoRowStoreFaults();
+    const linkFaults = createNoWorkerLinkFaults();
+    const store = this.store.createClient(storeFaults);
+    const events = EventRecorder.create({
+      nodeId,
+      clock: HybridLogicalClock.create(clock),
+      capacity: EVENT_CAPACITY,
+    });
+    const workerClient = ModelJobWorkerClient.create(
+      clock,
+      this.workers,
+      linkFaults,
+    );
+    const role = CoordinatorRole.create({
+      store,
+      clock,
+      nodeId,
+      events,
+      createCoordinator: commitLog =>
+        Coordinator.create({
+          clock,
+          store,
+          workerClient,
+          commitLog,
+          nodeId,
+          workerTable: WORKER_TABLE,
+          decodeWorker: (_key, value) =>
+            ok(JSON.parse(value.toString()) as WorkerRecord),
+          getConfig: () => this.getConfig(),
+          maxLeaseMs: MAX_LEASE_MS,
+          events,
+        }),
+    });
+    const desk = JobDesk.create({store, clock, events});
+    const node = {nodeId, storeFaults, linkFaults, desk, role, events};
+    this.nodes.push(node);
+    void role.run();
+    return node;
+  }
+
+  /**
+   * Ends a node without notice: nothing leaves it any more.
+   * @param node - Node to end.
+   */
+  kill(node: HarnessNode): void {
+    node.storeFaults.isSilent = true;
+    node.linkFaults.isCut = true;
+    this.nodes.splice(this.nodes.indexOf(node), 1);
+  }
+
+  /** Gets the node that coordinates and reaches the store. */
+  getCoordinator(): HarnessNode | undefined {
+    return this.nodes.find(
+      node => node.role.isCoordinating() && !node.storeFaults.isSilent,
+    );
+  }
+
+  /**
+   * Submits a job at a node, until it is accepted.
+   * @param steps - Steps of the job.
+   * @param node - Node that the caller reaches.
+   */
+  async submit(steps: readonly StepSpec[], node = this.nodes[0]) {
+    const jobId = (this.nextJob++).toString(16).padStart(16, '0');
+    const spec: JobSpec = {specification: jobId, steps};
+    this.specs.set(jobId, spec);
+    this.checker.addJob(jobId, spec, this.queue.maxAttempts);
+    const outcome = await this.settle(this.trySubmit(jobId, node));
+    return {jobId, outcome};
+  }
+
+  /**
+   * Submits a job, or repeats the submission.
+   * @param jobId - Identifier of a job that `submit` created.
+   * @param node - Node that the caller reaches.
+   */
+  trySubmit(jobId: string, node: HarnessNode) {
+    const spec = this.specs.get(jobId);
+    if (spec === undefined) throw new Error(`no job ${jobId}`);
+    return node.desk.submit({
+      jobId,
+      spec,
+      queue: this.queue,
+      answerByMs: this.clock.getMonotonicMs() + ANSWER_MS,
+      retryAfterMs: 0,
+    });
+  }
+
+  /**
+   * Cancels a job.
+   * @param jobId - Identifier of the job.
+   */
+  async cancel(jobId: string): Promise<boolean> {
+    const outcome = await this.settle(this.getHealthyNode().desk.cancel(jobId));
+    if (outcome.isOk()) this.checker.noteCancelled(jobId);
+    return outcome.isOk();
+  }
+
+  /**
+   * Gets what a caller is shown of a job.
+   * @param jobId - Identifier of the job.
+   */
+  async getPhase(jobId: string): Promise<JobPhase | undefined> {
+    const phase = await this.settle(this.getHealthyNode().desk.getPhase(jobId));
+    if (phase.isErr()) return undefined;
+    this.checker.notePhase(jobId, phase.value);
+    return phase.value;
+  }
+
+  /**
+   * Lets time pass until a promise is settled.
+   * @param promise - Promise that virtual time settles.
+   */
+  async settle<T>(promise: Promise<T>): Promise<T> {
+    let isSettled = false;
+    const watched = promise.finally(() => {
+      isSettled = true;
+    });
+    while (!isSettled) await this.clock.advance(1);
+    return watched;
+  }
+
+  /**
+   * Registers a worker anew, as it does itself while it lives.
+   * @param workerId - Identifier of the worker.
+   * @param fields - What differs from its registration.
+   */
+  register(workerId: string, fields: Partial<WorkerRecord> = {}): void {
+    const record = this.workers.get(workerId)?.getRecord();
+    this.store.put(getWorkerAddress(workerId), {...record, ...fields});
+  }
+
+  /**
+   * Removes a worker's registration.
+   * @param workerId - Identifier of the worker.
+   */
+  unregister(workerId: string): void {
+    this.store.remove(getWorkerAddress(workerId));
+  }
+
+  private getHealthyNode(): HarnessNode {
+    const healthy = this.nodes.find(node => !node.storeFaults.isSilent);
+    return healthy ?? this.nodes[0];
+  }
+
+  private addWorker(workerId: string): void {
+    const {getTaskMs, isFailing} = this.options;
+    const record: WorkerRecord = {
+      workerId,
+      address: `${workerId}:80`,
+      serviceName: HARNESS_QUEUE.serviceName,
+      failureDomain: 'north-a',
+      isDraining: false,
+      capacity: {
+        cpuMillis: this.options.cpuMillis ?? 8_000,
+        memoryMb: 64_000,
+        accelerators: 0,
+      },
+      labels: [],
+      rack: 'rack-1',
+      bornMs: 1,
+    };
+    const worker = JobWorkerModel.create({
+      clock: this.clock,
+      record,
+      getTaskMs: getTaskMs ?? (taskName => this.getEstimateMs(taskName)),
+      isFailing: isFailing ?? (() => false),
+      observer: this.checker,
+    });
+    this.workers.set(workerId, worker);
+    this.register(workerId);
+  }
+
+  private getEstimateMs(taskName: string): number {
+    const [jobId, , stepIndex] = taskName.split('.');
+    const step = this.specs.get(jobId)?.steps[Number(stepIndex)];
+    if (step === undefined || step.isLongRunning) return Infinity;
+    return step.estimatedMs;
+  }
+
+  private getConfig(): FleetConfig {
+    return {
+      version: 1,
+      queues: [this.queue],
+      services: [],
+      limits: {maxBodyBytes: 100_000},
+    };
+  }
+}
+
+function getWorkerAddress(workerId: string) {
+  return {table: WORKER_TABLE, part: '', key: workerId};
+}
