--- a/packages/coordination/src/commit_log.ts
+++ b/packages/coordination/src/commit_log.ts
@@ -80,12 +80,8 @@
    * @param snapshot - Term row as `readTerm` returned it.
    */
   static create(options: CommitLogOptions, snapshot: RowSnapshot): CommitLog {
-    const previous = snapshot.rows.at(0);
-    const term =
-      previous === undefined
-        ? 1
-        : decodeRowValue<TermRow>(previous.value).term + 1;
-    const version = previous?.version ?? ABSENT_VERSION;
+    const term = CommitLog.getTerm(snapshot) + 1;
+    const version = snapshot.rows.at(0)?.version ?? ABSENT_VERSION;
     const log = new CommitLog(options, term, version);
     log.noteStoreTime(snapshot.storeMs);
     return log;
@@ -104,6 +100,16 @@
     });
   }
 
+  /**
+   * Gets the term in force; 0 before the first one.
+   * @param snapshot - Term row as `readTerm` returned it.
+   */
+  static getTerm(snapshot: RowSnapshot): number {
+    const row = snapshot.rows.at(0);
+    if (row === undefined) return 0;
+    return decodeRowValue<TermRow>(row.value).term;
+  }
+
   /** Gets the monotonic time at which the last confirmed commit was sent. */
   getLastConfirmedSendMs(): number {
     return this.lastConfirmedSendMs;
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -28,6 +28,7 @@
 import {Board, QueueLoad} from './board.js';
 import {CommitLog, MAX_COMMIT_ROWS} from './commit_log.js';
 import {DisturbanceModel} from './disturbance_model.js';
+import {DurationModel} from './duration_model.js';
 import {JobBook, JobChange} from './job_book.js';
 import {PaceControl} from './pace_control.js';
 import {chooseWorker, PackingWorker} from './packing.js';
@@ -45,6 +46,7 @@
   sortWaitingSteps,
   WaitingStep,
 } from './task_order.js';
+import {HealthChange, WorkerHealth} from './worker_health.js';
 import {AssignedRun, WorkerLoad} from './worker_load.js';
 import {
   EARLIER_LEASE_MS,
@@ -103,6 +105,9 @@
 /** Interval of the log of the fleet's load. */
 const LOAD_LOG_INTERVAL_MS = 2_000;
 
+/** Share of the workers that must know the term before the coordinator counts as ready. */
+const READY_SHARE = 0.9;
+
 const MILLIS_PER_CORE = 1_000;
 
 /** Runs of one term are numbered from a base, above those of all earlier terms. */
@@ -123,6 +128,9 @@
   /** Runs of workers that are not registered, and when they have certainly ended. */
   private readonly orphans = new Map<AssignedRun, number>();
   private readonly disturbance = DisturbanceModel.create();
+  private readonly health = WorkerHealth.create({
+    durations: DurationModel.create(),
+  });
   private readonly paceControls = new Map<string, PaceControl>();
   private afterCommit: Array<() => void> = [];
   private followers: TableFollower[] = [];
@@ -131,6 +139,8 @@
   private isPassNeeded = false;
   private isHandingOver = false;
   private isLoaded = false;
+  private isReady = false;
+  private electedMs = 0;
   private lastBoardMs = -Infinity;
   private lastLoadLogMs = -Infinity;
   private lastEffectsMs = -Infinity;
@@ -155,6 +165,7 @@
     const {commitLog, events} = this.options;
     const isTaken = await commitLog.commit(this.createBoardChanges(), 1);
     if (isTaken === 'superseded') return 'superseded';
+    this.electedMs = this.options.clock.getMonotonicMs();
     events.addEvent('coordinator-elected', {detail: `term ${commitLog.term}`});
     const ended = new Promise<CoordinatorEnd>(resolve => {
       this.resolveEnd = resolve;
@@ -217,14 +228,29 @@
   }
 
   onReport(session: WorkerSession): void {
+    if (!this.isReady) this.checkReady();
     this.stopUnwantedRuns(session);
     this.controlFillers(session);
+    this.judgeHealth(session);
     const sequence = session.getProcessedSequence();
     const bornMs = session.getBornMs();
     this.afterCommit.push(() => session.acknowledge(sequence, bornMs));
     if (this.dirtyJobs.size === 0 && !this.isCommitting) this.runAfterCommit();
   }
 
+  private checkReady(): void {
+    const sessions = [...this.sessions.values()];
+    const fenced = sessions.filter(session => session.isFenced()).length;
+    if (fenced < sessions.length * READY_SHARE) return;
+    this.isReady = true;
+    const elapsedMs = Math.round(
+      this.options.clock.getMonotonicMs() - this.electedMs,
+    );
+    this.options.events.addEvent('coordinator-ready', {
+      detail: `${fenced} of ${sessions.length} workers after ${elapsedMs} ms`,
+    });
+  }
+
   /** Runs whose job ended while their worker was not known are stopped once it is. */
   private stopUnwantedRuns(session: WorkerSession): void {
     for (const assigned of session.load.getRuns()) {
@@ -234,6 +260,26 @@
     }
   }
 
+  /** Sets a worker aside that is slower than the fleet, and moves its work. */
+  private judgeHealth(session: WorkerSession): void {
+    const nowMs = this.options.clock.getMonotonicMs();
+    const workerId = session.getId();
+    this.noteHealth(
+      workerId,
+      this.health.judge(session.load, workerId, nowMs),
+    );
+    if (!this.health.isAside(workerId)) return;
+    for (const assigned of this.health.findStragglers(session.load, nowMs))
+      void session.stopRun(assigned);
+  }
+
+  private noteHealth(workerId: string, change: HealthChange): void {
+    if (change === 'unchanged') return;
+    const name =
+      change === 'set-aside' ? 'worker-set-aside' : 'worker-restored';
+    this.options.events.addEvent(name, {workerId});
+  }
+
   /** Learns from the latest figures, and slows or evicts what disturbs. */
   private controlFillers(session: WorkerSession): void {
     const nowMs = this.options.clock.getMonotonicMs();
@@ -508,6 +554,13 @@
     assigned: AssignedRun,
   ): void {
     const {job, step, task, run} = assigned;
+    if (!step.spec.isLongRunning) {
+      const nowMs = this.options.clock.getMonotonicMs();
+      this.noteHealth(
+        session.getId(),
+        this.health.noteEnd(assigned, ended.end, nowMs),
+      );
+    }
     task.runs = task.runs.filter(each => each !== run);
     if (ended.checkpoint !== '') task.checkpoint = ended.checkpoint;
     if (!job.isEnded() && !task.isDone) {
@@ -621,6 +674,7 @@
     const workers = new Map<string, PlacementWorker[]>();
     for (const session of this.sessions.values()) {
       if (!session.isUsable()) continue;
+      if (!this.health.isUsable(session.getId(), nowMs)) continue;
       const {serviceName, rack, labels} = session.getRecord();
       const list = workers.get(serviceName) ?? [];
       const takesFillers = this.getPaceControl(session.getId()).isOpen(nowMs);
@@ -687,6 +741,7 @@
       settledMs: undefined,
     };
     session.load.addRun(assigned);
+    this.health.notePlacement(session.getId(), run.placedMs);
     this.dirtyJobs.add(job);
     this.afterCommit.push(() => this.startRun(session, assigned));
   }
--- a/packages/coordination/src/task_order.ts
+++ b/packages/coordination/src/task_order.ts
@@ -107,8 +107,9 @@
 }
 
 /**
- * Sorts waiting work: by priority, then what can still be in time, then work
- * that has begun, then by the objective.
+ * Sorts waiting work: by priority, then tasks that end before those that run
+ * on, then what can still be in time, then work that has begun, then by the
+ * objective.
  * @param steps - Steps with waiting tasks.
  * @param wallMs - Wall-clock time.
  */
@@ -124,6 +125,9 @@
   ranked.sort((left, right) => {
     const byPriority = left.step.queue.priority - right.step.queue.priority;
     if (byPriority !== 0) return byPriority;
+    const {isLongRunning} = left.step.step.spec;
+    if (isLongRunning !== right.step.step.spec.isLongRunning)
+      return isLongRunning ? 1 : -1;
     if (left.rank !== right.rank) return left.rank - right.rank;
     if (left.isBegun !== right.isBegun) return left.isBegun ? -1 : 1;
     return left.step.objectiveMs - right.step.objectiveMs;
--- /dev/null
+++ b/packages/coordination/src/worker_health.ts
@@ -0,0 +1,266 @@
+/** Finds workers that fail, hang or slow down what they run, by comparison with the fleet. */
+
+import {RunEnd} from '@mustardlug/platform/job_worker';
+import {DurationModel} from './duration_model.js';
+import {AssignedRun, WorkerLoad} from './worker_load.js';
+
+/** Options of the health of a fleet. */
+export interface WorkerHealthOptions {
+  readonly durations: DurationModel;
+}
+
+/** What is remembered of one worker. */
+interface HealthRecord {
+  /** Jobs of the latest failures without a success in between. */
+  readonly failedJobs: Set<string>;
+  /** Latest slowdowns of ended runs. */
+  slowdowns: TimedSlowdown[];
+  asideUntilMs: number;
+  asideMs: number;
+  /** Time until which a probe is waited for. */
+  probeUntilMs: number;
+  isAside: boolean;
+}
+
+interface TimedSlowdown {
+  readonly atMs: number;
+  readonly slowdown: number;
+}
+
+/** Change of a worker's standing. */
+export type HealthChange = 'set-aside' | 'restored' | 'unchanged';
+
+/** Jobs whose tasks must fail in a row before a worker is blamed. */
+const BLAMED_JOBS = 2;
+
+/** Slowdown of a worker, over that of the fleet, beyond which it is set aside. */
+const SLOW_FACTOR = 1.9;
+
+/** Slowdown for which a single run is evidence enough. */
+const STALLED_FACTOR = 5;
+
+/** Observations that a judgement needs otherwise. */
+const MIN_OBSERVATIONS = 2;
+
+/** Age beyond which the slowdown of an ended run is forgotten. */
+const MEMORY_MS = 4_000;
+
+/** First time for which a worker is set aside; doubles with each failed probe. */
+const FIRST_ASIDE_MS = 2_000;
+const MAX_ASIDE_MS = 16_000;
+
+/** Time that the result of a probe is waited for. */
+const PROBE_MS = 4_000;
+
+/** Largest share of the fleet that may be aside: beyond it the work is likelier at fault. */
+const MAX_ASIDE_SHARE = 0.2;
+
+/** Age from which a run's progress tells its speed. */
+const MIN_ELAPSED_MS = 600;
+
+/** Standing of all workers. */
+export class WorkerHealth {
+  private readonly records = new Map<string, HealthRecord>();
+
+  private constructor(private readonly options: WorkerHealthOptions) {}
+
+  /**
+   * Creates the health of a fleet of sound workers.
+   * @param options - Expected durations.
+   */
+  static create(options: WorkerHealthOptions): WorkerHealth {
+    return new WorkerHealth(options);
+  }
+
+  /**
+   * Checks whether a worker may get new work.
+   * @param workerId - Identifier of the worker.
+   * @param nowMs - Monotonic time.
+   */
+  isUsable(workerId: string, nowMs: number): boolean {
+    const record = this.records.get(workerId);
+    if (record === undefined || !record.isAside) return true;
+    return nowMs >= record.asideUntilMs && nowMs >= record.probeUntilMs;
+  }
+
+  /**
+   * Checks whether a worker is set aside.
+   * @param workerId - Identifier of the worker.
+   */
+  isAside(workerId: string): boolean {
+    return this.records.get(workerId)?.isAside ?? false;
+  }
+
+  /**
+   * Notes that a run was placed; on a worker that is aside it is the probe.
+   * @param workerId - Identifier of the worker.
+   * @param nowMs - Monotonic time.
+   */
+  notePlacement(workerId: string, nowMs: number): void {
+    const record = this.records.get(workerId);
+    if (record?.isAside) record.probeUntilMs = nowMs + PROBE_MS;
+  }
+
+  /**
+   * Notes the end of a run.
+   * @param assigned - Run that ended.
+   * @param end - How it ended.
+   * @param nowMs - Monotonic time.
+   */
+  noteEnd(assigned: AssignedRun, end: RunEnd, nowMs: number): HealthChange {
+    const record = this.getRecord(assigned.run.workerId);
+    if (end === 'failed') return this.noteFailure(record, assigned, nowMs);
+    if (end !== 'done') return 'unchanged';
+    record.failedJobs.clear();
+    const slowdown = this.getEndedSlowdown(assigned, nowMs);
+    record.slowdowns.push({atMs: nowMs, slowdown});
+    const {queue} = assigned.job.accepted;
+    if (!record.isAside) {
+      const durationMs = nowMs - assigned.run.placedMs;
+      this.options.durations.addDuration(
+        queue.name,
+        assigned.step,
+        durationMs,
+      );
+      return 'unchanged';
+    }
+    if (slowdown > SLOW_FACTOR) return 'unchanged';
+    return this.restore(record);
+  }
+
+  /**
+   * Judges a worker by the progress of its runs.
+   * @param load - Runs of the worker.
+   * @param workerId - Identifier of the worker.
+   * @param nowMs - Monotonic time.
+   */
+  judge(load: WorkerLoad, workerId: string, nowMs: number): HealthChange {
+    const record = this.getRecord(workerId);
+    record.slowdowns = record.slowdowns.filter(
+      ({atMs}) => nowMs - atMs < MEMORY_MS,
+    );
+    const observed = record.slowdowns.map(({slowdown}) => slowdown);
+    for (const assigned of load.getRuns()) {
+      const slowdown = this.getRunningSlowdown(assigned, nowMs);
+      if (slowdown !== undefined) observed.push(slowdown);
+    }
+    const median = getMedian(observed);
+    const isSlow =
+      observed.length >= MIN_OBSERVATIONS
+        ? median > SLOW_FACTOR
+        : median > STALLED_FACTOR;
+    if (!isSlow) return 'unchanged';
+    if (record.isAside) {
+      if (nowMs >= record.asideUntilMs) this.extend(record, nowMs);
+      return 'unchanged';
+    }
+    return this.setAside(record, nowMs);
+  }
+
+  /**
+   * Finds the runs that would end sooner elsewhere.
+   * @param load - Runs of a worker that is aside.
+   * @param nowMs - Monotonic time.
+   */
+  findStragglers(load: WorkerLoad, nowMs: number): AssignedRun[] {
+    const stragglers: AssignedRun[] = [];
+    for (const assigned of load.getRuns()) {
+      if (assigned.run.isStopping || !assigned.run.isConfirmed) continue;
+      const slowdown = this.getRunningSlowdown(assigned, nowMs);
+      if (slowdown === undefined || slowdown < SLOW_FACTOR) continue;
+      const expectedMs = this.getExpectedMs(assigned);
+      const elapsedMs = nowMs - assigned.run.placedMs;
+      const leftMs = slowdown * expectedMs - elapsedMs;
+      if (leftMs > expectedMs) stragglers.push(assigned);
+    }
+    return stragglers;
+  }
+
+  private noteFailure(
+    record: HealthRecord,
+    assigned: AssignedRun,
+    nowMs: number,
+  ): HealthChange {
+    record.failedJobs.add(assigned.job.getId());
+    if (record.isAside) {
+      this.extend(record, nowMs);
+      return 'unchanged';
+    }
+    if (record.failedJobs.size < BLAMED_JOBS) return 'unchanged';
+    return this.setAside(record, nowMs);
+  }
+
+  private setAside(record: HealthRecord, nowMs: number): HealthChange {
+    let asideCount = 1;
+    for (const each of this.records.values()) {
+      if (each.isAside) asideCount++;
+    }
+    if (asideCount > Math.max(1, MAX_ASIDE_SHARE * this.records.size))
+      return 'unchanged';
+    record.isAside = true;
+    record.asideMs = FIRST_ASIDE_MS;
+    record.asideUntilMs = nowMs + record.asideMs;
+    record.probeUntilMs = -Infinity;
+    return 'set-aside';
+  }
+
+  private extend(record: HealthRecord, nowMs: number): void {
+    record.asideMs = Math.min(record.asideMs * 2, MAX_ASIDE_MS);
+    record.asideUntilMs = nowMs + record.asideMs;
+    record.probeUntilMs = -Infinity;
+  }
+
+  private restore(record: HealthRecord): HealthChange {
+    record.isAside = false;
+    record.slowdowns = [];
+    record.failedJobs.clear();
+    return 'restored';
+  }
+
+  private getEndedSlowdown(assigned: AssignedRun, nowMs: number): number {
+    return (nowMs - assigned.run.placedMs) / this.getExpectedMs(assigned);
+  }
+
+  /** Fillers depend on what others leave, and long-running tasks do not end: neither tells a speed. */
+  private getRunningSlowdown(
+    assigned: AssignedRun,
+    nowMs: number,
+  ): number | undefined {
+    const {step, run} = assigned;
+    if (step.spec.isLongRunning || step.spec.isFiller) return undefined;
+    if (!run.isConfirmed || run.isStopping) return undefined;
+    const elapsedMs = nowMs - run.placedMs;
+    if (elapsedMs < MIN_ELAPSED_MS) return undefined;
+    const percent = Math.max(1, run.progressPercent);
+    const totalMs = (100 * run.progressMs) / percent;
+    return Math.max(totalMs, elapsedMs) / this.getExpectedMs(assigned);
+  }
+
+  private getExpectedMs(assigned: AssignedRun): number {
+    const {job, step} = assigned;
+    const {name} = job.accepted.queue;
+    return this.options.durations.getExpectedMs(name, step);
+  }
+
+  private getRecord(workerId: string): HealthRecord {
+    let record = this.records.get(workerId);
+    if (record === undefined) {
+      record = {
+        failedJobs: new Set(),
+        slowdowns: [],
+        asideUntilMs: -Infinity,
+        asideMs: FIRST_ASIDE_MS,
+        probeUntilMs: -Infinity,
+        isAside: false,
+      };
+      this.records.set(workerId, record);
+    }
+    return record;
+  }
+}
+
+function getMedian(values: readonly number[]): number {
+  if (values.length === 0) return 0;
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor((sorted.length - 1) / 2)];
+}
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -51,7 +51,7 @@
 }
 
 /** Length of a granted lease: bridges the loss of a coordinator. */
-const LEASE_MS = 4_000;
+const LEASE_MS = 5_000;
 
 /** Longest wait of the worker for an end. */
 const REPORT_WAIT_MS = 800;
@@ -362,6 +362,8 @@
       }
       assigned.run.isConfirmed = true;
       assigned.run.progressPercent = running.progressPercent;
+      assigned.run.progressMs =
+        this.options.clock.getMonotonicMs() - assigned.run.placedMs;
       if (running.usage !== assigned.run.usage) {
         assigned.run.previousUsage = assigned.run.usage;
         assigned.run.usage = running.usage;
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -152,6 +152,7 @@
     isConfirmed: false,
     isStopping: false,
     progressPercent: 0,
+    progressMs: 0,
     pacePercent: 100,
     pacedMs: placedMs,
     usage: 0,
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -25,6 +25,8 @@
   isStopping: boolean;
   /** Share of the work that is done, 0 to 100, as the worker last said. */
   progressPercent: number;
+  /** Age of the run when the worker last reported its progress. */
+  progressMs: number;
   /** Share of the processor that the run is allowed, 0 to 100. */
   pacePercent: number;
   /** Monotonic time at which the share was last changed. */
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -142,6 +142,9 @@
     this.election.noteRoundTrip(clock.getMonotonicMs() - sentMs);
     this.storeMs = snapshot.value.storeMs;
     if (!this.election.isTakeoverDue(this.storeMs)) return;
+    const term = CommitLog.getTerm(snapshot.value);
+    // Another node has taken a term whose board has not arrived here yet.
+    if (term !== (this.election.getBoard()?.term ?? 0)) return;
     const log = CommitLog.create(
       {store, clock, holder: nodeId},
       snapshot.value,
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -184,6 +184,11 @@
     level: 'info',
     text: 'This node gave up the coordinator role or lost it.',
   },
+  'coordinator-ready': {
+    number: 802,
+    level: 'info',
+    text: 'The coordinator has read all state and nine in ten workers know its term.',
+  },
   'store-lost': {
     number: 810,
     level: 'warn',
@@ -279,6 +284,11 @@
     level: 'info',
     text: 'Cores that run and wait, by kind of work.',
   },
+  'worker-restored': {
+    number: 836,
+    level: 'info',
+    text: 'A worker that was set aside did its probe well and is back in use.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
