--- a/packages/coordination/src/commit_log.ts
+++ b/packages/coordination/src/commit_log.ts
@@ -1,10 +1,7 @@
 /** Conditional writes of a coordinator, which fail for good once another one has taken over. */
 
 import {Clock} from '@mustardlug/base/clock';
-import {
-  decodeRowValue,
-  encodeRowValue,
-} from '@mustardlug/jobs/job_codec';
+import {decodeRowValue, encodeRowValue} from '@mustardlug/jobs/job_codec';
 import {
   ABSENT_VERSION,
   RowAddress,
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -264,10 +264,7 @@
   private judgeHealth(session: WorkerSession): void {
     const nowMs = this.options.clock.getMonotonicMs();
     const workerId = session.getId();
-    this.noteHealth(
-      workerId,
-      this.health.judge(session.load, workerId, nowMs),
-    );
+    this.noteHealth(workerId, this.health.judge(session.load, workerId, nowMs));
     if (!this.health.isAside(workerId)) return;
     for (const assigned of this.health.findStragglers(session.load, nowMs))
       void session.stopRun(assigned);
@@ -534,7 +531,10 @@
     for (const occurrence of job.occurrences.values()) {
       for (const step of occurrence.steps) {
         for (const task of step.tasks)
-          this.stopTaskRuns(getTaskName(job, occurrence.number, step, task), task);
+          this.stopTaskRuns(
+            getTaskName(job, occurrence.number, step, task),
+            task,
+          );
       }
     }
   }
@@ -564,8 +564,7 @@
     task.runs = task.runs.filter(each => each !== run);
     if (ended.checkpoint !== '') task.checkpoint = ended.checkpoint;
     if (!job.isEnded() && !task.isDone) {
-      if (ended.end === 'done')
-        this.noteDone(job, step, task, ended.taskName);
+      if (ended.end === 'done') this.noteDone(job, step, task, ended.taskName);
       else if (ended.end === 'failed') this.noteFailure(job, step, task);
     }
     this.book.refreshActive(job);
@@ -894,7 +893,8 @@
   /** Without the store this node cannot know whether another one has taken over. */
   private isIsolated(): boolean {
     const {commitLog, clock} = this.options;
-    const silentMs = clock.getMonotonicMs() - commitLog.getLastConfirmedSendMs();
+    const silentMs =
+      clock.getMonotonicMs() - commitLog.getLastConfirmedSendMs();
     return silentMs > ISOLATION_LIMIT_MS;
   }
 }
--- a/packages/coordination/src/effect_estimator.ts
+++ b/packages/coordination/src/effect_estimator.ts
@@ -131,8 +131,7 @@
       this.effects[row] += gain * error;
       const cells = this.covariance[row];
       for (const [column, columnProduct] of product.entries()) {
-        cells[column] =
-          (cells[column] - gain * columnProduct) / FORGETTING;
+        cells[column] = (cells[column] - gain * columnProduct) / FORGETTING;
       }
       cells[row] = Math.min(cells[row], MAX_VARIANCE);
     }
@@ -164,7 +163,10 @@
   return Number(value.toPrecision(STORED_DIGITS));
 }
 
-function getDotProduct(left: readonly number[], right: readonly number[]): number {
+function getDotProduct(
+  left: readonly number[],
+  right: readonly number[],
+): number {
   let sum = 0;
   for (const [index, value] of left.entries()) sum += value * right[index];
   return sum;
--- a/packages/coordination/src/job_desk.ts
+++ b/packages/coordination/src/job_desk.ts
@@ -86,9 +86,7 @@
    * @param submission - Job, queue and terms.
    * @returns `refused` when the job never runs, `unavailable` when that is not known.
    */
-  async submit(
-    submission: Submission,
-  ): Promise<Result<void, SubmissionError>> {
+  async submit(submission: Submission): Promise<Result<void, SubmissionError>> {
     const isRefusal = submission.retryAfterMs > 0;
     const value = encodeRowValue(
       isRefusal ? {kind: 'refused'} : this.createStoredJob(submission),
@@ -206,9 +204,7 @@
     return {kind: 'accepted', job: {spec, queue, acceptedMs}};
   }
 
-  private answerStored(
-    submission: Submission,
-  ): Result<void, SubmissionError> {
+  private answerStored(submission: Submission): Result<void, SubmissionError> {
     const {retryAfterMs} = submission;
     if (retryAfterMs === 0) return this.answerAccepted(submission, 'stored');
     const message = `queue ${submission.queue.name} is full; try again later`;
--- a/packages/coordination/src/packing.ts
+++ b/packages/coordination/src/packing.ts
@@ -108,7 +108,10 @@
 }
 
 /** Fillers go where most is unused, away from what they disturb. */
-function getFillerScore(request: PackingRequest, worker: PackingWorker): number {
+function getFillerScore(
+  request: PackingRequest,
+  worker: PackingWorker,
+): number {
   const {load} = worker;
   const {needs, image} = request.step.spec;
   const unusedShare = load.getUnusedCpuMillis() / load.getCapacity().cpuMillis;
--- a/packages/coordination/src/worker_health.ts
+++ b/packages/coordination/src/worker_health.ts
@@ -117,11 +117,7 @@
     const {queue} = assigned.job.accepted;
     if (!record.isAside) {
       const durationMs = nowMs - assigned.run.placedMs;
-      this.options.durations.addDuration(
-        queue.name,
-        assigned.step,
-        durationMs,
-      );
+      this.options.durations.addDuration(queue.name, assigned.step, durationMs);
       return 'unchanged';
     }
     if (slowdown > SLOW_FACTOR) return 'unchanged';
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -1,6 +1,11 @@
 /** What runs on a worker, counted against its capacity. */
 
-import {JobState, StepState, TaskRun, TaskState} from '@mustardlug/jobs/job_state';
+import {
+  JobState,
+  StepState,
+  TaskRun,
+  TaskState,
+} from '@mustardlug/jobs/job_state';
 import {TaskNeeds} from '@mustardlug/jobs/job_spec';
 
 /** A run together with what it belongs to. */
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -112,9 +112,7 @@
     this.bornMs = options.record.bornMs;
     this.load = WorkerLoad.create(options.record.capacity);
     this.leaseEndMs =
-      options.clock.getMonotonicMs() +
-      options.earlierTermMs +
-      EARLIER_LEASE_MS;
+      options.clock.getMonotonicMs() + options.earlierTermMs + EARLIER_LEASE_MS;
   }
 
   /**
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -5,11 +5,7 @@
 
 /** What callers are shown. */
 export type JobPhase =
-  | 'pending'
-  | 'running'
-  | 'completed'
-  | 'failed'
-  | 'cancelled';
+  'pending' | 'running' | 'completed' | 'failed' | 'cancelled';
 
 /** One run of a task on a worker. */
 export interface TaskRun {
--- /dev/null
+++ b/packages/jobs/test/job_model.test.ts
@@ -0,0 +1,152 @@
+import {expect} from 'chai';
+import {
+  createTaskRun,
+  decodeRowValue,
+  encodeRowValue,
+  restoreProgress,
+  StoredProgress,
+  toStoredProgress,
+} from '../src/job_codec.js';
+import {JobSpec, StepSpec, validateJobSpec} from '../src/job_spec.js';
+import {JobState} from '../src/job_state.js';
+import {findQueue, QueueConfig} from '../src/queue_config.js';
+import {formatTaskName, parseTaskName} from '../src/task_name.js';
+
+const STEP: StepSpec = {
+  taskCount: 3,
+  needs: {cpuMillis: 1_000, memoryMb: 100, accelerators: 0},
+  estimatedMs: 500,
+  dependsOn: [],
+  isCheckpointing: true,
+  isGang: false,
+  isSameRackPreferred: false,
+  maxPerWorker: 0,
+  isSpeculative: false,
+  isLongRunning: false,
+  targetResponseMs: 0,
+  isFiller: false,
+};
+
+const QUEUE: QueueConfig = {
+  name: 'bookings',
+  host: 'desk.example',
+  pathPrefix: '/bookings/',
+  serviceName: 'class-desk',
+  priority: 0,
+  maxAttempts: 3,
+  stretch: 1.5,
+  targetDurationMs: 400,
+};
+
+function createJob(fields: Partial<JobSpec> = {}): JobState {
+  const spec = {specification: 'x', steps: [STEP], ...fields};
+  const jobId = '00000000000000aa';
+  return JobState.create({jobId, spec, queue: QUEUE, acceptedMs: 1_000});
+}
+
+describe('task names', () => {
+  it('are read as they were written', () => {
+    const name = {jobId: 'ab', occurrence: 2, stepIndex: 1, taskIndex: 17};
+    expect(formatTaskName(name)).to.equal('ab.2.1.17');
+    expect(parseTaskName('ab.2.1.17')).to.deep.equal(name);
+  });
+
+  for (const text of ['', 'ab', 'ab.1.2', 'ab.x.1.2', 'a.b.1.2.3'])
+    it(`rejects "${text}"`, () =>
+      expect(parseTaskName(text)).to.equal(undefined));
+});
+
+describe('findQueue', () => {
+  it('takes the longest prefix of the right host', () => {
+    const short = {...QUEUE, name: 'short', pathPrefix: '/'};
+    const other = {...QUEUE, name: 'other', host: 'else.example'};
+    const config = {
+      version: 1,
+      queues: [short, other, QUEUE],
+      services: [],
+      limits: {maxBodyBytes: 1},
+    };
+    const find = (host: string, path: string) =>
+      findQueue(config, host, path)?.name;
+    expect(find('desk.example', '/bookings/1')).to.equal('bookings');
+    expect(find('desk.example', '/x')).to.equal('short');
+    expect(find('none.example', '/bookings/1')).to.equal(undefined);
+  });
+});
+
+describe('validateJobSpec', () => {
+  const doTest = (spec: Partial<JobSpec>, path: string) => {
+    const full = {specification: '', steps: [STEP], ...spec};
+    const error = validateJobSpec(full)._unsafeUnwrapErr();
+    expect(error.problems.map(problem => problem.path)).to.deep.equal([path]);
+  };
+
+  it('names a specification that is too long', () =>
+    doTest({specification: 'é'.repeat(2_001)}, 'specification'));
+
+  it('names a job without steps', () => doTest({steps: []}, 'steps'));
+
+  it('names a step that waits for a later one', () =>
+    doTest({steps: [{...STEP, dependsOn: [0]}]}, 'steps.0.after'));
+
+  it('names a step without tasks', () =>
+    doTest({steps: [{...STEP, taskCount: 0}]}, 'steps.0.count'));
+});
+
+describe(JobState.name, () => {
+  it('opens steps once all that they need is done', () => {
+    const steps = [STEP, {...STEP, dependsOn: [0]}];
+    const job = createJob({steps});
+    job.openDueOccurrences(1_000);
+    const occurrence = job.occurrences.get(0)!;
+    const [first] = occurrence.steps;
+    expect(occurrence.getOpenSteps()).to.deep.equal([first]);
+    for (const task of first.tasks) first.markDone(task);
+    expect(occurrence.getOpenSteps()).to.deep.equal([occurrence.steps[1]]);
+  });
+
+  it('opens occurrences when they are due, and ends after the last one', () => {
+    const schedule = {repetitions: 2, firstRunMs: 5_000, intervalMs: 1_000};
+    const job = createJob({schedule});
+    job.openDueOccurrences(4_999);
+    expect(job.occurrences.size).to.equal(0);
+    job.openDueOccurrences(6_000);
+    expect([...job.occurrences.keys()]).to.deep.equal([0, 1]);
+    for (const {steps} of job.occurrences.values()) {
+      for (const task of steps[0].tasks) steps[0].markDone(task);
+    }
+    job.closeDoneOccurrences();
+    expect(job.phase).to.equal('completed');
+  });
+
+  it('is restored as it was stored', () => {
+    const job = createJob();
+    job.openDueOccurrences(1_000);
+    job.phase = 'running';
+    const step = job.occurrences.get(0)!.steps[0];
+    step.markDone(step.tasks[0]);
+    step.tasks[1].failures = 1;
+    step.tasks[1].checkpoint = 'half';
+    step.tasks[1].runs = [createTaskRun('worker-1', 7, 1_001, 0)];
+    const stored = decodeRowValue<StoredProgress>(
+      encodeRowValue(toStoredProgress(job, 2_000)),
+    );
+    const copy = createJob();
+    restoreProgress(copy, stored, 0);
+    expect(copy.occurrences).to.deep.equal(job.occurrences);
+    expect(copy.phase).to.equal('running');
+    expect(copy.nextOccurrence).to.equal(1);
+  });
+
+  it('keeps only the phase of a job that has ended', () => {
+    const job = createJob();
+    job.openDueOccurrences(1_000);
+    job.phase = 'cancelled';
+    expect(toStoredProgress(job, 2_000)).to.deep.equal({
+      phase: 'cancelled',
+      nextOccurrence: 1,
+      occurrences: [],
+      endedMs: 2_000,
+    });
+  });
+});
--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -101,10 +101,7 @@
       case 'DELETE':
         return this.cancelJob(request);
       default:
-        return context.json(
-          {error: {reason: 'use POST, GET or DELETE'}},
-          405,
-        );
+        return context.json({error: {reason: 'use POST, GET or DELETE'}}, 405);
     }
   }
 
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -2,10 +2,7 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {UnavailableError} from '@mustardlug/base/errors';
-import {
-  Coordinator,
-  WorkerDecoder,
-} from '@mustardlug/coordination/coordinator';
+import {Coordinator, WorkerDecoder} from '@mustardlug/coordination/coordinator';
 import {JobDesk} from '@mustardlug/coordination/job_desk';
 import {JobWorkerClient} from '@mustardlug/platform/job_worker';
 import {RowStore} from '@mustardlug/platform/row_store';
@@ -153,8 +150,7 @@
   private createReadinessApp(): Hono {
     const app = new Hono();
     app.get(this.options.platform.readinessPath, context => {
-      const isReady =
-        !this.isDraining && this.config.getConfig() !== undefined;
+      const isReady = !this.isDraining && this.config.getConfig() !== undefined;
       return context.body(null, isReady ? 200 : 503);
     });
     return app;
--- /dev/null
+++ b/packages/node/test/caller_api.test.ts
@@ -0,0 +1,206 @@
+import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {Board} from '@mustardlug/coordination/board';
+import {JobDesk} from '@mustardlug/coordination/job_desk';
+import {FleetConfig, QueueConfig} from '@mustardlug/jobs/queue_config';
+import {JobSpec} from '@mustardlug/jobs/job_spec';
+import {MemoryRowStore} from '@mustardlug/standins/memory_row_store';
+import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {HybridLogicalClock} from '@mustardlug/telemetry/hybrid_logical_clock';
+import {createInvalidInputError} from '@mustardlug/base/errors';
+import {expect} from 'chai';
+import {err, ok} from 'neverthrow';
+import {CallerApi, CallerFormat} from '../src/caller_api.js';
+
+const QUEUE: QueueConfig = {
+  name: 'bookings',
+  host: 'desk.example',
+  pathPrefix: '/bookings/',
+  serviceName: 'class-desk',
+  priority: 0,
+  maxAttempts: 3,
+  stretch: 1.5,
+  targetDurationMs: 400,
+};
+
+const SPEC: JobSpec = {specification: '', steps: []};
+
+const FORMAT: CallerFormat = {
+  decodeJob: body =>
+    body === 'bad'
+      ? err(
+          createInvalidInputError('the job', [
+            {path: 'steps', expected: 'expected steps', remedy: 'add one'},
+          ]),
+        )
+      : ok(SPEC),
+  deadlineHeader: 'deadline-milliseconds',
+  renderPhase: phase => ({phase}),
+  renderWaiting: waitingJobs => ({waitingJobs}),
+};
+
+const JOB_PATH = '/bookings/00000000000000aa';
+
+class Fixture {
+  readonly clock = VirtualClock.create();
+  readonly store = MemoryRowStore.create(this.clock);
+  config: FleetConfig | undefined = {
+    version: 1,
+    queues: [QUEUE],
+    services: [],
+    limits: {maxBodyBytes: 100},
+  };
+  board: {board: Board; ageMs: number} | undefined;
+  private readonly app = CallerApi.createApp({
+    clock: this.clock,
+    desk: JobDesk.create({
+      store: this.store.createClient(),
+      clock: this.clock,
+      events: EventRecorder.create({
+        nodeId: 'node-1',
+        clock: HybridLogicalClock.create(this.clock),
+      }),
+    }),
+    format: FORMAT,
+    getConfig: () => this.config,
+    getBoard: () => this.board,
+  });
+
+  async request(method: string, path: string, body?: string) {
+    const response = this.app.request(`http://desk.example${path}`, {
+      method,
+      body,
+      headers: {host: 'desk.example'},
+    });
+    let isAnswered = false;
+    void Promise.resolve(response).finally(() => {
+      isAnswered = true;
+    });
+    for (let round = 0; !isAnswered; round++) {
+      await this.clock.advance(1);
+      // The body of a request arrives on turns of the real event loop.
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    return response;
+  }
+
+  setLoad(retryAfterMs: number, waitingJobs = 0): void {
+    const queues = {bookings: {waitingJobs, retryAfterMs}};
+    const board = {term: 1, holder: 'node-2', writtenStoreMs: 0, queues};
+    this.board = {board, ageMs: 100};
+  }
+}
+
+describe(CallerApi.name, () => {
+  it('accepts a job once, shows it and cancels it', async () => {
+    const fixture = new Fixture();
+    for (let attempt = 0; attempt < 2; attempt++) {
+      const response = await fixture.request('POST', JOB_PATH, '{}');
+      expect(response.status).to.equal(200);
+    }
+    const shown = await fixture.request('GET', JOB_PATH);
+    expect(await shown.json()).to.deep.equal({phase: 'pending'});
+    const cancelled = await fixture.request('DELETE', JOB_PATH);
+    expect(cancelled.status).to.equal(200);
+    const after = await fixture.request('GET', JOB_PATH);
+    expect(await after.json()).to.deep.equal({phase: 'cancelled'});
+  });
+
+  const doStatusTest = async (
+    method: string,
+    path: string,
+    body: string | undefined,
+    status: number,
+  ) => {
+    const response = await new Fixture().request(method, path, body);
+    expect(response.status).to.equal(status);
+  };
+
+  it('answers 404 for a queue that does not exist', () =>
+    doStatusTest('GET', '/elsewhere/', undefined, 404));
+
+  it('answers 404 for an identifier that is none', () =>
+    doStatusTest('POST', '/bookings/xyz', '{}', 404));
+
+  it('answers 410 for a job that nobody submitted', () =>
+    doStatusTest('GET', JOB_PATH, undefined, 410));
+
+  it('answers 400 for a malformed job', () =>
+    doStatusTest('POST', JOB_PATH, 'bad', 400));
+
+  it('answers 413 for a body over the limit', () =>
+    doStatusTest('POST', JOB_PATH, 'x'.repeat(101), 413));
+
+  it('answers 503 and when to come back before a configuration came', async () => {
+    const fixture = new Fixture();
+    fixture.config = undefined;
+    const response = await fixture.request('POST', JOB_PATH, '{}');
+    expect(response.status).to.equal(503);
+    expect(response.headers.get('retry-after')).to.equal('1');
+  });
+
+  it('stores nothing of a malformed job', async () => {
+    const fixture = new Fixture();
+    await fixture.request('POST', JOB_PATH, 'bad');
+    expect((await fixture.request('GET', JOB_PATH)).status).to.equal(410);
+  });
+
+  it('refuses with 429 for good, until the caller comes back', async () => {
+    const fixture = new Fixture();
+    fixture.setLoad(2_500);
+    const refused = await fixture.request('POST', JOB_PATH, '{}');
+    expect(refused.status).to.equal(429);
+    expect(refused.headers.get('retry-after')).to.equal('3');
+    expect((await fixture.request('GET', JOB_PATH)).status).to.equal(410);
+    fixture.setLoad(0);
+    const accepted = await fixture.request('POST', JOB_PATH, '{}');
+    expect(accepted.status).to.equal(200);
+  });
+
+  it('never refuses a job that was accepted before', async () => {
+    const fixture = new Fixture();
+    await fixture.request('POST', JOB_PATH, '{}');
+    fixture.setLoad(2_500);
+    const repeated = await fixture.request('POST', JOB_PATH, '{}');
+    expect(repeated.status).to.equal(200);
+  });
+
+  it('keeps a late first submission out after a refusal', async () => {
+    const fixture = new Fixture();
+    fixture.store.faults.applyNextLate = 1;
+    fixture.store.faults.lateMs = 500;
+    const first = fixture.request('POST', JOB_PATH, '{}');
+    fixture.setLoad(2_500);
+    await fixture.request('POST', JOB_PATH, '{}');
+    await first;
+    fixture.setLoad(0);
+    await fixture.clock.advance(1_000);
+    const rows = fixture.store.getTable('mustardlug-jobs');
+    expect(rows.length).to.equal(1);
+  });
+
+  it('says that nothing was stored when the store refuses', async () => {
+    const fixture = new Fixture();
+    fixture.store.faults.isRefusing = true;
+    const response = await fixture.request('POST', JOB_PATH, '{}');
+    expect(response.status).to.equal(503);
+    fixture.store.faults.isRefusing = false;
+    expect((await fixture.request('GET', JOB_PATH)).status).to.equal(410);
+  });
+
+  it('answers 504 while it is not known whether a job is stored', async () => {
+    const fixture = new Fixture();
+    fixture.store.faults.isSilent = true;
+    const response = await fixture.request('POST', JOB_PATH, '{}');
+    expect(response.status).to.equal(504);
+  });
+
+  it('shows how many jobs wait, but only while it knows', async () => {
+    const fixture = new Fixture();
+    expect((await fixture.request('GET', '/bookings/')).status).to.equal(503);
+    fixture.setLoad(0, 4);
+    const shown = await fixture.request('GET', '/bookings/');
+    expect(await shown.json()).to.deep.equal({waitingJobs: 4});
+    fixture.board = {...fixture.board!, ageMs: 2_500};
+    expect((await fixture.request('GET', '/bookings/')).status).to.equal(503);
+  });
+});
--- a/packages/standins/src/memory_row_store.ts
+++ b/packages/standins/src/memory_row_store.ts
@@ -138,7 +138,8 @@
       this.rows.get(getRowKey(condition)),
     );
     const isConflict = transaction.conditions.some(
-      (condition, index) => (current[index]?.version ?? 0) !== condition.version,
+      (condition, index) =>
+        (current[index]?.version ?? 0) !== condition.version,
     );
     if (isConflict) {
       return err({
--- a/packages/standins/src/model_job_worker_client.ts
+++ b/packages/standins/src/model_job_worker_client.ts
@@ -141,9 +141,7 @@
   }
 }
 
-function createRefusal(
-  reason: Exclude<OrderOutcome, 'done'>,
-): WorkerError {
+function createRefusal(reason: Exclude<OrderOutcome, 'done'>): WorkerError {
   return {
     kind: 'worker-refusal',
     reason,
