Split placement from the coordinator, rank workers once a step, log once a step

For deployments of hundreds of workers: predictions look at images instead of runs, a step ranks its workers once, and a pass remembers needs without room. Gangs are placed whole.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -27,11 +27,10 @@
 import {Result} from 'neverthrow';
 import {Board, QueueLoad} from './board.js';
 import {CommitLog, MAX_COMMIT_ROWS} from './commit_log.js';
-import {DisturbanceModel} from './disturbance_model.js';
 import {DurationModel} from './duration_model.js';
+import {FillerControl} from './filler_control.js';
+import {renderFleetLoad, renderPlacedStep} from './fleet_report.js';
 import {JobBook, JobChange} from './job_book.js';
-import {PaceControl} from './pace_control.js';
-import {chooseWorker, PackingWorker} from './packing.js';
 import {
   BOARD_TABLE,
   COORDINATOR_PART,
@@ -41,13 +40,15 @@
   SINGLE_ROW_KEY,
 } from './tables.js';
 import {TableFollower} from './table_follower.js';
+import {WaitingStep} from './task_order.js';
 import {
-  createWaitingStep,
-  sortWaitingSteps,
-  WaitingStep,
-} from './task_order.js';
+  getWaitingSteps,
+  Placement,
+  PlacementPass,
+  PlacementWorker,
+} from './task_placer.js';
 import {HealthChange, WorkerHealth} from './worker_health.js';
-import {AssignedRun, WorkerLoad} from './worker_load.js';
+import {AssignedRun} from './worker_load.js';
 import {
   EARLIER_LEASE_MS,
   SessionListener,
@@ -81,7 +82,7 @@
 export type CoordinatorEnd = 'superseded' | 'stopped' | 'isolated';
 
 /** Time between a change and the placement of work, so that changes close together share it. */
-const PASS_DELAY_MS = 4;
+const PASS_DELAY_MS = 8;
 
 /** Interval of the board; a fourth of the age at which its holder counts as lost. */
 const BOARD_INTERVAL_MS = 300;
@@ -108,8 +109,6 @@
 /** Share of the workers that must know the term before the coordinator counts as ready. */
 const READY_SHARE = 0.9;
 
-const MILLIS_PER_CORE = 1_000;
-
 /** Runs of one term are numbered from a base, above those of all earlier terms. */
 const RUNS_PER_TERM = 1_000;
 
@@ -124,14 +123,13 @@
   private readonly book = JobBook.create();
   private readonly sessions = new Map<string, WorkerSession>();
   private readonly dirtyJobs = new Set<JobState>();
-  private readonly runCounters = new Map<string, number>();
+  private readonly runCounters = new Map<StepState | string, number>();
   /** Runs of workers that are not registered, and when they have certainly ended. */
   private readonly orphans = new Map<AssignedRun, number>();
-  private readonly disturbance = DisturbanceModel.create();
+  private readonly fillers: FillerControl;
   private readonly health = WorkerHealth.create({
     durations: DurationModel.create(),
   });
-  private readonly paceControls = new Map<string, PaceControl>();
   private afterCommit: Array<() => void> = [];
   private followers: TableFollower[] = [];
   private isPassScheduled = false;
@@ -147,7 +145,10 @@
   private end: CoordinatorEnd | undefined;
   private resolveEnd: ((end: CoordinatorEnd) => void) | undefined;
 
-  private constructor(private readonly options: CoordinatorOptions) {}
+  private constructor(private readonly options: CoordinatorOptions) {
+    const {clock, events} = options;
+    this.fillers = FillerControl.create({clock, events});
+  }
 
   /**
    * Creates a coordinator; `run` starts it.
@@ -204,7 +205,8 @@
     ended: EndedRun,
     assigned: AssignedRun | undefined,
   ): void {
-    this.options.events.addEvent('run-ended', {
+    const name = ended.end === 'done' ? 'run-done' : 'run-ended';
+    this.options.events.addEvent(name, {
       taskId: ended.taskName,
       workerId: session.getId(),
       detail: `run ${ended.runNumber} ${ended.end}`,
@@ -230,7 +232,7 @@
   onReport(session: WorkerSession): void {
     if (!this.isReady) this.checkReady();
     this.stopUnwantedRuns(session);
-    this.controlFillers(session);
+    this.fillers.applyReport(session);
     this.judgeHealth(session);
     const sequence = session.getProcessedSequence();
     const bornMs = session.getBornMs();
@@ -277,33 +279,6 @@
     this.options.events.addEvent(name, {workerId});
   }
 
-  /** Learns from the latest figures, and slows or evicts what disturbs. */
-  private controlFillers(session: WorkerSession): void {
-    const nowMs = this.options.clock.getMonotonicMs();
-    this.disturbance.addReport(session.load, nowMs);
-    const control = this.getPaceControl(session.getId());
-    for (const action of control.decide(session.load, nowMs)) {
-      const {assigned} = action;
-      const percent = action.kind === 'pace' ? action.percent : 0;
-      this.options.events.addEvent('run-paced', {
-        taskId: assigned.taskName,
-        workerId: session.getId(),
-        detail: action.kind === 'pace' ? `${percent} %` : 'evicted',
-      });
-      if (action.kind === 'pace') void session.paceRun(assigned, percent);
-      else void session.stopRun(assigned);
-    }
-  }
-
-  private getPaceControl(workerId: string): PaceControl {
-    let control = this.paceControls.get(workerId);
-    if (control === undefined) {
-      control = PaceControl.create(this.disturbance);
-      this.paceControls.set(workerId, control);
-    }
-    return control;
-  }
-
   onStartRefused(
     session: WorkerSession,
     assigned: AssignedRun,
@@ -355,7 +330,7 @@
       ]);
       if (!hasWorkers || !hasJobs || progress.isErr()) continue;
       // What an earlier coordinator learned is useful, but can be learned again.
-      if (effects.isOk()) this.disturbance.restore(effects.value.rows);
+      if (effects.isOk()) this.fillers.disturbance.restore(effects.value.rows);
       const nowMs = clock.getMonotonicMs();
       this.book.restore(jobRows, progress.value.rows, nowMs);
       this.isLoaded = true;
@@ -591,8 +566,10 @@
     taskName: string,
   ): void {
     if (step.spec.isLongRunning) return;
-    step.markDone(task);
-    this.stopTaskRuns(taskName, task);
+    // A gang works and ends together: one end stands for all members.
+    const doneTasks = step.spec.isGang ? step.tasks : [task];
+    for (const each of doneTasks) step.markDone(each);
+    if (!step.spec.isGang) this.stopTaskRuns(taskName, task);
     if (!step.isDone()) return;
     job.closeDoneOccurrences();
     if (!job.isEnded()) return;
@@ -606,24 +583,32 @@
     if (step.spec.isLongRunning) return;
     task.failures++;
     const {maxAttempts} = this.getQueue(job);
-    if (task.failures < maxAttempts) return;
+    const failures = step.spec.isGang ? getGangFailures(step) : task.failures;
+    if (failures < maxAttempts) return;
     job.phase = 'failed';
     this.options.events.addEvent('job-ended', {
       requestId: job.getId(),
-      detail: `failed: a task of step ${step.index} failed ${task.failures} times`,
+      detail: `failed: a task of step ${step.index} failed ${failures} times`,
     });
     this.stopRuns(job);
   }
 
   /** Lets a task be placed again. */
   private releaseRun(assigned: AssignedRun): void {
-    const {job, task, run} = assigned;
+    const {job, step, task, run} = assigned;
     task.runs = task.runs.filter(each => each !== run);
+    if (step.spec.isGang) this.stopGang(assigned);
     this.book.refreshActive(job);
     this.markDirty(job);
     this.schedulePass();
   }
 
+  /** Without one member the others would only wait for it. */
+  private stopGang({job, occurrence, step}: AssignedRun): void {
+    for (const task of step.tasks)
+      this.stopTaskRuns(getTaskName(job, occurrence, step, task), task);
+  }
+
   private markDirty(job: JobState): void {
     this.dirtyJobs.add(job);
     this.schedulePass();
@@ -659,77 +644,54 @@
   }
 
   private placeWaitingTasks(): void {
-    const wallMs = this.options.clock.getWallMs();
-    const workersByService = this.getUsableWorkers();
-    const waiting = sortWaitingSteps(this.getWaitingSteps(wallMs), wallMs);
-    for (const step of waiting) {
-      const workers = workersByService.get(step.queue.serviceName) ?? [];
-      this.placeStep(step, workers);
+    const {clock} = this.options;
+    const wallMs = clock.getWallMs();
+    const pass = PlacementPass.create({
+      disturbance: this.fillers.disturbance,
+      workersByService: this.getUsableWorkers(clock.getMonotonicMs()),
+      place: placement => this.placeTask(placement),
+      undo: (assigned, {session}) => this.undoPlacement(assigned, session),
+    });
+    pass.run(this.getWaitingSteps(wallMs), wallMs);
+    for (const step of pass.getPlacedSteps()) {
+      this.options.events.addEvent('step-placed', {
+        requestId: step.waiting.job.getId(),
+        detail: renderPlacedStep(step, wallMs),
+      });
     }
   }
 
-  private getUsableWorkers(): Map<string, PlacementWorker[]> {
-    const nowMs = this.options.clock.getMonotonicMs();
+  private getWaitingSteps(wallMs: number): WaitingStep[] {
+    const jobs = this.book.getActiveJobs();
+    return getWaitingSteps(jobs, job => this.getQueue(job), wallMs);
+  }
+
+  private getUsableWorkers(nowMs: number): Map<string, PlacementWorker[]> {
     const workers = new Map<string, PlacementWorker[]>();
     for (const session of this.sessions.values()) {
       if (!session.isUsable()) continue;
-      if (!this.health.isUsable(session.getId(), nowMs)) continue;
+      const workerId = session.getId();
+      if (!this.health.isUsable(workerId, nowMs)) continue;
       const {serviceName, rack, labels} = session.getRecord();
       const list = workers.get(serviceName) ?? [];
-      const takesFillers = this.getPaceControl(session.getId()).isOpen(nowMs);
+      const takesFillers = this.fillers.isOpen(workerId, nowMs);
       list.push({session, load: session.load, rack, labels, takesFillers});
       workers.set(serviceName, list);
     }
     return workers;
   }
 
-  private getWaitingSteps(wallMs: number): WaitingStep[] {
-    const waiting: WaitingStep[] = [];
-    for (const job of this.book.getActiveJobs()) {
-      if (job.isEnded()) continue;
-      job.openDueOccurrences(wallMs);
-      const queue = this.getQueue(job);
-      for (const occurrence of job.occurrences.values()) {
-        for (const step of occurrence.getOpenSteps()) {
-          if (!step.tasks.some(isWaitingTask)) continue;
-          const {number} = occurrence;
-          waiting.push(createWaitingStep(job, number, step, queue));
-        }
-      }
-    }
-    return waiting;
-  }
-
-  private placeStep(
-    waiting: WaitingStep,
-    workers: readonly PlacementWorker[],
-  ): void {
+  private placeTask({waiting, task, worker}: Placement): AssignedRun {
     const {job, occurrence, step} = waiting;
-    const request = {step, disturbance: this.disturbance};
-    for (const task of step.tasks) {
-      if (!isWaitingTask(task)) continue;
-      const worker = chooseWorker(request, workers);
-      if (worker === undefined) return;
-      this.placeTask(job, occurrence, step, task, worker.session);
-    }
-  }
-
-  private placeTask(
-    job: JobState,
-    occurrence: number,
-    step: StepState,
-    task: TaskState,
-    session: WorkerSession,
-  ): void {
+    const {session} = worker;
     const taskName = getTaskName(job, occurrence, step, task);
     const run = createTaskRun(
       session.getId(),
       session.getBornMs(),
-      this.getNextRunNumber(taskName),
+      this.getNextRunNumber(step, taskName),
       this.options.clock.getMonotonicMs(),
     );
     task.runs.push(run);
-    if (job.phase === 'pending') job.phase = 'running';
     const assigned: AssignedRun = {
       job,
       occurrence,
@@ -743,10 +705,18 @@
     this.health.notePlacement(session.getId(), run.placedMs);
     this.dirtyJobs.add(job);
     this.afterCommit.push(() => this.startRun(session, assigned));
+    return assigned;
+  }
+
+  /** Takes a placement of this pass back: nothing of it was stored or sent. */
+  private undoPlacement(assigned: AssignedRun, session: WorkerSession): void {
+    const {task, run} = assigned;
+    task.runs = task.runs.filter(each => each !== run);
+    session.load.removeRun(assigned);
   }
 
   private startRun(session: WorkerSession, assigned: AssignedRun): void {
-    if (this.isIsolated()) return;
+    if (this.isIsolated() || !assigned.task.runs.includes(assigned.run)) return;
     this.options.events.addEvent('run-started', {
       taskId: assigned.taskName,
       workerId: session.getId(),
@@ -755,10 +725,16 @@
     void session.startRun(assigned);
   }
 
-  /** Run numbers of a term lie above those of all earlier terms. */
-  private getNextRunNumber(taskName: string): number {
-    const count = (this.runCounters.get(taskName) ?? 0) + 1;
-    this.runCounters.set(taskName, count);
+  /**
+   * Run numbers of a term lie above those of all earlier terms. The members of
+   * a gang share one number, which the first member that is placed takes.
+   */
+  private getNextRunNumber(step: StepState, taskName: string): number {
+    const present = step.spec.isGang ? getGangRunNumber(step) : undefined;
+    if (present !== undefined) return present;
+    const owner = step.spec.isGang ? step : taskName;
+    const count = (this.runCounters.get(owner) ?? 0) + 1;
+    this.runCounters.set(owner, count);
     return (this.options.commitLog.term - 1) * RUNS_PER_TERM + count;
   }
 
@@ -766,6 +742,9 @@
     const jobs = [...this.dirtyJobs];
     this.dirtyJobs.clear();
     const wallMs = this.options.clock.getWallMs();
+    for (const job of jobs) {
+      if (job.phase === 'pending' && job.hasRuns()) job.phase = 'running';
+    }
     const writes = jobs.map<RowWrite>(job => ({
       table: PROGRESS_TABLE,
       part: COORDINATOR_PART,
@@ -796,7 +775,7 @@
     const nowMs = this.options.clock.getMonotonicMs();
     if (nowMs - this.lastEffectsMs < EFFECTS_INTERVAL_MS) return [];
     this.lastEffectsMs = nowMs;
-    return this.disturbance.getChanges().map(({image, effects}) => ({
+    return this.fillers.disturbance.getChanges().map(({image, effects}) => ({
       table: EFFECT_TABLE,
       part: COORDINATOR_PART,
       key: image,
@@ -867,26 +846,8 @@
 
   private logLoad(nowMs: number): void {
     this.lastLoadLogMs = nowMs;
-    const sessions = [...this.sessions.values()];
-    const loads = sessions.map(session => session.load);
-    const sum = (read: (load: WorkerLoad) => number) =>
-      Math.round(
-        loads.reduce((total, load) => total + read(load), 0) / MILLIS_PER_CORE,
-      );
-    let waiting = 0;
-    for (const {step} of this.getWaitingSteps(this.options.clock.getWallMs())) {
-      const count = step.tasks.filter(isWaitingTask).length;
-      waiting += count * step.spec.needs.cpuMillis;
-    }
-    const detail = [
-      `workers ${sessions.filter(session => session.isUsable()).length} of ${sessions.length}`,
-      `capacity ${sum(load => load.getCapacity().cpuMillis)}`,
-      `free ${sum(load => load.getFreeCpuMillis())}`,
-      `serving ${sum(load => load.getServingCpuMillis())}`,
-      `filler ${sum(load => load.getFillerCpuMillis())}`,
-      `waiting ${Math.round(waiting / MILLIS_PER_CORE)}`,
-      `workers with serving tasks ${loads.filter(load => load.getServingCpuMillis() > 0).length}`,
-    ].join(', ');
+    const waiting = this.getWaitingSteps(this.options.clock.getWallMs());
+    const detail = renderFleetLoad([...this.sessions.values()], waiting);
     this.options.events.addEvent('fleet-load', {detail});
   }
 
@@ -899,12 +860,17 @@
   }
 }
 
-interface PlacementWorker extends PackingWorker {
-  readonly session: WorkerSession;
+function getGangFailures(step: StepState): number {
+  let failures = 0;
+  for (const task of step.tasks) failures += task.failures;
+  return failures;
 }
 
-function isWaitingTask(task: TaskState): boolean {
-  return !task.isDone && task.runs.length === 0;
+function getGangRunNumber(step: StepState): number | undefined {
+  for (const {runs} of step.tasks) {
+    if (runs.length > 0) return runs[0].runNumber;
+  }
+  return undefined;
 }
 
 function getTaskName(
--- /dev/null
+++ b/packages/coordination/src/fleet_report.ts
@@ -0,0 +1,78 @@
+/** Summarizes what a fleet does, for the log. */
+
+import {isWaitingTask, PlacedStep} from './task_placer.js';
+import {WaitingStep} from './task_order.js';
+import {WorkerLoad} from './worker_load.js';
+import {WorkerSession} from './worker_session.js';
+
+const MILLIS_PER_CORE = 1_000;
+
+/** Workers that the log names for one step. */
+const MAX_NAMED_WORKERS = 12;
+
+/**
+ * Renders a decision to run tasks: how many, where, and what it rested on.
+ * @param placed - Tasks of one step that were placed.
+ * @param wallMs - Wall-clock time of the decision.
+ */
+export function renderPlacedStep(placed: PlacedStep, wallMs: number): string {
+  const {waiting, workerIds, leftCount} = placed;
+  const {step, occurrence, queue, objectiveMs} = waiting;
+  const distinct = [...new Set(workerIds)];
+  const named = distinct.slice(0, MAX_NAMED_WORKERS).join(' ');
+  const more = distinct.length > MAX_NAMED_WORKERS ? ' and more' : '';
+  return [
+    `${occurrence}.${step.index}: ${workerIds.length} tasks on ${named}${more}`,
+    `${leftCount} wait`,
+    `priority ${queue.priority}`,
+    `objective in ${Math.round(objectiveMs - wallMs)} ms`,
+  ].join(', ');
+}
+
+/**
+ * Renders the cores that run and wait, by kind of work.
+ * @param sessions - All workers.
+ * @param waiting - Steps with waiting tasks.
+ */
+export function renderFleetLoad(
+  sessions: readonly WorkerSession[],
+  waiting: readonly WaitingStep[],
+): string {
+  const loads = sessions.map(session => session.load);
+  const usable = sessions.filter(session => session.isUsable()).length;
+  return [
+    `workers ${usable} of ${sessions.length}`,
+    `capacity ${sumCores(loads, load => load.getCapacity().cpuMillis)}`,
+    `free ${sumCores(loads, load => load.getFreeCpuMillis())}`,
+    `serving ${sumCores(loads, load => load.getServingCpuMillis())}`,
+    `filler ${sumCores(loads, load => load.getFillerCpuMillis())}`,
+    `paused ${sumCores(loads, getPausedCpuMillis)}`,
+    `waiting ${getWaitingCores(waiting)}`,
+  ].join(', ');
+}
+
+function sumCores(
+  loads: readonly WorkerLoad[],
+  getMillis: (load: WorkerLoad) => number,
+): number {
+  let millis = 0;
+  for (const load of loads) millis += getMillis(load);
+  return Math.round(millis / MILLIS_PER_CORE);
+}
+
+/** Gets the processors that slowed fillers do not use. */
+function getPausedCpuMillis(load: WorkerLoad): number {
+  let millis = 0;
+  for (const {step, run} of load.getFillerRuns())
+    millis += (step.spec.needs.cpuMillis * (100 - run.pacePercent)) / 100;
+  return millis;
+}
+
+function getWaitingCores(waiting: readonly WaitingStep[]): number {
+  let millis = 0;
+  for (const {step} of waiting) {
+    const count = step.tasks.filter(isWaitingTask).length;
+    millis += count * step.spec.needs.cpuMillis;
+  }
+  return Math.round(millis / MILLIS_PER_CORE);
+}
--- a/packages/coordination/src/pace_control.ts
+++ b/packages/coordination/src/pace_control.ts
@@ -2,7 +2,6 @@
 
 import {
   DisturbanceModel,
-  isFiller,
   isServing,
   MAX_PLANNED_INDEX,
 } from './disturbance_model.js';
@@ -75,11 +74,10 @@
    * @param nowMs - Monotonic time.
    */
   decide(load: WorkerLoad, nowMs: number): PaceAction[] {
-    const runs = [...load.getRuns()];
-    const fillers = runs.filter(
-      each => isFiller(each) && each.run.isConfirmed && !each.run.isStopping,
+    const fillers = [...load.getFillerRuns()].filter(
+      ({run}) => run.isConfirmed && !run.isStopping,
     );
-    const worst = getWorstServing(runs);
+    const worst = getWorstServing(load.getServingRuns());
     if (worst === undefined) {
       this.percent = FULL_PERCENT;
       return this.restore(fillers);
@@ -183,7 +181,7 @@
 }
 
 function getWorstServing(
-  runs: readonly AssignedRun[],
+  runs: ReadonlySet<AssignedRun>,
 ): AssignedRun | undefined {
   let worst: AssignedRun | undefined;
   for (const each of runs) {
--- a/packages/coordination/src/packing.ts
+++ b/packages/coordination/src/packing.ts
@@ -1,4 +1,4 @@
-/** Chooses a worker for a task. */
+/** Chooses workers for the tasks of a step. */
 
 import {StepState} from '@mustardlug/jobs/job_state';
 import {DisturbanceModel} from './disturbance_model.js';
@@ -36,43 +36,67 @@
 /** Preference of a serving task for workers without serving tasks over those of other images. */
 const NO_IMAGE_PREFERENCE = 2;
 
-/**
- * Chooses the best worker that has room.
- * @param request - Step of the task.
- * @param workers - Workers of the step's service.
- * @returns `undefined` when no worker has room.
- */
-export function chooseWorker<T extends PackingWorker>(
-  request: PackingRequest,
-  workers: readonly T[],
-): T | undefined {
-  let best: T | undefined;
-  let bestScore = -Infinity;
-  for (const worker of workers) {
-    if (!isEligible(request, worker)) continue;
-    const score = getScore(request, worker);
-    if (score <= bestScore) continue;
-    best = worker;
-    bestScore = score;
-  }
-  return best;
+/** A worker and how well it suits the tasks of a step. */
+interface RankedWorker<T> {
+  readonly worker: T;
+  readonly score: number;
 }
 
 /**
- * Checks whether a step could run on a worker if it were empty.
- * @param step - Step to place.
- * @param worker - Worker to check.
+ * Workers that have room for a task of one step, best first. Placing a task
+ * changes one worker only, so that the others keep their order.
  */
-export function canEverRun(step: StepState, worker: PackingWorker): boolean {
-  const {needs, requiredLabel} = step.spec;
-  const capacity = worker.load.getCapacity();
-  if (requiredLabel !== undefined && !worker.labels.includes(requiredLabel))
-    return false;
-  return (
-    needs.cpuMillis <= capacity.cpuMillis &&
-    needs.memoryMb <= capacity.memoryMb &&
-    needs.accelerators <= capacity.accelerators
-  );
+export class WorkerRanking<T extends PackingWorker> {
+  /** In ascending order of the score, so that the best is taken from the end. */
+  private readonly ranked: Array<RankedWorker<T>> = [];
+
+  private constructor(private readonly request: PackingRequest) {}
+
+  /**
+   * Ranks workers.
+   * @param request - Step of the tasks.
+   * @param workers - Workers of the step's service.
+   */
+  static create<T extends PackingWorker>(
+    request: PackingRequest,
+    workers: readonly T[],
+  ): WorkerRanking<T> {
+    const ranking = new WorkerRanking<T>(request);
+    for (const worker of workers) {
+      if (!isEligible(request, worker)) continue;
+      ranking.ranked.push({worker, score: getScore(request, worker)});
+    }
+    ranking.ranked.sort((left, right) => left.score - right.score);
+    return ranking;
+  }
+
+  /** Gets the best worker, or `undefined` when none has room. */
+  getBest(): T | undefined {
+    return this.ranked.at(-1)?.worker;
+  }
+
+  /** Ranks the best worker anew, after a task was placed on it. */
+  refreshBest(): void {
+    const best = this.ranked.pop();
+    if (best === undefined || !isEligible(this.request, best.worker)) return;
+    const score = getScore(this.request, best.worker);
+    this.ranked.splice(this.findPosition(score), 0, {
+      worker: best.worker,
+      score,
+    });
+  }
+
+  /** Finds the first position whose score is not lower. */
+  private findPosition(score: number): number {
+    let low = 0;
+    let high = this.ranked.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (this.ranked[middle].score < score) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
 }
 
 function isEligible(request: PackingRequest, worker: PackingWorker): boolean {
--- a/packages/coordination/src/tables.ts
+++ b/packages/coordination/src/tables.ts
@@ -15,6 +15,12 @@
 /** What the coordinator tells all nodes. */
 export const BOARD_TABLE = 'mustardlug-board';
 
+/** Nodes of the system and their sizes, each written by the node itself. */
+export const NODE_TABLE = 'mustardlug-nodes';
+
+/** Part of all rows of the node table. */
+export const NODE_PART = 'nodes';
+
 /** Part of all rows that the coordinator writes, so that one transaction covers them. */
 export const COORDINATOR_PART = 'coordinator';
 
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -32,6 +32,10 @@
   private usedAccelerators = 0;
   private fillerCpuMillis = 0;
   private servingCpuMillis = 0;
+  /** Long-running runs, and fillers, for quick looks. */
+  private readonly servingRuns = new Set<AssignedRun>();
+  private readonly fillerRuns = new Set<AssignedRun>();
+  private servingImages: ReadonlySet<string> | undefined;
 
   private constructor(private capacity: TaskNeeds) {}
 
@@ -85,6 +89,11 @@
       assigned,
     );
     this.count(assigned, 1);
+    const {isLongRunning, isFiller} = assigned.step.spec;
+    if (isFiller) this.fillerRuns.add(assigned);
+    if (!isLongRunning) return;
+    this.servingRuns.add(assigned);
+    this.servingImages = undefined;
   }
 
   /**
@@ -95,6 +104,8 @@
     const key = getRunKey(assigned.taskName, assigned.run.runNumber);
     if (!this.runs.delete(key)) return;
     this.count(assigned, -1);
+    this.fillerRuns.delete(assigned);
+    if (this.servingRuns.delete(assigned)) this.servingImages = undefined;
   }
 
   /**
@@ -134,13 +145,25 @@
     return this.servingCpuMillis;
   }
 
+  /** Gets the long-running runs. */
+  getServingRuns(): ReadonlySet<AssignedRun> {
+    return this.servingRuns;
+  }
+
+  /** Gets the runs of fillers. */
+  getFillerRuns(): ReadonlySet<AssignedRun> {
+    return this.fillerRuns;
+  }
+
   /** Gets the images of the long-running tasks. */
   getServingImages(): ReadonlySet<string> {
-    const images = new Set<string>();
-    for (const {step} of this.runs.values()) {
-      if (step.spec.isLongRunning) images.add(step.spec.image ?? '');
+    if (this.servingImages === undefined) {
+      const images = [...this.servingRuns].map(
+        ({step}) => step.spec.image ?? '',
+      );
+      this.servingImages = new Set(images);
     }
-    return images;
+    return this.servingImages;
   }
 
   /**
--- a/packages/experiments/src/job_harness.ts
+++ b/packages/experiments/src/job_harness.ts
@@ -154,6 +154,7 @@
       store,
       clock,
       nodeId,
+      processorShare: 1,
       events,
       createCoordinator: commitLog =>
         Coordinator.create({
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -9,10 +9,16 @@
 import {
   BOARD_TABLE,
   COORDINATOR_PART,
+  NODE_PART,
+  NODE_TABLE,
   SINGLE_ROW_KEY,
 } from '@mustardlug/coordination/tables';
-import {decodeRowValue} from '@mustardlug/jobs/job_codec';
-import {RowStore, StoredRow} from '@mustardlug/platform/row_store';
+import {decodeRowValue, encodeRowValue} from '@mustardlug/jobs/job_codec';
+import {
+  getPartRows,
+  RowStore,
+  StoredRow,
+} from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 
 /** Options of the coordinator role. */
@@ -20,6 +26,8 @@
   readonly store: RowStore;
   readonly clock: Clock;
   readonly nodeId: string;
+  /** Processors of this VM, in cores; larger VMs coordinate first. */
+  readonly processorShare: number;
   readonly events: EventRecorder;
   /** Creates the coordinator of a term that this node tries to take. */
   readonly createCoordinator: (commitLog: CommitLog) => Coordinator;
@@ -31,6 +39,20 @@
 /** Delay after a lost race or term, so that the winner's board arrives first. */
 const RETRY_MS = 200;
 
+/** Delay of the first term of a deployment, so that all nodes are registered. */
+const FIRST_TERM_DELAY_MS = 1_000;
+
+/** Delay for a VM that is much smaller than the largest one. */
+const SMALL_VM_DELAY_MS = 500;
+
+/** Share of the largest VM's processors from which a VM counts as large. */
+const LARGE_VM_FRACTION = 0.8;
+
+/** Stored description of a node. */
+interface NodeRow {
+  readonly processorShare: number;
+}
+
 /** A board that was received, and when. */
 interface ReceivedBoard {
   readonly board: Board;
@@ -81,8 +103,9 @@
   }
 
   /** Watches the board until `stop`. */
-  run(): Promise<void> {
-    return this.follower.run();
+  async run(): Promise<void> {
+    await this.register();
+    await this.follower.run();
   }
 
   /** Hands the role over if this node has it, and stops watching. */
@@ -134,6 +157,37 @@
     this.isCandidate = false;
   }
 
+  /** Tells the other nodes how large this VM is. */
+  private async register(): Promise<void> {
+    const {store, nodeId, processorShare} = this.options;
+    const row: NodeRow = {processorShare};
+    const value = encodeRowValue(row);
+    const address = {table: NODE_TABLE, part: NODE_PART, key: nodeId};
+    const outcome = await store.commit({
+      conditions: [],
+      writes: [{...address, value}],
+      removals: [],
+    });
+    if (outcome.isErr())
+      this.options.events.addEvent('store-lost', {
+        detail: `this node is not registered: ${outcome.error.message}`,
+      });
+  }
+
+  private async letLargerVmsGoFirst(): Promise<void> {
+    const {store, clock, processorShare} = this.options;
+    if (this.election.getBoard() === undefined)
+      await clock.sleep(FIRST_TERM_DELAY_MS);
+    const nodes = await getPartRows(store, NODE_TABLE, NODE_PART);
+    if (nodes.isErr()) return;
+    const shares = nodes.value.rows.map(
+      row => decodeRowValue<NodeRow>(row.value).processorShare,
+    );
+    const largest = Math.max(processorShare, ...shares);
+    if (processorShare < largest * LARGE_VM_FRACTION)
+      await clock.sleep(SMALL_VM_DELAY_MS);
+  }
+
   private async tryTerm(): Promise<void> {
     const {store, clock, nodeId} = this.options;
     const sentMs = clock.getMonotonicMs();
@@ -143,6 +197,8 @@
     this.storeMs = snapshot.value.storeMs;
     if (!this.election.isTakeoverDue(this.storeMs)) return;
     const term = CommitLog.getTerm(snapshot.value);
+    await this.letLargerVmsGoFirst();
+    if (!this.election.isTakeoverDue(this.storeMs) || this.isStopped) return;
     // Another node has taken a term whose board has not arrived here yet.
     if (term !== (this.election.getBoard()?.term ?? 0)) return;
     const log = CommitLog.create(
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -42,6 +42,8 @@
 export interface NodeProcessOptions {
   readonly clock: Clock;
   readonly nodeId: string;
+  /** Processors of this VM, in cores. */
+  readonly processorShare: number;
   readonly addresses: NodeAddresses;
   readonly platform: NodePlatform;
   readonly events: EventRecorder;
@@ -69,7 +71,7 @@
    * @param options - Addresses and platform.
    */
   static create(options: NodeProcessOptions): NodeProcess {
-    const {clock, events, platform, nodeId} = options;
+    const {clock, events, platform, nodeId, processorShare} = options;
     const {store} = platform;
     const config = ConfigWatch.create({
       store,
@@ -83,6 +85,7 @@
       store,
       clock,
       nodeId,
+      processorShare,
       events,
       createCoordinator: commitLog =>
         Coordinator.create({
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -256,13 +256,13 @@
   },
   'run-started': {
     number: 830,
-    level: 'info',
+    level: 'debug',
     text: 'The start of a run was ordered.',
   },
   'run-ended': {
     number: 831,
     level: 'info',
-    text: 'A worker listed the end of a run.',
+    text: 'A worker listed a run that ended otherwise than well.',
   },
   'run-lost': {
     number: 832,
@@ -279,6 +279,16 @@
     level: 'info',
     text: 'The processor share of a run was changed.',
   },
+  'run-done': {
+    number: 837,
+    level: 'debug',
+    text: 'A worker listed a run that ended well.',
+  },
+  'step-placed': {
+    number: 838,
+    level: 'info',
+    text: 'Waiting tasks of a step were given workers.',
+  },
   'fleet-load': {
     number: 835,
     level: 'info',
