--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -82,7 +82,10 @@
 export type CoordinatorEnd = 'superseded' | 'stopped' | 'isolated';
 
 /** Time between a change and the placement of work, so that changes close together share it. */
-const PASS_DELAY_MS = 8;
+const PASS_DELAY_MS = 4;
+
+/** Pause between two passes, as a multiple of the last one's duration: leaves time for reports and orders. */
+const PASS_PAUSE_FACTOR = 3;
 
 /** Interval of the board; a fourth of the age at which its holder counts as lost. */
 const BOARD_INTERVAL_MS = 300;
@@ -140,6 +143,7 @@
   private isReady = false;
   private electedMs = 0;
   private lastBoardMs = -Infinity;
+  private lastPassMs = 0;
   private lastLoadLogMs = -Infinity;
   private lastEffectsMs = -Infinity;
   private end: CoordinatorEnd | undefined;
@@ -624,7 +628,8 @@
     if (this.isPassScheduled || this.end !== undefined) return;
     if (this.isHandingOver) return;
     this.isPassScheduled = true;
-    this.options.clock.setTimer(PASS_DELAY_MS, () => {
+    const delayMs = Math.max(PASS_DELAY_MS, this.lastPassMs * PASS_PAUSE_FACTOR);
+    this.options.clock.setTimer(delayMs, () => {
       this.isPassScheduled = false;
       if (this.end !== undefined) return;
       if (this.isCommitting) this.isPassNeeded = true;
@@ -635,7 +640,9 @@
   private async passAndCommit(): Promise<void> {
     this.isCommitting = true;
     this.isPassNeeded = false;
+    const startMs = this.options.clock.getMonotonicMs();
     this.placeWaitingTasks();
+    this.lastPassMs = this.options.clock.getMonotonicMs() - startMs;
     await this.commitDirtyJobs();
     this.isCommitting = false;
     if (this.end !== undefined) return;
