Try unknown pairs on few workers, learn nothing from slow ones

Cause: an image counted as known after four samples, which four serving tasks of one report give before the lagging figure has moved; and workers that were slow themselves taught effects that no filler had.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -710,6 +710,9 @@
     };
     session.load.addRun(assigned);
     this.health.notePlacement(session.getId(), run.placedMs);
+    const {isFiller, image} = step.spec;
+    if (isFiller)
+      this.fillers.disturbance.notePlacement(image ?? '', session.load);
     this.dirtyJobs.add(job);
     this.afterCommit.push(() => this.startRun(session, assigned));
     return assigned;
--- a/packages/coordination/src/disturbance_model.ts
+++ b/packages/coordination/src/disturbance_model.ts
@@ -31,6 +31,15 @@
 /** Load index that fillers may bring a serving task to; leaves room for swings of its own load. */
 export const MAX_PLANNED_INDEX = 0.66;
 
+/** Share of a worker below which fillers cannot be to blame for a missed target. */
+const IDLE_FILLER_SHARE = 0.02;
+
+/** Time for which a worker that is slow itself is not learned from. */
+const SICK_MS = 5_000;
+
+/** Workers on which a pair of images that is not known yet is tried at once. */
+const MAX_EXPLORERS = 3;
+
 /** Effect of a whole worker of a filler image below which its pair counts as harmless. */
 const HARMLESS_EFFECT = 0.15;
 
@@ -54,6 +63,9 @@
 export class DisturbanceModel {
   private readonly estimators = new Map<string, EffectEstimator>();
   private readonly changedImages = new Set<string>();
+  private readonly sickUntilMs = new WeakMap<WorkerLoad, number>();
+  /** Workers on which a pair of images that is not known yet is tried. */
+  private readonly explorers = new Map<string, Set<WorkerLoad>>();
   private readonly histories = new WeakMap<WorkerLoad, FillerHistory>();
 
   private constructor() {}
@@ -96,6 +108,7 @@
     const history = this.getHistory(load);
     history.advance(getFillerUse(load), nowMs);
     const fillers = history.getAverages();
+    if (this.isSickWorker(load, fillers, nowMs)) return;
     for (const serving of load.getServingRuns()) {
       if (!isServing(serving) || serving.run.usage <= 0) continue;
       const {run} = serving;
@@ -107,6 +120,23 @@
     }
   }
 
+  /** A worker that misses targets without fillers is slow itself and teaches nothing about them. */
+  private isSickWorker(
+    load: WorkerLoad,
+    fillers: readonly EffectInput[],
+    nowMs: number,
+  ): boolean {
+    let fillerShare = 0;
+    for (const {amount} of fillers) fillerShare += amount;
+    if (fillerShare < IDLE_FILLER_SHARE) {
+      for (const index of getWorstIndexes(load).values()) {
+        if (index > SATURATED_INDEX)
+          this.sickUntilMs.set(load, nowMs + SICK_MS);
+      }
+    }
+    return nowMs < (this.sickUntilMs.get(load) ?? -Infinity);
+  }
+
   private learn(serving: AssignedRun, fillers: readonly EffectInput[]): void {
     const estimator = this.getEstimator(getImage(serving));
     const index = getLoadIndex(serving);
@@ -146,6 +176,7 @@
         isHarmless = false;
         const unknownShare = getUnknownShare(estimator, fillers) + share;
         if (unknownShare > MAX_UNKNOWN_SHARE) isTolerable = false;
+        if (!this.canExplore(servingImage, image, load)) isTolerable = false;
         continue;
       }
       const effect = estimator.getEffect(image);
@@ -159,6 +190,41 @@
     return {addedIndex, isTolerable, isHarmless};
   }
 
+  /**
+   * Notes that a filler was placed; a pair that is not known is tried on few workers.
+   * @param image - Image of the filler.
+   * @param load - Worker that it was placed on.
+   */
+  notePlacement(image: string, load: WorkerLoad): void {
+    for (const servingImage of load.getServingImages()) {
+      if (this.getEstimator(servingImage).isKnown(image)) continue;
+      this.getExplorers(servingImage, image).add(load);
+    }
+  }
+
+  private canExplore(
+    servingImage: string,
+    image: string,
+    load: WorkerLoad,
+  ): boolean {
+    const explorers = this.getExplorers(servingImage, image);
+    if (explorers.has(load)) return true;
+    for (const each of explorers) {
+      if (!hasFillerOf(each, image)) explorers.delete(each);
+    }
+    return explorers.size < MAX_EXPLORERS;
+  }
+
+  private getExplorers(servingImage: string, image: string): Set<WorkerLoad> {
+    const key = `${servingImage} ${image}`;
+    let explorers = this.explorers.get(key);
+    if (explorers === undefined) {
+      explorers = new Set();
+      this.explorers.set(key, explorers);
+    }
+    return explorers;
+  }
+
   /**
    * Checks whether a filler is known to disturb a serving task.
    * @param filler - Run of a filler.
@@ -235,6 +301,13 @@
   return assigned.step.spec.image ?? '';
 }
 
+function hasFillerOf(load: WorkerLoad, image: string): boolean {
+  for (const filler of load.getFillerRuns()) {
+    if (getImage(filler) === image) return true;
+  }
+  return false;
+}
+
 function getUnknownShare(
   estimator: EffectEstimator,
   fillers: readonly EffectInput[],
--- a/packages/coordination/src/effect_estimator.ts
+++ b/packages/coordination/src/effect_estimator.ts
@@ -30,8 +30,8 @@
 /** Largest variance that forgetting may restore; keeps rare inputs from running away. */
 const MAX_VARIANCE = 100;
 
-/** Samples after which an input counts as known. */
-const KNOWN_SAMPLES = 4;
+/** Sum of the amounts in all samples from which an input counts as known. */
+const KNOWN_EXPOSURE = 1.5;
 
 /** Position of the offset among the inputs. */
 const OFFSET_INPUT = 0;
@@ -39,7 +39,7 @@
 /** Estimates an offset and the effect of each named input. */
 export class EffectEstimator {
   private readonly positions = new Map<string, number>();
-  private readonly sampleCounts = new Map<string, number>();
+  private readonly exposures = new Map<string, number>();
   private effects: number[];
   private covariance: number[][] = [[OFFSET_PRIOR_VARIANCE]];
 
@@ -63,7 +63,7 @@
     const estimator = new EffectEstimator(0);
     for (const [index, name] of stored.names.entries()) {
       estimator.positions.set(name, index + 1);
-      estimator.sampleCounts.set(name, KNOWN_SAMPLES);
+      estimator.exposures.set(name, KNOWN_EXPOSURE);
     }
     estimator.effects = [...stored.effects];
     estimator.covariance = stored.covariance.map(row => [...row]);
@@ -98,7 +98,7 @@
    * @param name - Name of the input.
    */
   isKnown(name: string): boolean {
-    return (this.sampleCounts.get(name) ?? 0) >= KNOWN_SAMPLES;
+    return (this.exposures.get(name) ?? 0) >= KNOWN_EXPOSURE;
   }
 
   /**
@@ -118,9 +118,9 @@
    * @param value - Observed value.
    */
   addSample(inputs: readonly EffectInput[], value: number): void {
-    for (const {name} of inputs) {
-      const count = this.sampleCounts.get(name) ?? 0;
-      this.sampleCounts.set(name, count + 1);
+    for (const {name, amount} of inputs) {
+      const exposure = this.exposures.get(name) ?? 0;
+      this.exposures.set(name, exposure + amount);
     }
     const vector = this.createVector(inputs);
     const product = this.covariance.map(row => getDotProduct(row, vector));
--- a/packages/coordination/test/disturbance_model.test.ts
+++ b/packages/coordination/test/disturbance_model.test.ts
@@ -75,6 +75,19 @@
     expect(model.predict('new', FILLER_CPU, load).isTolerable).to.equal(false);
   });
 
+  it('learns nothing from a worker that misses targets without fillers', () => {
+    const model = createTaughtModel();
+    const {load, serving} = createServed('desk');
+    serving.run.usage = 4_000;
+    for (let report = 0; report < 4; report++)
+      model.addReport(load, 30_000 + report * 500);
+    addTestRun(load, createFiller('quiet'), 32_000);
+    for (let report = 0; report < 6; report++)
+      model.addReport(load, 32_000 + report * 500);
+    const {load: other} = createServed('desk');
+    expect(model.predict('quiet', FILLER_CPU, other).isHarmless).to.equal(true);
+  });
+
   it('does not blame a newcomer for a response time that is recovering', () => {
     const model = createTaughtModel();
     const {load, serving} = createServed('desk');
