--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -42,6 +42,12 @@
 /** Time that a caller is assumed to wait when it does not say. */
 const DEFAULT_DEADLINE_MS = 3_000;
 
+/**
+ * Longest time for which a request waits for the store. Beyond it another node
+ * is more likely to help, and a repeat with the same identifier is safe.
+ */
+const MAX_ANSWER_MS = 1_000;
+
 /** When to come back while this node has no configuration or no current board. */
 const NOT_READY_RETRY_MS = 1_000;
 
@@ -173,7 +179,8 @@
     const waitMs = Number.isFinite(deadlineMs)
       ? deadlineMs
       : DEFAULT_DEADLINE_MS;
-    return this.options.clock.getMonotonicMs() + waitMs;
+    const nowMs = this.options.clock.getMonotonicMs();
+    return nowMs + Math.min(waitMs, MAX_ANSWER_MS);
   }
 }
 
