--- a/packages/coordination/src/job_desk.ts
+++ b/packages/coordination/src/job_desk.ts
@@ -67,7 +67,7 @@
 const ANSWER_MARGIN_MS = 150;
 
 /** When to come back after the store turned a write away; usual outages last seconds. */
-const STORE_RETRY_AFTER_MS = 1_000;
+export const STORE_RETRY_AFTER_MS = 2_000;
 
 /** Submits, cancels and shows jobs. */
 export class JobDesk {
@@ -229,15 +229,25 @@
     return this.refuse(submission, error.message, STORE_RETRY_AFTER_MS);
   }
 
+  /**
+   * Notes a refusal that needed no look at the store.
+   * @param jobId - Identifier of the job.
+   * @param queueName - Queue that it was meant for.
+   * @param reason - Why it was refused.
+   */
+  noteRefused(jobId: string, queueName: string, reason: string): void {
+    this.options.events.addEvent('job-refused', {
+      requestId: jobId,
+      detail: `${queueName}: ${reason}`,
+    });
+  }
+
   private refuse(
     submission: Submission,
     message: string,
     retryAfterMs: number,
   ): SubmissionRefusedError {
-    this.options.events.addEvent('job-refused', {
-      requestId: submission.jobId,
-      detail: `${submission.queue.name}: ${message}`,
-    });
+    this.noteRefused(submission.jobId, submission.queue.name, message);
     return {kind: 'refused', message, retryAfterMs};
   }
 
--- a/packages/coordination/src/table_follower.ts
+++ b/packages/coordination/src/table_follower.ts
@@ -39,6 +39,8 @@
   readonly reader: TableReader;
   /** Longest wait of one call; bounds how long a silent connection goes unnoticed. */
   readonly waitMs: number;
+  /** Gets the pause between two calls, where changes need not be seen at once. */
+  readonly getPauseMs?: () => number;
 }
 
 /** Delay before a failed call is repeated. */
@@ -47,7 +49,7 @@
 /** Follows one table until it is stopped. */
 export class TableFollower {
   private isStopped = false;
-  private isStoreLost = false;
+  private lostSinceMs: number | undefined;
   private version: number | undefined;
 
   private constructor(private readonly options: TableFollowerOptions) {}
@@ -84,6 +86,12 @@
     return true;
   }
 
+  /** Gets for how long the store has not answered; undefined while it does. */
+  getLostMs(): number | undefined {
+    if (this.lostSinceMs === undefined) return undefined;
+    return this.options.clock.getMonotonicMs() - this.lostSinceMs;
+  }
+
   /** Stops following; nothing is reported afterwards. */
   stop(): void {
     this.isStopped = true;
@@ -103,6 +111,7 @@
       this.noteAnswer();
       this.version = Math.max(afterVersion, changes.value.version);
       reader.onChanges(changes.value);
+      await this.pause();
       return;
     }
     if (changes.error.kind === 'history-gone') {
@@ -112,15 +121,21 @@
     await this.handleFailure(changes.error.message);
   }
 
+  private async pause(): Promise<void> {
+    const pauseMs = this.options.getPauseMs?.() ?? 0;
+    if (pauseMs > 0) await this.options.clock.sleep(pauseMs);
+  }
+
   private async handleFailure(reason: string): Promise<void> {
-    if (!this.isStoreLost) this.options.reader.onStoreLost(reason);
-    this.isStoreLost = true;
-    await this.options.clock.sleep(RETRY_MS);
+    const {clock, reader} = this.options;
+    if (this.lostSinceMs === undefined) reader.onStoreLost(reason);
+    this.lostSinceMs ??= clock.getMonotonicMs();
+    await clock.sleep(RETRY_MS);
   }
 
   private noteAnswer(): void {
-    if (!this.isStoreLost) return;
-    this.isStoreLost = false;
+    if (this.lostSinceMs === undefined) return;
+    this.lostSinceMs = undefined;
     this.options.reader.onStoreRegained();
   }
 }
--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -3,7 +3,10 @@
 import {Clock} from '@mustardlug/base/clock';
 import {AppError} from '@mustardlug/base/errors';
 import {Board} from '@mustardlug/coordination/board';
-import {JobDesk} from '@mustardlug/coordination/job_desk';
+import {
+  JobDesk,
+  STORE_RETRY_AFTER_MS,
+} from '@mustardlug/coordination/job_desk';
 import {JobSpec} from '@mustardlug/jobs/job_spec';
 import {
   FleetConfig,
@@ -34,6 +37,8 @@
   readonly getConfig: () => FleetConfig | undefined;
   /** Gets the coordinator's board and its age. */
   readonly getBoard: () => {board: Board; ageMs: number} | undefined;
+  /** Gets for how long the store has not answered this node; undefined while it does. */
+  readonly getStoreLostMs: () => number | undefined;
 }
 
 /** Age beyond which the number of waiting jobs is not shown. */
@@ -46,7 +51,7 @@
  * Longest time for which a request waits for the store. Beyond it another node
  * is more likely to help, and a repeat with the same identifier is safe.
  */
-const MAX_ANSWER_MS = 1_000;
+const MAX_ANSWER_MS = 850;
 
 /** When to come back while this node has no configuration or no current board. */
 const NOT_READY_RETRY_MS = 1_000;
@@ -92,6 +97,15 @@
       return context.json({error: {reason}}, 404);
     }
     const rest = context.req.path.slice(queue.pathPrefix.length);
+    const storeLostMs = this.options.getStoreLostMs();
+    if (storeLostMs !== undefined) {
+      const reason = 'this node does not reach the store; nothing was done';
+      if (context.req.method === 'POST')
+        this.options.desk.noteRefused(rest, queue.name, reason);
+      // An outage that has lasted for a while is likely to last as long again.
+      const retryAfterMs = Math.max(STORE_RETRY_AFTER_MS, storeLostMs);
+      return renderRefusal(context, 503, reason, retryAfterMs);
+    }
     const request = {context, queue, rest, config};
     if (rest === '' && context.req.method === 'GET')
       return this.showQueue(request);
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -48,6 +48,18 @@
 /** Share of the largest VM's processors from which a VM counts as large. */
 const LARGE_VM_FRACTION = 0.8;
 
+/**
+ * Pause between two looks at the board for each node: together they look
+ * forty times a second, so that one of them soon notices a lost coordinator.
+ */
+const PAUSE_PER_NODE_MS = 25;
+
+/** Longest pause; callers are shown boards of up to two seconds of age. */
+const MAX_PAUSE_MS = 1_000;
+
+/** Interval at which the number of nodes is read. */
+const NODES_INTERVAL_MS = 10_000;
+
 /** Stored description of a node. */
 interface NodeRow {
   readonly processorShare: number;
@@ -66,6 +78,8 @@
   private coordinator: Coordinator | undefined;
   private received: ReceivedBoard | undefined;
   private storeMs = 0;
+  private nodeCount = 1;
+  private lastNodesMs = -Infinity;
   private isCandidate = false;
   private isStopped = false;
 
@@ -77,6 +91,7 @@
       table: BOARD_TABLE,
       part: COORDINATOR_PART,
       waitMs: BOARD_WAIT_MS,
+      getPauseMs: () => this.getPauseMs(),
       reader: {
         onSnapshot: rows => this.applySnapshot(rows),
         onChanges: changes => {
@@ -122,6 +137,11 @@
     return {board, ageMs: this.options.clock.getMonotonicMs() - receivedMs};
   }
 
+  /** Gets for how long the store has not answered this node; undefined while it does. */
+  getStoreLostMs(): number | undefined {
+    return this.follower.getLostMs();
+  }
+
   /** Checks whether this node coordinates. */
   isCoordinating(): boolean {
     return this.coordinator !== undefined;
@@ -143,7 +163,26 @@
     }
   }
 
+  private getPauseMs(): number {
+    return Math.min(MAX_PAUSE_MS, this.nodeCount * PAUSE_PER_NODE_MS);
+  }
+
+  private async countNodes(): Promise<void> {
+    const nowMs = this.options.clock.getMonotonicMs();
+    if (nowMs - this.lastNodesMs < NODES_INTERVAL_MS) return;
+    this.lastNodesMs = nowMs;
+    const nodes = await this.readNodes();
+    if (nodes !== undefined) this.nodeCount = nodes.length;
+  }
+
+  private async readNodes(): Promise<NodeRow[] | undefined> {
+    const nodes = await getPartRows(this.options.store, NODE_TABLE, NODE_PART);
+    if (nodes.isErr()) return undefined;
+    return nodes.value.rows.map(row => decodeRowValue<NodeRow>(row.value));
+  }
+
   private noteAnswer(): void {
+    void this.countNodes();
     this.election.noteAnswer(this.options.clock.getMonotonicMs());
     void this.considerTakeover();
   }
@@ -175,14 +214,12 @@
   }
 
   private async letLargerVmsGoFirst(): Promise<void> {
-    const {store, clock, processorShare} = this.options;
+    const {clock, processorShare} = this.options;
     if (this.election.getBoard() === undefined)
       await clock.sleep(FIRST_TERM_DELAY_MS);
-    const nodes = await getPartRows(store, NODE_TABLE, NODE_PART);
-    if (nodes.isErr()) return;
-    const shares = nodes.value.rows.map(
-      row => decodeRowValue<NodeRow>(row.value).processorShare,
-    );
+    const nodes = await this.readNodes();
+    if (nodes === undefined) return;
+    const shares = nodes.map(node => node.processorShare);
     const largest = Math.max(processorShare, ...shares);
     if (processorShare < largest * LARGE_VM_FRACTION)
       await clock.sleep(SMALL_VM_DELAY_MS);
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -147,6 +147,7 @@
       format: platform.callerFormat,
       getConfig: () => this.config.getConfig(),
       getBoard: () => this.role.getBoard(),
+      getStoreLostMs: () => this.role.getStoreLostMs(),
     });
   }
 
--- a/packages/node/test/caller_api.test.ts
+++ b/packages/node/test/caller_api.test.ts
@@ -50,6 +50,7 @@
     limits: {maxBodyBytes: 100},
   };
   board: {board: Board; ageMs: number} | undefined;
+  storeLostMs: number | undefined;
   private readonly app = CallerApi.createApp({
     clock: this.clock,
     desk: JobDesk.create({
@@ -63,6 +64,7 @@
     format: FORMAT,
     getConfig: () => this.config,
     getBoard: () => this.board,
+    getStoreLostMs: () => this.storeLostMs,
   });
 
   async request(method: string, path: string, body?: string) {
@@ -187,11 +189,23 @@
     expect((await fixture.request('GET', JOB_PATH)).status).to.equal(410);
   });
 
-  it('answers 504 while it is not known whether a job is stored', async () => {
+  it('refuses at once while it knows that the store does not answer', async () => {
+    const fixture = new Fixture();
+    fixture.storeLostMs = 3_500;
+    const response = await fixture.request('POST', JOB_PATH, '{}');
+    expect(response.status).to.equal(503);
+    expect(response.headers.get('retry-after')).to.equal('4');
+    expect(fixture.store.getTable('mustardlug-jobs')).to.deep.equal([]);
+  });
+
+  it('answers 504 within a second while it is not known whether a job is stored', async () => {
     const fixture = new Fixture();
     fixture.store.faults.isSilent = true;
+    const startMs = fixture.clock.getMonotonicMs();
     const response = await fixture.request('POST', JOB_PATH, '{}');
     expect(response.status).to.equal(504);
+    const durationMs = fixture.clock.getMonotonicMs() - startMs;
+    expect(durationMs).to.be.lessThan(1_000);
   });
 
   it('shows how many jobs wait, but only while it knows', async () => {
