--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -628,7 +628,10 @@
     if (this.isPassScheduled || this.end !== undefined) return;
     if (this.isHandingOver) return;
     this.isPassScheduled = true;
-    const delayMs = Math.max(PASS_DELAY_MS, this.lastPassMs * PASS_PAUSE_FACTOR);
+    const delayMs = Math.max(
+      PASS_DELAY_MS,
+      this.lastPassMs * PASS_PAUSE_FACTOR,
+    );
     this.options.clock.setTimer(delayMs, () => {
       this.isPassScheduled = false;
       if (this.end !== undefined) return;
--- a/packages/coordination/src/task_placer.ts
+++ b/packages/coordination/src/task_placer.ts
@@ -178,8 +178,7 @@
 
   private rank(waiting: WaitingStep): WorkerRanking<PlacementWorker> {
     const {step, queue} = waiting;
-    const workers =
-      this.options.workersByService.get(queue.serviceName) ?? [];
+    const workers = this.options.workersByService.get(queue.serviceName) ?? [];
     const request: PackingRequest = {
       step,
       disturbance: this.options.disturbance,
--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -3,10 +3,7 @@
 import {Clock} from '@mustardlug/base/clock';
 import {AppError} from '@mustardlug/base/errors';
 import {Board} from '@mustardlug/coordination/board';
-import {
-  JobDesk,
-  STORE_RETRY_AFTER_MS,
-} from '@mustardlug/coordination/job_desk';
+import {JobDesk, STORE_RETRY_AFTER_MS} from '@mustardlug/coordination/job_desk';
 import {JobSpec} from '@mustardlug/jobs/job_spec';
 import {
   FleetConfig,
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -14,11 +14,7 @@
   SINGLE_ROW_KEY,
 } from '@mustardlug/coordination/tables';
 import {decodeRowValue, encodeRowValue} from '@mustardlug/jobs/job_codec';
-import {
-  getPartRows,
-  RowStore,
-  StoredRow,
-} from '@mustardlug/platform/row_store';
+import {getPartRows, RowStore, StoredRow} from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 
 /** Options of the coordinator role. */
