Empty draining workers of what cannot end on them

Cause: a worker that leaves took its long-running tasks with it, and their loss showed only when its lease had ended, 5.4 s later. Long-running runs, and checkpointing ones that would not end in time, are stopped at the notice and go on elsewhere (tests failing first).

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -27,6 +27,7 @@
 import {Result} from 'neverthrow';
 import {Board, QueueLoad} from './board.js';
 import {CommitLog, MAX_COMMIT_ROWS} from './commit_log.js';
+import {getRunsToMove} from './drain_planner.js';
 import {DurationModel} from './duration_model.js';
 import {FillerControl} from './filler_control.js';
 import {renderFleetLoad, renderPlacedStep} from './fleet_report.js';
@@ -238,6 +239,7 @@
     this.stopUnwantedRuns(session);
     this.fillers.applyReport(session);
     this.judgeHealth(session);
+    this.emptyDrainingWorker(session);
     const sequence = session.getProcessedSequence();
     const bornMs = session.getBornMs();
     this.afterCommit.push(() => session.acknowledge(sequence, bornMs));
@@ -266,6 +268,26 @@
     }
   }
 
+  /** What cannot end on a worker that leaves goes on elsewhere before it leaves. */
+  private emptyDrainingWorker(session: WorkerSession): void {
+    const {isDraining, drainRemainingMs} = session.getRecord();
+    if (!isDraining) return;
+    const nowMs = this.options.clock.getMonotonicMs();
+    for (const assigned of getRunsToMove(
+      session.load,
+      drainRemainingMs,
+      nowMs,
+    )) {
+      this.options.events.addEvent('run-moved', {
+        requestId: assigned.job.getId(),
+        taskId: assigned.taskName,
+        workerId: session.getId(),
+        detail: `the worker leaves in ${drainRemainingMs ?? 'unknown'} ms`,
+      });
+      void session.stopRun(assigned);
+    }
+  }
+
   /** Sets a worker aside that is slower than the fleet, and moves its work. */
   private judgeHealth(session: WorkerSession): void {
     const nowMs = this.options.clock.getMonotonicMs();
@@ -407,8 +429,12 @@
       return;
     }
     const session = this.sessions.get(row.key);
-    if (session === undefined) this.addSession(decoded.value);
-    else session.setRecord(decoded.value);
+    if (session === undefined) {
+      this.addSession(decoded.value);
+      return;
+    }
+    session.setRecord(decoded.value);
+    this.emptyDrainingWorker(session);
   }
 
   private addSession(record: WorkerRecord): void {
--- /dev/null
+++ b/packages/experiments/test/job_drain.test.ts
@@ -0,0 +1,63 @@
+import {expect} from 'chai';
+import {createStep, JobHarness} from '../src/job_harness.js';
+
+const START_MS = 2_500;
+
+/** Time within which a worker that leaves must be rid of what cannot end there. */
+const MOVE_MS = 1_000;
+
+function countRuns(harness: JobHarness): number {
+  let count = 0;
+  for (const worker of harness.workers.values()) count += worker.getRunCount();
+  return count;
+}
+
+describe('a worker that drains', () => {
+  it('hands its long-running tasks over before it leaves', async () => {
+    const harness = JobHarness.create();
+    await harness.advance(START_MS);
+    await harness.submit([createStep(6, {isLongRunning: true})]);
+    await harness.advance(1_000);
+    const busy = [...harness.workers].find(
+      ([, worker]) => worker.getRunCount() > 0,
+    );
+    if (busy === undefined) throw new Error('no worker is busy');
+    const [workerId, leaving] = busy;
+    harness.register(workerId, {isDraining: true, drainRemainingMs: 2_500});
+    await harness.advance(MOVE_MS);
+    expect(leaving.getRunCount()).to.equal(0);
+    expect(countRuns(harness)).to.equal(6);
+    expect(harness.checker.violations).to.deep.equal([]);
+  });
+
+  it('moves fillers that go on from a checkpoint, and lets short tasks end', async () => {
+    const harness = JobHarness.create({workers: 1});
+    await harness.advance(START_MS);
+    const filler = {isFiller: true, isCheckpointing: true, image: 'report'};
+    await harness.submit([
+      createStep(1, {...filler, estimatedMs: 8_000}),
+      createStep(1, {estimatedMs: 1_500}),
+    ]);
+    await harness.advance(800);
+    const leaving = harness.workers.get('worker-0');
+    expect(leaving?.getRunCount()).to.equal(2);
+    harness.register('worker-0', {isDraining: true, drainRemainingMs: 2_500});
+    await harness.advance(300);
+    expect(leaving?.getRunCount()).to.equal(1);
+    await harness.advance(600);
+    expect(leaving?.getRunCount()).to.equal(0);
+    expect(harness.checker.getStartCount()).to.equal(2);
+    expect(harness.checker.violations).to.deep.equal([]);
+  });
+
+  it('gets nothing new', async () => {
+    const harness = JobHarness.create();
+    await harness.advance(START_MS);
+    harness.register('worker-0', {isDraining: true});
+    await harness.advance(100);
+    await harness.submit([createStep(12)]);
+    await harness.advance(300);
+    expect(harness.workers.get('worker-0')?.getRunCount()).to.equal(0);
+    expect(countRuns(harness)).to.equal(12);
+  });
+});
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -289,6 +289,11 @@
     level: 'info',
     text: 'Waiting tasks of a step were given workers.',
   },
+  'run-moved': {
+    number: 839,
+    level: 'info',
+    text: 'A run was stopped on a worker that leaves, to go on elsewhere.',
+  },
   'fleet-load': {
     number: 835,
     level: 'info',
