--- /dev/null
+++ b/packages/coordination/src/worker_pool.ts
@@ -0,0 +1,208 @@
+/** All workers that the coordinator deals with, built from their registrations. */
+
+import {Clock} from '@mustardlug/base/clock';
+import {AppError} from '@mustardlug/base/errors';
+import {JobState, StepState, TaskState} from '@mustardlug/jobs/job_state';
+import {JobWorkerClient, WorkerRecord} from '@mustardlug/platform/job_worker';
+import {RowChanges, StoredRow} from '@mustardlug/platform/row_store';
+import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {Result} from 'neverthrow';
+import {getTaskName} from './run_names.js';
+import {AssignedRun} from './worker_load.js';
+import {
+  EARLIER_LEASE_MS,
+  SessionListener,
+  WorkerSession,
+} from './worker_session.js';
+
+/** Decodes a registration of the platform's worker table. */
+export type WorkerDecoder = (
+  key: string,
+  value: Buffer,
+) => Result<WorkerRecord, AppError>;
+
+/** Options of a pool. */
+export interface WorkerPoolOptions {
+  readonly clock: Clock;
+  readonly events: EventRecorder;
+  readonly workerClient: JobWorkerClient;
+  readonly decodeWorker: WorkerDecoder;
+  readonly listener: SessionListener;
+  /** Term of the coordinator. */
+  readonly fencingToken: number;
+  /** Longest lease that the platform grants. */
+  readonly maxLeaseMs: number;
+  /** Time for which an earlier coordinator may go on giving orders. */
+  readonly earlierTermMs: number;
+}
+
+/** Sessions with workers, and runs whose worker is not registered. */
+export class WorkerPool {
+  private readonly sessions = new Map<string, WorkerSession>();
+  /** Runs of workers that are not registered, and when they have certainly ended. */
+  private readonly orphans = new Map<AssignedRun, number>();
+
+  private constructor(private readonly options: WorkerPoolOptions) {}
+
+  /**
+   * Creates an empty pool.
+   * @param options - Clients, term and listener.
+   */
+  static create(options: WorkerPoolOptions): WorkerPool {
+    return new WorkerPool(options);
+  }
+
+  /** Gets all sessions. */
+  getSessions(): WorkerSession[] {
+    return [...this.sessions.values()];
+  }
+
+  /**
+   * Applies registrations.
+   * @param rows - New or changed rows.
+   * @returns Sessions of workers that were known before.
+   */
+  applyRows(rows: readonly StoredRow[]): WorkerSession[] {
+    const known: WorkerSession[] = [];
+    for (const row of rows) {
+      const session = this.applyRow(row);
+      if (session !== undefined) known.push(session);
+    }
+    return known;
+  }
+
+  /**
+   * Applies changes of the registrations.
+   * @param changes - Changed and removed rows.
+   * @returns Sessions of workers that were known before.
+   */
+  applyChanges(changes: RowChanges): WorkerSession[] {
+    for (const {key} of changes.removed)
+      this.sessions.get(key)?.setUnregistered();
+    return this.applyRows(changes.rows);
+  }
+
+  /**
+   * Applies the whole table; workers that are missing are not registered any more.
+   * @param rows - All rows.
+   * @returns Sessions of workers that were known before.
+   */
+  replaceRows(rows: readonly StoredRow[]): WorkerSession[] {
+    const registered = new Set(rows.map(row => row.key));
+    for (const [workerId, session] of this.sessions) {
+      if (!registered.has(workerId)) session.setUnregistered();
+    }
+    return this.applyRows(rows);
+  }
+
+  /**
+   * Hands stored runs to the sessions of their workers, which find out what became of them.
+   * @param jobs - Restored jobs.
+   */
+  adoptRuns(jobs: Iterable<JobState>): void {
+    for (const job of jobs) {
+      for (const occurrence of job.occurrences.values()) {
+        for (const step of occurrence.steps)
+          this.adoptStepRuns(job, occurrence.number, step);
+      }
+    }
+  }
+
+  /**
+   * Takes the runs of unregistered workers that have certainly ended.
+   * @param nowMs - Monotonic time.
+   */
+  takeEndedOrphans(nowMs: number): AssignedRun[] {
+    const ended: AssignedRun[] = [];
+    for (const [assigned, endMs] of this.orphans) {
+      if (nowMs < endMs) continue;
+      this.orphans.delete(assigned);
+      ended.push(assigned);
+    }
+    return ended;
+  }
+
+  /**
+   * Stops the runs of a task.
+   * @param taskName - Name of the task.
+   * @param task - Task to stop.
+   */
+  stopTaskRuns(taskName: string, task: TaskState): void {
+    for (const run of task.runs) {
+      const session = this.sessions.get(run.workerId);
+      const assigned = session?.load.findRun(taskName, run.runNumber);
+      if (session === undefined || assigned === undefined) continue;
+      if (!run.isStopping) void session.stopRun(assigned);
+    }
+  }
+
+  /** Ends all sessions. */
+  stop(): void {
+    for (const session of this.sessions.values()) session.stop();
+  }
+
+  private applyRow(row: StoredRow): WorkerSession | undefined {
+    const decoded = this.options.decodeWorker(row.key, row.value);
+    if (decoded.isErr()) {
+      this.options.events.addEvent('worker-row-invalid', {
+        workerId: row.key,
+        detail: decoded.error.message,
+      });
+      return undefined;
+    }
+    const session = this.sessions.get(row.key);
+    if (session === undefined) this.addSession(decoded.value);
+    else session.setRecord(decoded.value);
+    return session;
+  }
+
+  private addSession(record: WorkerRecord): void {
+    const {clock, workerClient, listener, fencingToken} = this.options;
+    const session = WorkerSession.create({
+      clock,
+      client: workerClient,
+      listener,
+      fencingToken,
+      record,
+      maxLeaseMs: this.options.maxLeaseMs,
+      earlierTermMs: this.options.earlierTermMs,
+    });
+    this.sessions.set(record.workerId, session);
+    this.adoptOrphans(session);
+    void session.run();
+  }
+
+  private adoptStepRuns(
+    job: JobState,
+    occurrence: number,
+    step: StepState,
+  ): void {
+    for (const task of step.tasks) {
+      for (const run of task.runs) {
+        const taskName = getTaskName(job, occurrence, step, task);
+        // A worker that knows this term carries out no earlier order.
+        const settledMs = -Infinity;
+        this.adopt({job, occurrence, step, task, run, taskName, settledMs});
+      }
+    }
+  }
+
+  private adopt(assigned: AssignedRun): void {
+    const session = this.sessions.get(assigned.run.workerId);
+    if (session !== undefined) {
+      session.load.addRun(assigned);
+      return;
+    }
+    const {clock, earlierTermMs} = this.options;
+    const endMs = clock.getMonotonicMs() + earlierTermMs + EARLIER_LEASE_MS;
+    this.orphans.set(assigned, endMs);
+  }
+
+  private adoptOrphans(session: WorkerSession): void {
+    for (const assigned of [...this.orphans.keys()]) {
+      if (assigned.run.workerId !== session.getId()) continue;
+      this.orphans.delete(assigned);
+      session.load.addRun(assigned);
+    }
+  }
+}
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -2,7 +2,8 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {UnavailableError} from '@mustardlug/base/errors';
-import {Coordinator, WorkerDecoder} from '@mustardlug/coordination/coordinator';
+import {Coordinator} from '@mustardlug/coordination/coordinator';
+import {WorkerDecoder} from '@mustardlug/coordination/worker_pool';
 import {JobDesk} from '@mustardlug/coordination/job_desk';
 import {JobWorkerClient} from '@mustardlug/platform/job_worker';
 import {RowStore} from '@mustardlug/platform/row_store';
