Remove the rows of jobs that ended long ago

The tables grew with every job. A job and its cancellation are removed 1.25 times the promised time after its end, then its progress; a successor knows when jobs ended.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -19,6 +19,7 @@
 import {CommitLog} from './commit_log.js';
 import {renderFleetLoad, renderPlacedStep} from './fleet_report.js';
 import {JobLedger} from './job_ledger.js';
+import {JobRetention} from './job_retention.js';
 import {ProgressWriter} from './progress_writer.js';
 import {getTaskName} from './run_names.js';
 import {
@@ -49,6 +50,8 @@
   readonly getConfig: () => FleetConfig | undefined;
   /** Longest lease that the platform grants. */
   readonly maxLeaseMs: number;
+  /** Time for which callers may ask for a job after its end. */
+  readonly keepEndedMs: number;
   readonly events: EventRecorder;
 }
 
@@ -98,6 +101,7 @@
   private readonly ledger: JobLedger;
   private readonly care: WorkerCare;
   private readonly writer: ProgressWriter;
+  private readonly retention: JobRetention;
   private readonly followers: TableFollower[] = [];
   private readonly runCounters = new Map<StepState | string, number>();
   private isPassScheduled = false;
@@ -126,6 +130,7 @@
       earlierTermMs: ISOLATION_LIMIT_MS,
     });
     this.ledger = JobLedger.create({
+      clock,
       events,
       getConfig: options.getConfig,
       stopTaskRuns: (name, task) => this.pool.stopTaskRuns(name, task),
@@ -138,6 +143,14 @@
       getQueueLoads: () =>
         this.isLoaded ? this.ledger.getQueueLoads() : undefined,
     });
+    this.retention = JobRetention.create({
+      store: options.store,
+      clock,
+      events,
+      ledger: this.ledger,
+      writer: this.writer,
+      keepEndedMs: options.keepEndedMs,
+    });
   }
 
   /**
@@ -480,6 +493,7 @@
     for (const assigned of this.pool.takeEndedOrphans(nowMs))
       this.releaseRun(assigned);
     if (nowMs - this.lastLoadLogMs >= LOAD_LOG_INTERVAL_MS) this.logLoad(nowMs);
+    if (this.isLoaded) void this.retention.purge();
     this.schedulePass();
   }
 
--- a/packages/coordination/src/job_book.ts
+++ b/packages/coordination/src/job_book.ts
@@ -36,6 +36,21 @@
     return this.jobs.get(jobId);
   }
 
+  /** Gets all jobs. */
+  getJobs(): Iterable<JobState> {
+    return this.jobs.values();
+  }
+
+  /**
+   * Forgets a job.
+   * @param job - Job whose rows were removed.
+   */
+  forgetJob(job: JobState): void {
+    this.jobs.delete(job.getId());
+    this.active.delete(job);
+    this.cancelledIds.delete(job.getId());
+  }
+
   /** Gets the jobs that have not ended or of which runs may be going on. */
   getActiveJobs(): ReadonlySet<JobState> {
     return this.active;
--- a/packages/coordination/src/job_ledger.ts
+++ b/packages/coordination/src/job_ledger.ts
@@ -1,5 +1,6 @@
 /** Keeps account of jobs: what is accepted, done, failed and cancelled. */
 
+import {Clock} from '@mustardlug/base/clock';
 import {JobState, StepState, TaskState} from '@mustardlug/jobs/job_state';
 import {FleetConfig, QueueConfig} from '@mustardlug/jobs/queue_config';
 import {parseTaskName} from '@mustardlug/jobs/task_name';
@@ -13,6 +14,7 @@
 
 /** Options of a ledger. */
 export interface JobLedgerOptions {
+  readonly clock: Clock;
   readonly events: EventRecorder;
   /** Gets the configuration in force, or `undefined` before the first one. */
   readonly getConfig: () => FleetConfig | undefined;
@@ -61,6 +63,29 @@
     return this.book.getActiveJobs();
   }
 
+  /**
+   * Gets jobs that ended before a time.
+   * @param wallMs - Wall-clock time in milliseconds since the Unix epoch.
+   * @param limit - Most jobs to get.
+   */
+  getJobsEndedBefore(wallMs: number, limit: number): JobState[] {
+    const jobs: JobState[] = [];
+    for (const job of this.book.getJobs()) {
+      if (jobs.length >= limit) break;
+      if (!job.isEnded() || job.hasRuns()) continue;
+      if ((job.endedMs ?? Infinity) < wallMs) jobs.push(job);
+    }
+    return jobs;
+  }
+
+  /**
+   * Forgets a job.
+   * @param job - Job whose rows were removed.
+   */
+  forgetJob(job: JobState): void {
+    this.book.forgetJob(job);
+  }
+
   /**
    * Gets the terms in force for a job.
    * @param job - Job of a queue.
@@ -211,6 +236,7 @@
 
   private noteJobEnd(job: JobState, detail: string): void {
     const requestId = job.getId();
+    job.endedMs = this.options.clock.getWallMs();
     this.options.events.addEvent('job-ended', {requestId, detail});
   }
 
--- a/packages/coordination/src/progress_writer.ts
+++ b/packages/coordination/src/progress_writer.ts
@@ -3,7 +3,7 @@
 import {Clock} from '@mustardlug/base/clock';
 import {encodeRowValue, toStoredProgress} from '@mustardlug/jobs/job_codec';
 import {JobState} from '@mustardlug/jobs/job_state';
-import {RowWrite} from '@mustardlug/platform/row_store';
+import {RowAddress, RowWrite} from '@mustardlug/platform/row_store';
 import {Board, QueueLoad} from './board.js';
 import {CommitLog, CommitOutcome, MAX_COMMIT_ROWS} from './commit_log.js';
 import {DisturbanceModel} from './disturbance_model.js';
@@ -34,6 +34,7 @@
 /** Writes of a coordinator, one commit at a time. */
 export class ProgressWriter {
   private waitingEffects: Array<() => void> = [];
+  private removals: RowAddress[] = [];
   private lastBoardMs = -Infinity;
   private lastEffectsMs = -Infinity;
 
@@ -55,6 +56,18 @@
     this.waitingEffects.push(effect);
   }
 
+  /**
+   * Removes the progress of a job with the next commit.
+   * @param jobId - Identifier of the job.
+   */
+  addRemoval(jobId: string): void {
+    this.removals.push({
+      table: PROGRESS_TABLE,
+      part: COORDINATOR_PART,
+      key: jobId,
+    });
+  }
+
   /** Lets effects out that rest on nothing unstored. */
   runEffects(): void {
     for (const effect of this.takeEffects()) effect();
@@ -69,11 +82,13 @@
     const writes = this.createProgressWrites(jobs);
     writes.push(...this.createDueBoard(), ...this.createDueEffects());
     const effects = this.takeEffects();
-    while (writes.length > 0) {
+    const removals = this.removals;
+    this.removals = [];
+    while (writes.length + removals.length > 0) {
       const chunk = writes.splice(0, MAX_COMMIT_ROWS);
       const outcome = await this.options.commitLog.commit({
         writes: chunk,
-        removals: [],
+        removals: removals.splice(0, MAX_COMMIT_ROWS - chunk.length),
       });
       if (outcome === 'superseded') return outcome;
     }
@@ -98,14 +113,13 @@
   }
 
   private createProgressWrites(jobs: readonly JobState[]): RowWrite[] {
-    const wallMs = this.options.clock.getWallMs();
     return jobs.map(job => {
       if (job.phase === 'pending' && job.hasRuns()) job.phase = 'running';
       return {
         table: PROGRESS_TABLE,
         part: COORDINATOR_PART,
         key: job.getId(),
-        value: encodeRowValue(toStoredProgress(job, wallMs)),
+        value: encodeRowValue(toStoredProgress(job)),
       };
     });
   }
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -54,7 +54,7 @@
 const LEASE_MS = 5_000;
 
 /** Longest wait of the worker for an end. */
-const REPORT_WAIT_MS = 800;
+const REPORT_WAIT_MS = 500;
 
 /** Least time between two reports, so that ends close together share one. */
 const REPORT_SPACING_MS = 20;
--- a/packages/experiments/src/job_harness.ts
+++ b/packages/experiments/src/job_harness.ts
@@ -30,6 +30,9 @@
 /** Longest lease that the workers grant. */
 const MAX_LEASE_MS = 10_000;
 
+/** Time for which ended jobs are kept. */
+const KEEP_ENDED_MS = 120_000;
+
 /** Time that callers wait for an answer. */
 const ANSWER_MS = 3_000;
 
@@ -168,6 +171,7 @@
             ok(JSON.parse(value.toString()) as WorkerRecord),
           getConfig: () => this.getConfig(),
           maxLeaseMs: MAX_LEASE_MS,
+          keepEndedMs: KEEP_ENDED_MS,
           events,
         }),
     });
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -56,21 +56,17 @@
 /**
  * Gets the stored form of a job's progress.
  * @param job - Job to store.
- * @param wallMs - Wall-clock time, kept with jobs that have ended.
  */
-export function toStoredProgress(
-  job: JobState,
-  wallMs: number,
-): StoredProgress {
-  const {phase, nextOccurrence} = job;
+export function toStoredProgress(job: JobState): StoredProgress {
+  const {phase, nextOccurrence, endedMs} = job;
   if (job.isEnded() && !job.hasRuns())
-    return {phase, nextOccurrence, occurrences: [], endedMs: wallMs};
+    return {phase, nextOccurrence, occurrences: [], endedMs};
   const occurrences: StoredOccurrence[] = [];
   for (const occurrence of job.occurrences.values()) {
     const steps = occurrence.steps.map(step => step.tasks.map(toStoredTask));
     occurrences.push({number: occurrence.number, steps});
   }
-  return {phase, nextOccurrence, occurrences};
+  return {phase, nextOccurrence, occurrences, endedMs};
 }
 
 /**
@@ -86,6 +82,7 @@
 ): void {
   job.phase = stored.phase;
   job.nextOccurrence = stored.nextOccurrence;
+  job.endedMs = stored.endedMs;
   for (const {number, steps} of stored.occurrences) {
     const occurrence = OccurrenceState.create(number, job.accepted.spec);
     for (const [stepIndex, tasks] of steps.entries()) {
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -146,6 +146,8 @@
   /** Number of the next occurrence that becomes due. */
   nextOccurrence = 0;
   phase: JobPhase = 'pending';
+  /** Wall-clock time of the end, in milliseconds since the Unix epoch; undefined before. */
+  endedMs: number | undefined;
 
   private constructor(readonly accepted: AcceptedJob) {}
 
--- a/packages/jobs/test/job_model.test.ts
+++ b/packages/jobs/test/job_model.test.ts
@@ -129,7 +129,7 @@
     step.tasks[1].checkpoint = 'half';
     step.tasks[1].runs = [createTaskRun('worker-1', 7, 1_001, 0)];
     const stored = decodeRowValue<StoredProgress>(
-      encodeRowValue(toStoredProgress(job, 2_000)),
+      encodeRowValue(toStoredProgress(job)),
     );
     const copy = createJob();
     restoreProgress(copy, stored, 0);
@@ -142,7 +142,8 @@
     const job = createJob();
     job.openDueOccurrences(1_000);
     job.phase = 'cancelled';
-    expect(toStoredProgress(job, 2_000)).to.deep.equal({
+    job.endedMs = 2_000;
+    expect(toStoredProgress(job)).to.deep.equal({
       phase: 'cancelled',
       nextOccurrence: 1,
       occurrences: [],
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -37,6 +37,8 @@
   readonly metricsPath: string;
   /** Longest lease that workers grant, in milliseconds. */
   readonly maxLeaseMs: number;
+  /** Time for which callers may ask for a job after its end, in milliseconds. */
+  readonly keepEndedMs: number;
 }
 
 /** Options of a node. */
@@ -99,6 +101,7 @@
           decodeWorker: platform.decodeWorker,
           getConfig: () => config.getConfig(),
           maxLeaseMs: platform.maxLeaseMs,
+          keepEndedMs: platform.keepEndedMs,
           events,
         }),
     });
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -294,6 +294,11 @@
     level: 'info',
     text: 'A run was stopped on a worker that leaves, to go on elsewhere.',
   },
+  'jobs-purged': {
+    number: 840,
+    level: 'info',
+    text: 'Rows of jobs that ended long ago were removed.',
+  },
   'fleet-load': {
     number: 835,
     level: 'info',
