--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -36,6 +36,12 @@
   readonly getBoard: () => {board: Board; ageMs: number} | undefined;
   /** Gets for how long the store has not answered this node; undefined while it does. */
   readonly getStoreLostMs: () => number | undefined;
+  /** Is told of each answer. */
+  readonly onAnswer?: (
+    method: string,
+    status: number,
+    durationMs: number,
+  ) => void;
 }
 
 /** Age beyond which the number of waiting jobs is not shown. */
@@ -77,10 +83,19 @@
   static createApp(options: CallerApiOptions): Hono {
     const api = new CallerApi(options);
     const app = new Hono();
-    app.all('*', context => api.handle(context));
+    app.all('*', context => api.answer(context));
     return app;
   }
 
+  private async answer(context: Context): Promise<Response> {
+    const {clock, onAnswer} = this.options;
+    const startMs = clock.getMonotonicMs();
+    const response = await this.handle(context);
+    const durationMs = clock.getMonotonicMs() - startMs;
+    onAnswer?.(context.req.method, response.status, durationMs);
+    return response;
+  }
+
   private async handle(context: Context): Promise<Response> {
     const config = this.options.getConfig();
     if (config === undefined) {
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -9,12 +9,14 @@
 import {RowStore} from '@mustardlug/platform/row_store';
 import {HttpListener, ListenAddress} from '@mustardlug/runtime/http_listener';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
-import {ProcessMetrics} from '@mustardlug/telemetry/process_metrics';
 import {Hono} from 'hono';
 import {ok, Result} from 'neverthrow';
 import {CallerApi, CallerFormat} from './caller_api.js';
 import {ConfigDecoder, ConfigWatch} from './config_watch.js';
 import {CoordinatorRole} from './coordinator_role.js';
+import {MeteredRowStore} from './metered_row_store.js';
+import {MeteredWorkerClient} from './metered_worker_client.js';
+import {NodeMetrics} from './node_metrics.js';
 
 /** Where a node listens. */
 export interface NodeAddresses {
@@ -50,6 +52,7 @@
   readonly addresses: NodeAddresses;
   readonly platform: NodePlatform;
   readonly events: EventRecorder;
+  readonly metrics: NodeMetrics;
 }
 
 /** Time for which a stopping node goes on serving, so that the balancer notices its readiness. */
@@ -65,6 +68,7 @@
 
   private constructor(
     private readonly options: NodeProcessOptions,
+    private readonly store: RowStore,
     private readonly config: ConfigWatch,
     private readonly role: CoordinatorRole,
   ) {}
@@ -74,8 +78,13 @@
    * @param options - Addresses and platform.
    */
   static create(options: NodeProcessOptions): NodeProcess {
-    const {clock, events, platform, nodeId, processorShare} = options;
-    const {store} = platform;
+    const {clock, events, platform, nodeId, processorShare, metrics} = options;
+    const store = MeteredRowStore.create(platform.store, clock, metrics);
+    const workerClient = MeteredWorkerClient.create(
+      platform.workerClient,
+      clock,
+      metrics,
+    );
     const config = ConfigWatch.create({
       store,
       clock,
@@ -94,7 +103,7 @@
         Coordinator.create({
           clock,
           store,
-          workerClient: platform.workerClient,
+          workerClient,
           commitLog,
           nodeId,
           workerTable: platform.workerTable,
@@ -105,7 +114,7 @@
           events,
         }),
     });
-    return new NodeProcess(options, config, role);
+    return new NodeProcess(options, store, config, role);
   }
 
   /** Listens, and begins to follow the shared tables. */
@@ -144,10 +153,12 @@
   }
 
   private createCallerApp(): Hono {
-    const {clock, platform, events} = this.options;
+    const {clock, platform, events, metrics} = this.options;
     return CallerApi.createApp({
       clock,
-      desk: JobDesk.create({store: platform.store, clock, events}),
+      desk: JobDesk.create({store: this.store, clock, events}),
+      onAnswer: (method, status, durationMs) =>
+        metrics.noteRequest(method, status, durationMs),
       format: platform.callerFormat,
       getConfig: () => this.config.getConfig(),
       getBoard: () => this.role.getBoard(),
@@ -165,7 +176,7 @@
   }
 
   private createMetricsApp(): Hono {
-    const metrics = ProcessMetrics.create(false);
+    const {metrics} = this.options;
     metrics.addGauge(
       'mustardlug_is_coordinator',
       'Whether this node has the coordinator role.',
