--- a/packages/coordination/test/task_order.test.ts
+++ b/packages/coordination/test/task_order.test.ts
@@ -5,13 +5,14 @@
   getObjectiveMs,
   sortWaitingSteps,
 } from '../src/task_order.js';
-import {createTestJob, createTestStep, TEST_QUEUE} from './test_runs.js';
+import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
+import {createTestJob, createTestStep} from './test_runs.js';
 
 function createWaiting(
   fields: {acceptedMs?: number; priority?: number; isBegun?: boolean} = {},
   steps = [createTestStep()],
 ) {
-  const queue = {...TEST_QUEUE, priority: fields.priority ?? 0};
+  const queue = {...SAMPLE_QUEUE, priority: fields.priority ?? 0};
   const job = createTestJob(steps, queue, fields.acceptedMs ?? 0);
   if (fields.isBegun) job.phase = 'running';
   const step = job.occurrences.get(0)!.steps[0];
@@ -27,7 +28,7 @@
     ];
     expect(getChainMs({specification: '', steps})).to.equal(2_700);
     const spec = {specification: '', steps};
-    expect(getObjectiveMs(spec, TEST_QUEUE)).to.equal(2_700 * 1.5 + 400);
+    expect(getObjectiveMs(spec, SAMPLE_QUEUE)).to.equal(2_700 * 1.5 + 400);
   });
 });
 
--- a/packages/coordination/test/test_runs.ts
+++ b/packages/coordination/test/test_runs.ts
@@ -3,43 +3,17 @@
 import {createTaskRun} from '@mustardlug/jobs/job_codec';
 import {StepSpec} from '@mustardlug/jobs/job_spec';
 import {JobState} from '@mustardlug/jobs/job_state';
-import {QueueConfig} from '@mustardlug/jobs/queue_config';
+import {createSampleStep, SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {AssignedRun, WorkerLoad} from '../src/worker_load.js';
 
-/** Queue of all test jobs. */
-export const TEST_QUEUE: QueueConfig = {
-  name: 'bookings',
-  host: 'desk.example',
-  pathPrefix: '/bookings/',
-  serviceName: 'class-desk',
-  priority: 0,
-  maxAttempts: 3,
-  stretch: 1.5,
-  targetDurationMs: 400,
-};
-
 let nextJob = 1;
 
 /**
- * Creates a step.
- * @param fields - What differs from a plain step of one task.
+ * Creates a step of one task that is expected to take a second.
+ * @param fields - What differs from a plain step.
  */
 export function createTestStep(fields: Partial<StepSpec> = {}): StepSpec {
-  return {
-    taskCount: 1,
-    needs: {cpuMillis: 2_000, memoryMb: 1_000, accelerators: 0},
-    estimatedMs: 1_000,
-    dependsOn: [],
-    isCheckpointing: false,
-    isGang: false,
-    isSameRackPreferred: false,
-    maxPerWorker: 0,
-    isSpeculative: false,
-    isLongRunning: false,
-    targetResponseMs: 0,
-    isFiller: false,
-    ...fields,
-  };
+  return createSampleStep(1, {estimatedMs: 1_000, ...fields});
 }
 
 /** Fields of a serving step with a target of 100 ms. */
@@ -57,7 +31,7 @@
  */
 export function createTestJob(
   steps: readonly StepSpec[],
-  queue = TEST_QUEUE,
+  queue = SAMPLE_QUEUE,
   acceptedMs = 0,
 ): JobState {
   const jobId = (nextJob++).toString(16).padStart(16, '0');
--- a/packages/dev/src/run_recorder.ts
+++ b/packages/dev/src/run_recorder.ts
@@ -24,14 +24,6 @@
     return this.runs.size;
   }
 
-  /**
-   * Checks whether a request ran.
-   * @param runId - Id of the request.
-   */
-  isRun(runId: string): boolean {
-    return this.runs.has(runId);
-  }
-
   /** Gets the ids of the requests that ran more than once. */
   getRepeated(): string[] {
     const repeated: string[] = [];
--- a/packages/experiments/src/job_harness.ts
+++ b/packages/experiments/src/job_harness.ts
@@ -19,6 +19,7 @@
   ModelJobWorkerClient,
   WorkerLinkFaults,
 } from '@mustardlug/standins/model_job_worker_client';
+import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {HybridLogicalClock} from '@mustardlug/telemetry/hybrid_logical_clock';
 import {ok} from 'neverthrow';
@@ -61,44 +62,6 @@
   readonly events: EventRecorder;
 }
 
-/** Queue that the harness serves. */
-export const HARNESS_QUEUE: QueueConfig = {
-  name: 'bookings',
-  host: 'desk.example',
-  pathPrefix: '/bookings/',
-  serviceName: 'class-desk',
-  priority: 0,
-  maxAttempts: 3,
-  stretch: 1.5,
-  targetDurationMs: 400,
-};
-
-/**
- * Creates a step of equal tasks.
- * @param taskCount - Number of tasks.
- * @param fields - What differs from a plain step.
- */
-export function createStep(
-  taskCount: number,
-  fields: Partial<StepSpec> = {},
-): StepSpec {
-  return {
-    taskCount,
-    needs: {cpuMillis: 2_000, memoryMb: 1_000, accelerators: 0},
-    estimatedMs: 800,
-    dependsOn: [],
-    isCheckpointing: false,
-    isGang: false,
-    isSameRackPreferred: false,
-    maxPerWorker: 0,
-    isSpeculative: false,
-    isLongRunning: false,
-    targetResponseMs: 0,
-    isFiller: false,
-    ...fields,
-  };
-}
-
 /** Runs nodes against models of everything that surrounds them. */
 export class JobHarness {
   readonly clock = VirtualClock.create();
@@ -111,7 +74,7 @@
   private nextJob = 1;
 
   private constructor(private readonly options: JobHarnessOptions) {
-    this.queue = {...HARNESS_QUEUE, ...options.queue};
+    this.queue = {...SAMPLE_QUEUE, ...options.queue};
     for (let index = 0; index < (options.workers ?? 4); index++)
       this.addWorker(`worker-${index}`);
     for (let index = 0; index < (options.nodes ?? 3); index++)
@@ -294,7 +257,7 @@
     const record: WorkerRecord = {
       workerId,
       address: `${workerId}:80`,
-      serviceName: HARNESS_QUEUE.serviceName,
+      serviceName: SAMPLE_QUEUE.serviceName,
       failureDomain: 'north-a',
       isDraining: false,
       capacity: {
--- a/packages/experiments/src/memory_link.ts
+++ b/packages/experiments/src/memory_link.ts
@@ -47,10 +47,6 @@
     peer.clock.setTimer(this.delayMs, () => peer.deliver(message));
   }
 
-  override getBufferedBytes(): number {
-    return 0;
-  }
-
   override close(reason: string): void {
     if (this.isClosed) return;
     this.isClosed = true;
--- a/packages/experiments/test/job_drain.test.ts
+++ b/packages/experiments/test/job_drain.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
-import {createStep, JobHarness} from '../src/job_harness.js';
+import {createSampleStep} from '@mustardlug/standins/sample_jobs';
+import {JobHarness} from '../src/job_harness.js';
 
 const START_MS = 2_500;
 
@@ -16,7 +17,7 @@
   it('hands its long-running tasks over before it leaves', async () => {
     const harness = JobHarness.create();
     await harness.advance(START_MS);
-    await harness.submit([createStep(6, {isLongRunning: true})]);
+    await harness.submit([createSampleStep(6, {isLongRunning: true})]);
     await harness.advance(1_000);
     const busy = [...harness.workers].find(
       ([, worker]) => worker.getRunCount() > 0,
@@ -35,8 +36,8 @@
     await harness.advance(START_MS);
     const filler = {isFiller: true, isCheckpointing: true, image: 'report'};
     await harness.submit([
-      createStep(1, {...filler, estimatedMs: 8_000}),
-      createStep(1, {estimatedMs: 1_500}),
+      createSampleStep(1, {...filler, estimatedMs: 8_000}),
+      createSampleStep(1, {estimatedMs: 1_500}),
     ]);
     await harness.advance(800);
     const leaving = harness.workers.get('worker-0');
@@ -55,7 +56,7 @@
     await harness.advance(START_MS);
     harness.register('worker-0', {isDraining: true});
     await harness.advance(100);
-    await harness.submit([createStep(12)]);
+    await harness.submit([createSampleStep(12)]);
     await harness.advance(300);
     expect(harness.workers.get('worker-0')?.getRunCount()).to.equal(0);
     expect(countRuns(harness)).to.equal(12);
--- a/packages/experiments/test/job_faults.test.ts
+++ b/packages/experiments/test/job_faults.test.ts
@@ -1,10 +1,11 @@
 import {expect} from 'chai';
-import {createStep, JobHarness, JobHarnessOptions} from '../src/job_harness.js';
+import {createSampleStep} from '@mustardlug/standins/sample_jobs';
+import {JobHarness, JobHarnessOptions} from '../src/job_harness.js';
 
 /** Time for the first election, the reading of all state and the fencing of workers. */
 const START_MS = 2_500;
 
-const TWO_STEPS = [createStep(6), createStep(4, {dependsOn: [0]})];
+const TWO_STEPS = [createSampleStep(6), createSampleStep(4, {dependsOn: [0]})];
 
 interface Case {
   readonly name: string;
@@ -157,7 +158,7 @@
   it('stops runs of a worker that was not registered at the takeover', async () => {
     const harness = JobHarness.create();
     await harness.advance(START_MS);
-    const steps = [createStep(8, {isLongRunning: true})];
+    const steps = [createSampleStep(8, {isLongRunning: true})];
     const {jobId} = await harness.submit(steps);
     await harness.advance(500);
     harness.unregister('worker-1');
@@ -177,7 +178,7 @@
     await harness.advance(START_MS);
     const [node] = harness.nodes;
     node.storeFaults.applyNextLate = 1;
-    const submission = harness.submit([createStep(2)]);
+    const submission = harness.submit([createSampleStep(2)]);
     await harness.advance(20);
     expect(await harness.cancel('0000000000000001')).to.equal(false);
     await submission;
@@ -191,7 +192,7 @@
   it('learns of the first job', async () => {
     const harness = JobHarness.create();
     await harness.advance(START_MS);
-    const {jobId} = await harness.submit([createStep(1)]);
+    const {jobId} = await harness.submit([createSampleStep(1)]);
     await harness.advance(1_500);
     expect(await harness.getPhase(jobId)).to.equal('completed');
   });
--- a/packages/experiments/test/job_histories.test.ts
+++ b/packages/experiments/test/job_histories.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {createStep, HarnessNode, JobHarness} from '../src/job_harness.js';
+import {createSampleStep} from '@mustardlug/standins/sample_jobs';
+import {HarnessNode, JobHarness} from '../src/job_harness.js';
 
 /** One thing that happens during a history. */
 type Act =
@@ -126,7 +127,7 @@
   }
 
   private async submit(): Promise<void> {
-    const steps = [createStep(4), createStep(2, {dependsOn: [0]})];
+    const steps = [createSampleStep(4), createSampleStep(2, {dependsOn: [0]})];
     const {jobId, outcome} = await this.harness.submit(steps);
     if (outcome.isOk()) this.jobIds.push(jobId);
   }
--- a/packages/experiments/test/job_retention.test.ts
+++ b/packages/experiments/test/job_retention.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
-import {createStep, HarnessNode, JobHarness} from '../src/job_harness.js';
+import {createSampleStep} from '@mustardlug/standins/sample_jobs';
+import {HarnessNode, JobHarness} from '../src/job_harness.js';
 
 const START_MS = 2_500;
 
@@ -19,9 +20,9 @@
   it('are kept as long as callers may ask, then removed', async () => {
     const harness = JobHarness.create({nodes: 1});
     await harness.advance(START_MS);
-    const {jobId} = await harness.submit([createStep(2)]);
+    const {jobId} = await harness.submit([createSampleStep(2)]);
     const cancelled = await harness.submit([
-      createStep(1, {isLongRunning: true}),
+      createSampleStep(1, {isLongRunning: true}),
     ]);
     await harness.cancel(cancelled.jobId);
     await harness.advance(KEEP_MS);
@@ -35,7 +36,7 @@
   it('are removed by a successor, which knows when the job ended', async () => {
     const harness = JobHarness.create();
     await harness.advance(START_MS);
-    await harness.submit([createStep(2)]);
+    await harness.submit([createSampleStep(2)]);
     await harness.advance(2_000);
     kill(harness, harness.getCoordinator());
     await harness.advance(KEEP_MS * 1.5);
@@ -45,7 +46,7 @@
   it('stay while a job goes on', async () => {
     const harness = JobHarness.create({nodes: 1});
     await harness.advance(START_MS);
-    const steps = [createStep(1, {isLongRunning: true})];
+    const steps = [createSampleStep(1, {isLongRunning: true})];
     const {jobId} = await harness.submit(steps);
     await harness.advance(KEEP_MS * 2);
     expect(await harness.getPhase(jobId)).to.equal('running');
--- a/packages/node/test/caller_api.test.ts
+++ b/packages/node/test/caller_api.test.ts
@@ -1,9 +1,10 @@
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
 import {Board} from '@mustardlug/coordination/board';
 import {JobDesk} from '@mustardlug/coordination/job_desk';
-import {FleetConfig, QueueConfig} from '@mustardlug/jobs/queue_config';
+import {FleetConfig} from '@mustardlug/jobs/queue_config';
 import {JobSpec} from '@mustardlug/jobs/job_spec';
 import {MemoryRowStore} from '@mustardlug/standins/memory_row_store';
+import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {HybridLogicalClock} from '@mustardlug/telemetry/hybrid_logical_clock';
 import {createInvalidInputError} from '@mustardlug/base/errors';
@@ -11,17 +12,6 @@
 import {err, ok} from 'neverthrow';
 import {CallerApi, CallerFormat} from '../src/caller_api.js';
 
-const QUEUE: QueueConfig = {
-  name: 'bookings',
-  host: 'desk.example',
-  pathPrefix: '/bookings/',
-  serviceName: 'class-desk',
-  priority: 0,
-  maxAttempts: 3,
-  stretch: 1.5,
-  targetDurationMs: 400,
-};
-
 const SPEC: JobSpec = {specification: '', steps: []};
 
 const FORMAT: CallerFormat = {
@@ -45,7 +35,7 @@
   readonly store = MemoryRowStore.create(this.clock);
   config: FleetConfig | undefined = {
     version: 1,
-    queues: [QUEUE],
+    queues: [SAMPLE_QUEUE],
     services: [],
     limits: {maxBodyBytes: 100},
   };
--- a/packages/platform/src/group_committer.ts
+++ b/packages/platform/src/group_committer.ts
@@ -67,11 +67,6 @@
     return this.transactionCount;
   }
 
-  /** Gets the number of writes that wait for a transaction. */
-  getWaitingCount(): number {
-    return this.waiting.length;
-  }
-
   /**
    * Writes a unit with the next group.
    * @param unit - Operations that belong together.
--- a/packages/protocol/src/message_link.ts
+++ b/packages/protocol/src/message_link.ts
@@ -24,9 +24,6 @@
    */
   abstract send(message: InnerMessage): void;
 
-  /** Gets the bytes that were sent but not yet taken by the network. */
-  abstract getBufferedBytes(): number;
-
   /**
    * Closes the link at once.
    * @param reason - Reason for the log.
--- a/packages/protocol/src/ws_message_link.ts
+++ b/packages/protocol/src/ws_message_link.ts
@@ -51,10 +51,6 @@
     this.socket.send(bytes);
   }
 
-  override getBufferedBytes(): number {
-    return this.socket.bufferedAmount;
-  }
-
   override close(reason: string): void {
     this.finish(reason);
     this.socket.terminate();
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -263,11 +263,6 @@
     this.backlog.delete(workerId);
   }
 
-  /** Gets the views of the leased workers. */
-  getViews(): WorkerView[] {
-    return [...this.views.values()];
-  }
-
   /**
    * Gets the record of a task of this domain that has not ended.
    * @param taskId - Id of the task.
