Log commands without response, restarted worker processes and unknown runs

Callers saw tasks run twice; the logs had only a second run-started, whatever the cause. Three hypotheses (a refusal after an open start command, a command that reaches the next process, runs that nobody counts) could not be told apart.

No logic is changed.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -8,6 +8,7 @@
   EndedRun,
   JobWorkerClient,
   RefusalReason,
+  RunningRun,
 } from '@mustardlug/platform/job_worker_client';
 import {
   getPartRows,
@@ -17,7 +18,7 @@
 } from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {CommitLog} from './commit_log.js';
-import {formatFleetLoad, formatPlacedStep} from './fleet_report.js';
+import {formatFleetLoad, formatPlacedStep, formatRun} from './fleet_report.js';
 import {JobTracker} from './job_tracker.js';
 import {JobRetention} from './job_retention.js';
 import {ProgressWriter} from './progress_writer.js';
@@ -244,11 +245,38 @@
     this.options.events.addEvent('run-lost', {
       taskId: assigned.taskName,
       workerId: session.getId(),
-      detail: `run ${assigned.run.runNumber}: ${reason}`,
+      detail: `${formatRun(assigned.run)}: ${reason}; the worker's process is ${session.getProcessStartMs()}, its last response is ${session.getResponseAgeMs()} ms old`,
     });
     this.releaseRun(assigned);
   }
 
+  onProcessRestarted(session: WorkerSession, previousStartMs: number): void {
+    this.options.events.addEvent('worker-restarted', {
+      workerId: session.getId(),
+      detail: `process ${session.getProcessStartMs()} after ${previousStartMs}, ${session.load.getRunCount()} runs assigned, registration of process ${session.getRecord().startMs}`,
+    });
+  }
+
+  onUnknownRun(session: WorkerSession, running: RunningRun): void {
+    this.options.events.addEvent('run-unknown', {
+      taskId: running.taskName,
+      workerId: session.getId(),
+      detail: `run ${running.runNumber} on process ${session.getProcessStartMs()}, ${running.progressPercent} % done`,
+    });
+  }
+
+  onCommandUnanswered(
+    session: WorkerSession,
+    assigned: AssignedRun,
+    command: 'start' | 'stop',
+  ): void {
+    this.options.events.addEvent('command-unanswered', {
+      taskId: assigned.taskName,
+      workerId: session.getId(),
+      detail: `${command} of ${formatRun(assigned.run)}`,
+    });
+  }
+
   onReport(session: WorkerSession): void {
     if (!this.isReady) this.checkReady();
     this.workerSupervisor.applyReport(session);
@@ -269,7 +297,7 @@
     this.options.events.addEvent('start-refused', {
       taskId: assigned.taskName,
       workerId: session.getId(),
-      detail: `run ${assigned.run.runNumber}: ${reason}`,
+      detail: `${formatRun(assigned.run)}: ${reason}`,
     });
     this.releaseRun(assigned);
   }
@@ -488,7 +516,7 @@
     this.options.events.addEvent('run-started', {
       taskId: assigned.taskName,
       workerId: session.getId(),
-      detail: `run ${assigned.run.runNumber}`,
+      detail: formatRun(assigned.run),
     });
     void session.startRun(assigned);
   }
--- a/packages/coordination/src/fleet_report.ts
+++ b/packages/coordination/src/fleet_report.ts
@@ -1,5 +1,6 @@
-/** Formats summaries of placements and of the fleet's load for the event log. */
+/** Formats runs and summaries of placements and of the fleet's load for the event log. */
 
+import {TaskRun} from '@mustardlug/jobs/job_state';
 import {isWaitingTask, PlacedStep} from './placement_pass.js';
 import {WaitingStep} from './task_order.js';
 import {WorkerLoad} from './worker_load.js';
@@ -76,3 +77,17 @@
   }
   return Math.round(millis / CPU_MILLIS_PER_CORE);
 }
+
+/**
+ * Formats a run: its number, the worker process that it was sent to, and what
+ * is known of it.
+ * @param run - Run to format.
+ */
+export function formatRun(run: TaskRun): string {
+  const state = [
+    run.isConfirmed ? 'confirmed' : 'unconfirmed',
+    ...(run.isStopping ? ['stopping'] : []),
+    ...(run.openStarts > 0 ? [`${run.openStarts} open starts`] : []),
+  ].join(', ');
+  return `run ${run.runNumber} of process ${run.workerStartMs} (${state})`;
+}
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -7,6 +7,7 @@
   LeaseReport,
   RefusalReason,
   RunCommand,
+  RunningRun,
   WorkerRecord,
 } from '@mustardlug/platform/job_worker_client';
 import {AssignedRun, getRunKey, WorkerLoad} from './worker_load.js';
@@ -33,6 +34,16 @@
     assigned: AssignedRun,
     reason: RefusalReason,
   ): void;
+  /** Called when a report comes from another process than the previous one. */
+  onProcessRestarted(session: WorkerSession, previousStartMs: number): void;
+  /** Called when the worker reports a run that is not assigned to it. */
+  onUnknownRun(session: WorkerSession, running: RunningRun): void;
+  /** Called when the worker did not respond to a command, which may still take effect. */
+  onCommandUnanswered(
+    session: WorkerSession,
+    assigned: AssignedRun,
+    command: 'start' | 'stop',
+  ): void;
   /** Called when the worker has seen a higher fencing token. */
   onFenced(session: WorkerSession): void;
 }
@@ -183,6 +194,13 @@
     );
   }
 
+  /** Gets the time since the last response to a lease renewal; infinite before the first one. */
+  getResponseAgeMs(): number {
+    return Math.round(
+      this.options.clock.getMonotonicMs() - this.lastResponseMs,
+    );
+  }
+
   /** Checks whether the last response is older than the limit for new runs. */
   isSilent(): boolean {
     return (
@@ -231,12 +249,18 @@
     for (let attempt = 1; attempt <= MAX_START_ATTEMPTS; attempt++) {
       if (this.isStopped || !this.isCurrent(assigned)) return;
       if (assigned.run.isStopping) return;
+      assigned.run.openStarts++;
       const outcome = await this.options.client.startRun({
         ...this.createRunCommand(assigned),
         specification: assigned.job.accepted.spec.specification,
         checkpoint: assigned.task.checkpoint,
         leaseUntilMs: this.grantLease(),
       });
+      const isSettled =
+        outcome.isOk() ||
+        outcome.error.kind === 'worker-refusal' ||
+        !outcome.error.mayHaveTakenEffect;
+      if (isSettled) assigned.run.openStarts--;
       if (this.isStopped || !this.isCurrent(assigned)) return;
       if (outcome.isOk()) {
         this.recordCommandResponse(assigned);
@@ -244,7 +268,10 @@
         return;
       }
       const {error} = outcome;
-      if (error.kind === 'unavailable') continue;
+      if (error.kind === 'unavailable') {
+        this.options.listener.onCommandUnanswered(this, assigned, 'start');
+        continue;
+      }
       if (error.reason === 'lapsed') continue;
       this.handleRefusal(assigned, error.reason);
       return;
@@ -277,6 +304,8 @@
           this.recordCommandResponse(assigned);
           return;
         }
+      } else {
+        this.options.listener.onCommandUnanswered(this, assigned, 'stop');
       }
       await this.options.clock.sleep(STOP_RETRY_MS);
     }
@@ -365,9 +394,11 @@
   /** A new worker process does not continue the runs of the previous process. */
   private handleProcessRestart(processStartMs: number): void {
     if (processStartMs !== this.processStartMs) {
+      const previousStartMs = this.processStartMs;
       this.processStartMs = processStartMs;
       this.processedSequence = 0;
       this.acknowledgedSequence = 0;
+      this.options.listener.onProcessRestarted(this, previousStartMs);
     }
     for (const assigned of [...this.load.getRuns()]) {
       if (assigned.run.workerStartMs === processStartMs) continue;
@@ -379,7 +410,7 @@
     for (const running of report.running) {
       const assigned = this.load.findRun(running.taskName, running.runNumber);
       if (assigned === undefined) {
-        void this.stopUnknownRun(running.taskName, running.runNumber);
+        void this.stopUnknownRun(running);
         continue;
       }
       assigned.run.isConfirmed = true;
@@ -437,16 +468,15 @@
   }
 
   /** Stops a run that is not part of the stored state, such as one of a cancelled job. */
-  private async stopUnknownRun(
-    taskName: string,
-    runNumber: number,
-  ): Promise<void> {
-    const {clock, client, fencingToken} = this.options;
+  private async stopUnknownRun(running: RunningRun): Promise<void> {
+    const {clock, client, fencingToken, listener} = this.options;
+    const {taskName, runNumber} = running;
     const key = getRunKey(taskName, runNumber);
     const nowMs = clock.getMonotonicMs();
     const lastMs = this.unknownRunStopTimes.get(key) ?? -Infinity;
     if (nowMs - lastMs < UNKNOWN_RUN_STOP_INTERVAL_MS) return;
     this.unknownRunStopTimes.set(key, nowMs);
+    listener.onUnknownRun(this, running);
     const worker = this.record;
     await client.stopRun({worker, taskName, runNumber, fencingToken});
   }
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -153,6 +153,7 @@
     placedMs,
     isAdopted: false,
     isConfirmed: false,
+    openStarts: 0,
     isStopping: false,
     progressPercent: 0,
     progressAgeMs: 0,
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -19,6 +19,11 @@
   readonly isAdopted: boolean;
   /** Whether the worker has confirmed the run, in a response or in a report. */
   isConfirmed: boolean;
+  /**
+   * Number of start commands of this term without a response, each of which the
+   * worker may still execute.
+   */
+  openStarts: number;
   /** Whether a stop was requested; the end of the run then does not count as a failure. */
   isStopping: boolean;
   /** Last reported progress, 0 to 100. */
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -303,6 +303,21 @@
     level: 'info',
     text: 'Number of cores that are free, in use or waited for, by kind of work.',
   },
+  'worker-restarted': {
+    number: 841,
+    level: 'warn',
+    text: 'A report came from another process of a worker than the one before.',
+  },
+  'run-unknown': {
+    number: 842,
+    level: 'warn',
+    text: 'A worker reported a run that is not assigned to it.',
+  },
+  'command-unanswered': {
+    number: 843,
+    level: 'debug',
+    text: 'A worker did not respond to a start or stop command, which may still take effect.',
+  },
   'worker-restored': {
     number: 836,
     level: 'info',
