Reproduce a run that is released while a start command for it is open

A worker that refuses a repeated start says that this command did nothing. An earlier command of the same run without a response may still be executed; the session releases the run all the same, and its task starts elsewhere.

--- /dev/null
+++ b/packages/coordination/test/scripted_job_worker_client.ts
@@ -0,0 +1,68 @@
+/** Worker client whose responses a test scripts. */
+
+import {createUnavailableError} from '@mustardlug/base/errors';
+import {
+  JobWorkerClient,
+  JobWorkerError,
+  LeaseRenewal,
+  LeaseReport,
+  RefusalReason,
+  RunCommand,
+  StartRunCommand,
+} from '@mustardlug/platform/job_worker_client';
+import {err, ok, Result} from 'neverthrow';
+
+/** Response to a command: executed, no response, or the reason for a refusal. */
+export type ScriptedResponse = 'done' | 'none' | RefusalReason;
+
+/** Responds to each command with the next scripted response, then with `done`. */
+export class ScriptedJobWorkerClient extends JobWorkerClient {
+  readonly startResponses: ScriptedResponse[] = [];
+  readonly stopResponses: ScriptedResponse[] = [];
+  readonly startCommands: StartRunCommand[] = [];
+  readonly stopCommands: RunCommand[] = [];
+  readonly renewals: LeaseRenewal[] = [];
+  /** Report of the worker; no response while undefined. */
+  report: LeaseReport | undefined;
+
+  static create(): ScriptedJobWorkerClient {
+    return new ScriptedJobWorkerClient();
+  }
+
+  override async renewLease(
+    request: LeaseRenewal,
+  ): Promise<Result<LeaseReport, JobWorkerError>> {
+    this.renewals.push(request);
+    if (this.report === undefined) return err(createNoResponse());
+    return ok(this.report);
+  }
+
+  override async startRun(
+    command: StartRunCommand,
+  ): Promise<Result<void, JobWorkerError>> {
+    this.startCommands.push(command);
+    return toResult(this.startResponses.shift() ?? 'done');
+  }
+
+  override async stopRun(
+    command: RunCommand,
+  ): Promise<Result<void, JobWorkerError>> {
+    this.stopCommands.push(command);
+    return toResult(this.stopResponses.shift() ?? 'done');
+  }
+
+  override async setRunCpuLimit(): Promise<Result<void, JobWorkerError>> {
+    return ok(undefined);
+  }
+}
+
+function toResult(response: ScriptedResponse): Result<void, JobWorkerError> {
+  if (response === 'done') return ok(undefined);
+  if (response === 'none') return err(createNoResponse());
+  const message = `the worker refused the command: ${response}`;
+  return err({kind: 'worker-refusal', reason: response, message});
+}
+
+function createNoResponse(): JobWorkerError {
+  return createUnavailableError('the worker did not respond', true);
+}
--- /dev/null
+++ b/packages/coordination/test/worker_session.test.ts
@@ -0,0 +1,114 @@
+import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {
+  LeaseReport,
+  RefusalReason,
+  WorkerRecord,
+} from '@mustardlug/platform/job_worker_client';
+import {expect} from 'chai';
+import {AssignedRun} from '../src/worker_load.js';
+import {SessionListener, WorkerSession} from '../src/worker_session.js';
+import {ScriptedJobWorkerClient} from './scripted_job_worker_client.js';
+import {addTestRun} from './test_runs.js';
+
+const PROCESS_START_MS = 1;
+
+const RECORD: WorkerRecord = {
+  workerId: 'worker-1',
+  address: 'worker-1:80',
+  serviceName: 'service',
+  failureDomain: 'north-a',
+  isDraining: false,
+  capacity: {cpuMillis: 8_000, memoryMb: 64_000, accelerators: 0},
+  labels: [],
+  rack: 'rack-1',
+  startMs: PROCESS_START_MS,
+};
+
+/** Time in which a scripted command, its repetitions and a renewal complete. */
+const SETTLE_MS = 1_000;
+
+function createReport(fields: Partial<LeaseReport> = {}): LeaseReport {
+  const startMs = PROCESS_START_MS;
+  return {clockMs: 0, startMs, running: [], ended: [], ...fields};
+}
+
+/** A session with one assigned run, and the runs that it released. */
+class SessionFixture {
+  readonly clock = VirtualClock.create();
+  readonly client = ScriptedJobWorkerClient.create();
+  readonly releasedRuns: AssignedRun[] = [];
+  readonly session: WorkerSession;
+  readonly assigned: AssignedRun;
+
+  private constructor() {
+    const release = (_session: WorkerSession, assigned: AssignedRun): void => {
+      this.releasedRuns.push(assigned);
+    };
+    const listener: SessionListener = {
+      onRunEnded: () => undefined,
+      onRunLost: release,
+      onReport: () => undefined,
+      onStartRefused: release,
+      onProcessRestarted: () => undefined,
+      onUnknownRun: () => undefined,
+      onCommandUnanswered: () => undefined,
+      onFenced: () => undefined,
+    };
+    this.session = WorkerSession.create({
+      clock: this.clock,
+      client: this.client,
+      listener,
+      fencingToken: 1,
+      record: RECORD,
+      maxLeaseMs: 10_000,
+      previousTermTimeoutMs: 0,
+    });
+    this.assigned = addTestRun(this.session.load, {});
+    this.assigned.run.isConfirmed = false;
+    this.assigned.commandResponseMs = undefined;
+  }
+
+  static create(): SessionFixture {
+    return new SessionFixture();
+  }
+
+  /** Lets the worker report and waits until the session has applied the report. */
+  async report(fields: Partial<LeaseReport> = {}): Promise<void> {
+    this.client.report = createReport(fields);
+    await this.clock.advance(SETTLE_MS);
+  }
+}
+
+describe('WorkerSession', () => {
+  describe('startRun', () => {
+    const refusals: RefusalReason[] = ['unhealthy', 'no-room', 'no-ticket'];
+    for (const refusal of refusals) {
+      it(`releases a run whose only start command was refused: ${refusal}`, async () => {
+        const {session, client, clock, assigned, releasedRuns} =
+          SessionFixture.create();
+        client.startResponses.push(refusal);
+        void session.startRun(assigned);
+        await clock.advance(SETTLE_MS);
+        expect(releasedRuns).to.deep.equal([assigned]);
+        expect(client.stopCommands).to.be.empty;
+      });
+
+      it(`does not release a run that an earlier start command without response may still start: ${refusal}`, async () => {
+        const fixture = SessionFixture.create();
+        const {session, client, clock, assigned, releasedRuns} = fixture;
+        client.startResponses.push('none', refusal);
+        client.stopResponses.push('unhealthy', 'none', 'done');
+        void session.run();
+        await fixture.report();
+        void session.startRun(assigned);
+        await clock.advance(0);
+        expect(releasedRuns).to.be.empty;
+        expect(client.stopCommands).to.have.length(1);
+        await clock.advance(SETTLE_MS);
+        expect(client.stopCommands).to.have.length(3);
+        expect(releasedRuns).to.deep.equal([assigned]);
+        session.stop();
+      });
+    }
+  });
+});
