Exclude a run by a stop when a start command for it is still open

Cause: a start command without a response is repeated. When a repetition was refused (the worker sheds load, has no room, or asks for a ticket), the session released the run: the refusal was taken for the end of the run, although it covers that one command only. The worker executed the earlier command seconds later, while the task was already running elsewhere, or while the freed place on this worker was taken by another task of the step.

Change: a refusal releases a run only if none of its start commands is open. Otherwise the run is stopped on the worker, which excludes it, and released when a report after the confirmed stop no longer lists it. Until then it counts against the worker.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -299,6 +299,9 @@
       workerId: session.getId(),
       detail: `${formatRun(assigned.run)}: ${reason}`,
     });
+  }
+
+  onRunNotStarted(assigned: AssignedRun): void {
     this.releaseRun(assigned);
   }
 
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -28,12 +28,17 @@
   ): void;
   /** Called after a report was applied. Its ended runs may be acknowledged once they are stored. */
   onReport(session: WorkerSession): void;
-  /** Called when the worker refused to start a run. It has done nothing. */
+  /**
+   * Called when the worker refused a start command. Only this command had no
+   * effect; an earlier one of the same run may still be executed.
+   */
   onStartRefused(
     session: WorkerSession,
     assigned: AssignedRun,
     reason: RefusalReason,
   ): void;
+  /** Called when a run has certainly not started and cannot start any more. */
+  onRunNotStarted(assigned: AssignedRun): void;
   /** Called when a report comes from another process than the previous one. */
   onProcessRestarted(session: WorkerSession, previousStartMs: number): void;
   /** Called when the worker reports a run that is not assigned to it. */
@@ -273,7 +278,7 @@
         continue;
       }
       if (error.reason === 'lapsed') continue;
-      this.handleRefusal(assigned, error.reason);
+      await this.handleRefusal(assigned, error.reason);
       return;
     }
     await this.stopRun(assigned);
@@ -481,7 +486,10 @@
     await client.stopRun({worker, taskName, runNumber, fencingToken});
   }
 
-  private handleRefusal(assigned: AssignedRun, reason: RefusalReason): void {
+  private async handleRefusal(
+    assigned: AssignedRun,
+    reason: RefusalReason,
+  ): Promise<void> {
     if (reason === 'fenced') {
       this.options.listener.onFenced(this);
       return;
@@ -492,8 +500,13 @@
       return;
     }
     if (reason === 'no-room') this.isOutOfCapacity = true;
-    this.load.removeRun(assigned);
     this.options.listener.onStartRefused(this, assigned, reason);
+    if (assigned.run.openStarts > 0) {
+      await this.stopRun(assigned);
+      return;
+    }
+    this.load.removeRun(assigned);
+    this.options.listener.onRunNotStarted(assigned);
   }
 
   private recordCommandResponse(assigned: AssignedRun): void {
