Model restarts, late and lost calls, slow clocks and frozen nodes

The worker model and its client knew neither a next process of another kind, a maximum lease, a slow clock, nor a stop that takes time; late calls always took 3 s and were commands only. Add these as options, besides late renewals, shifted lease times, late calls that reach the next process, one-way cuts and random losses. A node can be frozen: its timers wait and calls under way get their responses when it resumes. A renewal that a crashed process was waiting in no longer reports the runs of the next process.

--- a/packages/experiments/src/job_harness.ts
+++ b/packages/experiments/src/job_harness.ts
@@ -1,5 +1,6 @@
 /** Simulates a deployment in virtual time: nodes, workers, the row store and callers. */
 
+import {RandomSource} from '@mustardlug/base/random_source';
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
 import {Coordinator} from '@mustardlug/coordination/coordinator';
 import {JobStore} from '@mustardlug/coordination/job_store';
@@ -8,7 +9,10 @@
 import {DeploymentConfig, QueueConfig} from '@mustardlug/jobs/queue_config';
 import {CoordinatorRole} from '@mustardlug/node/coordinator_role';
 import {WorkerRecord} from '@mustardlug/platform/job_worker_client';
-import {JobWorkerModel} from '@mustardlug/standins/job_worker_model';
+import {
+  JobWorkerModel,
+  WorkerKind,
+} from '@mustardlug/standins/job_worker_model';
 import {
   createDefaultRowStoreFaults,
   MemoryRowStore,
@@ -19,6 +23,7 @@
   ModelJobWorkerClient,
   JobWorkerLinkFaults,
 } from '@mustardlug/standins/model_job_worker_client';
+import {NodeClock} from '@mustardlug/standins/node_clock';
 import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {RunPerformanceModel} from '@mustardlug/standins/run_performance_model';
 import {EventRecorder, EventSink} from '@mustardlug/telemetry/event_recorder';
@@ -62,11 +67,27 @@
   readonly performanceModel?: RunPerformanceModel;
   /** Receives the events of all nodes. */
   readonly sink?: EventSink;
+  /** Seed of the random losses and delays of calls to workers. */
+  readonly seed?: number;
+  /** Speed of the clock of each worker; 0.98 is 2 % slow. */
+  readonly workerClockRate?: number;
+  /** Gets the properties of a worker that differ from the default. */
+  readonly getWorkerKind?: (workerId: string) => WorkerKind;
+}
+
+/** How a worker crashes and starts again. */
+export interface WorkerRestart {
+  readonly delayMs: number;
+  /** Properties of the next process that differ from those of the previous one. */
+  readonly kind?: WorkerKind;
+  /** Registration of the next process; by default it registers when it starts. */
+  readonly registration?: 'current' | 'outdated' | 'removed';
 }
 
 /** A simulated node. */
 export interface HarnessNode {
   readonly nodeId: string;
+  readonly clock: NodeClock;
   readonly storeFaults: RowStoreFaults;
   readonly linkFaults: JobWorkerLinkFaults;
   readonly jobStore: JobStore;
@@ -83,9 +104,11 @@
   readonly nodes: HarnessNode[] = [];
   private readonly specs = new Map<string, JobSpec>();
   private readonly queue: QueueConfig;
+  private readonly random: RandomSource;
   private nextJobNumber = 1;
 
   private constructor(private readonly options: JobHarnessOptions) {
+    this.random = RandomSource.create(options.seed ?? 1);
     this.queue = {...SAMPLE_QUEUE, ...options.queue};
     for (let index = 0; index < (options.workers ?? 4); index++)
       this.addWorker(`worker-${index}`);
@@ -114,21 +137,23 @@
    * @param nodeId - Name of the node.
    */
   addNode(nodeId: string): HarnessNode {
-    const {clock} = this;
+    const clock = NodeClock.create(this.clock);
     const storeFaults = createDefaultRowStoreFaults();
     const linkFaults = createDefaultJobWorkerLinkFaults();
-    const store = this.store.createClient(storeFaults);
+    const store = this.store.createClient(storeFaults, clock);
     const events = EventRecorder.create({
       nodeId,
       clock: HybridLogicalClock.create(clock),
       capacity: EVENT_CAPACITY,
       sink: this.options.sink,
     });
-    const workerClient = ModelJobWorkerClient.create(
-      clock,
-      this.workers,
-      linkFaults,
-    );
+    const workerClient = ModelJobWorkerClient.create({
+      clock: this.clock,
+      nodeClock: clock,
+      workers: this.workers,
+      faults: linkFaults,
+      random: this.random,
+    });
     const role = CoordinatorRole.create({
       store,
       clock,
@@ -154,6 +179,7 @@
     const jobStore = JobStore.create({store, clock, events});
     const node = {
       nodeId,
+      clock,
       storeFaults,
       linkFaults,
       jobStore,
@@ -175,10 +201,50 @@
     this.nodes.splice(this.nodes.indexOf(node), 1);
   }
 
+  /**
+   * Suspends a node. Calls that it has sent are executed, and it gets their
+   * responses when it is resumed.
+   * @param node - Node to suspend.
+   * @param durationMs - Time after which it is resumed.
+   */
+  freezeNode(node: HarnessNode, durationMs: number): void {
+    node.clock.suspend();
+    this.clock.setTimer(durationMs, () => node.clock.resume());
+  }
+
+  /**
+   * Crashes a worker and starts it again under the same ID.
+   * @param workerId - Identifier of the worker.
+   * @param restart - Delay and properties of the next process.
+   */
+  restartWorker(workerId: string, restart: WorkerRestart): void {
+    const worker = this.workers.get(workerId);
+    if (worker === undefined) throw new Error(`unknown worker ${workerId}`);
+    if (worker.isUp()) worker.crash();
+    if (restart.registration === 'removed') this.unregister(workerId);
+    this.clock.setTimer(restart.delayMs, () => {
+      if (worker.isUp()) return;
+      worker.restart(restart.kind);
+      if ((restart.registration ?? 'current') === 'current')
+        this.register(workerId);
+    });
+  }
+
+  /** Gets a node that is running and can reach the store, if there is one. */
+  getHealthyNode(): HarnessNode {
+    const healthy = this.nodes.find(
+      node => !node.storeFaults.isSilent && node.clock.isRunning(),
+    );
+    return healthy ?? this.nodes[0];
+  }
+
   /** Gets the node that is coordinator and can reach the store. */
   getCoordinator(): HarnessNode | undefined {
     return this.nodes.find(
-      node => node.role.isCoordinating() && !node.storeFaults.isSilent,
+      node =>
+        node.role.isCoordinating() &&
+        !node.storeFaults.isSilent &&
+        node.clock.isRunning(),
     );
   }
 
@@ -288,11 +354,6 @@
     this.store.remove(getWorkerAddress(workerId));
   }
 
-  private getHealthyNode(): HarnessNode {
-    const healthy = this.nodes.find(node => !node.storeFaults.isSilent);
-    return healthy ?? this.nodes[0];
-  }
-
   private addWorker(workerId: string): void {
     const {getTaskMs, isFailing} = this.options;
     const record: WorkerRecord = {
@@ -309,6 +370,7 @@
       labels: [],
       rack: 'rack-1',
       startMs: 1,
+      ...this.options.getWorkerKind?.(workerId),
     };
     const worker = JobWorkerModel.create({
       clock: this.clock,
@@ -318,6 +380,8 @@
       isFailing: isFailing ?? (() => false),
       observer: this.checker,
       performanceModel: this.options.performanceModel,
+      maxLeaseMs: MAX_LEASE_MS,
+      clockRate: this.options.workerClockRate,
     });
     this.workers.set(workerId, worker);
     this.register(workerId);
--- a/packages/standins/src/job_worker_model.ts
+++ b/packages/standins/src/job_worker_model.ts
@@ -19,7 +19,7 @@
   RunPerformanceModel,
 } from './run_performance_model.js';
 
-/** Behavior of the runs on a worker; may be changed at any time. */
+/** Behavior of a worker and of its runs; may be changed at any time. */
 export interface JobWorkerBehavior {
   /** Whether new runs fail after `FAILURE_DELAY_MS` of work. */
   failsAll: boolean;
@@ -27,8 +27,17 @@
   hangs: boolean;
   /** Factor by which the duration of runs is multiplied. */
   slowness: number;
+  /** Time for which a run continues after a stop command. */
+  stopMs: number;
+  /** Reason for which all starts are refused; undefined to accept them. */
+  startRefusal: 'no-room' | 'unhealthy' | undefined;
 }
 
+/** Properties of a worker that may be different in its next process. */
+export type WorkerKind = Partial<
+  Pick<WorkerRecord, 'capacity' | 'labels' | 'rack'>
+>;
+
 export interface JobWorkerModelOptions {
   readonly clock: Clock;
   readonly record: WorkerRecord;
@@ -42,6 +51,10 @@
   readonly observer: RunObserver;
   /** Interference between colocated runs; none if absent. */
   readonly performanceModel?: RunPerformanceModel;
+  /** Maximum duration of a lease on the worker's clock; longer leases are shortened to it. */
+  readonly maxLeaseMs?: number;
+  /** Speed of the worker's clock; 0.98 is 2 % slow. */
+  readonly clockRate?: number;
 }
 
 /** Observes all runs, so that tests can check invariants. */
@@ -85,7 +98,9 @@
   cpuLimitPercent: number;
   /** Exponentially smoothed response time; 0 for runs that are not serving tasks. */
   smoothedResponseMs: number;
+  /** Timer of the end of the run, by completion or by a stop command. */
   timer: Timer | undefined;
+  isStopping: boolean;
 }
 
 /** Work after which a failing run ends. */
@@ -105,13 +120,19 @@
 
 const FULL_PERCENT = 100;
 
+/** Difference between the start times of two consecutive processes of a worker. */
+const PROCESS_START_STEP_MS = 1_000;
+
 /** State machine of one worker. */
 export class JobWorkerModel {
   readonly behavior: JobWorkerBehavior = {
     failsAll: false,
     hangs: false,
     slowness: 1,
+    stopMs: 0,
+    startRefusal: undefined,
   };
+  private record: WorkerRecord;
   private readonly runs = new Map<string, ModelRun>();
   /** Highest run number per task that ended here or that a stop command covered. */
   private readonly closedRuns = new Map<string, number>();
@@ -122,7 +143,6 @@
   private fencingToken = 0;
   private leaseUntilMs = 0;
   private leaseTimer: Timer | undefined;
-  private startMs: number;
   /** Monotonic time at which the worker's own clock reads 0. */
   private clockStartMs: number;
   private waiters: Array<() => void> = [];
@@ -130,7 +150,7 @@
   private updateTimer: Timer | undefined;
 
   private constructor(private readonly options: JobWorkerModelOptions) {
-    this.startMs = options.record.startMs;
+    this.record = options.record;
     this.clockStartMs = options.clock.getMonotonicMs();
     options.observer.onWorkerStarted(options.record);
   }
@@ -145,7 +165,7 @@
 
   /** Gets the registration record of the current lifetime. */
   getRecord(): WorkerRecord {
-    return {...this.options.record, startMs: this.startMs};
+    return this.record;
   }
 
   /** Checks whether the worker responds to calls. */
@@ -169,10 +189,14 @@
     this.notifyWaiters();
   }
 
-  /** Restarts the worker under the same id, without its previous state. */
-  restart(): void {
+  /**
+   * Restarts the worker under the same id, without its previous state.
+   * @param kind - Properties that differ from those of the previous process.
+   */
+  restart(kind: WorkerKind = {}): void {
     this.isDown = false;
-    this.startMs += 1_000;
+    const startMs = this.record.startMs + PROCESS_START_STEP_MS;
+    this.record = {...this.record, ...kind, startMs};
     this.clockStartMs = this.options.clock.getMonotonicMs();
     this.closedRuns.clear();
     this.endedRuns = [];
@@ -180,7 +204,7 @@
     this.expiredSequence = 0;
     this.fencingToken = 0;
     this.leaseUntilMs = 0;
-    this.options.observer.onWorkerStarted(this.getRecord());
+    this.options.observer.onWorkerStarted(this.record);
   }
 
   /**
@@ -191,10 +215,14 @@
     if (!this.acceptFencingToken(command.fencingToken)) return 'fenced';
     const {taskName, runNumber} = command;
     const existing = this.runs.get(taskName);
-    if (existing?.runNumber === runNumber) return 'done';
+    if (existing?.runNumber === runNumber && !existing.isStopping)
+      return 'done';
+    if (this.behavior.startRefusal === 'unhealthy') return 'unhealthy';
     if (command.leaseUntilMs <= this.getClockMs()) return 'lapsed';
     this.extendLease(command.leaseUntilMs);
     if (runNumber <= (this.closedRuns.get(taskName) ?? 0)) return 'superseded';
+    if (this.behavior.startRefusal !== undefined)
+      return this.behavior.startRefusal;
     this.startRun(command);
     return 'done';
   }
@@ -208,7 +236,7 @@
     const {taskName, runNumber} = command;
     const run = this.runs.get(taskName);
     if (run !== undefined && run.runNumber <= runNumber)
-      this.endRun(run, 'stopped');
+      this.stopActiveRun(run);
     this.recordClosedRun(taskName, runNumber);
     return 'done';
   }
@@ -229,24 +257,34 @@
   /**
    * Renews the lease, waits until a run ends or the wait times out, then reports all runs.
    * @param request - Fencing token, lease and maximum wait.
+   * @returns `undefined` if the process ended before it reported.
    */
-  async renew(request: LeaseRenewal): Promise<LeaseReport | 'fenced'> {
+  async renew(
+    request: LeaseRenewal,
+  ): Promise<LeaseReport | 'fenced' | undefined> {
+    const {startMs} = this.record;
     if (!this.acceptFencingToken(request.fencingToken)) return 'fenced';
     if (request.leaseUntilMs !== undefined)
       this.extendLease(request.leaseUntilMs);
     this.removeAcknowledgedEnds(request.acknowledgedSequence);
     if (request.waitMs > 0 && this.endedRuns.length === 0)
       await this.waitForEnd(request.waitMs);
+    if (this.isDown || this.record.startMs !== startMs) return undefined;
     return {
       clockMs: this.getClockMs(),
-      startMs: this.startMs,
+      startMs,
       running: [...this.runs.values()].map(run => this.toRunningRun(run)),
       ended: [...this.endedRuns],
     };
   }
 
   private getClockMs(): number {
-    return this.options.clock.getMonotonicMs() - this.clockStartMs;
+    const elapsedMs = this.options.clock.getMonotonicMs() - this.clockStartMs;
+    return elapsedMs * this.getClockRate();
+  }
+
+  private getClockRate(): number {
+    return this.options.clockRate ?? 1;
   }
 
   private acceptFencingToken(fencingToken: number): boolean {
@@ -255,14 +293,15 @@
     return true;
   }
 
-  private extendLease(leaseUntilMs: number): void {
+  private extendLease(requestedUntilMs: number): void {
+    const {clock, maxLeaseMs = Infinity} = this.options;
+    const nowMs = this.getClockMs();
+    const leaseUntilMs = Math.min(requestedUntilMs, nowMs + maxLeaseMs);
     if (leaseUntilMs <= this.leaseUntilMs) return;
     this.leaseUntilMs = leaseUntilMs;
     this.leaseTimer?.cancel();
-    const remainingMs = leaseUntilMs - this.getClockMs();
-    this.leaseTimer = this.options.clock.setTimer(remainingMs, () =>
-      this.expireLease(),
-    );
+    const remainingMs = (leaseUntilMs - nowMs) / this.getClockRate();
+    this.leaseTimer = clock.setTimer(remainingMs, () => this.expireLease());
   }
 
   private expireLease(): void {
@@ -272,8 +311,7 @@
 
   /** Starts a run after stopping the previous run of the same task. */
   private startRun({taskName, runNumber, checkpoint}: StartRunCommand): void {
-    const {clock, getTaskDurationMs, isFailing, observer, record} =
-      this.options;
+    const {clock, getTaskDurationMs, isFailing, observer} = this.options;
     const previous = this.runs.get(taskName);
     if (previous !== undefined) this.endRun(previous, 'stopped');
     const {failsAll, hangs} = this.behavior;
@@ -291,12 +329,28 @@
       cpuLimitPercent: FULL_PERCENT,
       smoothedResponseMs: 0,
       timer: undefined,
+      isStopping: false,
     };
     this.runs.set(taskName, run);
-    observer.onRunStarted(record.workerId, taskName, runNumber);
+    observer.onRunStarted(this.record.workerId, taskName, runNumber);
     this.updateSpeeds();
   }
 
+  /** Stops a run, which continues until the time that a stop takes has passed. */
+  private stopActiveRun(run: ModelRun): void {
+    const {stopMs} = this.behavior;
+    if (run.isStopping) return;
+    if (stopMs === 0) {
+      this.endRun(run, 'stopped');
+      return;
+    }
+    run.isStopping = true;
+    run.timer?.cancel();
+    run.timer = this.options.clock.setTimer(stopMs, () =>
+      this.endRun(run, 'stopped'),
+    );
+  }
+
   /** Updates the progress of all runs, then recalculates their speeds and end timers. */
   private updateSpeeds(): void {
     const {clock, performanceModel} = this.options;
@@ -311,6 +365,7 @@
         nowMs,
       );
       run.speed = run.isHanging ? 0 : (speed ?? 1) / worker.slowness;
+      if (run.isStopping) continue;
       run.timer?.cancel();
       const remainingMs = (run.workMs - run.completedWorkMs) / run.speed;
       if (!Number.isFinite(remainingMs)) continue;
@@ -361,7 +416,7 @@
   private removeRun(run: ModelRun, end: RunOutcome | 'crashed'): void {
     run.timer?.cancel();
     this.runs.delete(run.taskName);
-    const {workerId} = this.options.record;
+    const {workerId} = this.record;
     this.options.observer.onRunEnded(
       workerId,
       run.taskName,
@@ -376,11 +431,11 @@
   }
 
   private removeAcknowledgedEnds(acknowledgedSequence: number): void {
-    const {observer, record} = this.options;
+    const {observer} = this.options;
     for (const ended of this.endedRuns) {
       if (ended.sequence > acknowledgedSequence) continue;
       const hasLeaseExpired = ended.sequence <= this.expiredSequence;
-      observer.onEndAcknowledged(record.workerId, ended, hasLeaseExpired);
+      observer.onEndAcknowledged(this.record.workerId, ended, hasLeaseExpired);
     }
     this.endedRuns = this.endedRuns.filter(
       ({sequence}) => sequence > acknowledgedSequence,
@@ -404,7 +459,7 @@
   }
 
   private getWorkerConditions(): WorkerConditions {
-    const {cpuMillis} = this.options.record.capacity;
+    const {cpuMillis} = this.record.capacity;
     return {cpuMillis, slowness: this.behavior.slowness};
   }
 
--- a/packages/standins/src/memory_row_store.ts
+++ b/packages/standins/src/memory_row_store.ts
@@ -20,6 +20,7 @@
   StoredRow,
 } from '@mustardlug/platform/row_store';
 import {err, ok, Result} from 'neverthrow';
+import {NodeClock} from './node_clock.js';
 
 /** Store faults that affect one node or all nodes; may be changed at any time. */
 export interface RowStoreFaults {
@@ -92,9 +93,13 @@
   /**
    * Creates a client of one node.
    * @param faults - Faults that affect only this client, besides those of the store.
+   * @param nodeClock - Clock of the node, which gets no responses while it is suspended.
    */
-  createClient(faults = createDefaultRowStoreFaults()): RowStore {
-    return new MemoryRowStoreClient(this, this.clock, faults);
+  createClient(
+    faults = createDefaultRowStoreFaults(),
+    nodeClock = NodeClock.create(this.clock),
+  ): RowStore {
+    return new MemoryRowStoreClient(this, this.clock, faults, nodeClock);
   }
 
   /**
@@ -240,6 +245,7 @@
     private readonly store: MemoryRowStore,
     private readonly clock: Clock,
     private readonly clientFaults: RowStoreFaults,
+    private readonly nodeClock: NodeClock,
   ) {
     super();
   }
@@ -247,18 +253,8 @@
   override async commit(
     transaction: RowTransaction,
   ): Promise<Result<RowReceipt, RowCommitError>> {
-    const failure = await this.simulateCall(WRITE_LATENCY_MS);
-    if (failure === 'refused')
-      return err(createRefusedError('the store refuses writes; try again'));
-    if (failure === 'silent') return err(createNoResponseError(true));
-    if (this.consumeFault('applyNextLate')) {
-      const lateMs = this.getFault('lateMs');
-      this.clock.setTimer(lateMs, () => this.store.apply(transaction));
-      return err(createNoResponseError(true));
-    }
-    const outcome = this.store.apply(transaction);
-    if (this.consumeFault('loseNextAnswers'))
-      return err(createNoResponseError(true));
+    const outcome = await this.commitOnStore(transaction);
+    await this.waitUntilResumed();
     return outcome;
   }
 
@@ -266,20 +262,54 @@
     range: RowRange,
   ): Promise<Result<RowSnapshot, UnavailableError>> {
     const failure = await this.simulateCall(READ_LATENCY_MS);
+    const snapshot = this.store.read(range);
+    await this.waitUntilResumed();
     if (failure !== undefined) return err(createNoResponseError(false));
-    return ok(this.store.read(range));
+    return ok(snapshot);
   }
 
   override async getParts(
     table: string,
   ): Promise<Result<string[], UnavailableError>> {
     const failure = await this.simulateCall(READ_LATENCY_MS);
+    const parts = this.store.readParts(table);
+    await this.waitUntilResumed();
     if (failure !== undefined) return err(createNoResponseError(false));
-    return ok(this.store.readParts(table));
+    return ok(parts);
   }
 
   override async getChanges(
     request: ChangeRequest,
+  ): Promise<Result<RowChanges, HistoryGoneError | UnavailableError>> {
+    const outcome = await this.pollChanges(request);
+    await this.waitUntilResumed();
+    return outcome;
+  }
+
+  private async waitUntilResumed(): Promise<void> {
+    if (!this.nodeClock.isRunning()) await this.nodeClock.sleep(0);
+  }
+
+  private async commitOnStore(
+    transaction: RowTransaction,
+  ): Promise<Result<RowReceipt, RowCommitError>> {
+    const failure = await this.simulateCall(WRITE_LATENCY_MS);
+    if (failure === 'refused')
+      return err(createRefusedError('the store refuses writes; try again'));
+    if (failure === 'silent') return err(createNoResponseError(true));
+    if (this.consumeFault('applyNextLate')) {
+      const lateMs = this.getFault('lateMs');
+      this.clock.setTimer(lateMs, () => this.store.apply(transaction));
+      return err(createNoResponseError(true));
+    }
+    const outcome = this.store.apply(transaction);
+    if (this.consumeFault('loseNextAnswers'))
+      return err(createNoResponseError(true));
+    return outcome;
+  }
+
+  private async pollChanges(
+    request: ChangeRequest,
   ): Promise<Result<RowChanges, HistoryGoneError | UnavailableError>> {
     const deadlineMs = this.clock.getMonotonicMs() + request.waitMs;
     for (;;) {
--- a/packages/standins/src/model_job_worker_client.ts
+++ b/packages/standins/src/model_job_worker_client.ts
@@ -5,6 +5,7 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {createUnavailableError} from '@mustardlug/base/errors';
+import {RandomSource} from '@mustardlug/base/random_source';
 import {
   JobWorkerClient,
   LeaseReport,
@@ -17,6 +18,7 @@
 } from '@mustardlug/platform/job_worker_client';
 import {err, ok, Result} from 'neverthrow';
 import {JobWorkerModel, RunCommandOutcome} from './job_worker_model.js';
+import {NodeClock} from './node_clock.js';
 
 /** Network faults between one node and the job workers; may be changed at any time. */
 export interface JobWorkerLinkFaults {
@@ -24,12 +26,28 @@
   isPartitioned: boolean;
   /** Workers that this node cannot reach. */
   readonly unreachableWorkers: Set<string>;
-  /** Number of next commands that are executed only after `lateMs` and get no response. */
+  /** Workers that calls of this node do not reach, although responses to earlier calls arrive. */
+  readonly requestBlockedWorkers: Set<string>;
+  /** Workers that receive calls of this node, but whose responses do not arrive. */
+  readonly responseBlockedWorkers: Set<string>;
+  /** Probability that a call is lost, and that the response to an executed call is lost. */
+  lossProbability: number;
+  /** Number of next commands that are executed only after a delay and get no response. */
   applyNextLate: number;
+  /** Number of next lease renewals that are executed only after a delay and get no response. */
+  renewNextLate: number;
+  /** Probability that a command or renewal is executed only after a delay and gets no response. */
+  lateProbability: number;
+  /** Minimum delay of calls that are executed late. */
+  lateMs: number;
+  /** Maximum delay of calls that are executed late, if it is above the minimum. */
+  maxLateMs: number;
+  /** Whether lease expiries in calls that are executed late are shifted by the delay. */
+  shiftsLateLeases: boolean;
+  /** Whether calls that are executed late reach a process that was started after they were sent. */
+  reachesNextProcess: boolean;
   /** Number of next commands that are executed but whose response is lost. */
   loseNextAnswers: number;
-  /** Delay of the commands that `applyNextLate` counts. */
-  lateMs: number;
 }
 
 /** Creates fault settings without active faults. */
@@ -37,12 +55,32 @@
   return {
     isPartitioned: false,
     unreachableWorkers: new Set(),
+    requestBlockedWorkers: new Set(),
+    responseBlockedWorkers: new Set(),
+    lossProbability: 0,
     applyNextLate: 0,
-    loseNextAnswers: 0,
+    renewNextLate: 0,
+    lateProbability: 0,
     lateMs: 3_000,
+    maxLateMs: 0,
+    shiftsLateLeases: false,
+    reachesNextProcess: false,
+    loseNextAnswers: 0,
   };
 }
 
+export interface ModelJobWorkerClientOptions {
+  /** Clock of the network. */
+  readonly clock: Clock;
+  /** Clock of the calling node, which gets no responses while it is suspended. */
+  readonly nodeClock: NodeClock;
+  /** Worker models by id. */
+  readonly workers: ReadonlyMap<string, JobWorkerModel>;
+  /** Network faults of the calling node. */
+  readonly faults: JobWorkerLinkFaults;
+  readonly random: RandomSource;
+}
+
 /** Network delay in each direction. */
 const ONE_WAY_DELAY_MS = 2;
 
@@ -54,39 +92,42 @@
 
 /** Worker client that calls the models directly, in virtual time. */
 export class ModelJobWorkerClient extends JobWorkerClient {
-  private constructor(
-    private readonly clock: Clock,
-    private readonly workers: ReadonlyMap<string, JobWorkerModel>,
-    private readonly faults: JobWorkerLinkFaults,
-  ) {
+  private constructor(private readonly options: ModelJobWorkerClientOptions) {
     super();
   }
 
   /**
    * Creates a client.
-   * @param clock - Clock for delays and timeouts.
-   * @param workers - Worker models by id.
-   * @param faults - Network faults of this node.
+   * @param options - Clocks, worker models and faults.
    */
-  static create(
-    clock: Clock,
-    workers: ReadonlyMap<string, JobWorkerModel>,
-    faults: JobWorkerLinkFaults,
-  ): ModelJobWorkerClient {
-    return new ModelJobWorkerClient(clock, workers, faults);
+  static create(options: ModelJobWorkerClientOptions): ModelJobWorkerClient {
+    return new ModelJobWorkerClient(options);
   }
 
   override async renewLease(
     request: LeaseRenewal,
   ): Promise<Result<LeaseReport, JobWorkerError>> {
-    await this.clock.sleep(ONE_WAY_DELAY_MS);
-    const worker = this.findReachableWorker(request.worker);
-    if (worker === undefined)
-      return this.simulateTimeout(request.waitMs + RENEWAL_TIMEOUT_MARGIN_MS);
+    const {clock, faults} = this.options;
+    const {worker: address, waitMs} = request;
+    const timeoutMs = waitMs + RENEWAL_TIMEOUT_MARGIN_MS;
+    await clock.sleep(ONE_WAY_DELAY_MS);
+    if (!this.canSend(address)) return this.simulateTimeout(timeoutMs);
+    if (this.consumeLateFault('renewNextLate')) {
+      this.executeLate(address, (worker, delayMs) => {
+        const {leaseUntilMs} = request;
+        const shiftedMs = leaseUntilMs && leaseUntilMs + delayMs;
+        void worker.renew({...request, leaseUntilMs: shiftedMs, waitMs: 0});
+      });
+      return this.simulateTimeout(timeoutMs);
+    }
+    const worker = this.findRunningWorker(address);
+    if (worker === undefined) return this.simulateTimeout(timeoutMs);
     const report = await worker.renew(request);
-    await this.clock.sleep(ONE_WAY_DELAY_MS);
-    if (this.findReachableWorker(request.worker) === undefined)
+    await clock.sleep(ONE_WAY_DELAY_MS);
+    const isAnswered = report !== undefined && this.canReceive(address);
+    if (!isAnswered || this.isLost(faults.lossProbability))
       return this.simulateTimeout(RENEWAL_TIMEOUT_MARGIN_MS);
+    await this.waitUntilResumed();
     if (report === 'fenced') return err(createRefusal('fenced'));
     return ok(report);
   }
@@ -94,7 +135,12 @@
   override startRun(
     command: StartRunCommand,
   ): Promise<Result<void, JobWorkerError>> {
-    return this.send(command.worker, worker => worker.start(command));
+    return this.send(command.worker, (worker, delayMs) =>
+      worker.start({
+        ...command,
+        leaseUntilMs: command.leaseUntilMs + delayMs,
+      }),
+    );
   }
 
   override stopRun(command: RunCommand): Promise<Result<void, JobWorkerError>> {
@@ -107,51 +153,108 @@
     return this.send(command.worker, worker => worker.setCpuLimit(command));
   }
 
+  /**
+   * Sends a command.
+   * @param address - Worker to send it to.
+   * @param execute - Executes the command, with lease expiries shifted by a delay.
+   */
   private async send(
     address: JobWorkerAddress,
-    execute: (worker: JobWorkerModel) => RunCommandOutcome,
+    execute: (worker: JobWorkerModel, delayMs: number) => RunCommandOutcome,
   ): Promise<Result<void, JobWorkerError>> {
-    await this.clock.sleep(ONE_WAY_DELAY_MS);
-    const worker = this.findReachableWorker(address);
-    if (worker === undefined) return this.simulateTimeout(COMMAND_TIMEOUT_MS);
-    if (this.faults.applyNextLate > 0) {
-      this.faults.applyNextLate--;
-      const {startMs} = worker.getRecord();
-      this.clock.setTimer(this.faults.lateMs, () => {
-        // A command that a worker received before a restart is lost.
-        const isSameLifetime = worker.getRecord().startMs === startMs;
-        if (worker.isUp() && isSameLifetime) execute(worker);
-      });
+    const {clock, faults} = this.options;
+    await clock.sleep(ONE_WAY_DELAY_MS);
+    if (!this.canSend(address)) return this.simulateTimeout(COMMAND_TIMEOUT_MS);
+    if (this.consumeLateFault('applyNextLate')) {
+      this.executeLate(address, execute);
       return this.simulateTimeout(COMMAND_TIMEOUT_MS);
     }
-    const outcome = execute(worker);
-    if (this.faults.loseNextAnswers > 0) {
-      this.faults.loseNextAnswers--;
+    const worker = this.findRunningWorker(address);
+    if (worker === undefined) return this.simulateTimeout(COMMAND_TIMEOUT_MS);
+    const outcome = execute(worker, 0);
+    if (faults.loseNextAnswers > 0) {
+      faults.loseNextAnswers--;
       return this.simulateTimeout(COMMAND_TIMEOUT_MS);
     }
-    await this.clock.sleep(ONE_WAY_DELAY_MS);
+    await clock.sleep(ONE_WAY_DELAY_MS);
+    if (!this.canReceive(address) || this.isLost(faults.lossProbability))
+      return this.simulateTimeout(COMMAND_TIMEOUT_MS);
+    await this.waitUntilResumed();
     return outcome === 'done' ? ok(undefined) : err(createRefusal(outcome));
   }
 
-  private findReachableWorker({
+  /** Checks whether a call reaches a worker, or gets delayed on its way to it. */
+  private canSend(address: JobWorkerAddress): boolean {
+    const {faults} = this.options;
+    const {workerId} = address;
+    if (faults.isPartitioned || faults.unreachableWorkers.has(workerId))
+      return false;
+    if (faults.requestBlockedWorkers.has(workerId)) return false;
+    if (this.isLost(faults.lossProbability)) return false;
+    return (
+      faults.reachesNextProcess || this.findRunningWorker(address) !== undefined
+    );
+  }
+
+  private canReceive({workerId}: JobWorkerAddress): boolean {
+    const {faults} = this.options;
+    if (faults.isPartitioned || faults.unreachableWorkers.has(workerId))
+      return false;
+    return !faults.responseBlockedWorkers.has(workerId);
+  }
+
+  private isLost(probability: number): boolean {
+    return probability > 0 && this.options.random.getFloat() < probability;
+  }
+
+  private consumeLateFault(
+    counter: 'applyNextLate' | 'renewNextLate',
+  ): boolean {
+    const {faults} = this.options;
+    if (faults[counter] === 0) return this.isLost(faults.lateProbability);
+    faults[counter]--;
+    return true;
+  }
+
+  private executeLate(
+    address: JobWorkerAddress,
+    execute: (worker: JobWorkerModel, leaseShiftMs: number) => void,
+  ): void {
+    const {clock, faults, random, workers} = this.options;
+    const {shiftsLateLeases, reachesNextProcess} = faults;
+    const spreadMs = Math.max(0, faults.maxLateMs - faults.lateMs);
+    const delayMs =
+      faults.lateMs + (spreadMs > 0 ? random.getIndex(spreadMs) : 0);
+    const startMs = workers.get(address.workerId)?.getRecord().startMs;
+    clock.setTimer(delayMs, () => {
+      const worker = this.findRunningWorker(address);
+      if (worker === undefined) return;
+      // By default, a command that a worker received before a restart is lost.
+      const isSameProcess = worker.getRecord().startMs === startMs;
+      if (isSameProcess || reachesNextProcess)
+        execute(worker, shiftsLateLeases ? delayMs : 0);
+    });
+  }
+
+  private findRunningWorker({
     workerId,
   }: JobWorkerAddress): JobWorkerModel | undefined {
-    if (
-      this.faults.isPartitioned ||
-      this.faults.unreachableWorkers.has(workerId)
-    )
-      return undefined;
-    const worker = this.workers.get(workerId);
+    const worker = this.options.workers.get(workerId);
     return worker?.isUp() ? worker : undefined;
   }
 
   private async simulateTimeout<T>(
     durationMs: number,
   ): Promise<Result<T, JobWorkerError>> {
-    await this.clock.sleep(durationMs);
+    await this.options.nodeClock.sleep(durationMs);
     const message = 'the worker did not answer; check that it can be reached';
     return err(createUnavailableError(message, true));
   }
+
+  private async waitUntilResumed(): Promise<void> {
+    const {nodeClock} = this.options;
+    if (!nodeClock.isRunning()) await nodeClock.sleep(0);
+  }
 }
 
 function createRefusal(
