Test the limit of tasks per worker and the required label in a placement

No caller sees a change. No test counted runs against `maxPerWorker`: within a step and an occurrence, over several passes, after the end of a run, and for a gang; `requiredLabel` was tested in the ranking alone.

--- /dev/null
+++ b/packages/coordination/test/placement_pass.test.ts
@@ -0,0 +1,123 @@
+import {createTaskRun} from '@mustardlug/jobs/job_codec';
+import {StepSpec} from '@mustardlug/jobs/job_spec';
+import {JobState} from '@mustardlug/jobs/job_state';
+import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
+import {expect} from 'chai';
+import {InterferenceModel} from '../src/interference_model.js';
+import {
+  getWaitingSteps,
+  PlacementPass,
+  PlacementWorker,
+} from '../src/placement_pass.js';
+import {getTaskName} from '../src/task_names.js';
+import {AssignedRun} from '../src/worker_load.js';
+import {WorkerSession} from '../src/worker_session.js';
+import {createTestJob, createTestLoad, createTestStep} from './test_runs.js';
+
+function createWorker(
+  workerId: string,
+  labels: readonly string[] = [],
+): PlacementWorker {
+  // The pass uses only the identifier of a session.
+  const session = {getId: () => workerId} as WorkerSession;
+  const load = createTestLoad();
+  return {session, load, rack: 'rack-1', labels, acceptsFillers: true};
+}
+
+/** Runs a pass and returns the runs that it placed. */
+function runPass(
+  job: JobState,
+  workers: readonly PlacementWorker[],
+  serviceName = SAMPLE_QUEUE.serviceName,
+): AssignedRun[] {
+  const placed = new Set<AssignedRun>();
+  const pass = PlacementPass.create({
+    interferenceModel: InterferenceModel.create(),
+    workersByService: new Map([[serviceName, workers]]),
+    place: ({waiting, task, worker}) => {
+      const run = createTaskRun(worker.session.getId(), 1, 1, 0);
+      task.runs.push(run);
+      const {occurrence, step} = waiting;
+      const taskName = getTaskName(job, occurrence, step, task);
+      const assigned: AssignedRun = {
+        job,
+        occurrence,
+        step,
+        task,
+        run,
+        taskName,
+        commandResponseMs: undefined,
+      };
+      worker.load.addRun(assigned);
+      placed.add(assigned);
+      return assigned;
+    },
+    undo: (assigned, {load}) => {
+      assigned.task.runs = [];
+      load.removeRun(assigned);
+      placed.delete(assigned);
+    },
+  });
+  pass.run(
+    getWaitingSteps([job], () => SAMPLE_QUEUE, 0),
+    0,
+  );
+  return [...placed];
+}
+
+function createJob(fields: Partial<StepSpec>): JobState {
+  return createTestJob([createTestStep(fields)]);
+}
+
+describe(PlacementPass.name, () => {
+  it('places at most `maxPerWorker` tasks of a step on a worker, also over several passes', () => {
+    const job = createJob({taskCount: 7, maxPerWorker: 2});
+    const workers = [createWorker('worker-1'), createWorker('worker-2')];
+    const placed = runPass(job, workers);
+    const counts = workers.map(({load}) => load.getRunCount());
+    expect(counts).to.deep.equal([2, 2]);
+    expect(runPass(job, workers)).to.have.length(0);
+    const [ended] = placed;
+    const worker = workers.find(
+      ({session}) => session.getId() === ended.run.workerId,
+    )!;
+    worker.load.removeRun(ended);
+    ended.task.runs = [];
+    ended.step.markDone(ended.task);
+    const next = runPass(job, workers);
+    expect(next.map(({run}) => run.workerId)).to.deep.equal([
+      ended.run.workerId,
+    ]);
+  });
+
+  it('places a gang only if no worker exceeds `maxPerWorker`', () => {
+    const fields = {taskCount: 4, maxPerWorker: 1, isGang: true};
+    const job = createJob(fields);
+    const workers = ['1', '2', '3'].map(id => createWorker(id));
+    expect(runPass(job, workers)).to.have.length(0);
+    for (const {load} of workers) expect(load.getRunCount()).to.equal(0);
+    workers.push(createWorker('4'));
+    expect(runPass(job, workers)).to.have.length(4);
+    for (const {load} of workers) expect(load.getRunCount()).to.equal(1);
+  });
+
+  for (const isGang of [false, true])
+    it(`places tasks only on workers with their label${isGang ? ', as a gang' : ''}`, () => {
+      const workers = [
+        createWorker('plain'),
+        createWorker('labelled', ['small', 'rack-1']),
+      ];
+      const job = createJob({taskCount: 3, requiredLabel: 'small', isGang});
+      const placed = runPass(job, workers);
+      expect(placed.map(({run}) => run.workerId)).to.deep.equal(
+        Array(3).fill('labelled'),
+      );
+      const other = createJob({taskCount: 1, requiredLabel: 'big', isGang});
+      expect(runPass(other, workers)).to.have.length(0);
+    });
+
+  it('places tasks only on workers of the service of their queue', () => {
+    const workers = [createWorker('worker-1')];
+    expect(runPass(createJob({}), workers, 'other')).to.have.length(0);
+  });
+});
--- a/packages/coordination/test/test_runs.ts
+++ b/packages/coordination/test/test_runs.ts
@@ -1,7 +1,7 @@
 /** Test fixtures shared by the tests of this package. */
 
 import {createTaskRun} from '@mustardlug/jobs/job_codec';
-import {StepSpec} from '@mustardlug/jobs/job_spec';
+import {RepeatSchedule, StepSpec} from '@mustardlug/jobs/job_spec';
 import {JobState} from '@mustardlug/jobs/job_state';
 import {createSampleStep, SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {AssignedRun, WorkerLoad} from '../src/worker_load.js';
@@ -28,14 +28,16 @@
  * @param steps - Steps of the job.
  * @param queue - Queue that accepted it.
  * @param acceptedMs - Wall-clock time of the acceptance.
+ * @param schedule - Schedule of a repeated job.
  */
 export function createTestJob(
   steps: readonly StepSpec[],
   queue = SAMPLE_QUEUE,
   acceptedMs = 0,
+  schedule?: RepeatSchedule,
 ): JobState {
   const jobId = (nextJobNumber++).toString(16).padStart(16, '0');
-  const spec = {specification: '', steps};
+  const spec = {specification: '', steps, schedule};
   const job = JobState.create({jobId, spec, queue, acceptedMs});
   job.createDueOccurrences(acceptedMs);
   return job;
@@ -70,16 +72,24 @@
   const job = createTestJob([createTestStep({taskCount})]);
   const runs: AssignedRun[] = [];
   for (let task = 0; task < taskCount; task++)
-    runs.push(addTaskRun(load, job, task, 0, 'worker-1'));
+    runs.push(addTaskRun(load, job, task));
   return runs;
 }
 
-function addTaskRun(
+/**
+ * Adds a confirmed run of a task in the first step of a job to a worker.
+ * @param load - Load of the worker.
+ * @param job - Job of the task.
+ * @param taskIndex - Index of the task.
+ * @param placedMs - Monotonic time of the placement.
+ * @param workerId - Identifier of the worker.
+ */
+export function addTaskRun(
   load: WorkerLoad,
   job: JobState,
   taskIndex: number,
-  placedMs: number,
-  workerId: string,
+  placedMs = 0,
+  workerId = 'worker-1',
 ): AssignedRun {
   const step = job.occurrences.get(0)!.steps[0];
   const task = step.tasks[taskIndex];
--- a/packages/coordination/test/worker_ranking.test.ts
+++ b/packages/coordination/test/worker_ranking.test.ts
@@ -3,6 +3,7 @@
 import {CandidateWorker, WorkerRanking} from '../src/worker_ranking.js';
 import {WorkerLoad} from '../src/worker_load.js';
 import {
+  addTaskRun,
   addTestRun,
   createTestJob,
   createTestLoad,
@@ -52,6 +53,28 @@
     );
   });
 
+  it('counts only the runs of the same step and occurrence against its limit', () => {
+    const schedule = {repetitions: 2, firstRunMs: 0, intervalMs: 0};
+    const limited = createTestStep({taskCount: 3, maxPerWorker: 1});
+    const job = createTestJob([limited, limited], undefined, 0, schedule);
+    const load = createTestLoad();
+    const first = addTaskRun(load, job, 0);
+    const rank = (occurrence: number, stepIndex: number) => {
+      const step = job.occurrences.get(occurrence)!.steps[stepIndex];
+      const interferenceModel = InterferenceModel.create();
+      const request = {step, interferenceModel};
+      return WorkerRanking.create(request, [createWorker(load)]).getBest();
+    };
+    expect(rank(0, 0)).to.equal(undefined);
+    expect(rank(0, 1)).not.to.equal(undefined);
+    expect(rank(1, 0)).not.to.equal(undefined);
+    first.run.isStopping = true;
+    first.step.markDone(first.task);
+    expect(rank(0, 0)).to.equal(undefined);
+    load.removeRun(first);
+    expect(rank(0, 0)).not.to.equal(undefined);
+  });
+
   it('prefers workers on the rack of the data', () => {
     const near = createWorker(createTestLoad(16_000), {rack: 'rack-2'});
     const far = createWorker(createTestLoad(8_000));
