Store the runs of done tasks until they end

Callers would see, after a change of coordinator, more than `max_per_server` tasks of a step on one worker, or a worker above its capacity, while a run of a done task was still being stopped there.

Cause: a task that an earlier run completed may still have a run on another worker. Its stored form was 1, and a done occurrence was dropped at once, so that the next coordinator did not count the run, and treated it as unknown when the worker reported it.

Change: an occurrence is kept until its last run has ended, and the runs of done tasks are stored beside the tasks. Tasks are stored as before, so that rows of the earlier build are read, and the earlier build still reads done tasks of this one as done. A job whose last task an earlier run completed now also leaves the active jobs.

--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -158,8 +158,7 @@
       else if (ended.outcome === 'failed')
         this.recordTaskFailure(job, step, task);
     }
-    this.jobIndex.updateActiveJobs(job);
-    this.markChanged(job);
+    this.recordRunRemoved(job);
   }
 
   /**
@@ -176,6 +175,7 @@
     const found = job.findTask(name.occurrence, name.stepIndex, name.taskIndex);
     if (found === undefined || found.task.isDone) return;
     this.recordTaskDone(job, found.step, found.task, ended.taskName);
+    this.jobIndex.updateActiveJobs(job);
     this.markChanged(job);
   }
 
@@ -187,6 +187,12 @@
     const {job, step, task, run} = assigned;
     task.runs = task.runs.filter(each => each !== run);
     if (step.spec.isGang) this.stopGangRuns(assigned);
+    this.recordRunRemoved(job);
+  }
+
+  /** Removes the state of a job that was kept only for its active runs. */
+  private recordRunRemoved(job: JobState): void {
+    job.removeDoneOccurrences();
     this.jobIndex.updateActiveJobs(job);
     this.markChanged(job);
   }
--- /dev/null
+++ b/packages/coordination/test/job_tracker.test.ts
@@ -0,0 +1,164 @@
+import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {
+  createTaskRun,
+  encodeRowValue,
+  StoredJob,
+  toStoredProgress,
+} from '@mustardlug/jobs/job_codec';
+import {StepSpec} from '@mustardlug/jobs/job_spec';
+import {JobState, StepState} from '@mustardlug/jobs/job_state';
+import {DeploymentConfig} from '@mustardlug/jobs/queue_config';
+import {EndedRun} from '@mustardlug/platform/job_worker_client';
+import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
+import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {HybridLogicalClock} from '@mustardlug/telemetry/hybrid_logical_clock';
+import {expect} from 'chai';
+import {JobTracker} from '../src/job_tracker.js';
+import {getTaskName} from '../src/task_names.js';
+import {AssignedRun} from '../src/worker_load.js';
+import {createTestStep} from './test_runs.js';
+
+const JOB_ID = '00000000000000aa';
+
+/** A tracker, and the names of the tasks whose runs it stopped. */
+interface TrackerFixture {
+  readonly tracker: JobTracker;
+  readonly stoppedTasks: string[];
+}
+
+function createTracker(config?: DeploymentConfig): TrackerFixture {
+  const clock = VirtualClock.create();
+  const stoppedTasks: string[] = [];
+  const tracker = JobTracker.create({
+    clock,
+    events: EventRecorder.create({
+      nodeId: 'node-1',
+      clock: HybridLogicalClock.create(clock),
+      capacity: 16,
+    }),
+    getConfig: () => config,
+    stopTaskRuns: taskName => void stoppedTasks.push(taskName),
+  });
+  return {tracker, stoppedTasks};
+}
+
+function createJobRow(steps: readonly StepSpec[], queue = SAMPLE_QUEUE) {
+  const spec = {specification: '', steps};
+  const stored: StoredJob = {
+    kind: 'accepted',
+    job: {spec, queue, acceptedMs: 0},
+  };
+  return {
+    table: 'jobs',
+    part: '',
+    key: JOB_ID,
+    value: encodeRowValue(stored),
+    version: 1,
+  };
+}
+
+function getOnlyJob(tracker: JobTracker): JobState | undefined {
+  return [...tracker.getActiveJobs()].at(0);
+}
+
+/** Accepts a job and returns its first step. */
+function acceptJob(
+  {tracker}: TrackerFixture,
+  steps: readonly StepSpec[],
+): StepState {
+  tracker.applyRows([createJobRow(steps)]);
+  const job = getOnlyJob(tracker)!;
+  job.createDueOccurrences(0);
+  return job.occurrences.get(0)!.steps[0];
+}
+
+function placeRun(
+  {tracker}: TrackerFixture,
+  step: StepState,
+  taskIndex: number,
+): AssignedRun {
+  const job = getOnlyJob(tracker)!;
+  const task = step.tasks[taskIndex];
+  const run = createTaskRun('worker-1', 1, 2, 0);
+  task.runs.push(run);
+  const taskName = getTaskName(job, 0, step, task);
+  return {
+    job,
+    occurrence: 0,
+    step,
+    task,
+    run,
+    taskName,
+    commandResponseMs: undefined,
+  };
+}
+
+function createEnd(taskName: string, runNumber: number): EndedRun {
+  return {sequence: 1, taskName, runNumber, outcome: 'done', checkpoint: ''};
+}
+
+/** Restores the stored state in a new tracker, as the next coordinator does. */
+function takeOver(
+  job: JobState,
+  steps: readonly StepSpec[],
+): TrackerFixture & {readonly job: JobState | undefined} {
+  const fixture = createTracker();
+  const progressRow = {
+    table: 'progress',
+    part: '',
+    key: JOB_ID,
+    value: encodeRowValue(toStoredProgress(job)),
+    version: 2,
+  };
+  fixture.tracker.restore([createJobRow(steps)], [progressRow], 0);
+  return {...fixture, job: getOnlyJob(fixture.tracker)};
+}
+
+describe(JobTracker.name, () => {
+  it('keeps the run of a task that an earlier run completed, across a takeover', () => {
+    const steps = [createTestStep({taskCount: 2, maxPerWorker: 1})];
+    const fixture = createTracker();
+    const step = acceptJob(fixture, steps);
+    const {job, taskName} = placeRun(fixture, step, 0);
+    fixture.tracker.recordUnassignedRunEnd(createEnd(taskName, 1));
+    expect(fixture.stoppedTasks).to.deep.equal([taskName]);
+    const restored = takeOver(job, steps).job?.occurrences.get(0)?.steps[0];
+    expect(restored?.tasks[0]).to.include({isDone: true});
+    expect(restored?.tasks[0].runs).to.have.length(1);
+  });
+
+  it('keeps a completed job active across a takeover until its last run ends', () => {
+    const steps = [createTestStep()];
+    const fixture = createTracker();
+    const step = acceptJob(fixture, steps);
+    const {job, taskName} = placeRun(fixture, step, 0);
+    fixture.tracker.recordUnassignedRunEnd(createEnd(taskName, 1));
+    expect(job.phase).to.equal('completed');
+    const successor = takeOver(job, steps);
+    expect(successor.job?.hasRuns()).to.equal(true);
+    const restoredStep = successor.job!.occurrences.get(0)!.steps[0];
+    const [task] = restoredStep.tasks;
+    const [run] = task.runs;
+    successor.tracker.releaseRun({
+      job: successor.job!,
+      occurrence: 0,
+      step: restoredStep,
+      task,
+      run,
+      taskName,
+      commandResponseMs: undefined,
+    });
+    expect(getOnlyJob(successor.tracker)).to.equal(undefined);
+  });
+
+  it('keeps the runs of a cancelled job across a takeover', () => {
+    const steps = [createTestStep({taskCount: 2})];
+    const fixture = createTracker();
+    const step = acceptJob(fixture, steps);
+    const {job} = placeRun(fixture, step, 1);
+    const cancelRow = {...createJobRow(steps), key: `${JOB_ID}.cancel`};
+    fixture.tracker.applyRows([cancelRow]);
+    expect(job.phase).to.equal('cancelled');
+    expect(takeOver(job, steps).job?.hasRuns()).to.equal(true);
+  });
+});
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -18,9 +18,17 @@
 /** Worker ID, start time of the worker process, run number. */
 type StoredRun = [string, number, number];
 
+/** Step index and task index, followed by the fields of the run. */
+type StoredDoneTaskRun = [number, number, ...StoredRun];
+
 interface StoredOccurrence {
   readonly number: number;
   readonly steps: StoredTask[][];
+  /**
+   * Runs of done tasks that may still be in progress; absent if there are none.
+   * Separate from the tasks, so that earlier versions still read these as done.
+   */
+  readonly doneTaskRuns?: readonly StoredDoneTaskRun[];
 }
 
 /** Stored progress of a job. */
@@ -67,8 +75,14 @@
     return {phase, nextOccurrence, occurrences: [], endedMs};
   const occurrences: StoredOccurrence[] = [];
   for (const occurrence of job.occurrences.values()) {
+    const {number} = occurrence;
     const steps = occurrence.steps.map(step => step.tasks.map(toStoredTask));
-    occurrences.push({number: occurrence.number, steps});
+    const doneTaskRuns = getDoneTaskRuns(occurrence);
+    occurrences.push(
+      doneTaskRuns.length === 0
+        ? {number, steps}
+        : {number, steps, doneTaskRuns},
+    );
   }
   return {phase, nextOccurrence, occurrences, endedMs};
 }
@@ -87,7 +101,7 @@
   job.phase = stored.phase;
   job.nextOccurrence = stored.nextOccurrence;
   job.endedMs = stored.endedMs;
-  for (const {number, steps} of stored.occurrences) {
+  for (const {number, steps, doneTaskRuns} of stored.occurrences) {
     const occurrence = OccurrenceState.create(number, job.accepted.spec);
     for (const [stepIndex, tasks] of steps.entries()) {
       const step = occurrence.steps[stepIndex];
@@ -97,26 +111,37 @@
         else if (storedTask !== 0) restoreTask(task, storedTask, monotonicMs);
       }
     }
+    for (const [stepIndex, taskIndex, ...run] of doneTaskRuns ?? []) {
+      const task = occurrence.steps[stepIndex].tasks[taskIndex];
+      task.runs.push(restoreRun(run, monotonicMs));
+    }
     job.occurrences.set(number, occurrence);
   }
 }
 
 function toStoredTask(task: TaskState): StoredTask {
-  const runs = task.runs.map<StoredRun>(run => [
-    run.workerId,
-    run.workerStartMs,
-    run.runNumber,
-  ]);
-  if (task.isDone && runs.length === 0) return 1;
+  if (task.isDone) return 1;
   const isNotStarted =
-    !task.isDone &&
-    runs.length === 0 &&
-    task.failures === 0 &&
-    task.checkpoint === '';
+    task.runs.length === 0 && task.failures === 0 && task.checkpoint === '';
   if (isNotStarted) return 0;
-  // The remaining runs of a done task are copies that are being stopped; only its completion is stored.
-  if (task.isDone) return 1;
-  return [task.failures, task.checkpoint, ...runs];
+  return [task.failures, task.checkpoint, ...task.runs.map(toStoredRun)];
+}
+
+function toStoredRun(run: TaskRun): StoredRun {
+  return [run.workerId, run.workerStartMs, run.runNumber];
+}
+
+/** Gets the runs of done tasks, such as copies that are being stopped. */
+function getDoneTaskRuns({steps}: OccurrenceState): StoredDoneTaskRun[] {
+  const stored: StoredDoneTaskRun[] = [];
+  for (const step of steps) {
+    for (const task of step.tasks) {
+      if (!task.isDone) continue;
+      for (const run of task.runs)
+        stored.push([step.index, task.index, ...toStoredRun(run)]);
+    }
+  }
+  return stored;
 }
 
 function restoreTask(
@@ -127,10 +152,15 @@
   const [failures, checkpoint, ...runs] = stored;
   task.failures = failures;
   task.checkpoint = checkpoint;
-  task.runs = runs.map(([workerId, workerStartMs, runNumber]) => ({
-    ...createTaskRun(workerId, workerStartMs, runNumber, monotonicMs),
-    isAdopted: true,
-  }));
+  task.runs = runs.map(run => restoreRun(run, monotonicMs));
+}
+
+function restoreRun(
+  [workerId, workerStartMs, runNumber]: StoredRun,
+  monotonicMs: number,
+): TaskRun {
+  const run = createTaskRun(workerId, workerStartMs, runNumber, monotonicMs);
+  return {...run, isAdopted: true};
 }
 
 /**
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -120,6 +120,11 @@
     return this.steps.every(step => step.isDone());
   }
 
+  /** Checks whether any run of the occurrence may be in progress. */
+  hasRuns(): boolean {
+    return this.steps.some(step => step.hasRuns());
+  }
+
   /** Gets the unfinished steps whose dependencies are all done. */
   getEligibleSteps(): StepState[] {
     return this.steps.filter(
@@ -144,7 +149,7 @@
 
 /** State of one job. */
 export class JobState {
-  /** Occurrences that are due and not yet done, by number. */
+  /** Occurrences that are due, and not yet done or with active runs, by number. */
   readonly occurrences = new Map<number, OccurrenceState>();
   /** Number of the next occurrence to become due. */
   nextOccurrence = 0;
@@ -175,7 +180,7 @@
   /** Checks whether any run of the job may be in progress. */
   hasRuns(): boolean {
     for (const occurrence of this.occurrences.values()) {
-      if (occurrence.steps.some(step => step.hasRuns())) return true;
+      if (occurrence.hasRuns()) return true;
     }
     return false;
   }
@@ -229,13 +234,17 @@
     return {step, task};
   }
 
-  /** Removes finished occurrences, and completes the job after the last one. */
+  /**
+   * Removes finished occurrences, and completes the job after the last one. An
+   * occurrence with active runs is kept, as they use capacity until they end.
+   */
   removeDoneOccurrences(): void {
+    let isAllDone = this.nextOccurrence >= this.getRepetitions();
     for (const [number, occurrence] of this.occurrences) {
-      if (occurrence.isDone()) this.occurrences.delete(number);
+      if (!occurrence.isDone()) isAllDone = false;
+      else if (!occurrence.hasRuns()) this.occurrences.delete(number);
     }
-    const isLast = this.nextOccurrence >= this.getRepetitions();
-    if (isLast && this.occurrences.size === 0) this.phase = 'completed';
+    if (isAllDone && !this.isEnded()) this.phase = 'completed';
   }
 }
 
--- a/packages/jobs/test/job_model.test.ts
+++ b/packages/jobs/test/job_model.test.ts
@@ -141,6 +141,43 @@
     expect(restored.nextOccurrence).to.equal(1);
   });
 
+  it('restores the runs of done tasks, also of an occurrence that is done', () => {
+    const job = createJob();
+    job.createDueOccurrences(1_000);
+    const step = job.occurrences.get(0)!.steps[0];
+    const run = createTaskRun('worker-1', 7, 1_001, 0);
+    step.tasks[1].runs = [run];
+    for (const task of step.tasks) step.markDone(task);
+    job.removeDoneOccurrences();
+    expect(job.phase).to.equal('completed');
+    const stored = toStoredProgress(job);
+    expect(stored.occurrences[0].steps).to.deep.equal([[1, 1, 1]]);
+    const restored = createJob();
+    restoreProgress(restored, stored, 0);
+    step.tasks[1].runs = [{...run, isAdopted: true}];
+    expect(restored.occurrences).to.deep.equal(job.occurrences);
+    step.tasks[1].runs = [];
+    job.removeDoneOccurrences();
+    expect(job.occurrences.size).to.equal(0);
+  });
+
+  it('restores progress that was stored without the runs of done tasks', () => {
+    const restored = createJob();
+    const steps = [[1, 0, [1, 'half', ['worker-1', 7, 1_001]]]];
+    const stored = {
+      phase: 'running',
+      nextOccurrence: 1,
+      occurrences: [{number: 0, steps}],
+    } as StoredProgress;
+    restoreProgress(restored, stored, 0);
+    const step = restored.occurrences.get(0)!.steps[0];
+    expect(step.doneCount).to.equal(1);
+    expect(step.tasks[2].runs).to.have.length(1);
+    expect(toStoredProgress(restored).occurrences).to.deep.equal(
+      stored.occurrences,
+    );
+  });
+
   it('stores no occurrences of a job that has ended', () => {
     const job = createJob();
     job.createDueOccurrences(1_000);
