Test which service runs the jobs of a queue

No caller sees a change. The service of a job's queue comes from the current configuration, or from the one that the job was accepted with if that names no such queue or if there is none; both were sent by the operator. Measured: the four cases pass on the code as it is.

--- a/packages/coordination/test/job_tracker.test.ts
+++ b/packages/coordination/test/job_tracker.test.ts
@@ -7,7 +7,7 @@
 } from '@mustardlug/jobs/job_codec';
 import {StepSpec} from '@mustardlug/jobs/job_spec';
 import {JobState, StepState} from '@mustardlug/jobs/job_state';
-import {DeploymentConfig} from '@mustardlug/jobs/queue_config';
+import {DeploymentConfig, QueueConfig} from '@mustardlug/jobs/queue_config';
 import {EndedRun} from '@mustardlug/platform/job_worker_client';
 import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
@@ -161,4 +161,28 @@
     expect(job.phase).to.equal('cancelled');
     expect(takeOver(job, steps).job?.hasRuns()).to.equal(true);
   });
+
+  for (const [name, queues, expected] of [
+    ['no configuration', undefined, 'first'],
+    ['a configuration without the queue', [{name: 'other'}], 'first'],
+    ['another service of the queue', [{serviceName: 'second'}], 'second'],
+    [
+      'another queue for its endpoint',
+      [{name: 'other', serviceName: 'second'}],
+      'first',
+    ],
+  ] as Array<[string, Array<Partial<QueueConfig>> | undefined, string]>)
+    it(`runs a job on the service of its queue with ${name}`, () => {
+      const accepted = {...SAMPLE_QUEUE, serviceName: 'first'};
+      const config = queues && {
+        version: 2,
+        queues: queues.map(fields => ({...accepted, ...fields})),
+        services: [],
+        limits: {maxBodyBytes: 1},
+      };
+      const {tracker} = createTracker(config);
+      tracker.applyRows([createJobRow([createTestStep()], accepted)]);
+      const queue = tracker.getQueue(getOnlyJob(tracker)!);
+      expect(queue.serviceName).to.equal(expected);
+    });
 });
