Confirm a missing worker anew after it had no tasks

Callers would see a task started a second time while its first attempt still ran, when a stale VM list left out its worker for a moment.

Cause: the tracker remembered since when a worker had been missing, and did not look at workers without bound tasks. One that was listed again meanwhile counted as gone at once when it was missing again, without the list lag and the task lease.

Change: the time is forgotten for workers that no task is bound to.

Evidence: the third new test fails on the code before; all three pass now.

--- a/packages/scheduling/src/gone_worker_tracker.ts
+++ b/packages/scheduling/src/gone_worker_tracker.ts
@@ -50,11 +50,19 @@
       this.unlistedSinceMs.clear();
       return [];
     }
+    this.forgetWorkersExcept(new Set(workerIds));
     return workerIds.filter(workerId =>
       this.isGone(workerId, isListed(workerId), nowMs),
     );
   }
 
+  /** A worker without bound tasks is not checked, so that it may be listed again meanwhile. */
+  private forgetWorkersExcept(workerIds: ReadonlySet<string>): void {
+    for (const workerId of this.unlistedSinceMs.keys()) {
+      if (!workerIds.has(workerId)) this.unlistedSinceMs.delete(workerId);
+    }
+  }
+
   private isGone(workerId: string, isListed: boolean, nowMs: number): boolean {
     if (isListed) {
       this.unlistedSinceMs.delete(workerId);
--- /dev/null
+++ b/packages/scheduling/test/gone_worker_tracker.test.ts
@@ -0,0 +1,49 @@
+import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {TASK_LEASE_MS} from '@mustardlug/platform/worker_client';
+import {expect} from 'chai';
+import {GoneWorkerTracker} from '../src/gone_worker_tracker.js';
+
+const LIST_LAG_MS = 5_000;
+const CONFIRMATION_MS = LIST_LAG_MS + TASK_LEASE_MS;
+const CHECK_INTERVAL_MS = 1_000;
+
+describe(GoneWorkerTracker.name, () => {
+  let clock: VirtualClock;
+  let tracker: GoneWorkerTracker;
+
+  beforeEach(() => {
+    clock = VirtualClock.create();
+    tracker = GoneWorkerTracker.create(clock, LIST_LAG_MS);
+  });
+
+  /** Checks a worker for a time, and returns whether it counts as gone at the end. */
+  async function checkFor(
+    durationMs: number,
+    {isBound = true, isListed = false} = {},
+  ): Promise<boolean> {
+    let gone: string[] = [];
+    for (let ms = 0; ms < durationMs; ms += CHECK_INTERVAL_MS) {
+      await clock.advance(CHECK_INTERVAL_MS);
+      tracker.recordListRead();
+      gone = tracker.getGoneWorkers(isBound ? ['w'] : [], () => isListed);
+    }
+    return gone.length > 0;
+  }
+
+  it('confirms a worker that was missing all the time', async () => {
+    expect(await checkFor(CONFIRMATION_MS)).to.equal(false);
+    expect(await checkFor(CHECK_INTERVAL_MS)).to.equal(true);
+  });
+
+  it('starts anew when a worker is listed again', async () => {
+    await checkFor(CONFIRMATION_MS);
+    await checkFor(CHECK_INTERVAL_MS, {isListed: true});
+    expect(await checkFor(CONFIRMATION_MS)).to.equal(false);
+  });
+
+  it('starts anew when a worker without tasks is listed again', async () => {
+    await checkFor(CHECK_INTERVAL_MS);
+    await checkFor(CONFIRMATION_MS, {isBound: false, isListed: true});
+    expect(await checkFor(CHECK_INTERVAL_MS)).to.equal(false);
+  });
+});
