Tell the attempts of a task apart when one is being stopped

Callers would see a task evicted right after its restart, and counted as an eviction more.

Cause: the scheduler remembered by task that an attempt was being stopped. If the worker restarted before the attempt ended, the task was bound anew, and its next attempt was stopped as well.

Change: the attempt's number is remembered, and compared wherever an attempt may be stopped.

--- a/packages/scheduling/src/eviction_planner.ts
+++ b/packages/scheduling/src/eviction_planner.ts
@@ -1,6 +1,6 @@
 /** Chooses batch attempts to evict in favor of urgent tasks. */
 
-import {AttemptReport} from '@mustardlug/platform/worker_client';
+import {AttemptId, AttemptReport} from '@mustardlug/platform/worker_client';
 import {ResourceAmount, WorkerView} from './worker_view.js';
 
 const NO_RESOURCES: ResourceAmount = {cores: 0, memoryMb: 0, accelerators: 0};
@@ -28,13 +28,13 @@
    * Plans the evictions that let a task fit on a worker.
    * @param view - Worker on which to evict.
    * @param amount - Resources that the task needs.
-   * @param isStopping - Whether the attempt of a task is already being stopped.
+   * @param isStopping - Whether an attempt is already being stopped.
    * @returns Attempts to stop, empty if the attempts already stopping free enough, or `undefined` if the task cannot fit.
    */
   planEvictions(
     view: WorkerView,
     amount: ResourceAmount,
-    isStopping: (taskId: string) => boolean,
+    isStopping: (attempt: AttemptId) => boolean,
   ): AttemptReport[] | undefined {
     const reserved = this.reservedByWorker.get(view.workerId) ?? NO_RESOURCES;
     const needed = addAmounts(amount, reserved);
@@ -51,13 +51,13 @@
 function getVictims(
   view: WorkerView,
   needed: ResourceAmount,
-  isStopping: (taskId: string) => boolean,
+  isStopping: (attempt: AttemptId) => boolean,
 ): AttemptReport[] | undefined {
   const candidates: AttemptReport[] = [];
   let available = view.getFreeResources();
   for (const report of view.attemptReports) {
     if (report.kind !== 'batch' || report.state !== 'running') continue;
-    if (isStopping(report.taskId)) available = addAmounts(available, report);
+    if (isStopping(report)) available = addAmounts(available, report);
     else candidates.push(report);
   }
   candidates.sort((left, right) => left.progress - right.progress);
--- a/packages/scheduling/src/interference_monitor.ts
+++ b/packages/scheduling/src/interference_monitor.ts
@@ -2,7 +2,11 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {Objective} from '@mustardlug/document/environment_document';
-import {AttemptReport, WorkerStatus} from '@mustardlug/platform/worker_client';
+import {
+  AttemptId,
+  AttemptReport,
+  WorkerStatus,
+} from '@mustardlug/platform/worker_client';
 import {
   NeighborAttempt,
   InterferenceAction,
@@ -64,19 +68,19 @@
   /**
    * Decides whether to throttle, evict or restore a batch attempt on a worker.
    * @param view - Worker to check.
-   * @param isStopping - Whether the attempt of a task is already being stopped.
+   * @param isStopping - Whether an attempt is already being stopped.
    * @returns `undefined` if no action is needed.
    */
   getDecision(
     view: WorkerView,
-    isStopping: (taskId: string) => boolean,
+    isStopping: (attempt: AttemptId) => boolean,
   ): InterferenceDecision | undefined {
     const service = getSlowestService(view.attemptReports);
     if (service === undefined || this.controller === undefined) {
       return undefined;
     }
     const neighbors = this.getNeighborAttempts(view, service.name).filter(
-      neighbor => !isStopping(neighbor.taskId),
+      neighbor => !isStopping(neighbor),
     );
     const action = this.controller.getAction({
       workerId: view.workerId,
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -19,6 +19,7 @@
 import {TableService} from '@mustardlug/platform/table_service';
 import {Vm} from '@mustardlug/platform/vm_list';
 import {
+  AttemptId,
   AttemptReport,
   WorkerClient,
   WorkerCommand,
@@ -145,7 +146,8 @@
   private readonly evictionPlanner = EvictionPlanner.create();
   private readonly views = new Map<string, WorkerView>();
   private readonly startingTaskIds = new Set<string>();
-  private readonly stopping = new Map<string, StopReason>();
+  /** Attempts that are being stopped, by task. */
+  private readonly stopping = new Map<string, StoppingAttempt>();
   private readonly sizeEstimator = SizeEstimator.create();
   private readonly outlierTracker: OutlierTracker;
   private readonly leavingSinceMs = new Map<string, number>();
@@ -330,8 +332,13 @@
     if (this.isCurrent(view)) this.reconcile(view);
   }
 
-  private readonly isStopping = (taskId: string): boolean =>
-    this.stopping.has(taskId);
+  private readonly isStopping = (id: AttemptId): boolean =>
+    this.getStopReason(id) !== undefined;
+
+  private getStopReason({taskId, attempt}: AttemptId): StopReason | undefined {
+    const stopping = this.stopping.get(taskId);
+    return stopping?.attempt === attempt ? stopping.reason : undefined;
+  }
 
   private isCurrent(view: WorkerView): boolean {
     return !this.isStopped && this.views.get(view.workerId) === view;
@@ -420,7 +427,7 @@
         if (this.jobReconciler.isCancelledOrUndeclared(task.record))
           this.requestStop(task, 'cancelled');
         // Resending the stop command also requests another early renewal.
-        if (this.stopping.has(taskId)) commands.push({kind: 'stop', name});
+        if (this.isStopping(name)) commands.push({kind: 'stop', name});
         return;
       case 'finished':
         void this.commitEnd(view, task, report, 'done');
@@ -473,7 +480,7 @@
       const isService = report.kind === 'service';
       if (isService && leavingMs < LEAVING_GRACE_PERIOD_MS) continue;
       const {taskId, attempt} = report;
-      this.stopping.set(taskId, 'moved');
+      this.stopping.set(taskId, {attempt, reason: 'moved'});
       commands.push({kind: 'stop', name: {taskId, attempt}});
     }
   }
@@ -494,7 +501,7 @@
     const {workerId} = view;
     const name = {taskId, attempt};
     if (action.kind === 'evict') {
-      this.stopping.set(taskId, 'evicted');
+      this.stopping.set(taskId, {attempt, reason: 'evicted'});
       commands.push({kind: 'stop', name});
       return;
     }
@@ -556,7 +563,7 @@
     end: 'done' | 'failed' | 'stopped',
   ): Promise<void> {
     const {taskId} = task.record;
-    const stopReason = this.stopping.get(taskId);
+    const stopReason = this.getStopReason(report);
     const next = this.getEndRecord(task.record, report, end);
     const isWritten = await this.writer.writeRecord(task, next);
     if (!isWritten) return;
@@ -928,7 +935,7 @@
       if (victims === undefined) continue;
       const commands: WorkerCommand[] = [];
       for (const {taskId, attempt} of victims) {
-        this.stopping.set(taskId, 'evicted');
+        this.stopping.set(taskId, {attempt, reason: 'evicted'});
         commands.push({kind: 'stop', name: {taskId, attempt}});
       }
       if (commands.length > 0) void this.sendCommands(view, commands);
@@ -937,9 +944,9 @@
   }
 
   private requestStop(task: CachedTask, reason: StopReason): void {
-    if (!this.stopping.has(task.record.taskId)) {
-      this.stopping.set(task.record.taskId, reason);
-    }
+    const {taskId, attempt} = task.record;
+    if (!this.isStopping(task.record))
+      this.stopping.set(taskId, {attempt, reason});
   }
 
   /**
@@ -1000,6 +1007,11 @@
 
 type StopReason = 'cancelled' | 'evicted' | 'moved';
 
+interface StoppingAttempt {
+  readonly attempt: number;
+  readonly reason: StopReason;
+}
+
 function getEndEvent(
   state: TaskRecord['state'],
   end: 'done' | 'failed' | 'stopped',
