Release a bound task only after its start can no longer take effect

Callers would see two attempts of one task at the same time, on two workers.

Cause: a worker that did not report an attempt was taken not to run it. A start command without a response may still be executed, up to seconds later. If the worker was leaving meanwhile, its task was unbound and bound to another worker; a task that was cancelled could start after its cancellation. A "restarted" worker was also judged by a lease that might be over.

Change: the scheduler first sends a stop command for the attempt, and releases the task only when the worker refuses it because the attempt is not there. The refusal also shows that the lease is current. The interface of the worker agents now says that such an attempt is never started; the model refuses it. If a worker refuses a start, the task is released in the same way, as it could not start there again.

--- a/packages/platform/src/worker_client.ts
+++ b/packages/platform/src/worker_client.ts
@@ -6,6 +6,8 @@
  *   lower epoch.
  * - An attempt is started at most once, runs until it ends or is stopped, and
  *   stays listed until its end is acknowledged.
+ * - A stop command for an attempt that is not there is refused, and the attempt
+ *   is never started by a later or delayed start command.
  * - All running attempts are stopped `TASK_LEASE_MS` after the `tasks` lease has
  *   expired, measured by the monotonic clock of the worker.
  * - A VM is removed from the VM list only after the platform has stopped it.
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -145,7 +145,8 @@
   private readonly interferenceMonitor: InterferenceMonitor;
   private readonly evictionPlanner = EvictionPlanner.create();
   private readonly views = new Map<string, WorkerView>();
-  private readonly startingTaskIds = new Set<string>();
+  /** Bound tasks whose attempt is being started, or prevented from starting. */
+  private readonly commandedTaskIds = new Set<string>();
   /** Attempts that are being stopped, by task. */
   private readonly stopping = new Map<string, StoppingAttempt>();
   private readonly sizeEstimator = SizeEstimator.create();
@@ -443,28 +444,48 @@
   }
 
   /**
-   * Starts an attempt that is bound to the worker but not reported, or unbinds
-   * it if the worker has restarted.
+   * Starts an attempt that is bound to the worker but not reported, or releases
+   * its task if the attempt must not start there any more.
    */
   private reconcileBoundTask(view: WorkerView, taskId: string): void {
     const task = this.cache.getTask(taskId);
     if (task === undefined || task.isWriting) return;
     const {record} = task;
     if (view.isReported(taskId, record.attempt)) return;
-    if (this.startingTaskIds.has(taskId)) return;
-    if (record.bootId !== view.lease.getStatus().bootId) {
-      void this.commitUnbind(task, 'the worker was restarted');
-      return;
-    }
-    if (this.jobReconciler.isCancelledOrUndeclared(record)) {
-      void this.commitCancelled(task);
-      return;
-    }
-    if (view.isLeaving) {
-      void this.commitUnbind(task, 'the worker is leaving');
-      return;
-    }
-    void this.startBoundTask(view, task);
+    if (this.commandedTaskIds.has(taskId)) return;
+    if (record.bootId !== view.lease.getStatus().bootId)
+      void this.releaseBoundTask(view, task, 'the worker was restarted');
+    else if (this.jobReconciler.isCancelledOrUndeclared(record))
+      void this.releaseBoundTask(view, task, 'the task was cancelled');
+    else if (view.isLeaving)
+      void this.releaseBoundTask(view, task, 'the worker is leaving');
+    else void this.startBoundTask(view, task);
+  }
+
+  /**
+   * Unbinds or cancels a task whose attempt the worker does not report. First
+   * sends a stop command, after which a delayed start command has no effect.
+   * Its refusal also proves that the lease is current.
+   */
+  private async releaseBoundTask(
+    view: WorkerView,
+    task: CachedTask,
+    reason: string,
+  ): Promise<void> {
+    const {record} = task;
+    const {taskId, attempt} = record;
+    this.commandedTaskIds.add(taskId);
+    const outcome = await this.commandBatcher.addCommand(view, {
+      kind: 'stop',
+      name: {taskId, attempt},
+    });
+    this.commandedTaskIds.delete(taskId);
+    // If the attempt is there after all, the next renewal reports it.
+    if (outcome === undefined || outcome.isAccepted) return;
+    if (task.record !== record || task.isWriting) return;
+    if (this.jobReconciler.isCancelledOrUndeclared(record))
+      await this.commitCancelled(task);
+    else await this.commitUnbind(task, reason);
   }
 
   /**
@@ -538,17 +559,24 @@
       view.addTask(placed);
     }
     if (!view.lease.isValid()) return;
-    this.startingTaskIds.add(taskId);
+    this.commandedTaskIds.add(taskId);
     const outcome = await this.commandBatcher.addCommand(view, {
       kind: 'start',
       start: createAttemptStart(record),
     });
-    this.startingTaskIds.delete(taskId);
+    this.commandedTaskIds.delete(taskId);
     this.backlogByWorker.get(view.workerId)?.delete(taskId);
     // The outcome is unknown; the next renewal reports whether the attempt runs.
     if (outcome === undefined) return;
     if (!outcome.isAccepted) {
       view.removeTask(taskId);
+      this.setRetryTime(taskId, record.failures);
+      if (this.isCurrent(view) && !task.isWriting && task.record === record)
+        await this.releaseBoundTask(
+          view,
+          task,
+          'the worker refused to start it',
+        );
       return;
     }
     const detail = `attempt ${record.attempt}`;
--- a/packages/standins/src/worker_model.ts
+++ b/packages/standins/src/worker_model.ts
@@ -72,8 +72,8 @@
 /** Run time of an attempt that fails. */
 const FAILURE_DELAY_MS = 20;
 const LEASE_CHECK_INTERVAL_MS = 1_000;
-/** Number of acknowledged attempts for which a repeated start command is refused. */
-const MAX_ACKNOWLEDGED_ATTEMPTS = 10_000;
+/** Number of attempts for which a late start command is refused. */
+const MAX_CLOSED_ATTEMPTS = 10_000;
 /** Slowdown factor up to which a service is reported only when its report changes. */
 const MAX_UNREPORTED_SLOWDOWN = 1.02;
 
@@ -94,7 +94,8 @@
   readonly checkpoints: AttemptCheckpoint[] = [];
   private readonly leases: Record<LeaseScope, ScopeLease>;
   private readonly attempts = new Map<string, ModelAttempt>();
-  private readonly acknowledgedAttempts = new Set<string>();
+  /** Attempts that must not start: acknowledged, or stopped before they were here. */
+  private readonly closedAttempts = new Set<string>();
   private readonly usage = new Map<string, OwnerUsage>();
   private readonly bootedAtMs: number;
   private taskLeaseExpiresAtMs: number;
@@ -271,7 +272,7 @@
   private startAttempt(start: AttemptStart): CommandOutcome {
     const key = getAttemptKey(start);
     if (this.attempts.has(key)) return {isAccepted: true};
-    if (this.acknowledgedAttempts.has(key)) {
+    if (this.closedAttempts.has(key)) {
       return {isAccepted: false, reason: 'the attempt has ended'};
     }
     if (!this.checkCapacity(start)) {
@@ -354,8 +355,10 @@
   }
 
   private stopAttempt(id: AttemptId): CommandOutcome {
-    const attempt = this.attempts.get(getAttemptKey(id));
+    const key = getAttemptKey(id);
+    const attempt = this.attempts.get(key);
     if (attempt === undefined) {
+      this.closeAttempt(key);
       return {isAccepted: false, reason: 'the attempt is not here'};
     }
     if (attempt.state !== 'running') return {isAccepted: true};
@@ -395,14 +398,17 @@
       this.removedAttempts.push({taskId, attempt: attemptNumber});
     }
     this.sentReportSignatures.delete(key);
-    this.acknowledgedAttempts.add(key);
-    if (this.acknowledgedAttempts.size > MAX_ACKNOWLEDGED_ATTEMPTS) {
-      const [oldest] = this.acknowledgedAttempts;
-      this.acknowledgedAttempts.delete(oldest);
-    }
+    this.closeAttempt(key);
     return {isAccepted: true};
   }
 
+  private closeAttempt(key: string): void {
+    this.closedAttempts.add(key);
+    if (this.closedAttempts.size <= MAX_CLOSED_ATTEMPTS) return;
+    const [oldest] = this.closedAttempts;
+    this.closedAttempts.delete(oldest);
+  }
+
   private updateProgress(attempt: ModelAttempt): void {
     if (attempt.state !== 'running') return;
     const nowMs = this.clock.getMonotonicMs();
