Take a lease only from the worker that was asked

Callers would see a task started a second time while it ran, about a minute after a new worker got the address of a removed one.

Cause: for up to the lag of the VM list, the address of a removed worker may belong to another one. Its lease was taken as that of the removed worker, tasks were bound to this id, and unbound when it counted as gone, while their attempts ran on the other worker.

Change: the manager compares the id in the status with the one it asked, and releases a lease of another worker at once.

Evidence: the second new test fails on the code before (the lease was acquired); 112 tests of the requests, recovery and routing pass. That a task then runs twice follows from reading and was not played.

--- a/packages/membership/src/lease_manager.ts
+++ b/packages/membership/src/lease_manager.ts
@@ -269,6 +269,10 @@
     });
     if (granted.isErr() || this.isObsolete(tracked)) return;
     const lease = WorkerLease.create(tracked.address, clock, granted.value);
+    if (granted.value.workerId !== tracked.address.workerId) {
+      await this.release(tracked, lease, 'another worker has its address');
+      return;
+    }
     lease.extend(sentAtMs, timing.ttlMs, granted.value);
     tracked.lease = lease;
     this.options.listener.onAcquired(lease);
