--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -19,6 +19,7 @@
 import {TableService} from '@mustardlug/platform/table_service';
 import {Vm} from '@mustardlug/platform/vm_list';
 import {
+  AttemptId,
   AttemptReport,
   WorkerClient,
   WorkerCommand,
@@ -144,8 +145,10 @@
   private readonly interferenceMonitor: InterferenceMonitor;
   private readonly evictionPlanner = EvictionPlanner.create();
   private readonly views = new Map<string, WorkerView>();
-  private readonly startingTaskIds = new Set<string>();
-  private readonly stopping = new Map<string, StopReason>();
+  /** Bound tasks whose attempt is being started, or prevented from starting. */
+  private readonly commandedTaskIds = new Set<string>();
+  /** Attempts that are being stopped, by task. */
+  private readonly stopping = new Map<string, StoppingAttempt>();
   private readonly sizeEstimator = SizeEstimator.create();
   private readonly outlierTracker: OutlierTracker;
   private readonly leavingSinceMs = new Map<string, number>();
@@ -330,8 +333,13 @@
     if (this.isCurrent(view)) this.reconcile(view);
   }
 
-  private readonly isStopping = (taskId: string): boolean =>
-    this.stopping.has(taskId);
+  private readonly isStopping = (id: AttemptId): boolean =>
+    this.getStopReason(id) !== undefined;
+
+  private getStopReason({taskId, attempt}: AttemptId): StopReason | undefined {
+    const stopping = this.stopping.get(taskId);
+    return stopping?.attempt === attempt ? stopping.reason : undefined;
+  }
 
   private isCurrent(view: WorkerView): boolean {
     return !this.isStopped && this.views.get(view.workerId) === view;
@@ -420,7 +428,7 @@
         if (this.jobReconciler.isCancelledOrUndeclared(task.record))
           this.requestStop(task, 'cancelled');
         // Resending the stop command also requests another early renewal.
-        if (this.stopping.has(taskId)) commands.push({kind: 'stop', name});
+        if (this.isStopping(name)) commands.push({kind: 'stop', name});
         return;
       case 'finished':
         void this.commitEnd(view, task, report, 'done');
@@ -436,28 +444,48 @@
   }
 
   /**
-   * Starts an attempt that is bound to the worker but not reported, or unbinds
-   * it if the worker has restarted.
+   * Starts an attempt that is bound to the worker but not reported, or releases
+   * its task if the attempt must not start there any more.
    */
   private reconcileBoundTask(view: WorkerView, taskId: string): void {
     const task = this.cache.getTask(taskId);
     if (task === undefined || task.isWriting) return;
     const {record} = task;
     if (view.isReported(taskId, record.attempt)) return;
-    if (this.startingTaskIds.has(taskId)) return;
-    if (record.bootId !== view.lease.getStatus().bootId) {
-      void this.commitUnbind(task, 'the worker was restarted');
-      return;
-    }
-    if (this.jobReconciler.isCancelledOrUndeclared(record)) {
-      void this.commitCancelled(task);
-      return;
-    }
-    if (view.isLeaving) {
-      void this.commitUnbind(task, 'the worker is leaving');
-      return;
-    }
-    void this.startBoundTask(view, task);
+    if (this.commandedTaskIds.has(taskId)) return;
+    if (record.bootId !== view.lease.getStatus().bootId)
+      void this.releaseBoundTask(view, task, 'the worker was restarted');
+    else if (this.jobReconciler.isCancelledOrUndeclared(record))
+      void this.releaseBoundTask(view, task, 'the task was cancelled');
+    else if (view.isLeaving)
+      void this.releaseBoundTask(view, task, 'the worker is leaving');
+    else void this.startBoundTask(view, task);
+  }
+
+  /**
+   * Unbinds or cancels a task whose attempt the worker does not report. First
+   * sends a stop command, after which a delayed start command has no effect.
+   * Its refusal also proves that the lease is current.
+   */
+  private async releaseBoundTask(
+    view: WorkerView,
+    task: CachedTask,
+    reason: string,
+  ): Promise<void> {
+    const {record} = task;
+    const {taskId, attempt} = record;
+    this.commandedTaskIds.add(taskId);
+    const outcome = await this.commandBatcher.addCommand(view, {
+      kind: 'stop',
+      name: {taskId, attempt},
+    });
+    this.commandedTaskIds.delete(taskId);
+    // If the attempt is there after all, the next renewal reports it.
+    if (outcome === undefined || outcome.isAccepted) return;
+    if (task.record !== record || task.isWriting) return;
+    if (this.jobReconciler.isCancelledOrUndeclared(record))
+      await this.commitCancelled(task);
+    else await this.commitUnbind(task, reason);
   }
 
   /**
@@ -473,7 +501,7 @@
       const isService = report.kind === 'service';
       if (isService && leavingMs < LEAVING_GRACE_PERIOD_MS) continue;
       const {taskId, attempt} = report;
-      this.stopping.set(taskId, 'moved');
+      this.stopping.set(taskId, {attempt, reason: 'moved'});
       commands.push({kind: 'stop', name: {taskId, attempt}});
     }
   }
@@ -494,7 +522,7 @@
     const {workerId} = view;
     const name = {taskId, attempt};
     if (action.kind === 'evict') {
-      this.stopping.set(taskId, 'evicted');
+      this.stopping.set(taskId, {attempt, reason: 'evicted'});
       commands.push({kind: 'stop', name});
       return;
     }
@@ -531,17 +559,24 @@
       view.addTask(placed);
     }
     if (!view.lease.isValid()) return;
-    this.startingTaskIds.add(taskId);
+    this.commandedTaskIds.add(taskId);
     const outcome = await this.commandBatcher.addCommand(view, {
       kind: 'start',
       start: createAttemptStart(record),
     });
-    this.startingTaskIds.delete(taskId);
+    this.commandedTaskIds.delete(taskId);
     this.backlogByWorker.get(view.workerId)?.delete(taskId);
     // The outcome is unknown; the next renewal reports whether the attempt runs.
     if (outcome === undefined) return;
     if (!outcome.isAccepted) {
       view.removeTask(taskId);
+      this.setRetryTime(taskId, record.failures);
+      if (this.isCurrent(view) && !task.isWriting && task.record === record)
+        await this.releaseBoundTask(
+          view,
+          task,
+          'the worker refused to start it',
+        );
       return;
     }
     const detail = `attempt ${record.attempt}`;
@@ -556,7 +591,7 @@
     end: 'done' | 'failed' | 'stopped',
   ): Promise<void> {
     const {taskId} = task.record;
-    const stopReason = this.stopping.get(taskId);
+    const stopReason = this.getStopReason(report);
     const next = this.getEndRecord(task.record, report, end);
     const isWritten = await this.writer.writeRecord(task, next);
     if (!isWritten) return;
@@ -928,7 +963,7 @@
       if (victims === undefined) continue;
       const commands: WorkerCommand[] = [];
       for (const {taskId, attempt} of victims) {
-        this.stopping.set(taskId, 'evicted');
+        this.stopping.set(taskId, {attempt, reason: 'evicted'});
         commands.push({kind: 'stop', name: {taskId, attempt}});
       }
       if (commands.length > 0) void this.sendCommands(view, commands);
@@ -937,9 +972,9 @@
   }
 
   private requestStop(task: CachedTask, reason: StopReason): void {
-    if (!this.stopping.has(task.record.taskId)) {
-      this.stopping.set(task.record.taskId, reason);
-    }
+    const {taskId, attempt} = task.record;
+    if (!this.isStopping(task.record))
+      this.stopping.set(taskId, {attempt, reason});
   }
 
   /**
@@ -1000,6 +1035,11 @@
 
 type StopReason = 'cancelled' | 'evicted' | 'moved';
 
+interface StoppingAttempt {
+  readonly attempt: number;
+  readonly reason: StopReason;
+}
+
 function getEndEvent(
   state: TaskRecord['state'],
   end: 'done' | 'failed' | 'stopped',
