Acknowledge only the ends that the last report of a worker listed

Cause: ends are numbered anew by each process of a worker, and each renewal carried the last number that was stored. The first renewal that reached the next process made it discard ends that no one had read, also when it only asked for a report after a failure.

Change: a renewal after a failed one, or after a report without ends, acknowledges nothing.

--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -126,6 +126,8 @@
   private leaseEndMs: number;
   private processedSequence = 0;
   private acknowledgedSequence = 0;
+  /** Whether the last report listed ended runs, which the worker keeps until they are acknowledged. */
+  private hasListedEnds = false;
   private wakeUp: (() => void) | undefined;
   private isOutOfCapacity = false;
   private readonly unknownRunStopTimes = new Map<string, number>();
@@ -339,12 +341,15 @@
     const sentMs = clock.getMonotonicMs();
     const hasUnacknowledgedEnds =
       this.processedSequence > this.acknowledgedSequence;
+    // Without a recent report, another process may respond, to which neither the
+    // clock nor the sequence numbers of the previous one apply.
     const isReportOnly =
       this.workerClock === undefined || this.hasLastRenewalFailed;
     const outcome = await client.renewLease({
       worker: this.record,
       fencingToken,
-      acknowledgedSequence: this.acknowledgedSequence,
+      acknowledgedSequence:
+        isReportOnly || !this.hasListedEnds ? 0 : this.acknowledgedSequence,
       leaseUntilMs: isReportOnly ? undefined : this.grantLease(),
       waitMs:
         isReportOnly || hasUnacknowledgedEnds ? 0 : RENEWAL_POLL_TIMEOUT_MS,
@@ -384,6 +389,7 @@
     this.hasResponded = true;
     this.hasLastRenewalFailed = false;
     this.isOutOfCapacity = false;
+    this.hasListedEnds = report.ended.length > 0;
     this.handleProcessRestart(report.startMs);
     this.applyRunningRuns(report);
     this.applyEndedRuns(report);
