Place nothing on a worker whose registration cannot be decoded

What callers could see: starts on a worker whose service, labels or capacity are no longer what the coordinator believes (ROUTE). Cause: a row that could not be decoded was logged and the earlier registration stayed in use. Change: the worker takes no new runs until its row can be decoded; its lease is renewed on.

--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -149,6 +149,7 @@
         workerId: row.key,
         detail: decoded.error.message,
       });
+      this.sessions.get(row.key)?.markUnregistered();
       return undefined;
     }
     const session = this.sessions.get(row.key);
