Place runs on a worker only by the registration of its current process

What callers could see: starts on a worker without the required label, of another service, or beyond its capacity (ROUTE), after it came back under its id as another kind. Cause: placement combined the process of the last report with whatever registration was read last. Change: a worker takes new runs only while both are of the same process. Evidence: three scripted tests of placement_limits.test.ts failed before and pass now.

--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -196,6 +196,8 @@
   isUsable(): boolean {
     if (this.isStopped || !this.hasResponded) return false;
     if (!this.isRegistered || this.record.isDraining) return false;
+    // The registration of another process may have other labels or capacity.
+    if (this.record.startMs !== this.processStartMs) return false;
     if (this.isOutOfCapacity || this.hasLastRenewalFailed) return false;
     return (
       this.options.clock.getMonotonicMs() - this.lastResponseMs <
