Assign runs that a worker reports unexpectedly to their tasks

What callers could see: a task that runs twice, more tasks of a step on a worker than allowed, or more than the worker has room for (TWICE, ROUTE, LIMIT).

Cause: a run that a worker reported and that was not assigned to it was sent a stop, without waiting for its end. Until then it counted nowhere: its task could be placed again, and others could be placed on the worker beside it. A stop may take long to be carried out, or be refused.

Change: such a run is assigned to its task and its worker. A worker that reports a run of an unknown task takes no new runs.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -257,12 +257,20 @@
     });
   }
 
-  onUnknownRun(session: WorkerSession, running: RunningRun): void {
+  onUnknownRun(
+    session: WorkerSession,
+    running: RunningRun,
+  ): AssignedRun | undefined {
     this.options.events.addEvent('run-unknown', {
       taskId: running.taskName,
       workerId: session.getId(),
       detail: `run ${running.runNumber} on process ${session.getProcessStartMs()}, ${running.progressPercent} % done`,
     });
+    return this.jobTracker.addReportedRun(
+      running,
+      session.getId(),
+      session.getProcessStartMs(),
+    );
   }
 
   onCommandUnanswered(
--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -1,10 +1,16 @@
 /** Tracks the state of jobs: acceptance, finished and failed tasks, cancellation. */
 
 import {Clock} from '@mustardlug/base/clock';
-import {JobState, StepState, TaskState} from '@mustardlug/jobs/job_state';
+import {createTaskRun} from '@mustardlug/jobs/job_codec';
+import {
+  JobState,
+  StepState,
+  TaskRun,
+  TaskState,
+} from '@mustardlug/jobs/job_state';
 import {DeploymentConfig, QueueConfig} from '@mustardlug/jobs/queue_config';
 import {parseTaskName} from '@mustardlug/jobs/task_name';
-import {EndedRun} from '@mustardlug/platform/job_worker_client';
+import {EndedRun, RunningRun} from '@mustardlug/platform/job_worker_client';
 import {StoredRow} from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {QueueLoad} from './coordinator_status.js';
@@ -179,6 +185,41 @@
     this.markChanged(job);
   }
 
+  /**
+   * Adds a run that a worker reports and that is not assigned to it, such as one
+   * that was given up while the worker could not be reached.
+   * @param running - Reported run.
+   * @param workerId - Worker that reports it.
+   * @param workerStartMs - Start time of the worker process.
+   * @returns `undefined` if no such task is known.
+   */
+  addReportedRun(
+    running: RunningRun,
+    workerId: string,
+    workerStartMs: number,
+  ): AssignedRun | undefined {
+    const {taskName, runNumber} = running;
+    const name = parseTaskName(taskName);
+    const job = name && this.jobIndex.findJob(name.jobId);
+    if (name === undefined || job === undefined) return undefined;
+    const {occurrence} = name;
+    const found = job.findTask(occurrence, name.stepIndex, name.taskIndex);
+    if (found === undefined) return undefined;
+    const {step, task} = found;
+    const nowMs = this.options.clock.getMonotonicMs();
+    const run: TaskRun = {
+      ...createTaskRun(workerId, workerStartMs, runNumber, nowMs),
+      isAdopted: true,
+      isConfirmed: true,
+    };
+    task.runs.push(run);
+    this.jobIndex.updateActiveJobs(job);
+    this.markChanged(job);
+    // The report lists the run, so that it has ended once a later one does not.
+    const commandResponseMs = -Infinity;
+    return {job, occurrence, step, task, run, taskName, commandResponseMs};
+  }
+
   /**
    * Releases the task of a lost run, so that it can be placed again.
    * @param assigned - Run that has certainly ended.
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -41,8 +41,14 @@
   onRunNotStarted(assigned: AssignedRun): void;
   /** Called when a report comes from another process than the previous one. */
   onProcessRestarted(session: WorkerSession, previousStartMs: number): void;
-  /** Called when the worker reports a run that is not assigned to it. */
-  onUnknownRun(session: WorkerSession, running: RunningRun): void;
+  /**
+   * Called when the worker reports a run that is not assigned to it.
+   * @returns The run with its task, or `undefined` if no such task is known.
+   */
+  onUnknownRun(
+    session: WorkerSession,
+    running: RunningRun,
+  ): AssignedRun | undefined;
   /** Called when the worker did not respond to a command, which may still take effect. */
   onCommandUnanswered(
     session: WorkerSession,
@@ -132,6 +138,8 @@
   private renewalWaiters: Array<() => void> = [];
   private wakeUp: (() => void) | undefined;
   private isOutOfCapacity = false;
+  /** Whether the last report listed runs of unknown tasks, whose needs cannot be counted. */
+  private hasUnknownRuns = false;
   private readonly unknownRunStopTimes = new Map<string, number>();
 
   private constructor(private readonly options: WorkerSessionOptions) {
@@ -198,7 +206,8 @@
     if (!this.isRegistered || this.record.isDraining) return false;
     // The registration of another process may have other labels or capacity.
     if (this.record.startMs !== this.processStartMs) return false;
-    if (this.isOutOfCapacity || this.hasLastRenewalFailed) return false;
+    if (this.isOutOfCapacity || this.hasUnknownRuns) return false;
+    if (this.hasLastRenewalFailed) return false;
     return (
       this.options.clock.getMonotonicMs() - this.lastResponseMs <
       UNRESPONSIVE_TIMEOUT_MS
@@ -447,9 +456,13 @@
   }
 
   private applyRunningRuns(report: LeaseReport): void {
+    this.hasUnknownRuns = false;
     for (const running of report.running) {
-      const assigned = this.load.findRun(running.taskName, running.runNumber);
+      const assigned =
+        this.load.findRun(running.taskName, running.runNumber) ??
+        this.assignUnknownRun(running);
       if (assigned === undefined) {
+        this.hasUnknownRuns = true;
         void this.stopUnknownRun(running);
         continue;
       }
@@ -467,6 +480,20 @@
     }
   }
 
+  /**
+   * Assigns a run that the worker reports unexpectedly, so that it counts against
+   * the worker and its task is not placed again before it has ended. Stops it
+   * if the task has other runs, and as part of a gang.
+   */
+  private assignUnknownRun(running: RunningRun): AssignedRun | undefined {
+    const assigned = this.options.listener.onUnknownRun(this, running);
+    if (assigned === undefined) return undefined;
+    this.load.addRun(assigned);
+    const {step, task} = assigned;
+    if (task.runs.length > 1 || step.spec.isGang) void this.stopRun(assigned);
+    return assigned;
+  }
+
   private applyEndedRuns(report: LeaseReport): void {
     for (const ended of report.ended) {
       if (ended.sequence <= this.processedSequence) continue;
@@ -508,16 +535,15 @@
     this.options.listener.onRunLost(this, assigned, reason);
   }
 
-  /** Stops a run that is not part of the stored state, such as one of a cancelled job. */
+  /** Stops a run of a task that is not known, such as one of a job whose records were deleted. */
   private async stopUnknownRun(running: RunningRun): Promise<void> {
-    const {clock, client, fencingToken, listener} = this.options;
+    const {clock, client, fencingToken} = this.options;
     const {taskName, runNumber} = running;
     const key = getRunKey(taskName, runNumber);
     const nowMs = clock.getMonotonicMs();
     const lastMs = this.unknownRunStopTimes.get(key) ?? -Infinity;
     if (nowMs - lastMs < UNKNOWN_RUN_STOP_INTERVAL_MS) return;
     this.unknownRunStopTimes.set(key, nowMs);
-    listener.onUnknownRun(this, running);
     const worker = this.record;
     await client.stopRun({worker, taskName, runNumber, fencingToken});
   }
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -15,7 +15,7 @@
   workerStartMs: number;
   /** Monotonic time at which the run was placed. */
   readonly placedMs: number;
-  /** Whether an earlier coordinator placed the run; its actual age is then unknown. */
+  /** Whether the run was found in stored rows or in a report; its actual age is then unknown. */
   readonly isAdopted: boolean;
   /** Whether the worker has confirmed the run, in a response or in a report. */
   isConfirmed: boolean;
