Test lease epochs and the read after a grant apart from the task matrix

No caller sees a change.

The refused stop prevents the same doubles. The matrix is unchanged.

Change: a start for an earlier boot that a worker executes after its restart, and a takeover during an outage of the table, have scripted tests, which the two mutations are run against.

Failed tries: a suspended scheduler with 300 tasks, and a takeover with two workers, killed neither mutation.

--- a/tools/run_mutations.js
+++ b/tools/run_mutations.js
@@ -20,6 +20,7 @@
 const REQUESTS = 'packages/experiments/dist/test/request_fault_matrix.test.js';
 const LEASES = 'packages/experiments/dist/test/requests_under_leases.test.js';
 const TASKS = 'packages/experiments/dist/test/task_fault_matrix.test.js';
+const FENCING = 'packages/experiments/dist/test/lease_fencing.test.js';
 const BATCH = 'packages/experiments/dist/test/batch_work.test.js';
 const DOCUMENT = 'packages/document/dist/test/document_store.test.js';
 const COMMITTER = 'packages/standins/dist/test/group_committer.test.js';
@@ -86,14 +87,14 @@
       find: 'return this.clock.getMonotonicMs() < this.validUntilMs;',
       replace: 'return true;',
     },
-    test: TASKS,
+    test: FENCING,
   },
   {
     name: 'rows are not re-read after a lease is granted',
     file: 'scheduling/dist/src/task_scheduler.js',
     find: 'if (!view.isSynced || !view.lease.isValid())\n            return;',
     replace: '',
-    test: TASKS,
+    test: FENCING,
   },
   {
     name: 'the end of an attempt is acknowledged although its row was not written',
