Give each term a million run numbers, and take back those of undone placements

What callers could see: a gang that starts again and again after a failover and doesn't complete, and a task that is refused as superseded although it never ran.

Cause: a term had 1,000 numbers for the runs of a task. Each refused start takes one, and so did each pass in which a gang found no room; 16 refusing workers use 1,828 in a minute. Past the range, numbers fall into that of the next term, whose runs then get lower numbers than earlier ones.

Change: 1,000,000 numbers a term; a placement that is undone gives its number back.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -100,7 +100,7 @@
  * Size of the range of run numbers of one term. Each range lies above those of
  * all earlier terms.
  */
-const RUNS_PER_TERM = 1_000;
+const RUNS_PER_TERM = 1_000_000;
 
 /** Interval at which a planned hand-over checks whether the commit in progress has finished. */
 const HANDOVER_POLL_MS = 5;
@@ -478,7 +478,7 @@
         this.workerPool.getSessions(),
       ),
       place: placement => this.placeTask(placement),
-      undo: (assigned, {session}) => undoPlacement(assigned, session),
+      undo: (assigned, {session}) => this.undoPlacement(assigned, session),
     });
     pass.run(this.getWaitingSteps(wallMs), wallMs);
     for (const step of pass.getPlacedSteps()) {
@@ -539,12 +539,25 @@
   private allocateRunNumber(step: StepState, taskName: string): number {
     const gangRunNumber = step.spec.isGang ? getGangRunNumber(step) : undefined;
     if (gangRunNumber !== undefined) return gangRunNumber;
-    const owner = step.spec.isGang ? step : taskName;
+    const owner = getRunCounterOwner(step, taskName);
     const count = (this.runCounters.get(owner) ?? 0) + 1;
     this.runCounters.set(owner, count);
     return (this.options.commitLog.term - 1) * RUNS_PER_TERM + count;
   }
 
+  /**
+   * Reverts a placement of the current pass, and releases its run number. Nothing
+   * of it has been stored or sent yet.
+   */
+  private undoPlacement(assigned: AssignedRun, session: WorkerSession): void {
+    const {step, task, run, taskName} = assigned;
+    task.runs = task.runs.filter(each => each !== run);
+    session.load.removeRun(assigned);
+    if (step.spec.isGang && step.hasRuns()) return;
+    const owner = getRunCounterOwner(step, taskName);
+    this.runCounters.set(owner, (this.runCounters.get(owner) ?? 1) - 1);
+  }
+
   private scheduleTick(): void {
     this.options.clock.setTimer(TICK_MS, () => {
       if (this.endReason !== undefined) return;
@@ -582,16 +595,17 @@
   }
 }
 
-/** Reverts a placement of the current pass. Nothing of it has been stored or sent yet. */
-function undoPlacement(assigned: AssignedRun, session: WorkerSession): void {
-  const {task, run} = assigned;
-  task.runs = task.runs.filter(each => each !== run);
-  session.load.removeRun(assigned);
-}
-
 function getGangRunNumber(step: StepState): number | undefined {
   for (const {runs} of step.tasks) {
     if (runs.length > 0) return runs[0].runNumber;
   }
   return undefined;
 }
+
+/** Gets the key of the counter of run numbers; the members of a gang share one. */
+function getRunCounterOwner(
+  step: StepState,
+  taskName: string,
+): StepState | string {
+  return step.spec.isGang ? step : taskName;
+}
--- a/packages/experiments/test/placement_limits.test.ts
+++ b/packages/experiments/test/placement_limits.test.ts
@@ -8,6 +8,9 @@
 /** Needs of a task of which only one fits on a worker. */
 const LARGE_NEEDS = {cpuMillis: 6_000, memoryMb: 1_000, accelerators: 0};
 
+/** Number of a run that is above those of the first terms. */
+const LATE_RUN_NUMBER = 10_000_000;
+
 /** Time that a worker takes to stop a run. */
 const STOP_MS = 1_000;
 
@@ -58,7 +61,7 @@
     await harness.advance(100);
     expect(worker.getRunCount()).to.equal(0);
     delayStops(harness, worker);
-    worker.start(createStart(worker, cancelled.jobId, 1_002));
+    worker.start(createStart(worker, cancelled.jobId, LATE_RUN_NUMBER));
     await harness.advance(600);
     expect(worker.getRunCount()).to.equal(1);
     const {jobId} = await harness.submit(steps);
