Start nothing on a worker that has begun to drain since the placement

What callers could see: a task that starts on a leaving worker later than the platform allows (DRAIN) and is stopped soon after. Cause: whether a worker drains was asked only at placement. A start whose row took long to be stored, or that was repeated after a report, was sent all the same. Change: it is asked before each start command; the run is released, after a stop if a command is open.

--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -264,9 +264,10 @@
   }
 
   /**
-   * Sends the start command for a run that has been stored. A command without a
-   * response is repeated only after a report of the same worker process, as a
-   * later process may be of another kind and has a clock of its own.
+   * Sends the start command for a run that has been stored, unless the worker is
+   * draining by now. A command without a response is repeated only after a report
+   * of the same worker process, as a later process may be of another kind and has
+   * a clock of its own.
    * @param assigned - Run on this worker.
    */
   async startRun(assigned: AssignedRun): Promise<void> {
@@ -274,6 +275,7 @@
     const {workerStartMs} = run;
     for (let attempt = 1; attempt <= MAX_START_ATTEMPTS; attempt++) {
       if (!this.canStart(assigned, workerStartMs)) return;
+      if (this.record.isDraining) break;
       run.openStarts++;
       const outcome = await this.options.client.startRun({
         ...this.createRunCommand(assigned),
@@ -303,7 +305,8 @@
       await this.handleRefusal(assigned, error.reason);
       return;
     }
-    if (this.canStart(assigned, workerStartMs)) await this.stopRun(assigned);
+    if (this.canStart(assigned, workerStartMs))
+      await this.abandonStart(assigned);
   }
 
   /**
@@ -563,6 +566,11 @@
     }
     if (reason === 'no-room') this.isOutOfCapacity = true;
     this.options.listener.onStartRefused(this, assigned, reason);
+    await this.abandonStart(assigned);
+  }
+
+  /** Releases a run that has not started, once none of its start commands can take effect. */
+  private async abandonStart(assigned: AssignedRun): Promise<void> {
     if (assigned.run.openStarts > 0) {
       await this.stopRun(assigned);
       return;
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -114,5 +114,30 @@
         session.stop();
       });
     }
+
+    it('does not start a run on a worker that has begun to drain', async () => {
+      const {session, client, clock, assigned, releasedRuns} =
+        SessionFixture.create();
+      session.setRecord({...RECORD, isDraining: true});
+      void session.startRun(assigned);
+      await clock.advance(SETTLE_MS);
+      expect(client.startCommands).to.be.empty;
+      expect(releasedRuns).to.deep.equal([assigned]);
+    });
+
+    it('does not repeat a start command on a worker that has begun to drain', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned, releasedRuns} = fixture;
+      client.startResponses.push('none');
+      void session.run();
+      await fixture.report();
+      void session.startRun(assigned);
+      session.setRecord({...RECORD, isDraining: true});
+      await clock.advance(SETTLE_MS);
+      expect(client.startCommands).to.have.length(1);
+      expect(client.stopCommands).to.have.length(1);
+      expect(releasedRuns).to.deep.equal([assigned]);
+      session.stop();
+    });
   });
 });
