--- a/packages/experiments/test/invariant_checker.test.ts
+++ b/packages/experiments/test/invariant_checker.test.ts
@@ -95,6 +95,18 @@
     expect(checker.violations).to.deep.equal([]);
   });
 
+  for (const isGang of [false, true]) {
+    const verb = isGang ? 'allows' : 'reports';
+    const kind = isGang ? 'a gang' : 'other tasks';
+    it(`${verb} completion of ${kind} after the end of one task`, () => {
+      const checker = createChecker({isGang});
+      start(checker, 0);
+      checker.onRunEnded('worker-0', DONE_END.taskName, 1, 'done');
+      checker.checkPhase(JOB_ID, 'completed');
+      expect(checker.violations).to.have.lengthOf(isGang ? 0 : 1);
+    });
+  }
+
   it('reports more runs of a step on a worker than the step allows', () => {
     const checker = createChecker({maxPerWorker: 2});
     start(checker, 0);
