Reproduce late calls that the next process of a worker executes

Seen on: a start sent to the previous process is executed 3 s later by the next one while the task runs elsewhere; a renewal with the acknowledged sequence of the previous process, executed late by the next one, discards an end whose report was lost.

--- a/packages/experiments/test/job_worker_restarts.test.ts
+++ b/packages/experiments/test/job_worker_restarts.test.ts
@@ -214,6 +214,49 @@
   });
 });
 
+describe('a late call to a process whose successor executes it', () => {
+  it('does not run a task that was placed elsewhere', async () => {
+    const harness = await createHarness();
+    await harness.advance(UPTIME_MS);
+    setLateCommands(harness, 3);
+    for (const {linkFaults} of harness.nodes)
+      linkFaults.reachesNextProcess = true;
+    const start = await submitAndSendStart(harness, {
+      estimatedMs: LONG_TASK_MS,
+    });
+    await harness.advance(10);
+    await restartBeforeArrival(harness, start);
+    harness.unregister(start.workerId);
+    await harness.advance(SETTLE_MS);
+    expect(harness.checker.violations).to.deep.equal([]);
+    expect(await harness.getPhase(start.jobId)).to.equal('completed');
+  });
+
+  it('does not acknowledge an end that was not reported', async () => {
+    const harness = await createHarness({workers: 1});
+    await harness.submit([createSampleStep(4, {estimatedMs: 100})]);
+    await harness.advance(1_000);
+    for (const {linkFaults} of harness.nodes)
+      Object.assign(linkFaults, {
+        renewNextLate: 1,
+        lateMs: LATE_MS,
+        reachesNextProcess: true,
+      });
+    await harness.advance(600);
+    harness.restartWorker('worker-0', {delayMs: 50});
+    await harness.advance(1_600);
+    await harness.submit([createSampleStep(1, {estimatedMs: 500})]);
+    await harness.advance(400);
+    for (const {linkFaults} of harness.nodes)
+      linkFaults.responseBlockedWorkers.add('worker-0');
+    await harness.advance(1_600);
+    for (const {linkFaults} of harness.nodes)
+      linkFaults.responseBlockedWorkers.delete('worker-0');
+    await harness.advance(SETTLE_MS);
+    expect(harness.checker.violations).to.deep.equal([]);
+  });
+});
+
 describe('a partitioned worker', () => {
   for (const shiftsLateLeases of [false, true]) {
     const variant = shiftsLateLeases
