--- a/packages/experiments/test/job_worker_histories.test.ts
+++ b/packages/experiments/test/job_worker_histories.test.ts
@@ -31,6 +31,7 @@
   | 'block-requests'
   | 'block-responses'
   | 'partition-worker'
+  | 'refuse-starts'
   | 'clear-faults';
 
 interface Action {
@@ -71,13 +72,14 @@
   'block-requests',
   'block-responses',
   'partition-worker',
+  'refuse-starts',
 ];
 
 const WORKER_COUNT = 4;
-const MAX_ACTIONS = 24;
+const MAX_ACTIONS = 40;
 const MAX_RESTART_MS = 1_500;
 const MAX_FREEZE_MS = 9_000;
-const MAX_PAUSE_MS = 1_000;
+const MAX_PAUSE_MS = 400;
 
 /** Time for the first election. */
 const START_MS = 2_500;
@@ -88,12 +90,12 @@
 /** Number of the first run of a task in the first term. */
 const FIRST_RUN_NUMBER = 1_001;
 
-const DURATION_MS = 800;
+const DURATION_MS = 400;
 
 const STEPS: Partial<Record<ActionKind, readonly StepSpec[]>> = {
   'submit-dependent-steps': [
-    createSampleStep(4),
-    createSampleStep(2, {dependsOn: [0]}),
+    createSampleStep(4, {estimatedMs: DURATION_MS}),
+    createSampleStep(2, {estimatedMs: DURATION_MS, dependsOn: [0]}),
   ],
   'submit-limited-step': [
     createSampleStep(6, {maxPerWorker: 1, estimatedMs: 2 * DURATION_MS}),
@@ -161,10 +163,7 @@
         harness.restartWorker(workerId, {delayMs: restartMs});
         return;
       case 'restart-other-kind':
-        harness.restartWorker(workerId, {
-          delayMs: restartMs,
-          kind: this.getOtherKind(workerId),
-        });
+        this.restartAsOtherKind(workerId, restartMs);
         return;
       case 'restart-half-and-kill-coordinator': {
         const other = `worker-${(workerIndex + 1) % WORKER_COUNT}`;
@@ -218,6 +217,9 @@
         for (const {linkFaults} of harness.nodes)
           linkFaults.unreachableWorkers.add(workerId);
         return;
+      case 'refuse-starts':
+        this.refuseStarts(workerId, workerIndex % 2 === 0);
+        return;
       default:
         this.clearFaults();
     }
@@ -249,6 +251,19 @@
     this.harness.addNode(`node-${this.nextNodeIndex++}`);
   }
 
+  private refuseStarts(workerId: string, isHealthy: boolean): void {
+    const behavior = this.harness.workers.get(workerId)?.behavior;
+    if (behavior !== undefined)
+      behavior.startRefusal = isHealthy ? 'no-room' : 'unhealthy';
+  }
+
+  private restartAsOtherKind(workerId: string, delayMs: number): void {
+    // One worker with the label remains, so that all jobs can complete.
+    if (workerId === 'worker-3') return;
+    const kind = this.getOtherKind(workerId);
+    this.harness.restartWorker(workerId, {delayMs, kind});
+  }
+
   private getOtherKind(workerId: string): WorkerKind {
     const labels = this.harness.workers.get(workerId)?.getRecord().labels ?? [];
     return labels.length > 0
@@ -272,6 +287,7 @@
     for (const {linkFaults} of nodes)
       Object.assign(linkFaults, createDefaultJobWorkerLinkFaults());
     for (const [workerId, worker] of workers) {
+      worker.behavior.startRefusal = undefined;
       if (worker.isUp()) this.harness.register(workerId);
     }
   }
@@ -285,7 +301,7 @@
     freezeMs: fc.integer({min: 500, max: MAX_FREEZE_MS}),
     pauseMs: fc.integer({min: 0, max: MAX_PAUSE_MS}),
   });
-  return fc.array(action, {minLength: 12, maxLength: MAX_ACTIONS});
+  return fc.array(action, {minLength: 20, maxLength: MAX_ACTIONS});
 }
 
 async function expectInvariants(
@@ -327,9 +343,14 @@
     kinds: [...RESTARTS, ...NETWORK_FAULTS, 'late-leases', 'late-leases'],
     seed: 5,
   },
+  {
+    title: 'network faults without restarts',
+    kinds: [...REQUESTS, ...NETWORK_FAULTS, 'clear-faults'],
+    seed: 6,
+  },
 ];
 
-const SCENARIO_COUNT = 60;
+const SCENARIO_COUNT = 120;
 
 for (const {title, kinds, seed} of HISTORIES) {
   describe(`jobs under random sequences of ${title}`, () => {
