Measure the bound after a cancellation from the start command, not its late execution

The stand-in executed the command 2 to 12 s after it was sent. The users' rules exempt starts that a worker carries out late from this bound. Two tests of the checker, one for each side.

--- a/packages/experiments/src/invariant_checker.ts
+++ b/packages/experiments/src/invariant_checker.ts
@@ -115,7 +115,12 @@
       removeEnds(unacknowledgedEnds, end => end.workerId === record.workerId);
   }
 
-  onRunStarted(workerId: string, taskName: string, runNumber: number): void {
+  onRunStarted(
+    workerId: string,
+    taskName: string,
+    runNumber: number,
+    delayMs: number,
+  ): void {
     const task = this.getTask(taskName);
     const name = parseTaskName(taskName);
     const job = name && this.jobs.get(name.jobId);
@@ -132,8 +137,9 @@
       this.addViolation(
         `${label}: already failed ${task.acknowledgedFailures} times`,
       );
+    // A worker may execute a start command late that was sent in time.
     const sinceCancelMs =
-      this.clock.getMonotonicMs() - (job.cancelledMs ?? Infinity);
+      this.clock.getMonotonicMs() - delayMs - (job.cancelledMs ?? Infinity);
     if (sinceCancelMs > CANCELLATION_BOUND_MS)
       this.addViolation(
         `${label}: job was cancelled ${sinceCancelMs} ms earlier`,
--- a/packages/experiments/test/invariant_checker.test.ts
+++ b/packages/experiments/test/invariant_checker.test.ts
@@ -30,8 +30,9 @@
 function createChecker(
   stepFields: Partial<StepSpec> = {},
   workerFields: Partial<WorkerRecord> = {},
+  clock = VirtualClock.create(),
 ): InvariantChecker {
-  const checker = InvariantChecker.create(VirtualClock.create());
+  const checker = InvariantChecker.create(clock);
   const steps = [createSampleStep(8, stepFields)];
   checker.addJob(JOB_ID, {specification: JOB_ID, steps}, 3);
   checker.onWorkerStarted({...WORKER, ...workerFields});
@@ -41,10 +42,10 @@
 function start(
   checker: InvariantChecker,
   taskIndex: number,
-  {workerId = 'worker-0', occurrence = 0} = {},
+  {workerId = 'worker-0', occurrence = 0, delayMs = 0} = {},
 ): void {
   const taskName = `${JOB_ID}.${occurrence}.0.${taskIndex}`;
-  checker.onRunStarted(workerId, taskName, 1);
+  checker.onRunStarted(workerId, taskName, 1, delayMs);
 }
 
 describe('InvariantChecker', () => {
@@ -162,4 +163,16 @@
     start(checker, 1);
     expect(checker.violations).to.deep.equal([]);
   });
+
+  for (const delayMs of [0, 2_000]) {
+    const verb = delayMs === 0 ? 'reports' : 'allows';
+    it(`${verb} a start 4 s after a cancellation whose command is ${delayMs} ms old`, async () => {
+      const clock = VirtualClock.create();
+      const checker = createChecker({}, {}, clock);
+      checker.recordCancellation(JOB_ID);
+      await clock.advance(4_000);
+      start(checker, 0, {delayMs});
+      expect(checker.violations).to.have.lengthOf(delayMs === 0 ? 1 : 0);
+    });
+  }
 });
--- a/packages/standins/src/job_worker_model.ts
+++ b/packages/standins/src/job_worker_model.ts
@@ -61,7 +61,19 @@
 export interface RunObserver {
   /** Called when a worker process starts, for the first time or again. */
   onWorkerStarted(record: WorkerRecord): void;
-  onRunStarted(workerId: string, taskName: string, runNumber: number): void;
+  /**
+   * Called when a run starts.
+   * @param workerId - Worker of the run.
+   * @param taskName - Task of the run.
+   * @param runNumber - Number of the run.
+   * @param delayMs - Time by which the worker executed the start command late.
+   */
+  onRunStarted(
+    workerId: string,
+    taskName: string,
+    runNumber: number,
+    delayMs: number,
+  ): void;
   onRunEnded(
     workerId: string,
     taskName: string,
@@ -210,8 +222,9 @@
   /**
    * Starts a run.
    * @param command - Run to start.
+   * @param delayMs - Time by which the execution is late.
    */
-  start(command: StartRunCommand): RunCommandOutcome {
+  start(command: StartRunCommand, delayMs = 0): RunCommandOutcome {
     if (!this.acceptFencingToken(command.fencingToken)) return 'fenced';
     const {taskName, runNumber} = command;
     const existing = this.runs.get(taskName);
@@ -223,7 +236,7 @@
     if (runNumber <= this.getMaxRunNumber(taskName)) return 'superseded';
     if (this.behavior.startRefusal !== undefined)
       return this.behavior.startRefusal;
-    this.startRun(command);
+    this.startRun(command, delayMs);
     return 'done';
   }
 
@@ -310,7 +323,10 @@
   }
 
   /** Starts a run after stopping the previous run of the same task. */
-  private startRun({taskName, runNumber, checkpoint}: StartRunCommand): void {
+  private startRun(
+    {taskName, runNumber, checkpoint}: StartRunCommand,
+    delayMs: number,
+  ): void {
     const {clock, getTaskDurationMs, isFailing, observer} = this.options;
     const previous = this.runs.get(taskName);
     if (previous !== undefined) this.endRun(previous, 'stopped');
@@ -332,7 +348,7 @@
       isStopping: false,
     };
     this.runs.set(taskName, run);
-    observer.onRunStarted(this.record.workerId, taskName, runNumber);
+    observer.onRunStarted(this.record.workerId, taskName, runNumber, delayMs);
     this.updateSpeeds();
   }
 
--- a/packages/standins/src/model_job_worker_client.ts
+++ b/packages/standins/src/model_job_worker_client.ts
@@ -81,6 +81,14 @@
   readonly random: RandomSource;
 }
 
+/** When a call is executed. */
+interface CallTiming {
+  /** Time by which the execution is late. */
+  readonly delayMs: number;
+  /** Time by which lease expiries in the call are shifted. */
+  readonly leaseShiftMs: number;
+}
+
 /** Network delay in each direction. */
 const ONE_WAY_DELAY_MS = 2;
 
@@ -113,9 +121,9 @@
     await clock.sleep(ONE_WAY_DELAY_MS);
     if (!this.canSend(address)) return this.simulateTimeout(timeoutMs);
     if (this.consumeLateFault('renewNextLate')) {
-      this.executeLate(address, (worker, delayMs) => {
+      this.executeLate(address, (worker, {leaseShiftMs}) => {
         const {leaseUntilMs} = request;
-        const shiftedMs = leaseUntilMs && leaseUntilMs + delayMs;
+        const shiftedMs = leaseUntilMs && leaseUntilMs + leaseShiftMs;
         void worker.renew({...request, leaseUntilMs: shiftedMs, waitMs: 0});
       });
       return this.simulateTimeout(timeoutMs);
@@ -135,11 +143,11 @@
   override startRun(
     command: StartRunCommand,
   ): Promise<Result<void, JobWorkerError>> {
-    return this.send(command.worker, (worker, delayMs) =>
-      worker.start({
-        ...command,
-        leaseUntilMs: command.leaseUntilMs + delayMs,
-      }),
+    return this.send(command.worker, (worker, {delayMs, leaseShiftMs}) =>
+      worker.start(
+        {...command, leaseUntilMs: command.leaseUntilMs + leaseShiftMs},
+        delayMs,
+      ),
     );
   }
 
@@ -156,11 +164,11 @@
   /**
    * Sends a command.
    * @param address - Worker to send it to.
-   * @param execute - Executes the command, with lease expiries shifted by a delay.
+   * @param execute - Executes the command.
    */
   private async send(
     address: JobWorkerAddress,
-    execute: (worker: JobWorkerModel, delayMs: number) => RunCommandOutcome,
+    execute: (worker: JobWorkerModel, timing: CallTiming) => RunCommandOutcome,
   ): Promise<Result<void, JobWorkerError>> {
     const {clock, faults} = this.options;
     await clock.sleep(ONE_WAY_DELAY_MS);
@@ -171,7 +179,7 @@
     }
     const worker = this.findRunningWorker(address);
     if (worker === undefined) return this.simulateTimeout(COMMAND_TIMEOUT_MS);
-    const outcome = execute(worker, 0);
+    const outcome = execute(worker, {delayMs: 0, leaseShiftMs: 0});
     if (faults.loseNextAnswers > 0) {
       faults.loseNextAnswers--;
       return this.simulateTimeout(COMMAND_TIMEOUT_MS);
@@ -218,7 +226,7 @@
 
   private executeLate(
     address: JobWorkerAddress,
-    execute: (worker: JobWorkerModel, leaseShiftMs: number) => void,
+    execute: (worker: JobWorkerModel, timing: CallTiming) => void,
   ): void {
     const {clock, faults, random, workers} = this.options;
     const {shiftsLateLeases, reachesNextProcess} = faults;
@@ -232,7 +240,10 @@
       // By default, a command that a worker received before a restart is lost.
       const isSameProcess = worker.getRecord().startMs === startMs;
       if (isSameProcess || reachesNextProcess)
-        execute(worker, shiftsLateLeases ? delayMs : 0);
+        execute(worker, {
+          delayMs,
+          leaseShiftMs: shiftsLateLeases ? delayMs : 0,
+        });
     });
   }
 
