Ask a worker for its process at once after a start without response

What callers would see: later starts while workers lose responses, since a start is repeated only after a report. Cause: the next report may take 500 ms, as renewals wait for a run to end. Change: a request for the process alone is sent at once, shared by all starts on the worker; the next report is waited for only if it stays without response. No start is sent while the term is unconfirmed for longer than the isolation timeout, which only the first one was checked for.

Evidence: job_worker_restarts, job_worker_histories, job_faults and job_histories pass as before.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -147,6 +147,7 @@
       listener: this,
       fencingToken: commitLog.term,
       maxLeaseMs: options.maxLeaseMs,
+      isTermConfirmed: () => !this.isIsolated(),
       previousTermTimeoutMs: ISOLATION_TIMEOUT_MS,
     });
     this.jobTracker = JobTracker.create({
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -34,6 +34,8 @@
   readonly fencingToken: number;
   /** Maximum lease duration that the platform grants, in milliseconds. */
   readonly maxLeaseMs: number;
+  /** Checks whether the term was confirmed recently enough to start runs. */
+  readonly isTermConfirmed: () => boolean;
   /** How long an earlier coordinator may keep issuing commands. */
   readonly previousTermTimeoutMs: number;
 }
@@ -167,6 +169,7 @@
       fencingToken,
       record,
       maxLeaseMs: this.options.maxLeaseMs,
+      isTermConfirmed: this.options.isTermConfirmed,
       previousTermTimeoutMs: this.options.previousTermTimeoutMs,
     });
     this.sessions.set(record.workerId, session);
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -67,6 +67,8 @@
   readonly record: WorkerRecord;
   /** Maximum lease duration that the platform grants, in milliseconds. */
   readonly maxLeaseMs: number;
+  /** Checks whether the term was confirmed recently enough to start runs. */
+  readonly isTermConfirmed: () => boolean;
   /** How long an earlier coordinator may grant leases before the worker accepts this term. */
   readonly previousTermTimeoutMs: number;
 }
@@ -134,6 +136,8 @@
   private acknowledgedSequence = 0;
   /** Whether the last report listed ended runs, which the worker keeps until they are acknowledged. */
   private hasListedEnds = false;
+  /** Request for the start time of the worker process that is in progress. */
+  private processCheck: Promise<number | undefined> | undefined;
   /** Start commands that wait for the next renewal, successful or not. */
   private renewalWaiters: Array<() => void> = [];
   private wakeUp: (() => void) | undefined;
@@ -265,9 +269,9 @@
 
   /**
    * Sends the start command for a run that has been stored, unless the worker is
-   * draining by now. A command without a response is repeated only after a report
-   * of the same worker process, as a later process may be of another kind and has
-   * a clock of its own.
+   * draining by now. A command without a response is repeated only once the same
+   * worker process has responded again, as a later process may be of another kind
+   * and has a clock of its own.
    * @param assigned - Run on this worker.
    */
   async startRun(assigned: AssignedRun): Promise<void> {
@@ -298,7 +302,7 @@
       const {error} = outcome;
       if (error.kind === 'unavailable') {
         this.options.listener.onCommandUnanswered(this, assigned, 'start');
-        await this.waitForReport(assigned);
+        await this.waitForSameProcess(assigned);
         continue;
       }
       if (error.reason === 'lapsed') continue;
@@ -591,19 +595,39 @@
   /** Checks whether a run should still be started on the process that it was placed on. */
   private canStart(assigned: AssignedRun, workerStartMs: number): boolean {
     if (this.isStopped || !this.isCurrent(assigned)) return false;
+    if (!this.options.isTermConfirmed()) return false;
     const {run} = assigned;
     return !run.isStopping && run.workerStartMs === workerStartMs;
   }
 
-  /** Waits for the next report, or until the run is no longer assigned. */
-  private async waitForReport(assigned: AssignedRun): Promise<void> {
+  /**
+   * Waits until the worker process of a run has responded again, until a report
+   * comes from another process, or until the run is no longer assigned.
+   */
+  private async waitForSameProcess(assigned: AssignedRun): Promise<void> {
     const sinceMs = this.lastResponseMs;
+    this.processCheck ??= this.requestProcessStart();
+    const processStartMs = await this.processCheck;
+    if (processStartMs === assigned.run.workerStartMs) return;
     while (!this.isStopped && this.isCurrent(assigned)) {
-      await new Promise<void>(resolve => this.renewalWaiters.push(resolve));
       if (this.lastResponseMs > sinceMs) return;
+      await new Promise<void>(resolve => this.renewalWaiters.push(resolve));
     }
   }
 
+  /** Asks the worker for the start time of its process. The lists of runs are left to the renewals. */
+  private async requestProcessStart(): Promise<number | undefined> {
+    const {client, fencingToken} = this.options;
+    const report = await client.renewLease({
+      worker: this.record,
+      fencingToken,
+      acknowledgedSequence: 0,
+      waitMs: 0,
+    });
+    this.processCheck = undefined;
+    return report.isOk() ? report.value.startMs : undefined;
+  }
+
   private notifyRenewalWaiters(): void {
     const waiters = this.renewalWaiters;
     this.renewalWaiters = [];
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -75,6 +75,7 @@
     },
     fencingToken: 1,
     maxLeaseMs: 10_000,
+    isTermConfirmed: () => true,
     previousTermTimeoutMs: 0,
   });
 }
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -65,6 +65,7 @@
       fencingToken: 1,
       record: RECORD,
       maxLeaseMs: 10_000,
+      isTermConfirmed: () => true,
       previousTermTimeoutMs: 0,
     });
     this.assigned = addTestRun(this.session.load, {});
