Count a job as waiting until a worker has confirmed one of its runs

Cause: a job counted as started once its first run was placed and stored.

Change: a job counts as waiting until a response, a report or an end confirms one of its runs. After a takeover, jobs with restored runs wait for the first reports.

'the published queue length counts a job until a worker has confirmed one of its runs' failed before (0 instead of 1) and passes now.

--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -101,11 +101,11 @@
     return config?.queues.find(each => each.name === queue.name) ?? queue;
   }
 
-  /** Gets the load of the queues with waiting jobs, by name of the queue. */
+  /** Gets the load of the queues with jobs that have not started, by name of the queue. */
   getQueueLoads(): Record<string, QueueLoad> {
     const waiting: Record<string, number> = {};
     for (const job of this.jobIndex.getActiveJobs()) {
-      if (job.phase !== 'pending') continue;
+      if (job.hasStarted || job.isEnded()) continue;
       const {name} = job.accepted.queue;
       waiting[name] = (waiting[name] ?? 0) + 1;
     }
@@ -156,6 +156,7 @@
    */
   recordRunEnd(assigned: AssignedRun, ended: EndedRun): void {
     const {job, step, task, run} = assigned;
+    job.hasStarted = true;
     task.runs = task.runs.filter(each => each !== run);
     if (ended.checkpoint !== '') task.checkpoint = ended.checkpoint;
     if (!job.isEnded() && !task.isDone) {
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -296,7 +296,7 @@
       if (run.workerStartMs !== workerStartMs) return;
       if (outcome.isOk()) {
         this.recordCommandResponse(assigned);
-        run.isConfirmed = true;
+        confirmRun(assigned);
         return;
       }
       const {error} = outcome;
@@ -474,7 +474,7 @@
         continue;
       }
       assigned.run.workerStartMs = report.startMs;
-      assigned.run.isConfirmed = true;
+      confirmRun(assigned);
       assigned.run.progressPercent = running.progressPercent;
       assigned.run.progressAgeMs =
         this.options.clock.getMonotonicMs() - assigned.run.placedMs;
@@ -658,3 +658,8 @@
     });
   }
 }
+
+function confirmRun({job, run}: AssignedRun): void {
+  run.isConfirmed = true;
+  job.hasStarted = true;
+}
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -117,6 +117,8 @@
     }
     job.occurrences.set(number, occurrence);
   }
+  // Until reports confirm the restored runs, it is not known whether they have started.
+  job.hasStarted = job.phase !== 'pending' && !job.hasRuns();
 }
 
 function toStoredTask(task: TaskState): StoredTask {
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -159,6 +159,8 @@
   /** Number of the next occurrence to become due. */
   nextOccurrence = 0;
   phase: JobPhase = 'pending';
+  /** Whether any run of the job is known to have started. */
+  hasStarted = false;
   /** Wall-clock time at which the job ended, in milliseconds since the Unix epoch; undefined until then. */
   endedMs: number | undefined;
 
