Keep a run that its worker lists when a repeated start is refused

What callers would see: tasks stopped and started anew while workers shed load and lose responses.

Cause: a start without a response was repeated although the worker had executed it; when the repetition was refused, the run was excluded by a stop. Change: the report that is requested before a repetition also confirms the run if it lists it, and a confirmed run is neither started nor given up.

Evidence: 'does not stop a run that the worker lists because a repetition was refused' failed before and passes now.

--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -9,7 +9,9 @@
   RunCommand,
   RunningRun,
   WorkerRecord,
+  JobWorkerError,
 } from '@mustardlug/platform/job_worker_client';
+import {Result} from 'neverthrow';
 import {AssignedRun, getRunKey, WorkerLoad} from './worker_load.js';
 
 /** Receives the events of a worker session. */
@@ -136,8 +138,8 @@
   private acknowledgedSequence = 0;
   /** Whether the last report listed ended runs, which the worker keeps until they are acknowledged. */
   private hasListedEnds = false;
-  /** Request for the start time of the worker process that is in progress. */
-  private processCheck: Promise<number | undefined> | undefined;
+  /** Request for a report in progress, besides the renewals. */
+  private pendingReport: Promise<LeaseReport | undefined> | undefined;
   /** Start commands that wait for the next renewal, successful or not. */
   private renewalWaiters: Array<() => void> = [];
   private wakeUp: (() => void) | undefined;
@@ -278,27 +280,17 @@
     const {run} = assigned;
     const {workerStartMs} = run;
     for (let attempt = 1; attempt <= MAX_START_ATTEMPTS; attempt++) {
-      if (!this.canStart(assigned, workerStartMs)) return;
-      if (this.record.isDraining) break;
-      run.openStarts++;
-      const outcome = await this.options.client.startRun({
-        ...this.createRunCommand(assigned),
-        specification: assigned.job.accepted.spec.specification,
-        checkpoint: assigned.task.checkpoint,
-        leaseUntilMs: this.grantLease(),
-      });
-      const isSettled =
-        outcome.isOk() ||
-        outcome.error.kind === 'worker-refusal' ||
-        !outcome.error.mayHaveTakenEffect;
-      if (isSettled) run.openStarts--;
-      if (this.isStopped || !this.isCurrent(assigned)) return;
+      if (!this.shouldStart(assigned, workerStartMs)) return;
+      if (!this.isRegisteredForStarts()) break;
+      const outcome = await this.sendStart(assigned);
+      if (!this.isCurrent(assigned)) return;
       if (run.workerStartMs !== workerStartMs) return;
       if (outcome.isOk()) {
         this.recordCommandResponse(assigned);
         confirmRun(assigned);
         return;
       }
+      if (!this.shouldStart(assigned, workerStartMs)) return;
       const {error} = outcome;
       if (error.kind === 'unavailable') {
         this.options.listener.onCommandUnanswered(this, assigned, 'start');
@@ -309,7 +301,7 @@
       await this.handleRefusal(assigned, error.reason);
       return;
     }
-    if (this.canStart(assigned, workerStartMs))
+    if (this.shouldStart(assigned, workerStartMs))
       await this.abandonStart(assigned);
   }
 
@@ -519,13 +511,10 @@
       ),
     );
     for (const assigned of [...this.load.getRuns()]) {
-      if (
-        assigned.commandResponseMs === undefined ||
-        assigned.commandResponseMs > sentMs
-      )
-        continue;
       const key = getRunKey(assigned.taskName, assigned.run.runNumber);
-      if (!listed.has(key))
+      if (listed.has(key)) continue;
+      const {commandResponseMs = Infinity} = assigned;
+      if (commandResponseMs <= sentMs)
         this.dropRun(assigned, 'the worker no longer lists it');
     }
   }
@@ -592,12 +581,38 @@
     return this.load.findRun(taskName, run.runNumber) === assigned;
   }
 
-  /** Checks whether a run should still be started on the process that it was placed on. */
-  private canStart(assigned: AssignedRun, workerStartMs: number): boolean {
+  private async sendStart(
+    assigned: AssignedRun,
+  ): Promise<Result<void, JobWorkerError>> {
+    const {run, job, task} = assigned;
+    const leaseUntilMs = this.grantLease();
+    run.openStarts++;
+    const outcome = await this.options.client.startRun({
+      ...this.createRunCommand(assigned),
+      specification: job.accepted.spec.specification,
+      checkpoint: task.checkpoint,
+      leaseUntilMs,
+    });
+    const isSettled =
+      outcome.isOk() ||
+      outcome.error.kind === 'worker-refusal' ||
+      !outcome.error.mayHaveTakenEffect;
+    if (isSettled) run.openStarts--;
+    return outcome;
+  }
+
+  /** Checks whether a run has yet to be started on the process that it was placed on. */
+  private shouldStart(assigned: AssignedRun, workerStartMs: number): boolean {
     if (this.isStopped || !this.isCurrent(assigned)) return false;
     if (!this.options.isTermConfirmed()) return false;
     const {run} = assigned;
-    return !run.isStopping && run.workerStartMs === workerStartMs;
+    if (run.isStopping || run.isConfirmed) return false;
+    return run.workerStartMs === workerStartMs;
+  }
+
+  /** Checks whether the registration still permits starts. */
+  private isRegisteredForStarts(): boolean {
+    return !this.record.isDraining;
   }
 
   /**
@@ -605,18 +620,28 @@
    * comes from another process, or until the run is no longer assigned.
    */
   private async waitForSameProcess(assigned: AssignedRun): Promise<void> {
+    const {run, taskName} = assigned;
     const sinceMs = this.lastResponseMs;
-    this.processCheck ??= this.requestProcessStart();
-    const processStartMs = await this.processCheck;
-    if (processStartMs === assigned.run.workerStartMs) return;
+    this.pendingReport ??= this.requestReport();
+    const report = await this.pendingReport;
+    if (report?.startMs === run.workerStartMs) {
+      const isRunning = report.running.some(
+        each => each.taskName === taskName && each.runNumber === run.runNumber,
+      );
+      if (isRunning) confirmRun(assigned);
+      return;
+    }
     while (!this.isStopped && this.isCurrent(assigned)) {
       if (this.lastResponseMs > sinceMs) return;
       await new Promise<void>(resolve => this.renewalWaiters.push(resolve));
     }
   }
 
-  /** Asks the worker for the start time of its process. The lists of runs are left to the renewals. */
-  private async requestProcessStart(): Promise<number | undefined> {
+  /**
+   * Requests a report without waiting for a run to end. Only the renewals apply
+   * their reports, one after the other.
+   */
+  private async requestReport(): Promise<LeaseReport | undefined> {
     const {client, fencingToken} = this.options;
     const report = await client.renewLease({
       worker: this.record,
@@ -624,8 +649,8 @@
       acknowledgedSequence: 0,
       waitMs: 0,
     });
-    this.processCheck = undefined;
-    return report.isOk() ? report.value.startMs : undefined;
+    this.pendingReport = undefined;
+    return report.isOk() ? report.value : undefined;
   }
 
   private notifyRenewalWaiters(): void {
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -140,5 +140,25 @@
       expect(releasedRuns).to.deep.equal([assigned]);
       session.stop();
     });
+
+    it('does not stop a run that the worker lists because a repetition was refused', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned} = fixture;
+      client.startResponses.push('none', 'unhealthy');
+      void session.run();
+      await fixture.report();
+      const {taskName} = assigned;
+      const {runNumber} = assigned.run;
+      client.report = createReport({
+        running: [
+          {taskName, runNumber, checkpoint: '', progressPercent: 1, usage: 0},
+        ],
+      });
+      void session.startRun(assigned);
+      await clock.advance(SETTLE_MS);
+      expect(assigned.run.isConfirmed).to.equal(true);
+      expect(client.stopCommands).to.be.empty;
+      session.stop();
+    });
   });
 });
