Do not start a run once another process of its worker has registered

What callers could see: a start on a worker process without the required label or of another size (ROUTE, LIMIT). Cause: the registration of a later process, read between placement and start, was not compared with the process of the run. Change: it is, before each start command.

Found in review. Evidence: 'does not start a run on a process that has registered since the placement' failed before and passes now.

--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -281,7 +281,7 @@
     const {workerStartMs} = run;
     for (let attempt = 1; attempt <= MAX_START_ATTEMPTS; attempt++) {
       if (!this.shouldStart(assigned, workerStartMs)) return;
-      if (!this.isRegisteredForStarts()) break;
+      if (!this.isRegisteredForStarts(workerStartMs)) break;
       const outcome = await this.sendStart(assigned);
       if (!this.isCurrent(assigned)) return;
       if (run.workerStartMs !== workerStartMs) return;
@@ -610,9 +610,10 @@
     return run.workerStartMs === workerStartMs;
   }
 
-  /** Checks whether the registration still permits starts. */
-  private isRegisteredForStarts(): boolean {
-    return !this.record.isDraining;
+  /** Checks whether the registration still permits starts on a worker process. */
+  private isRegisteredForStarts(workerStartMs: number): boolean {
+    const {isDraining, startMs} = this.record;
+    return !isDraining && startMs === workerStartMs;
   }
 
   /**
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -141,6 +141,18 @@
       session.stop();
     });
 
+    it('does not start a run on a process that has registered since the placement', async () => {
+      const {session, client, clock, assigned} = SessionFixture.create();
+      session.setRecord({
+        ...RECORD,
+        labels: ['other'],
+        startMs: PROCESS_START_MS + 1,
+      });
+      void session.startRun(assigned);
+      await clock.advance(SETTLE_MS);
+      expect(client.startCommands).to.be.empty;
+    });
+
     it('does not stop a run that the worker lists because a repetition was refused', async () => {
       const fixture = SessionFixture.create();
       const {session, client, clock, assigned} = fixture;
