Release a run once the worker's clock has passed the lease of its start commands

What callers would see: a task that waits for as long as its worker refuses stop commands (LOST).

Cause: a run with an open start was released only after a confirmed stop, or a lost lease. A worker that is unhealthy refuses stops as well, and its lease is renewed. Change: a start command is rejected once the lease that it carries has expired on the worker's clock; a report of the same process with a later clock that does not list the run releases it.

Found in review. Evidence: 'releases a run whose stops are all refused once its start has lapsed' failed before and passes now.

--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -22,6 +22,11 @@
    * not list it.
    */
   commandResponseMs: number | undefined;
+  /**
+   * Lease expiry in the last start command, on the clock of the worker process,
+   * which rejects the command from then on. Absent until one was sent.
+   */
+  startLeaseUntilMs?: number;
 }
 
 /**
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -450,6 +450,7 @@
       }
       run.workerStartMs = this.processStartMs;
       assigned.commandResponseMs = undefined;
+      assigned.startLeaseUntilMs = undefined;
       void this.stopRun(assigned);
     }
   }
@@ -513,9 +514,12 @@
     for (const assigned of [...this.load.getRuns()]) {
       const key = getRunKey(assigned.taskName, assigned.run.runNumber);
       if (listed.has(key)) continue;
-      const {commandResponseMs = Infinity} = assigned;
+      const {commandResponseMs = Infinity, startLeaseUntilMs = Infinity} =
+        assigned;
       if (commandResponseMs <= sentMs)
         this.dropRun(assigned, 'the worker no longer lists it');
+      else if (report.clockMs > startLeaseUntilMs)
+        this.dropRun(assigned, 'its start commands have lapsed');
     }
   }
 
@@ -586,6 +590,7 @@
   ): Promise<Result<void, JobWorkerError>> {
     const {run, job, task} = assigned;
     const leaseUntilMs = this.grantLease();
+    assigned.startLeaseUntilMs = leaseUntilMs;
     run.openStarts++;
     const outcome = await this.options.client.startRun({
       ...this.createRunCommand(assigned),
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -172,5 +172,21 @@
       expect(client.stopCommands).to.be.empty;
       session.stop();
     });
+
+    it('releases a run whose stops are all refused once its start has lapsed', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned, releasedRuns} = fixture;
+      client.startResponses.push('none', 'unhealthy');
+      for (let count = 0; count < 200; count++)
+        client.stopResponses.push('unhealthy');
+      void session.run();
+      await fixture.report();
+      void session.startRun(assigned);
+      for (let second = 1; second <= 20; second++)
+        await fixture.report({clockMs: second * 1_000});
+      expect(clock.getMonotonicMs()).to.be.above(15_000);
+      expect(releasedRuns).to.deep.equal([assigned]);
+      session.stop();
+    });
   });
 });
