--- a/packages/experiments/test/job_worker_histories.test.ts
+++ b/packages/experiments/test/job_worker_histories.test.ts
@@ -88,7 +88,7 @@
 const SETTLE_MS = 60_000;
 
 /** Number of the first run of a task in the first term. */
-const FIRST_RUN_NUMBER = 1_001;
+const FIRST_RUN_NUMBER = 1_000_001;
 
 const DURATION_MS = 400;
 
