Repeat a CPU limit until the worker responds

What callers would see: a filler that stays throttled although its worker has room for it, or one that runs at full speed beside a serving task that misses its target.

Cause: the limit was recorded as set when it was sent. A command without a response, or refused by an unhealthy worker, was not repeated. Two commands for one run could overtake each other.

Change: one loop for each run sends the limit that was set last until the worker responds, and ends when the run is no longer assigned, the session is stopped or another refusal is received. A response is not counted when the run has moved to another worker process in the meantime. A limit that replaces one without a response is sent with the next repetition, up to 200 ms later. An earlier command that the worker executes late can still override a later one.

--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -113,6 +113,9 @@
 /** Delay before a stop command without a response is repeated. */
 const STOP_RETRY_MS = 200;
 
+/** Delay before a CPU limit command without a response is repeated. */
+const CPU_LIMIT_RETRY_MS = 200;
+
 /** Maximum number of ended runs in one report. A report with as many may be incomplete. */
 const MAX_REPORTED_ENDS = 500;
 
@@ -145,6 +148,8 @@
   /** Whether the last report listed runs of unknown tasks, whose needs cannot be counted. */
   private hasUnknownRuns = false;
   private readonly unknownRunStopTimes = new Map<string, number>();
+  /** Runs whose CPU limit is being sent. */
+  private readonly cpuLimitedRuns = new Set<AssignedRun>();
 
   private constructor(private readonly options: WorkerSessionOptions) {
     this.record = options.record;
@@ -350,21 +355,46 @@
   }
 
   /**
-   * Sets the CPU limit of a run.
+   * Sets the CPU limit of a run. Repeats the command until the worker responds,
+   * always with the limit that was set last.
    * @param assigned - Run on this worker.
    * @param percent - Limit in percent of the run's CPU needs, 0 to 100.
    */
   async setRunCpuLimit(assigned: AssignedRun, percent: number): Promise<void> {
     assigned.run.cpuLimitPercent = percent;
     assigned.run.cpuLimitChangedMs = this.options.clock.getMonotonicMs();
-    const outcome = await this.options.client.setRunCpuLimit({
-      ...this.createRunCommand(assigned),
-      percent,
-    });
-    if (outcome.isOk() || this.isStopped) return;
-    const {error} = outcome;
-    if (error.kind === 'worker-refusal' && error.reason === 'fenced')
-      this.options.listener.onFenced(this);
+    if (!this.cpuLimitedRuns.has(assigned)) await this.sendCpuLimit(assigned);
+  }
+
+  private async sendCpuLimit(assigned: AssignedRun): Promise<void> {
+    const {run} = assigned;
+    this.cpuLimitedRuns.add(assigned);
+    try {
+      while (!this.isStopped && this.isCurrent(assigned)) {
+        const {cpuLimitPercent: percent, workerStartMs} = run;
+        const outcome = await this.options.client.setRunCpuLimit({
+          ...this.createRunCommand(assigned),
+          percent,
+        });
+        if (this.isStopped) return;
+        if (outcome.isOk()) {
+          const isUnchanged =
+            run.cpuLimitPercent === percent &&
+            run.workerStartMs === workerStartMs;
+          if (isUnchanged) return;
+          continue;
+        }
+        const {error} = outcome;
+        if (error.kind === 'worker-refusal' && error.reason !== 'unhealthy') {
+          if (error.reason === 'fenced') this.options.listener.onFenced(this);
+          return;
+        }
+        await this.options.clock.sleep(CPU_LIMIT_RETRY_MS);
+      }
+    } finally {
+      // In the same turn as the decision to end, so that no later limit is missed.
+      this.cpuLimitedRuns.delete(assigned);
+    }
   }
 
   private async renew(): Promise<boolean> {
--- a/packages/coordination/test/scripted_job_worker_client.ts
+++ b/packages/coordination/test/scripted_job_worker_client.ts
@@ -2,6 +2,7 @@
 
 import {createUnavailableError} from '@mustardlug/base/errors';
 import {
+  CpuLimitCommand,
   JobWorkerClient,
   JobWorkerError,
   LeaseRenewal,
@@ -19,8 +20,10 @@
 export class ScriptedJobWorkerClient extends JobWorkerClient {
   readonly startResponses: ScriptedResponse[] = [];
   readonly stopResponses: ScriptedResponse[] = [];
+  readonly cpuLimitResponses: ScriptedResponse[] = [];
   readonly startCommands: StartRunCommand[] = [];
   readonly stopCommands: RunCommand[] = [];
+  readonly cpuLimitCommands: CpuLimitCommand[] = [];
   readonly renewals: LeaseRenewal[] = [];
   /** Report of the worker; no response while undefined. */
   report: LeaseReport | undefined;
@@ -51,8 +54,11 @@
     return toResult(this.stopResponses.shift() ?? 'done');
   }
 
-  override async setRunCpuLimit(): Promise<Result<void, JobWorkerError>> {
-    return ok(undefined);
+  override async setRunCpuLimit(
+    command: CpuLimitCommand,
+  ): Promise<Result<void, JobWorkerError>> {
+    this.cpuLimitCommands.push(command);
+    return toResult(this.cpuLimitResponses.shift() ?? 'done');
   }
 }
 
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -40,6 +40,7 @@
   readonly clock = VirtualClock.create();
   readonly client = ScriptedJobWorkerClient.create();
   readonly releasedRuns: AssignedRun[] = [];
+  fencedCount = 0;
   readonly session: WorkerSession;
   readonly assigned: AssignedRun;
 
@@ -56,7 +57,7 @@
       onProcessRestarted: () => undefined,
       onUnknownRun: () => undefined,
       onCommandUnanswered: () => undefined,
-      onFenced: () => undefined,
+      onFenced: () => this.fencedCount++,
     };
     this.session = WorkerSession.create({
       clock: this.clock,
@@ -77,6 +78,11 @@
     return new SessionFixture();
   }
 
+  /** Gets the CPU limits that were sent to the worker. */
+  getSentLimits(): number[] {
+    return this.client.cpuLimitCommands.map(({percent}) => percent);
+  }
+
   /** Lets the worker report and waits until the session has applied the report. */
   async report(fields: Partial<LeaseReport> = {}): Promise<void> {
     this.client.report = createReport(fields);
@@ -141,4 +147,117 @@
       session.stop();
     });
   });
+
+  describe('setRunCpuLimit', () => {
+    it('repeats the command until the worker responds', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned} = fixture;
+      client.cpuLimitResponses.push('none', 'unhealthy', 'none', 'done');
+      void session.setRunCpuLimit(assigned, 40);
+      await clock.advance(RENEWAL_MS);
+      expect(fixture.getSentLimits()).to.deep.equal([40]);
+      await clock.advance(SETTLE_MS);
+      expect(fixture.getSentLimits()).to.deep.equal([40, 40, 40, 40]);
+      await clock.advance(SETTLE_MS);
+      expect(client.cpuLimitCommands).to.have.length(4);
+    });
+
+    it('repeats only the newest limit of a run', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned} = fixture;
+      client.cpuLimitResponses.push('none', 'none', 'done');
+      void session.setRunCpuLimit(assigned, 40);
+      await clock.advance(RENEWAL_MS);
+      void session.setRunCpuLimit(assigned, 16);
+      void session.setRunCpuLimit(assigned, 0);
+      await clock.advance(SETTLE_MS);
+      expect(fixture.getSentLimits()).to.deep.equal([40, 0, 0]);
+      expect(assigned.run.cpuLimitPercent).to.equal(0);
+    });
+
+    it('sends a limit that was set while an earlier command was in progress', async () => {
+      const fixture = SessionFixture.create();
+      const {session, clock, assigned} = fixture;
+      void session.setRunCpuLimit(assigned, 40);
+      void session.setRunCpuLimit(assigned, 0);
+      void session.setRunCpuLimit(assigned, 50);
+      await clock.advance(SETTLE_MS);
+      expect(fixture.getSentLimits()).to.deep.equal([40, 50]);
+      void session.setRunCpuLimit(assigned, 100);
+      await clock.advance(SETTLE_MS);
+      expect(fixture.getSentLimits()).to.deep.equal([40, 50, 100]);
+    });
+
+    it('sends a limit that was set while the response to an earlier command was processed', async () => {
+      for (let microtasks = 0; microtasks < 10; microtasks++) {
+        const fixture = SessionFixture.create();
+        const {session, clock, assigned} = fixture;
+        void session.setRunCpuLimit(assigned, 40);
+        for (let count = 0; count < microtasks; count++)
+          await Promise.resolve();
+        void session.setRunCpuLimit(assigned, 0);
+        await clock.advance(SETTLE_MS);
+        expect(fixture.getSentLimits()).to.deep.equal([40, 0]);
+      }
+    });
+
+    it('repeats a command whose response may be from an earlier worker process', async () => {
+      const fixture = SessionFixture.create();
+      const {session, clock, assigned} = fixture;
+      void session.setRunCpuLimit(assigned, 40);
+      assigned.run.workerStartMs = PROCESS_START_MS + 1;
+      await clock.advance(SETTLE_MS);
+      expect(fixture.getSentLimits()).to.deep.equal([40, 40]);
+    });
+
+    it('sends the limits of different runs independently', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned} = fixture;
+      const other = addTestRun(session.load, {});
+      client.cpuLimitResponses.push('none', 'done', 'done');
+      void session.setRunCpuLimit(assigned, 40);
+      void session.setRunCpuLimit(other, 16);
+      await clock.advance(SETTLE_MS);
+      expect(fixture.getSentLimits()).to.deep.equal([40, 16, 40]);
+    });
+
+    it('does not repeat the command once the run is no longer assigned', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned} = fixture;
+      client.cpuLimitResponses.push('none', 'none', 'none');
+      void session.setRunCpuLimit(assigned, 40);
+      await clock.advance(RENEWAL_MS);
+      session.load.removeRun(assigned);
+      await clock.advance(SETTLE_MS);
+      expect(client.cpuLimitCommands).to.have.length(1);
+    });
+
+    it('does not repeat the command once the session is stopped', async () => {
+      const {session, client, clock, assigned} = SessionFixture.create();
+      client.cpuLimitResponses.push('none', 'none', 'none');
+      void session.setRunCpuLimit(assigned, 40);
+      await clock.advance(RENEWAL_MS);
+      session.stop();
+      await clock.advance(SETTLE_MS);
+      expect(client.cpuLimitCommands).to.have.length(1);
+    });
+
+    const finalRefusals: RefusalReason[] = [
+      'fenced',
+      'superseded',
+      'other-lifetime',
+      'invalid',
+    ];
+    for (const refusal of finalRefusals) {
+      it(`does not repeat a refused command: ${refusal}`, async () => {
+        const fixture = SessionFixture.create();
+        const {session, client, clock, assigned} = fixture;
+        client.cpuLimitResponses.push('none', refusal);
+        void session.setRunCpuLimit(assigned, 40);
+        await clock.advance(SETTLE_MS);
+        expect(client.cpuLimitCommands).to.have.length(2);
+        expect(fixture.fencedCount).to.equal(refusal === 'fenced' ? 1 : 0);
+      });
+    }
+  });
 });
