Set the CPU limit of adopted fillers anew

What callers would see: after a takeover a filler stays throttled although no serving task runs beside it, for as long as it runs.

Cause: a restored run, or one found in a report, counts as unlimited. An earlier coordinator may have limited it, which no report shows.

Change: the throttler takes the limit of an adopted run as unknown until it has set one. It sets it once where it would raise a limit: without a serving task, or once the target is met with a margin. Until then the limit stays as it is; a missed target sets it for all fillers as before. This adds one command and one run-paced event for each adopted filler after a takeover. Meanwhile the interference model and the fleet report still count an adopted filler as unlimited.

Evidence: filler_takeover, with a worker and a takeover, failed before (limit 0 instead of 100) and passes. Of the four tests of the throttler two failed before; the others, which check that fillers placed by this coordinator get no additional commands and that a missed target is handled as before, passed.

--- a/packages/coordination/src/filler_throttler.ts
+++ b/packages/coordination/src/filler_throttler.ts
@@ -1,5 +1,6 @@
 /** Throttles or evicts fillers on a worker while a serving task there misses its target. */
 
+import {TaskRun} from '@mustardlug/jobs/job_state';
 import {
   InterferenceModel,
   hasResponseTarget,
@@ -54,6 +55,8 @@
   private lastAdjustmentMs = -Infinity;
   private lastMissMs = -Infinity;
   private missStartMs: number | undefined;
+  /** Runs whose CPU limit this throttler has set. */
+  private readonly limitedRuns = new WeakSet<TaskRun>();
 
   private constructor(private readonly interferenceModel: InterferenceModel) {}
 
@@ -80,6 +83,14 @@
    * @param nowMs - Monotonic time.
    */
   decide(load: WorkerLoad, nowMs: number): FillerAction[] {
+    const actions = this.chooseActions(load, nowMs);
+    for (const {kind, assigned} of actions) {
+      if (kind === 'limit') this.limitedRuns.add(assigned.run);
+    }
+    return actions;
+  }
+
+  private chooseActions(load: WorkerLoad, nowMs: number): FillerAction[] {
     const fillers = [...load.getFillerRuns()].filter(
       ({run}) => run.isConfirmed && !run.isStopping,
     );
@@ -103,7 +114,10 @@
       this.lastAdjustmentMs = nowMs;
       return this.reduceInterference(fillers, worst, load);
     }
-    if (ratio < RECOVERY_RATIO && this.cpuLimitPercent < UNLIMITED_PERCENT) {
+    const mayBeLimited =
+      this.cpuLimitPercent < UNLIMITED_PERCENT ||
+      fillers.some(each => this.isLimitUnknown(each));
+    if (ratio < RECOVERY_RATIO && mayBeLimited) {
       this.lastAdjustmentMs = nowMs;
       this.cpuLimitPercent = Math.min(
         UNLIMITED_PERCENT,
@@ -186,7 +200,8 @@
   private raiseCpuLimit(fillers: readonly AssignedRun[]): FillerAction[] {
     const actions: FillerAction[] = [];
     for (const assigned of fillers) {
-      if (assigned.run.cpuLimitPercent >= this.cpuLimitPercent) continue;
+      const isRaised = assigned.run.cpuLimitPercent >= this.cpuLimitPercent;
+      if (isRaised && !this.isLimitUnknown(assigned)) continue;
       actions.push({
         kind: 'limit',
         assigned,
@@ -195,6 +210,11 @@
     }
     return actions;
   }
+
+  /** Checks whether an earlier coordinator may have set the CPU limit of a run last. */
+  private isLimitUnknown({run}: AssignedRun): boolean {
+    return run.isAdopted && !this.limitedRuns.has(run);
+  }
 }
 
 /**
