Set the CPU limit of a filler anew that another worker process runs

What callers would see: a filler that runs at full speed beside a serving task that misses its target.

Cause: a late start command can start a run on the next process of its worker, which does not know the CPU limit. The limit stayed recorded, and a filler that counts as paused was not paused again.

Change: the throttler remembers the worker process for which it set the limit of a run, and takes the limit as unknown once another process runs it.

Evidence: 'sets the CPU limit again for a filler that another worker process runs' failed before and passes now.

--- a/packages/coordination/src/filler_throttler.ts
+++ b/packages/coordination/src/filler_throttler.ts
@@ -55,8 +55,8 @@
   private lastAdjustmentMs = -Infinity;
   private lastMissMs = -Infinity;
   private missStartMs: number | undefined;
-  /** Runs whose CPU limit this throttler has set. */
-  private readonly limitedRuns = new WeakSet<TaskRun>();
+  /** Start times of the worker processes for which this throttler has set the CPU limit of a run. */
+  private readonly limitedProcesses = new WeakMap<TaskRun, number>();
 
   private constructor(private readonly interferenceModel: InterferenceModel) {}
 
@@ -85,7 +85,8 @@
   decide(load: WorkerLoad, nowMs: number): FillerAction[] {
     const actions = this.chooseActions(load, nowMs);
     for (const {kind, assigned} of actions) {
-      if (kind === 'limit') this.limitedRuns.add(assigned.run);
+      if (kind !== 'limit') continue;
+      this.limitedProcesses.set(assigned.run, assigned.run.workerStartMs);
     }
     return actions;
   }
@@ -179,7 +180,8 @@
   private pause(fillers: readonly AssignedRun[]): FillerAction[] {
     const actions: FillerAction[] = [];
     for (const assigned of fillers) {
-      if (assigned.run.cpuLimitPercent === 0) continue;
+      const isPaused = assigned.run.cpuLimitPercent === 0;
+      if (isPaused && !this.isLimitUnknown(assigned)) continue;
       actions.push({kind: 'limit', assigned, cpuLimitPercent: 0});
     }
     return actions;
@@ -211,9 +213,15 @@
     return actions;
   }
 
-  /** Checks whether an earlier coordinator may have set the CPU limit of a run last. */
+  /**
+   * Checks whether the actual CPU limit of a run may differ from the recorded
+   * one: an earlier coordinator may have set it, or another worker process may
+   * have started the run without it.
+   */
   private isLimitUnknown({run}: AssignedRun): boolean {
-    return run.isAdopted && !this.limitedRuns.has(run);
+    const processStartMs = this.limitedProcesses.get(run);
+    if (processStartMs === undefined) return run.isAdopted;
+    return processStartMs !== run.workerStartMs;
   }
 }
 
--- a/packages/coordination/test/filler_throttler.test.ts
+++ b/packages/coordination/test/filler_throttler.test.ts
@@ -86,4 +86,15 @@
     expect(fixture.report(RESPONSE_MS.recovered)).to.deep.equal([100]);
     expect(fixture.report(RESPONSE_MS.recovered)).to.be.empty;
   });
+
+  it('sets the CPU limit again for a filler that another worker process runs', () => {
+    const fixture = ThrottlerFixture.create({isAdopted: false});
+    for (let report = 0; report < 4; report++)
+      fixture.report(RESPONSE_MS.missed);
+    expect(fixture.filler.run.cpuLimitPercent).to.equal(0);
+    expect(fixture.report(RESPONSE_MS.missed)).to.be.empty;
+    fixture.filler.run.workerStartMs++;
+    expect(fixture.report(RESPONSE_MS.missed)).to.deep.equal([0]);
+    expect(fixture.report(RESPONSE_MS.missed)).to.be.empty;
+  });
 });
