--- a/packages/coordination/src/filler_throttler.ts
+++ b/packages/coordination/src/filler_throttler.ts
@@ -1,5 +1,6 @@
 /** Throttles or evicts fillers on a worker while a serving task there misses its target. */
 
+import {TaskRun} from '@mustardlug/jobs/job_state';
 import {
   InterferenceModel,
   hasResponseTarget,
@@ -54,6 +55,8 @@
   private lastAdjustmentMs = -Infinity;
   private lastMissMs = -Infinity;
   private missStartMs: number | undefined;
+  /** Start times of the worker processes for which this throttler has set the CPU limit of a run. */
+  private readonly limitedProcesses = new WeakMap<TaskRun, number>();
 
   private constructor(private readonly interferenceModel: InterferenceModel) {}
 
@@ -80,6 +83,15 @@
    * @param nowMs - Monotonic time.
    */
   decide(load: WorkerLoad, nowMs: number): FillerAction[] {
+    const actions = this.chooseActions(load, nowMs);
+    for (const {kind, assigned} of actions) {
+      if (kind !== 'limit') continue;
+      this.limitedProcesses.set(assigned.run, assigned.run.workerStartMs);
+    }
+    return actions;
+  }
+
+  private chooseActions(load: WorkerLoad, nowMs: number): FillerAction[] {
     const fillers = [...load.getFillerRuns()].filter(
       ({run}) => run.isConfirmed && !run.isStopping,
     );
@@ -103,7 +115,10 @@
       this.lastAdjustmentMs = nowMs;
       return this.reduceInterference(fillers, worst, load);
     }
-    if (ratio < RECOVERY_RATIO && this.cpuLimitPercent < UNLIMITED_PERCENT) {
+    const mayBeLimited =
+      this.cpuLimitPercent < UNLIMITED_PERCENT ||
+      fillers.some(each => this.isLimitUnknown(each));
+    if (ratio < RECOVERY_RATIO && mayBeLimited) {
       this.lastAdjustmentMs = nowMs;
       this.cpuLimitPercent = Math.min(
         UNLIMITED_PERCENT,
@@ -165,7 +180,8 @@
   private pause(fillers: readonly AssignedRun[]): FillerAction[] {
     const actions: FillerAction[] = [];
     for (const assigned of fillers) {
-      if (assigned.run.cpuLimitPercent === 0) continue;
+      const isPaused = assigned.run.cpuLimitPercent === 0;
+      if (isPaused && !this.isLimitUnknown(assigned)) continue;
       actions.push({kind: 'limit', assigned, cpuLimitPercent: 0});
     }
     return actions;
@@ -186,7 +202,8 @@
   private raiseCpuLimit(fillers: readonly AssignedRun[]): FillerAction[] {
     const actions: FillerAction[] = [];
     for (const assigned of fillers) {
-      if (assigned.run.cpuLimitPercent >= this.cpuLimitPercent) continue;
+      const isRaised = assigned.run.cpuLimitPercent >= this.cpuLimitPercent;
+      if (isRaised && !this.isLimitUnknown(assigned)) continue;
       actions.push({
         kind: 'limit',
         assigned,
@@ -195,6 +212,17 @@
     }
     return actions;
   }
+
+  /**
+   * Checks whether the actual CPU limit of a run may differ from the recorded
+   * one: an earlier coordinator may have set it, or another worker process may
+   * have started the run without it.
+   */
+  private isLimitUnknown({run}: AssignedRun): boolean {
+    const processStartMs = this.limitedProcesses.get(run);
+    if (processStartMs === undefined) return run.isAdopted;
+    return processStartMs !== run.workerStartMs;
+  }
 }
 
 /**
