End an unconfirmed term before a start instead of skipping the start

What callers could see: a task that is never placed again (LOST). Cause: a start was skipped when the last commit was older than the isolation timeout. If a commit succeeded before the next periodic check, the term went on, and the run stayed assigned although it was never sent. Change: the term ends at once, and its successor resolves the stored run by the worker's report.

Found in review, by reading. Not reproduced: a scripted freeze of 6 s at 161 offsets around a start with a lost response passed on the code before as well, so that no test comes with this change.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -147,7 +147,7 @@
       listener: this,
       fencingToken: commitLog.term,
       maxLeaseMs: options.maxLeaseMs,
-      isTermConfirmed: () => !this.isIsolated(),
+      isTermConfirmed: () => this.confirmTerm(),
       previousTermTimeoutMs: ISOLATION_TIMEOUT_MS,
     });
     this.jobTracker = JobTracker.create({
@@ -523,7 +523,7 @@
   }
 
   private startRun(session: WorkerSession, assigned: AssignedRun): void {
-    if (this.endReason !== undefined || this.isIsolated()) return;
+    if (!this.confirmTerm()) return;
     if (!assigned.task.runs.includes(assigned.run)) return;
     this.options.events.addEvent('run-started', {
       taskId: assigned.taskName,
@@ -568,10 +568,7 @@
   }
 
   private tick(): void {
-    if (this.isIsolated()) {
-      this.finish('isolated');
-      return;
-    }
+    if (!this.confirmTerm()) return;
     const nowMs = this.options.clock.getMonotonicMs();
     for (const assigned of this.workerPool.takeExpiredOrphans(nowMs))
       this.releaseRun(assigned);
@@ -587,6 +584,16 @@
     this.options.events.addEvent('fleet-load', {detail});
   }
 
+  /**
+   * Checks whether the term still holds. Ends it when the node is isolated from
+   * the store: a run that is not started for that reason would stay assigned.
+   */
+  private confirmTerm(): boolean {
+    if (this.endReason === undefined && this.isIsolated())
+      this.finish('isolated');
+    return this.endReason === undefined;
+  }
+
   /** Without access to the store, this node cannot know whether another one has taken over. */
   private isIsolated(): boolean {
     const {commitLog, clock} = this.options;
