Test reports of unknown runs, void responses to stops, and copies after an acknowledged end

From the review: mutations that ignored runs of unknown tasks, kept a second run of a task, or counted a stop response for a later process survived the tests.

--- a/packages/coordination/test/scripted_job_worker_client.ts
+++ b/packages/coordination/test/scripted_job_worker_client.ts
@@ -25,6 +25,8 @@
   readonly stopCommands: RunCommand[] = [];
   readonly cpuLimitCommands: CpuLimitCommand[] = [];
   readonly renewals: LeaseRenewal[] = [];
+  /** Delays the next response to a stop command until it is resolved. */
+  stopGate: Promise<void> | undefined;
   /** Report of the worker; no response while undefined. */
   report: LeaseReport | undefined;
 
@@ -51,7 +53,11 @@
     command: RunCommand,
   ): Promise<Result<void, JobWorkerError>> {
     this.stopCommands.push(command);
-    return toResult(this.stopResponses.shift() ?? 'done');
+    const response = this.stopResponses.shift() ?? 'done';
+    const gate = this.stopGate;
+    this.stopGate = undefined;
+    await gate;
+    return toResult(response);
   }
 
   override async setRunCpuLimit(
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -2,6 +2,7 @@
 import {
   LeaseReport,
   RefusalReason,
+  RunningRun,
   WorkerRecord,
 } from '@mustardlug/platform/job_worker_client';
 import {expect} from 'chai';
@@ -27,6 +28,14 @@
 /** Time in which a scripted command, its repetitions and a renewal complete. */
 const SETTLE_MS = 1_000;
 
+const UNKNOWN_RUN: RunningRun = {
+  taskName: '000000000000ffff.0.0.0',
+  runNumber: 7,
+  checkpoint: '',
+  progressPercent: 1,
+  usage: 0,
+};
+
 /** Time in which a renewal completes and the next stop command is not due yet. */
 const RENEWAL_MS = 50;
 
@@ -40,6 +49,8 @@
   readonly clock = VirtualClock.create();
   readonly client = ScriptedJobWorkerClient.create();
   readonly releasedRuns: AssignedRun[] = [];
+  /** Run that the listener assigns when the worker reports an unknown one. */
+  reportedRun: AssignedRun | undefined;
   fencedCount = 0;
   readonly session: WorkerSession;
   readonly assigned: AssignedRun;
@@ -55,7 +66,7 @@
       onStartRefused: () => undefined,
       onRunNotStarted: assigned => this.releasedRuns.push(assigned),
       onProcessRestarted: () => undefined,
-      onUnknownRun: () => undefined,
+      onUnknownRun: () => this.reportedRun,
       onCommandUnanswered: () => undefined,
       onFenced: () => this.fencedCount++,
     };
@@ -91,6 +102,68 @@
 }
 
 describe('WorkerSession', () => {
+  describe('reports', () => {
+    it('exclude a worker from new runs while it lists a run of an unknown task', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client} = fixture;
+      void session.run();
+      await fixture.report();
+      expect(session.isUsable()).to.equal(true);
+      await fixture.report({running: [UNKNOWN_RUN]});
+      expect(session.isUsable()).to.equal(false);
+      expect(client.stopCommands[0].taskName).to.equal(UNKNOWN_RUN.taskName);
+      await fixture.report();
+      expect(session.isUsable()).to.equal(true);
+      session.stop();
+    });
+
+    for (const hasOtherRun of [false, true]) {
+      const verb = hasOtherRun ? 'stop' : 'keep';
+      const task = hasOtherRun ? 'with another run' : 'without another run';
+      it(`${verb} an unassigned run of a task ${task}`, async () => {
+        const fixture = SessionFixture.create();
+        const {session, client, assigned} = fixture;
+        const {task, run} = assigned;
+        session.load.removeRun(assigned);
+        const reported = {...run, runNumber: UNKNOWN_RUN.runNumber};
+        task.runs = hasOtherRun ? [run, reported] : [reported];
+        fixture.reportedRun = {...assigned, run: reported};
+        const {taskName} = assigned;
+        void session.run();
+        await fixture.report({running: [{...UNKNOWN_RUN, taskName}]});
+        expect(session.load.getRunCount()).to.equal(1);
+        expect(client.stopCommands.length).to.equal(hasOtherRun ? 1 : 0);
+        session.stop();
+      });
+    }
+
+    it('of a later process make the response to an earlier stop command void', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned, releasedRuns} = fixture;
+      void session.run();
+      await fixture.report();
+      client.startResponses.push('none');
+      void session.startRun(assigned);
+      let openGate = (): void => undefined;
+      client.stopGate = new Promise(resolve => {
+        openGate = resolve;
+      });
+      client.stopResponses.push('done');
+      void session.stopRun(assigned);
+      await clock.advance(0);
+      for (let count = 0; count < 50; count++)
+        client.stopResponses.push('none');
+      await fixture.report({startMs: PROCESS_START_MS + 1});
+      openGate();
+      await clock.advance(SETTLE_MS);
+      expect(releasedRuns).to.be.empty;
+      client.stopResponses.length = 0;
+      await clock.advance(SETTLE_MS);
+      expect(releasedRuns).to.deep.equal([assigned]);
+      session.stop();
+    });
+  });
+
   describe('startRun', () => {
     const refusals: RefusalReason[] = ['unhealthy', 'no-room', 'no-ticket'];
     for (const refusal of refusals) {
--- a/packages/experiments/src/invariant_checker.ts
+++ b/packages/experiments/src/invariant_checker.ts
@@ -18,7 +18,8 @@
 interface TaskHistory {
   readonly runningWorkers: Set<string>;
   isDone: boolean;
-  isDoneAcknowledged: boolean;
+  /** Time at which a successful end was first acknowledged. */
+  doneAcknowledgedMs: number | undefined;
   acknowledgedFailures: number;
   starts: number;
   /** Starts after each successful end that is not acknowledged yet. */
@@ -49,6 +50,9 @@
 /** Time after an acknowledged cancellation in which tasks of the job may still start. */
 const CANCELLATION_BOUND_MS = 3_000;
 
+/** Time after an acknowledged successful end in which copies of the task may still start. */
+const COPY_BOUND_MS = 1_000;
+
 /** Checks the runs on workers against the guarantees given to callers. */
 export class InvariantChecker implements RunObserver {
   /** Violations, in order of occurrence. */
@@ -131,7 +135,8 @@
       return;
     }
     const step = job.spec.steps[name.stepIndex];
-    if (!step.isSpeculative) this.checkSingleRun(label, task);
+    if (step.isSpeculative) this.checkCopy(label, task, delayMs);
+    else this.checkSingleRun(label, task);
     this.checkDependencies(label, name, job.spec);
     if (!step.isLongRunning && task.acknowledgedFailures >= job.maxAttempts)
       this.addViolation(
@@ -175,7 +180,7 @@
     const task = this.getTask(taskName);
     if (outcome === 'failed') task.acknowledgedFailures++;
     if (outcome !== 'done') return;
-    task.isDoneAcknowledged = true;
+    task.doneAcknowledgedMs ??= this.clock.getMonotonicMs();
     const ends = removeEnds(
       task.unacknowledgedEnds,
       end => end.workerId === workerId && end.runNumber === runNumber,
@@ -193,12 +198,24 @@
       this.addViolation(
         `${label}: already running on ${[...task.runningWorkers].join(', ')}`,
       );
-    if (task.isDoneAcknowledged)
+    if (task.doneAcknowledgedMs !== undefined)
       this.addViolation(`${label}: already acknowledged as done`);
     for (const {laterStarts} of task.unacknowledgedEnds)
       laterStarts.push(label);
   }
 
+  /** Copies may overlap, but must not be started long after one was acknowledged as done. */
+  private checkCopy(label: string, task: TaskHistory, delayMs: number): void {
+    const sinceDoneMs =
+      this.clock.getMonotonicMs() -
+      delayMs -
+      (task.doneAcknowledgedMs ?? Infinity);
+    if (sinceDoneMs > COPY_BOUND_MS)
+      this.addViolation(
+        `${label}: acknowledged as done ${sinceDoneMs} ms earlier`,
+      );
+  }
+
   private checkWorkerLimit(
     label: string,
     workerId: string,
@@ -292,7 +309,7 @@
       task = {
         runningWorkers: new Set(),
         isDone: false,
-        isDoneAcknowledged: false,
+        doneAcknowledgedMs: undefined,
         acknowledgedFailures: 0,
         starts: 0,
         unacknowledgedEnds: [],
--- a/packages/experiments/test/invariant_checker.test.ts
+++ b/packages/experiments/test/invariant_checker.test.ts
@@ -63,6 +63,22 @@
     expect(checker.violations).to.deep.equal([]);
   });
 
+  for (const sinceDoneMs of [900, 1_100]) {
+    const verb = sinceDoneMs === 900 ? 'allows' : 'reports';
+    it(`${verb} a copy ${sinceDoneMs} ms after an acknowledged end`, async () => {
+      const clock = VirtualClock.create();
+      const checker = createChecker({isSpeculative: true}, {}, clock);
+      const taskName = `${JOB_ID}.0.0.0`;
+      start(checker, 0);
+      checker.onRunEnded('worker-0', taskName, 1, 'done');
+      const end = {sequence: 1, taskName, runNumber: 1, checkpoint: ''};
+      checker.onEndAcknowledged('worker-0', {...end, outcome: 'done'}, false);
+      await clock.advance(sinceDoneMs);
+      start(checker, 0, {workerId: 'worker-1'});
+      expect(checker.violations.length).to.equal(verb === 'reports' ? 1 : 0);
+    });
+  }
+
   it('allows a second run after the first worker crashed', () => {
     const checker = createChecker();
     start(checker, 0);
