--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -147,7 +147,7 @@
       listener: this,
       fencingToken: commitLog.term,
       maxLeaseMs: options.maxLeaseMs,
-      isTermConfirmed: () => this.confirmTerm(),
+      isTermConfirmed: () => this.checkTerm(),
       previousTermTimeoutMs: ISOLATION_TIMEOUT_MS,
     });
     this.jobTracker = JobTracker.create({
@@ -523,7 +523,7 @@
   }
 
   private startRun(session: WorkerSession, assigned: AssignedRun): void {
-    if (!this.confirmTerm()) return;
+    if (!this.checkTerm()) return;
     if (!assigned.task.runs.includes(assigned.run)) return;
     this.options.events.addEvent('run-started', {
       taskId: assigned.taskName,
@@ -568,7 +568,7 @@
   }
 
   private tick(): void {
-    if (!this.confirmTerm()) return;
+    if (!this.checkTerm()) return;
     const nowMs = this.options.clock.getMonotonicMs();
     for (const assigned of this.workerPool.takeExpiredOrphans(nowMs))
       this.releaseRun(assigned);
@@ -588,7 +588,7 @@
    * Checks whether the term still holds. Ends it when the node is isolated from
    * the store: a run that is not started for that reason would stay assigned.
    */
-  private confirmTerm(): boolean {
+  private checkTerm(): boolean {
     if (this.endReason === undefined && this.isIsolated())
       this.finish('isolated');
     return this.endReason === undefined;
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -34,7 +34,7 @@
   readonly fencingToken: number;
   /** Maximum lease duration that the platform grants, in milliseconds. */
   readonly maxLeaseMs: number;
-  /** Checks whether the term was confirmed recently enough to start runs. */
+  /** Checks whether the term still holds, so that runs may be started. */
   readonly isTermConfirmed: () => boolean;
   /** How long an earlier coordinator may keep issuing commands. */
   readonly previousTermTimeoutMs: number;
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -69,7 +69,7 @@
   readonly record: WorkerRecord;
   /** Maximum lease duration that the platform grants, in milliseconds. */
   readonly maxLeaseMs: number;
-  /** Checks whether the term was confirmed recently enough to start runs. */
+  /** Checks whether the term still holds, so that runs may be started. */
   readonly isTermConfirmed: () => boolean;
   /** How long an earlier coordinator may grant leases before the worker accepts this term. */
   readonly previousTermTimeoutMs: number;
@@ -513,7 +513,7 @@
   /**
    * Assigns a run that the worker reports unexpectedly, so that it counts against
    * the worker and its task is not placed again before it has ended. Stops it
-   * if the task has other runs, and as part of a gang.
+   * if the task has other runs or if it belongs to a gang.
    */
   private assignUnknownRun(running: RunningRun): AssignedRun | undefined {
     const assigned = this.options.listener.onUnknownRun(this, running);
