--- a/packages/experiments/test/job_worker_restarts.test.ts
+++ b/packages/experiments/test/job_worker_restarts.test.ts
@@ -84,6 +84,12 @@
   await harness.advance(RESTART_DELAY_MS);
 }
 
+function countRuns(harness: JobHarness): number {
+  let count = 0;
+  for (const worker of harness.workers.values()) count += worker.getRunCount();
+  return count;
+}
+
 function setLateCommands(harness: JobHarness, count: number): void {
   for (const {linkFaults} of harness.nodes)
     Object.assign(linkFaults, {applyNextLate: count, lateMs: LATE_MS});
@@ -318,3 +324,86 @@
     });
   }
 });
+
+describe('runs of cancelled jobs', () => {
+  it('stops a run that a worker starts late, after its job was cancelled', async () => {
+    const harness = await createHarness();
+    await harness.advance(UPTIME_MS);
+    for (const {linkFaults} of harness.nodes)
+      Object.assign(linkFaults, {
+        applyNextLate: 1,
+        lateMs: 8_000,
+        reachesNextProcess: true,
+      });
+    const {jobId, workerId} = await submitAndSendStart(harness, {
+      isLongRunning: true,
+    });
+    await harness.advance(10);
+    harness.restartWorker(workerId, {delayMs: 7_000});
+    await harness.advance(6_500);
+    await harness.cancel(jobId);
+    await harness.advance(SETTLE_MS);
+    expect(countRuns(harness)).to.equal(0);
+  });
+
+  it('stops the runs of a cancelled job although its coordinator is lost before they were stopped', async () => {
+    const harness = await createHarness();
+    const {jobId} = await submitAndSendStart(harness, {isLongRunning: true});
+    await harness.advance(1_000);
+    expect(countRuns(harness)).to.equal(1);
+    const coordinator = harness.getCoordinator()!;
+    coordinator.linkFaults.isPartitioned = true;
+    await harness.cancel(jobId);
+    await harness.advance(200);
+    void coordinator.role.stop();
+    await harness.advance(SETTLE_MS);
+    expect(harness.getCoordinator()!).not.to.equal(coordinator);
+    expect(countRuns(harness)).to.equal(0);
+  });
+});
+
+describe('open start commands of released runs', () => {
+  it('does not run a task twice if a late start counts its lease from its arrival, after a cut', async () => {
+    const harness = await createHarness();
+    for (const {linkFaults} of harness.nodes)
+      Object.assign(linkFaults, {
+        applyNextLate: 1,
+        lateMs: 8_000,
+        shiftsLateLeases: true,
+      });
+    const {workerId} = await submitAndSendStart(harness, {
+      estimatedMs: 6_000,
+    });
+    await harness.advance(10);
+    for (const {linkFaults} of harness.nodes)
+      linkFaults.unreachableWorkers.add(workerId);
+    await harness.advance(6_500);
+    for (const {linkFaults} of harness.nodes)
+      linkFaults.unreachableWorkers.delete(workerId);
+    await harness.advance(SETTLE_MS);
+    expect(harness.checker.violations).to.deep.equal([]);
+  });
+
+  it('does not run a task twice if a worker restarts after it has excluded the run', async () => {
+    const harness = await createHarness();
+    await harness.advance(UPTIME_MS);
+    for (const {linkFaults} of harness.nodes)
+      Object.assign(linkFaults, {
+        applyNextLate: 1,
+        lateMs: 3_000,
+        reachesNextProcess: true,
+      });
+    const {workerId} = await submitAndSendStart(harness, {
+      estimatedMs: 6_000,
+    });
+    await harness.advance(100);
+    const worker = harness.workers.get(workerId)!;
+    worker.behavior.startRefusal = 'unhealthy';
+    harness.unregister(workerId);
+    await harness.advance(1_200);
+    worker.behavior.startRefusal = undefined;
+    harness.restartWorker(workerId, {delayMs: 300});
+    await harness.advance(SETTLE_MS);
+    expect(harness.checker.violations).to.deep.equal([]);
+  });
+});
