Release a lapsed run only after the latest lease of its start commands

What callers could see: two runs of one task, in a window of the delay of a report. Cause: a run with an open start is released once the worker's clock has passed the lease of the last start. A report that was delayed sets the estimate of that clock back, so that a later start may carry an earlier lease than the open one before it. Change: the latest of the leases counts.

Evidence: 'does not release a run before the latest lease of its start commands has expired' failed before (released too early) and passes now.

--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -23,8 +23,8 @@
    */
   commandResponseMs: number | undefined;
   /**
-   * Lease expiry in the last start command, on the clock of the worker process,
-   * which rejects the command from then on. Absent until one was sent.
+   * Latest lease expiry in the start commands, on the clock of the worker process,
+   * which rejects all of them from then on. Absent until one was sent.
    */
   startLeaseUntilMs?: number;
 }
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -620,7 +620,10 @@
   ): Promise<Result<void, JobWorkerError>> {
     const {run, job, task} = assigned;
     const leaseUntilMs = this.grantLease();
-    assigned.startLeaseUntilMs = leaseUntilMs;
+    assigned.startLeaseUntilMs = Math.max(
+      assigned.startLeaseUntilMs ?? -Infinity,
+      leaseUntilMs,
+    );
     run.openStarts++;
     const outcome = await this.options.client.startRun({
       ...this.createRunCommand(assigned),
--- a/packages/coordination/test/scripted_job_worker_client.ts
+++ b/packages/coordination/test/scripted_job_worker_client.ts
@@ -25,6 +25,8 @@
   readonly stopCommands: RunCommand[] = [];
   readonly cpuLimitCommands: CpuLimitCommand[] = [];
   readonly renewals: LeaseRenewal[] = [];
+  /** Delays the next response to a start command until it is resolved. */
+  startGate: Promise<void> | undefined;
   /** Delays the next response to a stop command until it is resolved. */
   stopGate: Promise<void> | undefined;
   /** Report of the worker; no response while undefined. */
@@ -46,7 +48,11 @@
     command: StartRunCommand,
   ): Promise<Result<void, JobWorkerError>> {
     this.startCommands.push(command);
-    return toResult(this.startResponses.shift() ?? 'done');
+    const response = this.startResponses.shift() ?? 'done';
+    const gate = this.startGate;
+    this.startGate = undefined;
+    await gate;
+    return toResult(response);
   }
 
   override async stopRun(
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -267,6 +267,32 @@
       expect(releasedRuns).to.deep.equal([assigned]);
       session.stop();
     });
+
+    it('does not release a run before the latest lease of its start commands has expired', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned, releasedRuns} = fixture;
+      for (let count = 0; count < 200; count++)
+        client.stopResponses.push('unhealthy');
+      void session.run();
+      await fixture.report({clockMs: 1_000});
+      client.startResponses.push('none', 'unhealthy');
+      let openGate = (): void => undefined;
+      client.startGate = new Promise(resolve => {
+        openGate = resolve;
+      });
+      void session.startRun(assigned);
+      // A report that was delayed on its way sets the estimate of the worker's clock back.
+      await fixture.report({clockMs: 500});
+      openGate();
+      await clock.advance(SETTLE_MS);
+      const leases = client.startCommands.map(each => each.leaseUntilMs);
+      expect(leases[1]).to.be.below(leases[0]);
+      await fixture.report({clockMs: leases[0] - 1});
+      expect(releasedRuns).to.be.empty;
+      await fixture.report({clockMs: leases[0] + 1});
+      expect(releasedRuns).to.deep.equal([assigned]);
+      session.stop();
+    });
   });
 
   describe('setRunCpuLimit', () => {
