--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -102,8 +102,8 @@
 }
 
 describe('WorkerSession', () => {
-  describe('reports', () => {
-    it('exclude a worker from new runs while it lists a run of an unknown task', async () => {
+  describe('applying a report', () => {
+    it('excludes the worker from new runs while it lists a run of an unknown task', async () => {
       const fixture = SessionFixture.create();
       const {session, client} = fixture;
       void session.run();
@@ -118,9 +118,9 @@
     });
 
     for (const hasOtherRun of [false, true]) {
-      const verb = hasOtherRun ? 'stop' : 'keep';
-      const task = hasOtherRun ? 'with another run' : 'without another run';
-      it(`${verb} an unassigned run of a task ${task}`, async () => {
+      const verb = hasOtherRun ? 'stops' : 'keeps';
+      const task = hasOtherRun ? 'that has another' : 'without any other';
+      it(`${verb} a run that is not assigned, of a task ${task}`, async () => {
         const fixture = SessionFixture.create();
         const {session, client, assigned} = fixture;
         const {task, run} = assigned;
@@ -137,7 +137,7 @@
       });
     }
 
-    it('of a later process make the response to an earlier stop command void', async () => {
+    it('of a later process disregards the response to an earlier stop command', async () => {
       const fixture = SessionFixture.create();
       const {session, client, clock, assigned, releasedRuns} = fixture;
       void session.run();
--- a/packages/experiments/test/filler_takeover.test.ts
+++ b/packages/experiments/test/filler_takeover.test.ts
@@ -32,7 +32,7 @@
 }
 
 describe('a filler that the previous coordinator paused', () => {
-  it('continues beside no serving task', async () => {
+  it('is resumed when its worker has no serving task', async () => {
     const performanceModel = new LimitedSpeedModel();
     const harness = JobHarness.create({workers: 1, performanceModel});
     await harness.advance(START_MS);
--- a/packages/standins/src/job_worker_model.ts
+++ b/packages/standins/src/job_worker_model.ts
@@ -112,6 +112,7 @@
   smoothedResponseMs: number;
   /** Timer of the end of the run, by completion or by a stop command. */
   timer: Timer | undefined;
+  /** Whether a stop command was executed that takes effect when the timer fires. */
   isStopping: boolean;
 }
 
