Log the jobs that have not started, the age of the job feed and what a takeover restores

What callers saw: a queue length of 0 while jobs waited. The logs had neither the published count nor what a new coordinator concluded from the stored jobs, so that a wrong count, unknown jobs and an old status looked alike.

Change: fleet-load has the jobs without a started task by queue and the age of the job feed; the new event state-restored gives the restored jobs, the started ones and those whose runs are to be confirmed.

Evidence: build, lint and the event catalogue's test pass; no logic is changed.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -18,7 +18,13 @@
 } from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {CommitLog} from './commit_log.js';
-import {formatFleetLoad, formatPlacedStep, formatRun} from './fleet_report.js';
+import {
+  formatFleetLoad,
+  formatPlacedStep,
+  formatQueueLoads,
+  formatRestoredJobs,
+  formatRun,
+} from './fleet_report.js';
 import {JobTracker} from './job_tracker.js';
 import {JobRetention} from './job_retention.js';
 import {ProgressWriter} from './progress_writer.js';
@@ -122,6 +128,7 @@
   private readonly writer: ProgressWriter;
   private readonly retention: JobRetention;
   private readonly followers: TableFollower[] = [];
+  private jobFollower: TableFollower | undefined;
   /** Number of runs in this term, by step for gangs and by task name for other tasks. */
   private readonly runCounters = new Map<StepState | string, number>();
   private isPassScheduled = false;
@@ -345,6 +352,7 @@
       },
       onChanges: changes => this.handleJobChanges(changes.rows),
     });
+    this.jobFollower = jobs;
     while (this.endReason === undefined && !this.isLoaded) {
       const [hasWorkers, hasJobs, progress, effects] = await Promise.all([
         workers.readSnapshot(),
@@ -379,6 +387,8 @@
     this.workerPool.adoptRuns(this.jobTracker.getActiveJobs());
     this.jobTracker.cancelRestoredJobs();
     this.isLoaded = true;
+    const detail = formatRestoredJobs(this.jobTracker.getActiveJobs());
+    this.options.events.addEvent('state-restored', {detail});
   }
 
   private createFollower(
@@ -580,7 +590,11 @@
   private logLoad(nowMs: number): void {
     this.lastLoadLogMs = nowMs;
     const waiting = this.getWaitingSteps(this.options.clock.getWallMs());
-    const detail = formatFleetLoad(this.workerPool.getSessions(), waiting);
+    const detail = [
+      formatFleetLoad(this.workerPool.getSessions(), waiting),
+      formatQueueLoads(this.jobTracker.getQueueLoads()),
+      `job feed ${Math.round(this.jobFollower?.getResponseAgeMs() ?? Infinity)} ms old`,
+    ].join(', ');
     this.options.events.addEvent('fleet-load', {detail});
   }
 
--- a/packages/coordination/src/fleet_report.ts
+++ b/packages/coordination/src/fleet_report.ts
@@ -1,6 +1,7 @@
 /** Formats runs and summaries of placements and of the fleet's load for the event log. */
 
-import {TaskRun} from '@mustardlug/jobs/job_state';
+import {JobState, TaskRun} from '@mustardlug/jobs/job_state';
+import {QueueLoad} from './coordinator_status.js';
 import {isWaitingTask, PlacedStep} from './placement_pass.js';
 import {WaitingStep} from './task_order.js';
 import {WorkerLoad} from './worker_load.js';
@@ -52,6 +53,35 @@
   ].join(', ');
 }
 
+/**
+ * Formats the number of jobs that have not started, by name of the queue.
+ * @param loads - Load by name of the queue.
+ */
+export function formatQueueLoads(
+  loads: Readonly<Record<string, QueueLoad>>,
+): string {
+  const parts = Object.entries(loads).map(
+    ([name, {waitingJobs}]) => `${name} ${waitingJobs}`,
+  );
+  return `jobs not started ${parts.length === 0 ? 'none' : parts.join(' ')}`;
+}
+
+/**
+ * Formats what the stored state tells about the jobs that a coordinator takes over.
+ * @param jobs - Restored jobs that have not ended or that have active runs.
+ */
+export function formatRestoredJobs(jobs: Iterable<JobState>): string {
+  let jobCount = 0;
+  let startedCount = 0;
+  let unconfirmedCount = 0;
+  for (const job of jobs) {
+    jobCount++;
+    if (job.hasStarted) startedCount++;
+    else if (job.hasRuns()) unconfirmedCount++;
+  }
+  return `${jobCount} jobs, ${startedCount} started, ${unconfirmedCount} with runs to be confirmed`;
+}
+
 function sumCores(
   loads: readonly WorkerLoad[],
   getMillis: (load: WorkerLoad) => number,
--- a/packages/coordination/src/table_follower.ts
+++ b/packages/coordination/src/table_follower.ts
@@ -56,6 +56,8 @@
   private isStopped = false;
   private outageStartMs: number | undefined;
   private version: number | undefined;
+  /** Monotonic time of the last response of the store. */
+  private lastResponseMs = -Infinity;
 
   private constructor(private readonly options: TableFollowerOptions) {}
 
@@ -97,6 +99,11 @@
     return this.options.clock.getMonotonicMs() - this.outageStartMs;
   }
 
+  /** Gets the time since the last response of the store; infinite before the first one. */
+  getResponseAgeMs(): number {
+    return this.options.clock.getMonotonicMs() - this.lastResponseMs;
+  }
+
   /** Stops following the table. The listener is not called afterwards. */
   stop(): void {
     this.isStopped = true;
@@ -139,6 +146,7 @@
   }
 
   private recordResponse(): void {
+    this.lastResponseMs = this.options.clock.getMonotonicMs();
     if (this.outageStartMs === undefined) return;
     this.outageStartMs = undefined;
     this.options.listener.onStoreRegained();
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -318,6 +318,11 @@
     level: 'debug',
     text: 'A worker did not respond to a start or stop command, which may still take effect.',
   },
+  'state-restored': {
+    number: 844,
+    level: 'info',
+    text: 'A coordinator read the stored jobs and their progress at the start of its term.',
+  },
   'worker-restored': {
     number: 836,
     level: 'info',
