--- a/packages/experiments/test/job_queue_length.test.ts
+++ b/packages/experiments/test/job_queue_length.test.ts
@@ -9,13 +9,19 @@
 
 const START_MS = 2_500;
 
+/** Time after which the lease of a crashed worker has ended and its runs are given up. */
+const LEASE_END_MS = 7_000;
+
 /** Time after which a changed queue length is published. */
 const PUBLICATION_MS = 1_500;
 
-function getWaitingJobs(harness: JobHarness): number {
+function getQueues(harness: JobHarness) {
   const [row] = harness.store.getTableRows(STATUS_TABLE);
-  const {queues} = decodeRowValue<CoordinatorStatus>(row.value);
-  return queues?.[SAMPLE_QUEUE.name]?.waitingJobs ?? 0;
+  return decodeRowValue<CoordinatorStatus>(row.value).queues;
+}
+
+function getWaitingJobs(harness: JobHarness): number {
+  return getQueues(harness)?.[SAMPLE_QUEUE.name]?.waitingJobs ?? 0;
 }
 
 function setLateProbability(harness: JobHarness, probability: number): void {
@@ -46,4 +52,30 @@
     await harness.advance(4 * PUBLICATION_MS);
     expect(getWaitingJobs(harness)).to.equal(0);
   });
+
+  it('counts a job whose only run was lost before it began, after a takeover', async () => {
+    const harness = JobHarness.create({workers: 1});
+    await harness.advance(START_MS);
+    const [worker] = harness.workers.values();
+    worker.crash();
+    await harness.submit([createSampleStep(1)]);
+    await harness.advance(LEASE_END_MS);
+    expect(getWaitingJobs(harness)).to.equal(1);
+    harness.killNode(harness.getCoordinator()!);
+    await harness.advance(4 * PUBLICATION_MS);
+    expect(getWaitingJobs(harness)).to.equal(1);
+  });
+
+  it('does not count a job whose started run was lost, after a takeover', async () => {
+    const harness = JobHarness.create({workers: 1});
+    await harness.advance(START_MS);
+    const [worker] = harness.workers.values();
+    await harness.submit([createSampleStep(1, {isLongRunning: true})]);
+    await harness.advance(PUBLICATION_MS);
+    worker.crash();
+    await harness.advance(LEASE_END_MS);
+    harness.killNode(harness.getCoordinator()!);
+    await harness.advance(4 * PUBLICATION_MS);
+    expect(getWaitingJobs(harness)).to.equal(0);
+  });
 });
