Store whether a job has started, instead of taking it from its phase

Cause: a job's phase leaves pending when a run is placed and stored. A run that is placed on a worker that has just crashed never begins and is given up 5.5 s later.

Change: the stored progress tells whether a worker has confirmed a run. Rows of earlier builds lack the field: there a done task, a failure, a checkpoint or a finished occurrence shows that the job began.

A run that was confirmed after the last write of its job, and lost with its worker across a takeover, is counted as waiting: the count is too high then, never too low.

--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -36,6 +36,11 @@
   readonly phase: JobPhase;
   readonly nextOccurrence: number;
   readonly occurrences: readonly StoredOccurrence[];
+  /**
+   * Whether a worker has confirmed a run of the job; absent if not. The phase does
+   * not tell: it is `running` as soon as a run is placed.
+   */
+  readonly hasStarted?: true;
   /** Wall-clock time at which the job ended; determines when its rows are purged. */
   readonly endedMs?: number;
 }
@@ -84,7 +89,8 @@
         : {number, steps, doneTaskRuns},
     );
   }
-  return {phase, nextOccurrence, occurrences, endedMs};
+  const hasStarted = job.hasStarted || undefined;
+  return {phase, nextOccurrence, occurrences, hasStarted, endedMs};
 }
 
 /**
@@ -117,8 +123,22 @@
     }
     job.occurrences.set(number, occurrence);
   }
-  // Until reports confirm the restored runs, it is not known whether they have started.
-  job.hasStarted = job.phase !== 'pending' && !job.hasRuns();
+  // Rows of earlier versions lack the field, but the results of runs may show it.
+  job.hasStarted = (stored.hasStarted ?? false) || hasResults(job);
+}
+
+/** Checks whether any run of the job has left a result, a failure or a checkpoint. */
+function hasResults({nextOccurrence, occurrences}: JobState): boolean {
+  // Occurrences are removed when they are done.
+  if (occurrences.size < nextOccurrence) return true;
+  for (const {steps} of occurrences.values()) {
+    for (const {doneCount, tasks} of steps) {
+      if (doneCount > 0) return true;
+      if (tasks.some(task => task.failures > 0 || task.checkpoint !== ''))
+        return true;
+    }
+  }
+  return false;
 }
 
 function toStoredTask(task: TaskState): StoredTask {
--- a/packages/jobs/test/job_model.test.ts
+++ b/packages/jobs/test/job_model.test.ts
@@ -190,4 +190,30 @@
       endedMs: 2_000,
     });
   });
+
+  it('restores whether it has started, apart from its phase', () => {
+    for (const hasStarted of [false, true]) {
+      const job = createJob();
+      job.createDueOccurrences(2_000);
+      job.phase = 'running';
+      job.hasStarted = hasStarted;
+      const restored = createJob();
+      restoreProgress(restored, toStoredProgress(job), 0);
+      expect(restored.hasStarted).to.equal(hasStarted);
+    }
+  });
+
+  it('has started if a row of an earlier version shows a result', () => {
+    const steps = [[[0, '1-2']], [[1, '']], [1]];
+    for (const tasks of steps) {
+      const stored = {
+        phase: 'running',
+        nextOccurrence: 1,
+        occurrences: [{number: 0, steps: [tasks]}],
+      };
+      const restored = createJob();
+      restoreProgress(restored, stored as unknown as StoredProgress, 0);
+      expect(restored.hasStarted).to.equal(true);
+    }
+  });
 });
