Count the age of the coordinator status from its writing, not from its arrival

What callers saw: a queue length may be at most 2 s old. A status that arrived seconds after it was written was shown for 2 s more.

Cause: a node measured the age from the arrival of the status. A response of the change feed may take up to 10 s while parts of it keep arriving, and a status may be written late.

Change: the age counts from the earliest time at which the status may have been written: the time at which the call was sent, less the difference between the store's time and the time in the status. The stand-in store learns change feeds whose responses arrive late.

Evidence: 'is not given by a status that was written too long ago' got an age of 31 ms for a status of 3 s before, and passes now. Tests of the caller interface, the election and the queue length pass.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -593,7 +593,7 @@
     const detail = [
       formatFleetLoad(this.workerPool.getSessions(), waiting),
       formatQueueLoads(this.jobTracker.getQueueLoads()),
-      `job feed ${Math.round(this.jobFollower?.getResponseAgeMs() ?? Infinity)} ms old`,
+      `job feed ${Math.round(this.jobFollower?.getMaxAgeMs() ?? Infinity)} ms old`,
     ].join(', ');
     this.options.events.addEvent('fleet-load', {detail});
   }
--- a/packages/coordination/src/table_follower.ts
+++ b/packages/coordination/src/table_follower.ts
@@ -15,8 +15,9 @@
   /**
    * Receives all rows, which replace everything received before.
    * @param rows - Rows of the table.
+   * @param storeMs - Time of the store when the first of them was read, in milliseconds.
    */
-  onSnapshot(rows: readonly StoredRow[]): void;
+  onSnapshot(rows: readonly StoredRow[], storeMs: number): void;
   /**
    * Receives the changes since the last call. Also called without rows when a
    * wait ended without changes.
@@ -56,8 +57,8 @@
   private isStopped = false;
   private outageStartMs: number | undefined;
   private version: number | undefined;
-  /** Monotonic time of the last response of the store. */
-  private lastResponseMs = -Infinity;
+  /** Monotonic time at which the last successful call was sent. */
+  private lastSentMs = -Infinity;
 
   private constructor(private readonly options: TableFollowerOptions) {}
 
@@ -79,7 +80,8 @@
 
   /** Reads a snapshot once, and returns whether that succeeded. */
   async readSnapshot(): Promise<boolean> {
-    const {store, table, part} = this.options;
+    const {store, clock, table, part} = this.options;
+    const sentMs = clock.getMonotonicMs();
     const snapshot =
       part === undefined
         ? await getTableRows(store, table)
@@ -89,7 +91,7 @@
       await this.handleFailure(snapshot.error.message);
       return false;
     }
-    this.applySnapshot(snapshot.value);
+    this.applySnapshot(snapshot.value, sentMs);
     return true;
   }
 
@@ -99,9 +101,12 @@
     return this.options.clock.getMonotonicMs() - this.outageStartMs;
   }
 
-  /** Gets the time since the last response of the store; infinite before the first one. */
-  getResponseAgeMs(): number {
-    return this.options.clock.getMonotonicMs() - this.lastResponseMs;
+  /**
+   * Gets the maximum age of the received contents: the time since the last
+   * successful call was sent. Infinite before the first one.
+   */
+  getMaxAgeMs(): number {
+    return this.options.clock.getMonotonicMs() - this.lastSentMs;
   }
 
   /** Stops following the table. The listener is not called afterwards. */
@@ -109,18 +114,19 @@
     this.isStopped = true;
   }
 
-  private applySnapshot(snapshot: TableSnapshot): void {
-    this.recordResponse();
+  private applySnapshot(snapshot: TableSnapshot, sentMs: number): void {
+    this.recordResponse(sentMs);
     this.version = snapshot.version;
-    this.options.listener.onSnapshot(snapshot.rows);
+    this.options.listener.onSnapshot(snapshot.rows, snapshot.storeMs);
   }
 
   private async readChanges(afterVersion: number): Promise<void> {
-    const {store, table, waitMs, listener} = this.options;
+    const {store, clock, table, waitMs, listener} = this.options;
+    const sentMs = clock.getMonotonicMs();
     const changes = await store.getChanges({table, afterVersion, waitMs});
     if (this.isStopped) return;
     if (changes.isOk()) {
-      this.recordResponse();
+      this.recordResponse(sentMs);
       this.version = Math.max(afterVersion, changes.value.version);
       listener.onChanges(changes.value);
       await this.pauseBetweenCalls();
@@ -145,8 +151,8 @@
     await clock.sleep(READ_RETRY_MS);
   }
 
-  private recordResponse(): void {
-    this.lastResponseMs = this.options.clock.getMonotonicMs();
+  private recordResponse(sentMs: number): void {
+    this.lastSentMs = sentMs;
     if (this.outageStartMs === undefined) return;
     this.outageStartMs = undefined;
     this.options.listener.onStoreRegained();
--- a/packages/experiments/test/job_queue_length.test.ts
+++ b/packages/experiments/test/job_queue_length.test.ts
@@ -15,6 +15,12 @@
 /** Time after which a changed queue length is published. */
 const PUBLICATION_MS = 1_500;
 
+/** Time by which a feed is late; above the 2 s up to which a queue length may be out of date. */
+const FEED_DELAY_MS = 3_000;
+
+/** Interval at which the published status is checked. */
+const ROUND_MS = 100;
+
 function getQueues(harness: JobHarness) {
   const [row] = harness.store.getTableRows(STATUS_TABLE);
   return decodeRowValue<CoordinatorStatus>(row.value).queues;
@@ -78,4 +84,17 @@
     await harness.advance(4 * PUBLICATION_MS);
     expect(getWaitingJobs(harness)).to.equal(0);
   });
+
+  it('is not given by a status that was written too long ago', async () => {
+    const harness = JobHarness.create();
+    await harness.advance(START_MS);
+    const node = harness.nodes.find(each => !each.role.isCoordinating())!;
+    node.storeFaults.feedDelaysMs.set(STATUS_TABLE, FEED_DELAY_MS);
+    await harness.advance(FEED_DELAY_MS);
+    for (let round = 0; round < 2 * FEED_DELAY_MS; round += ROUND_MS) {
+      await harness.advance(ROUND_MS);
+      const {ageMs} = node.role.getCoordinatorStatus()!;
+      expect(ageMs).to.be.at.least(FEED_DELAY_MS);
+    }
+  });
 });
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -63,10 +63,10 @@
   readonly processorShare: number;
 }
 
-/** Coordinator status with the monotonic time at which it was received. */
+/** Coordinator status with the earliest monotonic time at which it may have been written. */
 interface ReceivedStatus {
   readonly status: CoordinatorStatus;
-  readonly receivedMs: number;
+  readonly writtenMs: number;
 }
 
 /** Follows the coordinator's status, and takes over the role when its holder has failed. */
@@ -92,10 +92,10 @@
       waitMs: FEED_WAIT_MS,
       getPauseMs: () => this.getPollDelayMs(),
       listener: {
-        onSnapshot: rows => this.applySnapshot(rows),
+        onSnapshot: (rows, storeMs) => this.applySnapshot(rows, storeMs),
         onChanges: changes => {
           this.storeMs = changes.storeMs;
-          this.applyRows(changes.rows);
+          this.applyRows(changes.rows, changes.storeMs);
           this.handleStoreResponse();
         },
         onStoreLost: reason => {
@@ -131,12 +131,12 @@
     await this.coordinator?.stop();
   }
 
-  /** Gets the last status received from the coordinator, and the time since it was received. */
+  /** Gets the last status received from the coordinator, and the maximum time since it was written. */
   getCoordinatorStatus():
     {status: CoordinatorStatus; ageMs: number} | undefined {
     if (this.received === undefined) return undefined;
-    const {status, receivedMs} = this.received;
-    return {status, ageMs: this.options.clock.getMonotonicMs() - receivedMs};
+    const {status, writtenMs} = this.received;
+    return {status, ageMs: this.options.clock.getMonotonicMs() - writtenMs};
   }
 
   /** Gets how long the store has been unavailable to this node; undefined while it responds. */
@@ -149,19 +149,22 @@
     return this.coordinator !== undefined;
   }
 
-  private applySnapshot(rows: readonly StoredRow[]): void {
+  private applySnapshot(rows: readonly StoredRow[], storeMs: number): void {
     if (rows.length === 0) this.election.recordStatus(undefined);
-    this.applyRows(rows);
+    this.applyRows(rows, storeMs);
     void this.maybeTakeOver();
   }
 
-  private applyRows(rows: readonly StoredRow[]): void {
+  private applyRows(rows: readonly StoredRow[], storeMs: number): void {
     for (const row of rows) {
       if (row.key !== SINGLE_ROW_KEY) continue;
       const status = decodeRowValue<CoordinatorStatus>(row.value);
       this.election.recordStatus(status);
-      const receivedMs = this.options.clock.getMonotonicMs();
-      this.received = {status, receivedMs};
+      // The store read the row after the call was sent, at its time `storeMs`.
+      const sentMs =
+        this.options.clock.getMonotonicMs() - this.follower.getMaxAgeMs();
+      const ageMs = Math.max(0, storeMs - status.writtenStoreMs);
+      this.received = {status, writtenMs: sentMs - ageMs};
     }
   }
 
--- a/packages/platform/src/row_store.ts
+++ b/packages/platform/src/row_store.ts
@@ -138,6 +138,8 @@
   readonly rows: readonly StoredRow[];
   /** Version from which the change feed must be read to miss no change. */
   readonly version: number;
+  /** Time of the store when the first row was read, in milliseconds. */
+  readonly storeMs: number;
 }
 
 /**
@@ -153,6 +155,7 @@
 ): Promise<Result<TableSnapshot, UnavailableError>> {
   const rows: StoredRow[] = [];
   let version: number | undefined;
+  let storeMs: number | undefined;
   let fromKey: string | undefined;
   for (;;) {
     const page = await store.getRows({table, part, fromKey});
@@ -160,8 +163,9 @@
     rows.push(...page.value.rows);
     // Later pages may contain newer rows. Reading the change feed from the version of the first page misses no change.
     version ??= page.value.version;
+    storeMs ??= page.value.storeMs;
     if (!page.value.hasMore || page.value.rows.length === 0)
-      return ok({rows, version});
+      return ok({rows, version, storeMs});
     // Smallest key greater than the last one of this page.
     fromKey = `${rows[rows.length - 1].key}\u0000`;
   }
@@ -189,5 +193,6 @@
     if (snapshot.isErr()) return err(snapshot.error);
     rows.push(...snapshot.value.rows);
   }
-  return ok({rows, version: before.value.version});
+  const {version, storeMs} = before.value;
+  return ok({rows, version, storeMs});
 }
--- a/packages/standins/src/memory_row_store.ts
+++ b/packages/standins/src/memory_row_store.ts
@@ -36,6 +36,8 @@
   applyNextLate: number;
   /** Delay of the writes that `applyNextLate` counts. */
   lateMs: number;
+  /** Time by which responses of the change feed arrive late, by table. */
+  readonly feedDelaysMs: Map<string, number>;
 }
 
 /** Creates fault settings without active faults. */
@@ -47,6 +49,7 @@
     loseNextAnswers: 0,
     applyNextLate: 0,
     lateMs: 2_000,
+    feedDelaysMs: new Map(),
   };
 }
 
@@ -282,10 +285,19 @@
     request: ChangeRequest,
   ): Promise<Result<RowChanges, HistoryGoneError | UnavailableError>> {
     const outcome = await this.pollChanges(request);
+    const delayMs = this.getFeedDelayMs(request.table);
+    if (delayMs > 0) await this.clock.sleep(delayMs);
     await this.waitUntilResumed();
     return outcome;
   }
 
+  private getFeedDelayMs(table: string): number {
+    const delaysMs = [this.clientFaults, this.store.faults].map(
+      faults => faults.feedDelaysMs.get(table) ?? 0,
+    );
+    return Math.max(...delaysMs);
+  }
+
   private async waitUntilResumed(): Promise<void> {
     if (!this.nodeClock.isRunning()) await this.nodeClock.sleep(0);
   }
