Publish queue lengths only while the changes of the job table arrive in time

What callers saw: a queue length that lacks the jobs which the coordinator has not read yet.

Cause: the coordinator wrote its status, with the lengths, every 300 to 550 ms, whether its feed of the job table got responses or not. A response of which parts keep arriving may take 10 s.

Change: the status has no lengths while the last successful call to the feed was sent more than 2 s ago; nodes then answer 503 with a Retry-After, as they do before the first status.

Evidence: 'is not published while changes of the job table arrive late' read an empty list of queues before ({} instead of none) while a job waited, and passes now.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -18,6 +18,7 @@
 } from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {CommitLog} from './commit_log.js';
+import {QueueLoad} from './coordinator_status.js';
 import {
   formatFleetLoad,
   formatPlacedStep,
@@ -82,6 +83,12 @@
 /** Maximum time that one call waits for changes of a table. */
 const CHANGE_POLL_TIMEOUT_MS = 1_000;
 
+/**
+ * Maximum age of the received jobs for publishing queue lengths; the same as
+ * that of a published length on the nodes that show it.
+ */
+const MAX_JOBS_AGE_MS = 2_000;
+
 /** Delay before another attempt to read the shared state. */
 const SNAPSHOT_RETRY_MS = 50;
 
@@ -168,8 +175,7 @@
       commitLog,
       nodeId,
       interferenceModel: this.workerSupervisor.getInterferenceModel(),
-      getQueueLoads: () =>
-        this.isLoaded ? this.jobTracker.getQueueLoads() : undefined,
+      getQueueLoads: () => this.getQueueLoads(),
     });
     this.retention = JobRetention.create({
       store: options.store,
@@ -500,6 +506,13 @@
     }
   }
 
+  /** Gets the load by name of the queue, or `undefined` while accepted jobs may be unknown here. */
+  private getQueueLoads(): Record<string, QueueLoad> | undefined {
+    const jobsAgeMs = this.jobFollower?.getMaxAgeMs() ?? Infinity;
+    if (!this.isLoaded || jobsAgeMs > MAX_JOBS_AGE_MS) return undefined;
+    return this.jobTracker.getQueueLoads();
+  }
+
   private getWaitingSteps(wallMs: number): WaitingStep[] {
     const jobs = this.jobTracker.getActiveJobs();
     return getWaitingSteps(jobs, job => this.jobTracker.getQueue(job), wallMs);
--- a/packages/coordination/src/coordinator_status.ts
+++ b/packages/coordination/src/coordinator_status.ts
@@ -14,6 +14,6 @@
   readonly holder: string;
   /** Time of the store when the status was written, in milliseconds. */
   readonly writtenStoreMs: number;
-  /** Load by name of the queue; absent until the holder has read all jobs. */
+  /** Load by name of the queue; absent while the holder may not know all accepted jobs. */
   readonly queues?: Readonly<Record<string, QueueLoad>>;
 }
--- a/packages/coordination/src/progress_writer.ts
+++ b/packages/coordination/src/progress_writer.ts
@@ -20,7 +20,7 @@
   readonly commitLog: CommitLog;
   readonly nodeId: string;
   readonly interferenceModel: InterferenceModel;
-  /** Returns the load by name of the queue, or `undefined` until all jobs have been read. */
+  /** Returns the load by name of the queue, or `undefined` while accepted jobs may be unknown. */
   readonly getQueueLoads: () => Record<string, QueueLoad> | undefined;
 }
 
--- a/packages/experiments/test/job_queue_length.test.ts
+++ b/packages/experiments/test/job_queue_length.test.ts
@@ -1,4 +1,5 @@
 import {CoordinatorStatus} from '@mustardlug/coordination/coordinator_status';
+import {JOB_TABLE} from '@mustardlug/coordination/tables';
 import {decodeRowValue} from '@mustardlug/jobs/job_codec';
 import {createSampleStep, SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {expect} from 'chai';
@@ -97,4 +98,21 @@
       expect(ageMs).to.be.at.least(FEED_DELAY_MS);
     }
   });
+
+  it('is not published while changes of the job table arrive late', async () => {
+    const harness = JobHarness.create();
+    await harness.advance(START_MS);
+    const coordinator = harness.getCoordinator()!;
+    coordinator.storeFaults.feedDelaysMs.set(JOB_TABLE, FEED_DELAY_MS);
+    await harness.advance(FEED_DELAY_MS);
+    for (const worker of harness.workers.values()) worker.crash();
+    await harness.submit([createSampleStep(1)]);
+    for (let round = 0; round < 2 * FEED_DELAY_MS; round += ROUND_MS) {
+      await harness.advance(ROUND_MS);
+      expect(getQueues(harness)).to.equal(undefined);
+    }
+    coordinator.storeFaults.feedDelaysMs.clear();
+    await harness.advance(2 * FEED_DELAY_MS);
+    expect(getWaitingJobs(harness)).to.equal(1);
+  });
 });
