Add failing tests of tasks that crash the workers that start them

What each shows now (75 s; the limit is two starts after three crashes): - alone, back after 3 s: 9 starts too many (new ID, with or without a response), 19 (same ID) and 16 (same ID, without a response); back after 0.1 s under the same ID: 60. Under the same ID it is started on the same worker each time. - a takeover after each start (150 s): 7 too many, with and without a response; one takeover after the second start: the count goes on without bound, from start 6 at 36 s. - several tasks of a step, a long-running task, one of three long-running tasks, a filler, all members and one member of a gang, a speculative task and a task of the second step: all are started a sixth time and more. - beside other jobs on 4 and on 12 workers, for 20 s: as alone; the other jobs complete. - beside waves of a third and of half of the workers: a harmless job is still running 75 s after the last wave.

Pass now and must keep passing: five waves 6 s apart of a third and of half of the workers (new ID, same ID, all workers starting tasks, each wave 10 ms after a task's start, takeovers in between), the loss of a rack, flapping workers, single crashes, cut-off workers that run on, draining workers.

--- /dev/null
+++ b/packages/experiments/test/crashing_tasks.test.ts
@@ -0,0 +1,452 @@
+import {expect} from 'chai';
+import {StepSpec} from '@mustardlug/jobs/job_spec';
+import {parseTaskName, TaskName} from '@mustardlug/jobs/task_name';
+import {createSampleStep} from '@mustardlug/standins/sample_jobs';
+import {
+  CrashRecovery,
+  JobHarness,
+  JobHarnessOptions,
+} from '../src/job_harness.js';
+
+/** Time for the first election. */
+const START_MS = 2_500;
+
+/** Time after the last fault in which all jobs must have ended. */
+const SETTLE_MS = 75_000;
+
+/** Time after the first of several takeovers in which all jobs must have ended. */
+const TAKEOVER_SETTLE_MS = 150_000;
+
+/** Time after its start at which a task crashes its worker. */
+const CRASH_DELAY_MS = 10;
+
+/** Time within which a waiting task must be started. */
+const MAX_PLACEMENT_MS = 30_000;
+
+/** Time between two waves; about as long as the coordinator takes to place lost tasks again. */
+const WAVE_INTERVAL_MS = 6_000;
+
+const WAVE_COUNT = 5;
+
+/** Interval between the jobs of a moderate load. */
+const LOAD_INTERVAL_MS = 500;
+
+/** Interval between the jobs of a load that makes all workers start tasks all the time. */
+const HIGH_LOAD_INTERVAL_MS = 100;
+
+/** Interval at which a scenario checks whether a task was started. */
+const START_POLL_MS = 4;
+
+/** ID of the first job of a harness. */
+const FIRST_JOB_ID = '0000000000000001';
+
+const WORKER_COUNT = 12;
+
+const BACK_WITH_NEW_ID: CrashRecovery = {delayMs: 3_000, workerId: 'new'};
+const BACK_WITH_SAME_ID: CrashRecovery = {delayMs: 3_000, workerId: 'same'};
+
+const SHORT_STEP = createSampleStep(4, {estimatedMs: 300});
+const LONG_STEP = createSampleStep(2, {estimatedMs: 4_000});
+
+/** A deployment with harmless jobs and, if given, a first job with tasks that crash workers. */
+class CrashScenario {
+  readonly harness: JobHarness;
+  private readonly harmlessJobIds: string[] = [];
+  private nextNodeIndex = 3;
+  private nextWaveIndex = 0;
+
+  constructor(
+    options: JobHarnessOptions = {},
+    private readonly loadIntervalMs = LOAD_INTERVAL_MS,
+  ) {
+    this.harness = JobHarness.create({workers: WORKER_COUNT, ...options});
+  }
+
+  /**
+   * Creates a scenario in which the tasks of the first job crash their workers.
+   * @param options - Options of the harness.
+   * @param isCrashing - Selects the tasks of the first job; by default all.
+   * @param crashDelayMs - Time after the start of a task.
+   */
+  static createCrashing(
+    options: JobHarnessOptions = {},
+    isCrashing: (name: TaskName) => boolean = () => true,
+    crashDelayMs = CRASH_DELAY_MS,
+  ): CrashScenario {
+    return new CrashScenario({
+      recovery: BACK_WITH_NEW_ID,
+      ...options,
+      getCrashDelayMs: taskName => {
+        const name = parseTaskName(taskName);
+        if (name?.jobId !== FIRST_JOB_ID) return undefined;
+        return isCrashing(name) ? crashDelayMs : undefined;
+      },
+    });
+  }
+
+  /** Submits the first job, whose tasks crash workers. */
+  async submitCrashing(steps: readonly StepSpec[]): Promise<void> {
+    const {jobId} = await this.harness.submit(steps);
+    expect(jobId).to.equal(FIRST_JOB_ID);
+  }
+
+  async submitHarmless(steps: readonly StepSpec[]): Promise<string> {
+    const {harness} = this;
+    const {jobId, outcome} = await harness.submit(
+      steps,
+      harness.getHealthyNode(),
+    );
+    if (outcome.isOk()) this.harmlessJobIds.push(jobId);
+    return jobId;
+  }
+
+  /** Advances time while jobs with short and with long tasks are submitted. */
+  async advanceUnderLoad(durationMs: number): Promise<void> {
+    const {clock} = this.harness;
+    const endMs = clock.getMonotonicMs() + durationMs;
+    let count = 0;
+    while (clock.getMonotonicMs() < endMs) {
+      await this.submitHarmless([count++ % 2 === 0 ? SHORT_STEP : LONG_STEP]);
+      const remainingMs = endMs - clock.getMonotonicMs();
+      await this.harness.advance(
+        Math.max(0, Math.min(this.loadIntervalMs, remainingMs)),
+      );
+    }
+  }
+
+  /** Crashes a share of the workers, other ones each time, and those that run a task of a job. */
+  crashWave(
+    fraction: number,
+    recovery: CrashRecovery,
+    targetJobId?: string,
+  ): void {
+    const {workers} = this.harness;
+    const upIds = [...workers.keys()].filter(workerId =>
+      workers.get(workerId)?.isUp(),
+    );
+    const count = Math.round(WORKER_COUNT * fraction);
+    const firstIndex = this.nextWaveIndex;
+    this.nextWaveIndex += count;
+    const rotated = upIds.map(
+      (_, index) => upIds[(firstIndex + index) % upIds.length],
+    );
+    const targets = rotated.filter(
+      workerId =>
+        targetJobId !== undefined && this.isRunning(workerId, targetJobId),
+    );
+    const crashed = new Set([...targets, ...rotated]);
+    this.harness.crashWorkers([...crashed].slice(0, count), recovery);
+  }
+
+  /** Crashes waves of workers while jobs are submitted. */
+  async crashWavesUnderLoad(
+    fraction: number,
+    recovery: CrashRecovery,
+    afterWave: () => void = () => undefined,
+  ): Promise<void> {
+    for (let wave = 0; wave < WAVE_COUNT; wave++) {
+      await this.advanceUnderLoad(WAVE_INTERVAL_MS / 2);
+      afterWave();
+      await this.advanceUnderLoad(WAVE_INTERVAL_MS / 2);
+      this.crashWave(fraction, recovery);
+    }
+  }
+
+  replaceCoordinator(): void {
+    const coordinator = this.harness.getCoordinator();
+    if (coordinator === undefined) return;
+    this.harness.killNode(coordinator);
+    this.harness.addNode(`node-${this.nextNodeIndex++}`);
+  }
+
+  /**
+   * Advances time until a job has a run on a worker.
+   * @returns Whether it had one in time.
+   */
+  async advanceUntilRunning(jobId: string): Promise<boolean> {
+    for (let waitedMs = 0; waitedMs < MAX_PLACEMENT_MS; waitedMs++) {
+      for (const workerId of this.harness.workers.keys()) {
+        if (this.isRunning(workerId, jobId)) return true;
+      }
+      await this.harness.advance(1);
+    }
+    return false;
+  }
+
+  async expectCrashingFailed(): Promise<void> {
+    const phase = await this.harness.getPhase(FIRST_JOB_ID);
+    expect(this.harness.checker.violations).to.deep.equal([]);
+    expect(phase).to.equal('failed');
+  }
+
+  async expectHarmlessCompleted(): Promise<void> {
+    expect(this.harmlessJobIds).not.to.deep.equal([]);
+    for (const jobId of this.harmlessJobIds) {
+      const phase = await this.harness.getPhase(jobId);
+      expect(phase, `job ${jobId}`).to.equal('completed');
+    }
+    expect(this.harness.checker.violations).to.deep.equal([]);
+  }
+
+  private isRunning(workerId: string, jobId: string): boolean {
+    const runs = this.harness.workers.get(workerId)?.getRuns() ?? [];
+    for (const {taskName} of runs) {
+      if (parseTaskName(taskName)?.jobId === jobId) return true;
+    }
+    return false;
+  }
+}
+
+describe('a task that crashes the workers that start it', () => {
+  for (const [crashDelayMs, recovery] of [
+    [CRASH_DELAY_MS, BACK_WITH_NEW_ID],
+    [CRASH_DELAY_MS, BACK_WITH_SAME_ID],
+    [CRASH_DELAY_MS, {delayMs: 100, workerId: 'same'}],
+    [0, BACK_WITH_NEW_ID],
+    [0, BACK_WITH_SAME_ID],
+  ] as ReadonlyArray<[number, CrashRecovery]>) {
+    const response = crashDelayMs === 0 ? 'without' : 'after';
+    const kind = `${response} a response, back after ${recovery.delayMs} ms under the ${recovery.workerId} ID`;
+    it(`fails its job after few starts (${kind})`, async () => {
+      const scenario = CrashScenario.createCrashing(
+        {recovery},
+        () => true,
+        crashDelayMs,
+      );
+      await scenario.harness.advance(START_MS);
+      await scenario.submitCrashing([createSampleStep(1)]);
+      await scenario.harness.advance(SETTLE_MS);
+      await scenario.expectCrashingFailed();
+    });
+  }
+
+  for (const crashDelayMs of [0, CRASH_DELAY_MS]) {
+    it(`fails its job after few starts if each start is followed by a takeover (crash after ${crashDelayMs} ms)`, async () => {
+      const scenario = CrashScenario.createCrashing(
+        {},
+        () => true,
+        crashDelayMs,
+      );
+      const {harness} = scenario;
+      await harness.advance(START_MS);
+      await scenario.submitCrashing([createSampleStep(1)]);
+      let startCount = 0;
+      const endMs = harness.clock.getMonotonicMs() + TAKEOVER_SETTLE_MS;
+      while (harness.clock.getMonotonicMs() < endMs) {
+        await harness.advance(START_POLL_MS);
+        if (harness.checker.getStartCount() === startCount) continue;
+        startCount = harness.checker.getStartCount();
+        scenario.replaceCoordinator();
+      }
+      await scenario.expectCrashingFailed();
+    });
+  }
+
+  it('fails its job after few starts if the coordinator changes once, after the second start', async () => {
+    const scenario = CrashScenario.createCrashing();
+    const {harness} = scenario;
+    await harness.advance(START_MS);
+    await scenario.submitCrashing([createSampleStep(1)]);
+    for (let waitedMs = 0; waitedMs < MAX_PLACEMENT_MS; waitedMs++) {
+      if (harness.checker.getStartCount() === 2) break;
+      await harness.advance(1);
+    }
+    scenario.replaceCoordinator();
+    await harness.advance(SETTLE_MS);
+    await scenario.expectCrashingFailed();
+  });
+
+  for (const [kind, steps, isCrashing] of [
+    [
+      'several tasks of a step',
+      [createSampleStep(4)],
+      ({taskIndex}) => taskIndex !== 1,
+    ],
+    ['a long-running task', [createSampleStep(1, {isLongRunning: true})]],
+    [
+      'one of the long-running tasks of a step',
+      [createSampleStep(3, {isLongRunning: true, maxPerWorker: 1})],
+      ({taskIndex}) => taskIndex === 1,
+    ],
+    ['a filler', [createSampleStep(1, {isFiller: true})]],
+    ['all members of a gang', [createSampleStep(3, {isGang: true})]],
+    [
+      'one member of a gang',
+      [createSampleStep(3, {isGang: true})],
+      ({taskIndex}) => taskIndex === 2,
+    ],
+    ['a speculative task', [createSampleStep(2, {isSpeculative: true})]],
+    [
+      'a task of the second step',
+      [createSampleStep(4), createSampleStep(2, {dependsOn: [0]})],
+      ({stepIndex, taskIndex}) => stepIndex === 1 && taskIndex === 0,
+    ],
+  ] as ReadonlyArray<
+    [string, readonly StepSpec[], ((name: TaskName) => boolean)?]
+  >) {
+    it(`fails its job after few starts: ${kind}`, async () => {
+      const scenario = CrashScenario.createCrashing({}, isCrashing);
+      await scenario.harness.advance(START_MS);
+      await scenario.submitCrashing(steps);
+      await scenario.harness.advance(SETTLE_MS);
+      await scenario.expectCrashingFailed();
+    });
+  }
+
+  for (const workers of [4, WORKER_COUNT]) {
+    it(`does not keep jobs on the same ${workers} workers from completing`, async () => {
+      const scenario = CrashScenario.createCrashing({workers});
+      await scenario.harness.advance(START_MS);
+      await scenario.submitCrashing([createSampleStep(2)]);
+      await scenario.advanceUnderLoad(20_000);
+      await scenario.harness.advance(SETTLE_MS);
+      await scenario.expectHarmlessCompleted();
+      await scenario.expectCrashingFailed();
+    });
+  }
+});
+
+describe('jobs whose workers crash in waves', () => {
+  for (const [fraction, share] of [
+    [1 / 3, 'a third'],
+    [1 / 2, 'half'],
+  ] as const) {
+    for (const recovery of [BACK_WITH_NEW_ID, BACK_WITH_SAME_ID]) {
+      it(`complete after waves of ${share} of the workers, back under the ${recovery.workerId} ID`, async () => {
+        const scenario = new CrashScenario();
+        await scenario.harness.advance(START_MS);
+        await scenario.crashWavesUnderLoad(fraction, recovery);
+        await scenario.harness.advance(SETTLE_MS);
+        await scenario.expectHarmlessCompleted();
+      });
+    }
+
+    it(`complete after waves of ${share} of the workers while all workers start tasks`, async () => {
+      const scenario = new CrashScenario({}, HIGH_LOAD_INTERVAL_MS);
+      await scenario.harness.advance(START_MS);
+      await scenario.crashWavesUnderLoad(fraction, BACK_WITH_NEW_ID);
+      await scenario.harness.advance(SETTLE_MS);
+      await scenario.expectHarmlessCompleted();
+    });
+
+    it(`complete if each wave of ${share} of the workers follows their start`, async () => {
+      const scenario = new CrashScenario();
+      const {harness} = scenario;
+      await harness.advance(START_MS);
+      const jobId = await scenario.submitHarmless([createSampleStep(2)]);
+      for (let wave = 0; wave < WAVE_COUNT; wave++) {
+        expect(await scenario.advanceUntilRunning(jobId)).to.equal(true);
+        await harness.advance(CRASH_DELAY_MS);
+        scenario.crashWave(fraction, BACK_WITH_NEW_ID, jobId);
+      }
+      await harness.advance(SETTLE_MS);
+      await scenario.expectHarmlessCompleted();
+    });
+
+    it(`complete after waves of ${share} of the workers with takeovers in between`, async () => {
+      const scenario = new CrashScenario();
+      await scenario.harness.advance(START_MS);
+      await scenario.crashWavesUnderLoad(fraction, BACK_WITH_NEW_ID, () =>
+        scenario.replaceCoordinator(),
+      );
+      await scenario.harness.advance(SETTLE_MS);
+      await scenario.expectHarmlessCompleted();
+    });
+
+    it(`complete after waves of ${share} of the workers beside a task that crashes its workers`, async () => {
+      const scenario = CrashScenario.createCrashing();
+      await scenario.harness.advance(START_MS);
+      await scenario.submitCrashing([createSampleStep(2)]);
+      await scenario.crashWavesUnderLoad(fraction, BACK_WITH_NEW_ID);
+      await scenario.harness.advance(SETTLE_MS);
+      await scenario.expectHarmlessCompleted();
+      await scenario.expectCrashingFailed();
+    });
+  }
+});
+
+describe('jobs on workers that fail for reasons of their own', () => {
+  it('complete after the loss of a rack', async () => {
+    const rackIds = ['worker-0', 'worker-1', 'worker-2', 'worker-3'];
+    const scenario = new CrashScenario({
+      getWorkerKind: workerId => ({
+        rack: rackIds.includes(workerId) ? 'rack-1' : 'rack-2',
+      }),
+    });
+    const {harness} = scenario;
+    await harness.advance(START_MS);
+    await scenario.advanceUnderLoad(3_000);
+    harness.crashWorkers(rackIds, {delayMs: 15_000, workerId: 'new'});
+    await scenario.advanceUnderLoad(20_000);
+    await harness.advance(SETTLE_MS);
+    await scenario.expectHarmlessCompleted();
+  });
+
+  for (const workerId of ['same', 'new'] as const) {
+    it(`complete beside flapping workers, back under the ${workerId} ID`, async () => {
+      const scenario = new CrashScenario();
+      const {harness} = scenario;
+      await harness.advance(START_MS);
+      for (let flap = 0; flap < 15; flap++) {
+        const flapping = [...harness.workers].filter(([, worker]) =>
+          ['worker-0:80', 'worker-1:80'].includes(worker.getRecord().address),
+        );
+        const [id] = flapping[flap % flapping.length];
+        harness.crashWorkers([id], {delayMs: 500, workerId});
+        await scenario.advanceUnderLoad(1_500);
+      }
+      await harness.advance(SETTLE_MS);
+      await scenario.expectHarmlessCompleted();
+    });
+  }
+
+  it('complete after the crash of single workers that have just started them', async () => {
+    const scenario = new CrashScenario();
+    const {harness} = scenario;
+    await harness.advance(START_MS);
+    for (let crash = 0; crash < WAVE_COUNT; crash++) {
+      const jobId = await scenario.submitHarmless([SHORT_STEP, LONG_STEP]);
+      expect(await scenario.advanceUntilRunning(jobId)).to.equal(true);
+      scenario.crashWave(1 / WORKER_COUNT, BACK_WITH_NEW_ID, jobId);
+      await scenario.advanceUnderLoad(2_000);
+    }
+    await harness.advance(SETTLE_MS);
+    await scenario.expectHarmlessCompleted();
+  });
+
+  for (const cutMs of [3_000, 9_000]) {
+    it(`complete if workers that run on are cut off for ${cutMs} ms, again and again`, async () => {
+      const scenario = new CrashScenario();
+      const {harness} = scenario;
+      await harness.advance(START_MS);
+      for (const workerId of [
+        'worker-1',
+        'worker-4',
+        'worker-7',
+        'worker-10',
+      ]) {
+        for (const {linkFaults} of harness.nodes)
+          linkFaults.unreachableWorkers.add(workerId);
+        await scenario.advanceUnderLoad(cutMs);
+        for (const {linkFaults} of harness.nodes)
+          linkFaults.unreachableWorkers.clear();
+      }
+      await harness.advance(SETTLE_MS);
+      await scenario.expectHarmlessCompleted();
+    });
+  }
+
+  it('complete if workers drain and exit', async () => {
+    const scenario = new CrashScenario();
+    const {harness} = scenario;
+    await harness.advance(START_MS);
+    for (const workerId of ['worker-2', 'worker-5', 'worker-8', 'worker-11']) {
+      await scenario.submitHarmless([LONG_STEP]);
+      harness.register(workerId, {isDraining: true, drainRemainingMs: 2_500});
+      await scenario.advanceUnderLoad(2_500);
+      harness.crashWorkers([workerId], {delayMs: 10_000, workerId: 'new'});
+    }
+    await harness.advance(SETTLE_MS);
+    await scenario.expectHarmlessCompleted();
+  });
+});
