Give up a task after workers have crashed at its start, with evidence against it alone

Cause: a run that ends with its worker was released and placed again, and nothing counted such ends.

Change: a run is proven once a report lists it 500 ms or more after its placement. When a worker is lost, its unproven runs each add a start crash to their tasks. The crash is attributed to them unless another worker that was starting nothing was lost at the same time, unless the start got no response while others there had begun, or unless the worker was lost before the term. A task with an attributed crash, or with two, is suspected: it starts only where nothing else is being started, nothing else starts there until it is proven, and at most a fifth of the workers try suspected tasks at once. Three attributed crashes, or five of which one is attributed, fail the job. A proven run, an end that a worker lists, or a lapsed lease that a worker that runs on lists clears the count. The crashes are stored in the row that releases the run, so that each counts once over takeovers. Callers get the reason with the state failed; events start-crashed and task-given-up give the evidence.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -19,6 +19,7 @@
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {CommitLog} from './commit_log.js';
 import {QueueLoad} from './coordinator_status.js';
+import {CrashAttributor, LostWorker} from './crash_attributor.js';
 import {
   formatFleetLoad,
   formatPlacedStep,
@@ -134,6 +135,7 @@
   private readonly workerSupervisor: WorkerSupervisor;
   private readonly writer: ProgressWriter;
   private readonly retention: JobRetention;
+  private readonly crashAttributor = CrashAttributor.create();
   private readonly followers: TableFollower[] = [];
   private jobFollower: TableFollower | undefined;
   /** Number of runs in this term, by step for gangs and by task name for other tasks. */
@@ -264,6 +266,26 @@
     this.releaseRun(assigned);
   }
 
+  onWorkerLost(session: WorkerSession, lastResponseMs: number): void {
+    const lost = {...toLostWorker(session), lastResponseMs};
+    const silentWorkers = this.workerPool
+      .getSessions()
+      .filter(each => each !== session && each.hasStoppedResponding())
+      .filter(each => !each.getRecord().isDraining)
+      .map(toLostWorker);
+    const suspectedRuns = this.crashAttributor.recordLoss(
+      lost,
+      silentWorkers,
+      this.options.clock.getMonotonicMs(),
+    );
+    for (const suspected of suspectedRuns)
+      this.jobTracker.recordStartCrash(suspected);
+  }
+
+  onRunProven(assigned: AssignedRun): void {
+    this.jobTracker.recordRunProven(assigned);
+  }
+
   onProcessRestarted(session: WorkerSession, previousStartMs: number): void {
     this.options.events.addEvent('worker-restarted', {
       workerId: session.getId(),
@@ -593,8 +615,11 @@
   private tick(): void {
     if (!this.checkTerm()) return;
     const nowMs = this.options.clock.getMonotonicMs();
-    for (const assigned of this.workerPool.takeExpiredOrphans(nowMs))
+    for (const assigned of this.workerPool.takeExpiredOrphans(nowMs)) {
+      const reason = 'the worker was lost before this term';
+      this.jobTracker.recordStartCrash({assigned, isAttributed: false, reason});
       this.releaseRun(assigned);
+    }
     if (nowMs - this.lastLoadLogMs >= LOAD_LOG_INTERVAL_MS) this.logLoad(nowMs);
     if (this.isLoaded) void this.retention.purge();
     this.schedulePass();
@@ -630,6 +655,14 @@
   }
 }
 
+function toLostWorker(session: WorkerSession): LostWorker {
+  return {
+    workerId: session.getId(),
+    lastResponseMs: session.getLastResponseMs(),
+    load: session.load,
+  };
+}
+
 function getGangRunNumber(step: StepState): number | undefined {
   for (const {runs} of step.tasks) {
     if (runs.length > 0) return runs[0].runNumber;
--- a/packages/coordination/src/job_store.ts
+++ b/packages/coordination/src/job_store.ts
@@ -59,6 +59,13 @@
 /** Why a submission was not accepted. */
 export type SubmissionError = SubmissionRefusedError | UnavailableError;
 
+/** What a caller is told of a job. */
+export interface JobStatus {
+  readonly phase: JobPhase;
+  /** Why the job failed; undefined unless it did. */
+  readonly failureReason?: string;
+}
+
 /** Delay before a write without a response is repeated. */
 const WRITE_RETRY_MS = 60;
 
@@ -156,13 +163,13 @@
   }
 
   /**
-   * Gets the phase of a job.
+   * Gets the status of a job.
    * @param jobId - Identifier of the job.
    * @returns `not-found` when no such job was accepted.
    */
-  async getPhase(
+  async getStatus(
     jobId: string,
-  ): Promise<Result<JobPhase, NotFoundError | UnavailableError>> {
+  ): Promise<Result<JobStatus, NotFoundError | UnavailableError>> {
     const progress = await this.options.store.getRows({
       table: PROGRESS_TABLE,
       part: COORDINATOR_PART,
@@ -172,14 +179,16 @@
     });
     if (progress.isErr()) return err(progress.error);
     const row = progress.value.rows.at(0);
-    if (row !== undefined)
-      return ok(decodeRowValue<StoredProgress>(row.value).phase);
+    if (row !== undefined) {
+      const {phase, failureReason} = decodeRowValue<StoredProgress>(row.value);
+      return ok({phase, failureReason});
+    }
     const rows = await this.getJobRows(jobId);
     if (rows.isErr()) return err(rows.error);
     if (!rows.value.some(isAcceptedRow))
       return err(createUnknownJobError(jobId));
     const isCancelled = rows.value.some(isCancelRow);
-    return ok(isCancelled ? 'cancelled' : 'pending');
+    return ok({phase: isCancelled ? 'cancelled' : 'pending'});
   }
 
   private async getJobRows(
--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -14,7 +14,9 @@
 import {StoredRow} from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {QueueLoad} from './coordinator_status.js';
+import {SuspectedRun} from './crash_attributor.js';
 import {JobIndex} from './job_index.js';
+import {formatStartCrashes, isGivenUp} from './start_crashes.js';
 import {getTaskName} from './task_names.js';
 import {AssignedRun} from './worker_load.js';
 
@@ -159,6 +161,8 @@
     job.hasStarted = true;
     task.runs = task.runs.filter(each => each !== run);
     if (ended.checkpoint !== '') task.checkpoint = ended.checkpoint;
+    if (ended.outcome === 'done' || ended.outcome === 'failed')
+      task.startCrashes = [];
     if (!job.isEnded() && !task.isDone) {
       if (ended.outcome === 'done')
         this.recordTaskDone(job, step, task, ended.taskName);
@@ -175,17 +179,46 @@
    * @param ended - How it ended.
    */
   recordUnassignedRunEnd(ended: EndedRun): void {
-    if (ended.outcome !== 'done') return;
     const name = parseTaskName(ended.taskName);
     const job = name && this.jobIndex.findJob(name.jobId);
     if (name === undefined || job === undefined || job.isEnded()) return;
     const found = job.findTask(name.occurrence, name.stepIndex, name.taskIndex);
     if (found === undefined || found.task.isDone) return;
+    this.clearStartCrashes(job, found.task);
+    if (ended.outcome !== 'done') return;
     this.recordTaskDone(job, found.step, found.task, ended.taskName);
     this.jobIndex.updateActiveJobs(job);
     this.markChanged(job);
   }
 
+  /**
+   * Records that a worker was lost when it had just started a run. Gives the task
+   * up if enough workers have crashed in this way.
+   * @param suspected - Run, and whether the crash is attributed to it.
+   */
+  recordStartCrash({assigned, isAttributed, reason}: SuspectedRun): void {
+    const {job, task, run, taskName} = assigned;
+    if (job.isEnded() || task.isDone) return;
+    const {workerId} = run;
+    task.startCrashes = [...task.startCrashes, {workerId, isAttributed}];
+    this.markChanged(job);
+    this.options.events.addEvent('start-crashed', {
+      taskId: taskName,
+      workerId,
+      detail: `run ${run.runNumber}, ${isAttributed ? 'attributed' : 'not attributed'}: ${reason}; crashes so far: ${formatStartCrashes(task.startCrashes)}`,
+    });
+    if (isGivenUp(task)) this.giveUp(assigned);
+  }
+
+  /**
+   * Records that a run has not crashed the worker that started it, so that the
+   * task is not the cause of earlier crashes.
+   * @param assigned - Run that is in progress.
+   */
+  recordRunProven({job, task}: AssignedRun): void {
+    this.clearStartCrashes(job, task);
+  }
+
   /**
    * Adds a run that a worker reports and that is not assigned to it, such as one
    * that was given up while the worker could not be reached.
@@ -280,11 +313,32 @@
     const {maxAttempts} = this.getQueue(job);
     const failures = step.spec.isGang ? getGangFailures(step) : task.failures;
     if (failures < maxAttempts) return;
-    job.phase = 'failed';
-    this.recordJobEnd(
+    this.failJob(job, `a task of step ${step.index} failed ${failures} times`);
+  }
+
+  private clearStartCrashes(job: JobState, task: TaskState): void {
+    if (task.startCrashes.length === 0) return;
+    task.startCrashes = [];
+    this.markChanged(job);
+  }
+
+  private giveUp({job, task, taskName}: AssignedRun): void {
+    const crashes = formatStartCrashes(task.startCrashes);
+    this.options.events.addEvent('task-given-up', {
+      requestId: job.getId(),
+      taskId: taskName,
+      detail: `workers crashed when they started it: ${crashes}`,
+    });
+    this.failJob(
       job,
-      `failed: a task of step ${step.index} failed ${failures} times`,
+      `task ${taskName} crashed ${task.startCrashes.length} workers that started it: ${crashes}`,
     );
+  }
+
+  private failJob(job: JobState, reason: string): void {
+    job.phase = 'failed';
+    job.failureReason = reason;
+    this.recordJobEnd(job, `failed: ${reason}`);
     this.stopRuns(job);
   }
 
--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -13,6 +13,7 @@
   sortWaitingSteps,
   WaitingStep,
 } from './task_order.js';
+import {isSuspected} from './start_crashes.js';
 import {AssignedRun} from './worker_load.js';
 import {WorkerSession} from './worker_session.js';
 
@@ -47,6 +48,12 @@
   readonly waitingCount: number;
 }
 
+/**
+ * Maximum fraction of a service's workers on which suspected tasks are tried at
+ * the same time, as each of these workers starts nothing else and may crash.
+ */
+const MAX_TRIAL_FRACTION = 0.2;
+
 /** Resource needs that no worker could satisfy in this pass. */
 interface UnplaceableNeeds {
   readonly cpuMillis: number;
@@ -112,7 +119,9 @@
    * @param wallMs - Wall-clock time.
    */
   run(waiting: readonly WaitingStep[], wallMs: number): void {
-    for (const each of sortWaitingSteps(waiting, wallMs)) {
+    const sorted = sortWaitingSteps(waiting, wallMs);
+    for (const each of sorted) this.placeSuspectedTasks(each);
+    for (const each of sorted) {
       const key = getEquivalenceClass(each);
       if (this.isKnownToFail(key, each.step)) continue;
       const isPlaced = each.step.spec.isGang
@@ -139,13 +148,44 @@
     });
   }
 
+  /**
+   * Places suspected tasks, each on a worker that starts nothing else. They come
+   * first, as other tasks could keep all workers from being free for them.
+   */
+  private placeSuspectedTasks(waiting: WaitingStep): void {
+    const {step} = waiting;
+    if (step.spec.isGang) return;
+    const tasks = step.tasks.filter(
+      task => isWaitingTask(task) && isSuspected(task),
+    );
+    if (tasks.length === 0) return;
+    const ranking = this.rank(waiting, true);
+    const workers: PlacementWorker[] = [];
+    for (const task of tasks) {
+      const worker = this.canStartTrial(waiting)
+        ? ranking.getBest()
+        : undefined;
+      if (worker === undefined) break;
+      this.options.place({waiting, task, worker});
+      workers.push(worker);
+      ranking.rescoreBest();
+    }
+    this.recordPlacedStep(waiting, workers);
+  }
+
+  private canStartTrial({queue}: WaitingStep): boolean {
+    const workers = this.options.workersByService.get(queue.serviceName) ?? [];
+    const trialCount = workers.filter(({load}) => load.hasTrial()).length;
+    return trialCount < Math.max(1, workers.length * MAX_TRIAL_FRACTION);
+  }
+
   /** Places the waiting tasks one by one. Returns whether all of them were placed. */
   private placeTasks(waiting: WaitingStep): boolean {
     const ranking = this.rank(waiting);
     const workers: PlacementWorker[] = [];
     let hasRoom = true;
     for (const task of waiting.step.tasks) {
-      if (!isWaitingTask(task)) continue;
+      if (!isWaitingTask(task) || isSuspected(task)) continue;
       const worker = ranking.getBest();
       hasRoom = worker !== undefined;
       if (worker === undefined) break;
@@ -186,11 +226,15 @@
     return true;
   }
 
-  private rank(waiting: WaitingStep): WorkerRanking<PlacementWorker> {
+  private rank(
+    waiting: WaitingStep,
+    isTrial = false,
+  ): WorkerRanking<PlacementWorker> {
     const {step, queue} = waiting;
     const workers = this.options.workersByService.get(queue.serviceName) ?? [];
     const request: RankingRequest = {
       step,
+      isTrial,
       interferenceModel: this.options.interferenceModel,
       preferredRack: step.spec.isSameRackPreferred
         ? findRackWithMostFreeCpu(workers)
--- /dev/null
+++ b/packages/coordination/src/start_crashes.ts
@@ -0,0 +1,47 @@
+/** Rules on the crashes of workers that had just started a task. */
+
+import {StartCrash, TaskState} from '@mustardlug/jobs/job_state';
+
+/** Attributed crashes after which a task is given up. */
+const MAX_ATTRIBUTED_CRASHES = 3;
+
+/** Crashes after which a task is given up if any of them is attributed. */
+const MAX_CRASHES = 5;
+
+/** Crashes from which a task is suspected even if none of them is attributed. */
+const MIN_SUSPICIOUS_CRASHES = 2;
+
+/**
+ * Checks whether a task may crash the workers that start it. It is then started
+ * only where nothing else is being started, so that a further crash tells.
+ * @param task - Task to check.
+ */
+export function isSuspected({startCrashes}: TaskState): boolean {
+  if (startCrashes.length === 0) return false;
+  return (
+    startCrashes.length >= MIN_SUSPICIOUS_CRASHES ||
+    startCrashes.some(crash => crash.isAttributed)
+  );
+}
+
+/**
+ * Checks whether enough workers have crashed at the start of a task to give it up.
+ * @param task - Task to check.
+ */
+export function isGivenUp({startCrashes}: TaskState): boolean {
+  const attributed = startCrashes.filter(crash => crash.isAttributed).length;
+  if (attributed >= MAX_ATTRIBUTED_CRASHES) return true;
+  return startCrashes.length >= MAX_CRASHES && attributed > 0;
+}
+
+/**
+ * Formats the crashes of a task as evidence for operators and callers.
+ * @param crashes - Crashes of one task.
+ */
+export function formatStartCrashes(crashes: readonly StartCrash[]): string {
+  return crashes
+    .map(({workerId, isAttributed}) =>
+      isAttributed ? workerId : `${workerId} (perhaps for another reason)`,
+    )
+    .join(', ');
+}
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -7,6 +7,7 @@
   TaskState,
 } from '@mustardlug/jobs/job_state';
 import {ResourceRequirements} from '@mustardlug/jobs/job_spec';
+import {isSuspected} from './start_crashes.js';
 
 /** A run with the job, step and task that it belongs to. */
 export interface AssignedRun {
@@ -47,6 +48,7 @@
   /** Subsets of the runs, kept separately to avoid iterating over all of them. */
   private readonly servingRuns = new Set<AssignedRun>();
   private readonly fillerRuns = new Set<AssignedRun>();
+  private readonly unprovenRuns = new Set<AssignedRun>();
   private servingImages: ReadonlySet<string> | undefined;
 
   private constructor(private capacity: ResourceRequirements) {}
@@ -103,6 +105,7 @@
     this.updateTotals(assigned, 1);
     const {isLongRunning, isFiller} = assigned.step.spec;
     if (isFiller) this.fillerRuns.add(assigned);
+    if (!assigned.run.isProven) this.unprovenRuns.add(assigned);
     if (!isLongRunning) return;
     this.servingRuns.add(assigned);
     this.servingImages = undefined;
@@ -117,6 +120,7 @@
     if (!this.runs.delete(key)) return;
     this.updateTotals(assigned, -1);
     this.fillerRuns.delete(assigned);
+    this.unprovenRuns.delete(assigned);
     if (this.servingRuns.delete(assigned)) this.servingImages = undefined;
   }
 
@@ -167,6 +171,28 @@
     return this.fillerRuns;
   }
 
+  /** Gets the runs that may still crash the worker that starts them. */
+  getUnprovenRuns(): ReadonlySet<AssignedRun> {
+    return this.unprovenRuns;
+  }
+
+  /**
+   * Marks a run as proven.
+   * @param assigned - Run that has not crashed the worker.
+   */
+  markProven(assigned: AssignedRun): void {
+    assigned.run.isProven = true;
+    this.unprovenRuns.delete(assigned);
+  }
+
+  /** Checks whether a suspected task is on trial here, so that nothing else may be started. */
+  hasTrial(): boolean {
+    for (const assigned of this.unprovenRuns) {
+      if (isTrial(assigned)) return true;
+    }
+    return false;
+  }
+
   /** Gets the images of the long-running tasks. */
   getServingImages(): ReadonlySet<string> {
     if (this.servingImages === undefined) {
@@ -204,6 +230,15 @@
   }
 }
 
+/**
+ * Checks whether a run is the trial of a suspected task. The members of a gang start
+ * together, so that none of them is tried alone.
+ * @param assigned - Run to check.
+ */
+export function isTrial({step, task, run}: AssignedRun): boolean {
+  return !run.isProven && !step.spec.isGang && isSuspected(task);
+}
+
 /**
  * Gets the key of a run on its worker.
  * @param taskName - Name of the task.
--- a/packages/coordination/src/worker_ranking.ts
+++ b/packages/coordination/src/worker_ranking.ts
@@ -19,6 +19,8 @@
   readonly interferenceModel: InterferenceModel;
   /** Rack that all tasks of the step should share, if the step asks for a common rack. */
   readonly preferredRack?: string;
+  /** Whether the tasks are suspected, so that each is tried on a worker that starts nothing else. */
+  readonly isTrial?: boolean;
 }
 
 /** Score bonus of workers on the rack of the step's data or of its other tasks. */
@@ -108,6 +110,7 @@
   request: RankingRequest,
   worker: CandidateWorker,
 ): number | undefined {
+  if (!isFreeForStart(request, worker)) return undefined;
   if (!hasRoomFor(request.step, worker)) return undefined;
   const suitability = getSuitability(request, worker);
   if (suitability === undefined) return undefined;
@@ -116,6 +119,14 @@
   return (isOnTargetRack ? PREFERRED_RACK_SCORE : 0) + suitability;
 }
 
+function isFreeForStart(
+  {isTrial = false}: RankingRequest,
+  {load}: CandidateWorker,
+): boolean {
+  if (load.hasTrial()) return false;
+  return !isTrial || load.getUnprovenRuns().size === 0;
+}
+
 function hasRoomFor(step: StepState, {load, labels}: CandidateWorker): boolean {
   const {needs, requiredLabel, maxPerWorker, isFiller} = step.spec;
   if (requiredLabel !== undefined && !labels.includes(requiredLabel))
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -28,6 +28,14 @@
     assigned: AssignedRun,
     reason: string,
   ): void;
+  /**
+   * Called before runs are dropped because their worker was lost, unless it was
+   * leaving as planned. Its load still has all of them.
+   * @param lastResponseMs - Monotonic time of the last response of the lost process.
+   */
+  onWorkerLost(session: WorkerSession, lastResponseMs: number): void;
+  /** Called when a run has been running for long enough not to crash the worker at its start. */
+  onRunProven(assigned: AssignedRun): void;
   /** Called after a report was applied. Its ended runs may be acknowledged once they are stored. */
   onReport(session: WorkerSession): void;
   /**
@@ -118,6 +126,12 @@
 /** Delay before a CPU limit command without a response is repeated. */
 const CPU_LIMIT_RETRY_MS = 200;
 
+/**
+ * Time after its placement from which a run that a report lists counts as proven:
+ * it does not crash the worker at its start.
+ */
+const PROVING_TIME_MS = 500;
+
 /** Maximum number of ended runs in one report. A report with as many may be incomplete. */
 const MAX_REPORTED_ENDS = 500;
 
@@ -240,6 +254,16 @@
     );
   }
 
+  /** Checks whether the worker has stopped responding to renewals of its lease. */
+  hasStoppedResponding(): boolean {
+    return this.hasLastRenewalFailed;
+  }
+
+  /** Gets the monotonic time of the last response; negative infinity before the first one. */
+  getLastResponseMs(): number {
+    return this.lastResponseMs;
+  }
+
   /** Gets the sequence number of the last ended run that was passed to the listener. */
   getProcessedSequence(): number {
     return this.processedSequence;
@@ -436,6 +460,7 @@
 
   private applyReport(report: LeaseReport, sentMs: number): void {
     const receivedMs = this.options.clock.getMonotonicMs();
+    if (report.startMs !== this.processStartMs) this.reportLoss();
     this.workerClock = {clockMs: report.clockMs, receivedMs};
     this.lastResponseMs = receivedMs;
     if (!this.hasResponded) this.limitPreviousTermLeases(receivedMs);
@@ -498,9 +523,13 @@
       }
       assigned.run.workerStartMs = report.startMs;
       confirmRun(assigned);
+      const ageMs = this.options.clock.getMonotonicMs() - assigned.run.placedMs;
       assigned.run.progressPercent = running.progressPercent;
-      assigned.run.progressAgeMs =
-        this.options.clock.getMonotonicMs() - assigned.run.placedMs;
+      assigned.run.progressAgeMs = ageMs;
+      if (!assigned.run.isProven && ageMs >= PROVING_TIME_MS) {
+        this.load.markProven(assigned);
+        this.options.listener.onRunProven(assigned);
+      }
       if (running.usage !== assigned.run.usage) {
         assigned.run.previousUsage = assigned.run.usage;
         assigned.run.usage = running.usage;
@@ -555,11 +584,17 @@
 
   private dropExpiredRuns(): void {
     if (this.options.clock.getMonotonicMs() < this.leaseEndMs) return;
-    if (!this.hasLastRenewalFailed) return;
+    if (!this.hasLastRenewalFailed || this.load.getRunCount() === 0) return;
+    this.reportLoss();
     for (const assigned of [...this.load.getRuns()])
       this.dropRun(assigned, 'its lease expired');
   }
 
+  private reportLoss(): void {
+    if (this.record.isDraining) return;
+    this.options.listener.onWorkerLost(this, this.lastResponseMs);
+  }
+
   private dropRun(assigned: AssignedRun, reason: string): void {
     this.load.removeRun(assigned);
     this.options.listener.onRunLost(this, assigned, reason);
--- a/packages/coordination/test/placement_pass.test.ts
+++ b/packages/coordination/test/placement_pass.test.ts
@@ -1,6 +1,6 @@
 import {createTaskRun} from '@mustardlug/jobs/job_codec';
 import {StepSpec} from '@mustardlug/jobs/job_spec';
-import {JobState} from '@mustardlug/jobs/job_state';
+import {JobState, StartCrash} from '@mustardlug/jobs/job_state';
 import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {expect} from 'chai';
 import {InterferenceModel} from '../src/interference_model.js';
@@ -69,6 +69,9 @@
   return createTestJob([createTestStep(fields)]);
 }
 
+/** A crash that was attributed to the start of a task. */
+const CRASHES: StartCrash[] = [{workerId: 'worker-9', isAttributed: true}];
+
 describe(PlacementPass.name, () => {
   it('places at most `maxPerWorker` tasks of a step on a worker, also over several passes', () => {
     const job = createJob({taskCount: 7, maxPerWorker: 2});
@@ -120,4 +123,28 @@
     const workers = [createWorker('worker-1')];
     expect(runPass(createJob({}), workers, 'other')).to.have.length(0);
   });
+
+  it('starts a suspected task only where nothing else is being started', () => {
+    const job = createJob({});
+    job.occurrences.get(0)!.steps[0].tasks[0].startCrashes = CRASHES;
+    const busy = createWorker('worker-1');
+    const idle = createWorker('worker-2');
+    runPass(createJob({}), [busy]);
+    expect(runPass(job, [busy])).to.have.length(0);
+    const [trial] = runPass(job, [busy, idle]);
+    expect(trial.run.workerId).to.equal('worker-2');
+    expect(runPass(createJob({}), [idle])).to.have.length(0);
+    idle.load.markProven(trial);
+    expect(runPass(createJob({}), [idle])).to.have.length(1);
+  });
+
+  it('tries suspected tasks on at most a fifth of the workers at the same time', () => {
+    const job = createJob({taskCount: 6});
+    for (const task of job.occurrences.get(0)!.steps[0].tasks)
+      task.startCrashes = CRASHES;
+    const workers = Array.from({length: 10}, (_, index) =>
+      createWorker(`worker-${index}`),
+    );
+    expect(runPass(job, workers)).to.have.length(2);
+  });
 });
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -66,6 +66,8 @@
       onRunEnded: () => undefined,
       onRunLost: () => undefined,
       onReport: () => undefined,
+      onWorkerLost: () => undefined,
+      onRunProven: () => undefined,
       onStartRefused: () => undefined,
       onRunNotStarted: () => undefined,
       onProcessRestarted: () => undefined,
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -63,6 +63,8 @@
       onRunEnded: () => undefined,
       onRunLost: release,
       onReport: () => undefined,
+      onWorkerLost: () => undefined,
+      onRunProven: () => undefined,
       onStartRefused: () => undefined,
       onRunNotStarted: assigned => this.releasedRuns.push(assigned),
       onProcessRestarted: () => undefined,
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -5,6 +5,7 @@
   JobPhase,
   JobState,
   OccurrenceState,
+  StartCrash,
   TaskRun,
   TaskState,
 } from './job_state.js';
@@ -21,6 +22,12 @@
 /** Step index and task index, followed by the fields of the run. */
 type StoredDoneTaskRun = [number, number, ...StoredRun];
 
+/** Worker ID, and 1 if the crash is attributed to the start or 0 if not. */
+type StoredStartCrash = [string, 0 | 1];
+
+/** Step index and task index, followed by the crashes. */
+type StoredTaskCrashes = [number, number, ...StoredStartCrash[]];
+
 interface StoredOccurrence {
   readonly number: number;
   readonly steps: StoredTask[][];
@@ -29,6 +36,8 @@
    * Separate from the tasks, so that earlier versions still read these as done.
    */
   readonly doneTaskRuns?: readonly StoredDoneTaskRun[];
+  /** Tasks whose starts workers have crashed at; absent if there are none. */
+  readonly startCrashes?: readonly StoredTaskCrashes[];
 }
 
 /** Stored progress of a job. */
@@ -43,6 +52,8 @@
   readonly hasStarted?: true;
   /** Wall-clock time at which the job ended; determines when its rows are purged. */
   readonly endedMs?: number;
+  /** Why the job failed; absent unless it did. */
+  readonly failureReason?: string;
 }
 
 /**
@@ -75,22 +86,25 @@
  * @param job - Job to store.
  */
 export function toStoredProgress(job: JobState): StoredProgress {
-  const {phase, nextOccurrence, endedMs} = job;
+  const {phase, nextOccurrence, endedMs, failureReason} = job;
+  const failure = failureReason === undefined ? {} : {failureReason};
   if (job.isEnded() && !job.hasRuns())
-    return {phase, nextOccurrence, occurrences: [], endedMs};
+    return {phase, nextOccurrence, occurrences: [], endedMs, ...failure};
   const occurrences: StoredOccurrence[] = [];
   for (const occurrence of job.occurrences.values()) {
     const {number} = occurrence;
     const steps = occurrence.steps.map(step => step.tasks.map(toStoredTask));
     const doneTaskRuns = getDoneTaskRuns(occurrence);
-    occurrences.push(
-      doneTaskRuns.length === 0
-        ? {number, steps}
-        : {number, steps, doneTaskRuns},
-    );
+    const startCrashes = getStartCrashes(occurrence);
+    occurrences.push({
+      number,
+      steps,
+      ...(doneTaskRuns.length > 0 && {doneTaskRuns}),
+      ...(startCrashes.length > 0 && {startCrashes}),
+    });
   }
   const hasStarted = job.hasStarted || undefined;
-  return {phase, nextOccurrence, occurrences, hasStarted, endedMs};
+  return {phase, nextOccurrence, occurrences, hasStarted, endedMs, ...failure};
 }
 
 /**
@@ -107,7 +121,9 @@
   job.phase = stored.phase;
   job.nextOccurrence = stored.nextOccurrence;
   job.endedMs = stored.endedMs;
-  for (const {number, steps, doneTaskRuns} of stored.occurrences) {
+  job.failureReason = stored.failureReason;
+  for (const storedOccurrence of stored.occurrences) {
+    const {number, steps, doneTaskRuns, startCrashes} = storedOccurrence;
     const occurrence = OccurrenceState.create(number, job.accepted.spec);
     for (const [stepIndex, tasks] of steps.entries()) {
       const step = occurrence.steps[stepIndex];
@@ -121,6 +137,10 @@
       const task = occurrence.steps[stepIndex].tasks[taskIndex];
       task.runs.push(restoreRun(run, monotonicMs));
     }
+    for (const [stepIndex, taskIndex, ...crashes] of startCrashes ?? []) {
+      const task = occurrence.steps[stepIndex].tasks[taskIndex];
+      task.startCrashes = crashes.map(restoreStartCrash);
+    }
     job.occurrences.set(number, occurrence);
   }
   // Rows of earlier versions lack the field, but the results of runs may show it.
@@ -166,6 +186,26 @@
   return stored;
 }
 
+function getStartCrashes({steps}: OccurrenceState): StoredTaskCrashes[] {
+  const stored: StoredTaskCrashes[] = [];
+  for (const step of steps) {
+    for (const task of step.tasks) {
+      if (task.startCrashes.length === 0) continue;
+      const crashes = task.startCrashes.map(toStoredStartCrash);
+      stored.push([step.index, task.index, ...crashes]);
+    }
+  }
+  return stored;
+}
+
+function toStoredStartCrash(crash: StartCrash): StoredStartCrash {
+  return [crash.workerId, crash.isAttributed ? 1 : 0];
+}
+
+function restoreStartCrash([workerId, mark]: StoredStartCrash): StartCrash {
+  return {workerId, isAttributed: mark === 1};
+}
+
 function restoreTask(
   task: TaskState,
   stored: Exclude<StoredTask, 0 | 1>,
@@ -206,6 +246,7 @@
     isAdopted: false,
     isConfirmed: false,
     openStarts: 0,
+    isProven: false,
     isStopping: false,
     progressPercent: 0,
     progressAgeMs: 0,
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -24,6 +24,11 @@
    * worker may still execute.
    */
   openStarts: number;
+  /**
+   * Whether a report has listed the run some time after its placement, so that it
+   * does not crash the worker that starts it.
+   */
+  isProven: boolean;
   /** Whether a stop was requested; the end of the run then does not count as a failure. */
   isStopping: boolean;
   /** Last reported progress, 0 to 100. */
@@ -40,10 +45,19 @@
   previousUsage: number;
 }
 
+/** Loss of a worker while a run of a task had just been started there. */
+export interface StartCrash {
+  readonly workerId: string;
+  /** Whether the start is the likely cause, and no failure that other workers share. */
+  readonly isAttributed: boolean;
+}
+
 export interface TaskState {
   readonly index: number;
   isDone: boolean;
   failures: number;
+  /** Losses of workers that had just started the task, since a run of it last was proven. */
+  startCrashes: StartCrash[];
   /** Latest checkpoint; empty when there is none. */
   checkpoint: string;
   /** Runs that may be in progress; more than one only with speculative copies. */
@@ -73,6 +87,7 @@
         index: task,
         isDone: false,
         failures: 0,
+        startCrashes: [],
         checkpoint: '',
         runs: [],
       });
@@ -163,6 +178,8 @@
   hasStarted = false;
   /** Wall-clock time at which the job ended, in milliseconds since the Unix epoch; undefined until then. */
   endedMs: number | undefined;
+  /** Why the job failed, for its caller; undefined unless it did. */
+  failureReason: string | undefined;
 
   private constructor(readonly accepted: AcceptedJob) {}
 
--- a/packages/jobs/test/job_model.test.ts
+++ b/packages/jobs/test/job_model.test.ts
@@ -216,4 +216,23 @@
       expect(restored.hasStarted).to.equal(true);
     }
   });
+
+  it('restores the crashes at the starts of its tasks, and why it failed', () => {
+    const job = createJob();
+    job.createDueOccurrences(2_000);
+    const {tasks} = job.occurrences.get(0)!.steps[0];
+    const startCrashes = [
+      {workerId: 'worker-1', isAttributed: true},
+      {workerId: 'worker-2', isAttributed: false},
+    ];
+    tasks[1].startCrashes = startCrashes;
+    job.failureReason = 'reason';
+    const bytes = encodeRowValue(toStoredProgress(job));
+    const restored = createJob();
+    restoreProgress(restored, decodeRowValue<StoredProgress>(bytes), 0);
+    const restoredTasks = restored.occurrences.get(0)!.steps[0].tasks;
+    expect(restoredTasks[0].startCrashes).to.deep.equal([]);
+    expect(restoredTasks[1].startCrashes).to.deep.equal(startCrashes);
+    expect(restored.failureReason).to.equal('reason');
+  });
 });
--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -4,6 +4,7 @@
 import {AppError} from '@mustardlug/base/errors';
 import {CoordinatorStatus} from '@mustardlug/coordination/coordinator_status';
 import {
+  JobStatus,
   JobStore,
   STORE_RETRY_AFTER_MS,
 } from '@mustardlug/coordination/job_store';
@@ -23,8 +24,8 @@
   decodeJob(body: string): Result<JobSpec, AppError>;
   /** Name of the header with the caller's timeout, in milliseconds. */
   readonly deadlineHeader: string;
-  /** Renders the response body for the phase of a job. */
-  renderPhase(phase: string): object;
+  /** Renders the response body for the status of a job. */
+  renderStatus(status: JobStatus): object;
   /** Renders the response body for the number of jobs waiting in a queue. */
   renderWaiting(waitingJobs: number): object;
 }
@@ -174,10 +175,10 @@
 
   private async showJob(request: QueueRequest): Promise<Response> {
     const {context, rest} = request;
-    const phase = await this.options.jobs.getPhase(rest);
-    if (phase.isOk())
-      return context.json(this.options.format.renderPhase(phase.value));
-    return renderLookupError(context, phase.error);
+    const status = await this.options.jobs.getStatus(rest);
+    if (status.isOk())
+      return context.json(this.options.format.renderStatus(status.value));
+    return renderLookupError(context, status.error);
   }
 
   private async cancelJob(request: QueueRequest): Promise<Response> {
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -323,6 +323,16 @@
     level: 'info',
     text: 'A coordinator read the stored jobs and their progress at the start of its term.',
   },
+  'start-crashed': {
+    number: 845,
+    level: 'warn',
+    text: 'A worker was lost when it had just started a run, which may be the cause.',
+  },
+  'task-given-up': {
+    number: 846,
+    level: 'error',
+    text: 'A task was given up and its job failed, because workers crashed when they started it.',
+  },
   'worker-restored': {
     number: 836,
     level: 'info',
