Stand-in workers whose capacity changes while they run, guarded or not

JobWorkerModel.resize changes the capacity of the running process; its runs go on. A worker with getTaskNeeds guards its capacity and refuses what does not fit with 'no-room'; without it, it starts whatever it is told to, as before.

A capacity that has grown applies at once.

--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -39,6 +39,7 @@
     isFailing: () => false,
     observer: {
       onWorkerStarted: () => undefined,
+      onCapacityChanged: () => undefined,
       onRunStarted: () => undefined,
       onRunEnded: () => undefined,
       onEndAcknowledged: () => undefined,
--- a/packages/experiments/test/invariant_checker.test.ts
+++ b/packages/experiments/test/invariant_checker.test.ts
@@ -180,6 +180,65 @@
     expect(checker.violations).to.deep.equal([]);
   });
 
+  describe('capacity that changes', () => {
+    const SMALL = {cpuMillis: 4_000, memoryMb: 4_000, accelerators: 1};
+
+    for (const [sinceMs, delayMs, isAllowed] of [
+      [4_400, 0, true],
+      [4_600, 0, false],
+      [6_400, 2_000, true],
+      [6_600, 2_000, false],
+    ] as const) {
+      const verb = isAllowed ? 'allows' : 'reports';
+      it(`${verb} a start over it ${sinceMs} ms after it has shrunk whose command is ${delayMs} ms old`, async () => {
+        const clock = VirtualClock.create();
+        const checker = createChecker({}, {}, clock);
+        start(checker, 0);
+        start(checker, 1);
+        checker.onCapacityChanged({...WORKER, capacity: SMALL});
+        await clock.advance(sinceMs);
+        expect(checker.violations).to.deep.equal([]);
+        start(checker, 2, {delayMs});
+        expect(checker.violations).to.have.lengthOf(isAllowed ? 0 : 1);
+      });
+    }
+
+    it('applies at once when it has grown', () => {
+      const checker = createChecker({}, {capacity: SMALL});
+      start(checker, 0);
+      start(checker, 1);
+      checker.onCapacityChanged(WORKER);
+      start(checker, 2);
+      expect(checker.violations).to.deep.equal([]);
+    });
+
+    it('does not exempt a late start from a capacity that never changed', async () => {
+      const clock = VirtualClock.create();
+      const checker = createChecker({}, {capacity: SMALL}, clock);
+      await clock.advance(20_000);
+      start(checker, 0);
+      start(checker, 1);
+      start(checker, 2, {delayMs: 10_000});
+      expect(checker.violations).to.have.lengthOf(1);
+    });
+
+    it('reports a start of a filler beside runs that exceed it', async () => {
+      const clock = VirtualClock.create();
+      const checker = InvariantChecker.create(clock);
+      const steps = [
+        createSampleStep(3),
+        createSampleStep(1, {isFiller: true}),
+      ];
+      checker.addJob(JOB_ID, {specification: JOB_ID, steps}, 3);
+      checker.onWorkerStarted(WORKER);
+      for (let task = 0; task < 3; task++) start(checker, task);
+      checker.onCapacityChanged({...WORKER, capacity: SMALL});
+      await clock.advance(5_000);
+      checker.onRunStarted('worker-0', `${JOB_ID}.0.1.0`, 1, 0);
+      expect(checker.violations).to.have.lengthOf(1);
+    });
+  });
+
   for (const delayMs of [0, 2_000]) {
     const verb = delayMs === 0 ? 'reports' : 'allows';
     it(`${verb} a start 4 s after a cancellation whose command is ${delayMs} ms old`, async () => {
--- a/packages/standins/src/job_worker_model.ts
+++ b/packages/standins/src/job_worker_model.ts
@@ -1,6 +1,7 @@
 /** Model of a worker that runs tasks under a lease, in virtual time. */
 
 import {Clock, Timer} from '@mustardlug/base/clock';
+import {ResourceRequirements} from '@mustardlug/jobs/job_spec';
 import {
   EndedRun,
   LeaseReport,
@@ -55,12 +56,19 @@
   readonly maxLeaseMs?: number;
   /** Speed of the worker's clock; 0.98 is 2 % slow. */
   readonly clockRate?: number;
+  /**
+   * Gets the needs of a task that count against the capacity. A worker without it
+   * does not guard its capacity: it starts whatever it is told to.
+   */
+  readonly getTaskNeeds?: (taskName: string) => ResourceRequirements;
 }
 
 /** Observes all runs, so that tests can check invariants. */
 export interface RunObserver {
   /** Called when a worker process starts, for the first time or again. */
   onWorkerStarted(record: WorkerRecord): void;
+  /** Called when the capacity of a worker process changes. Its runs continue. */
+  onCapacityChanged(record: WorkerRecord): void;
   /**
    * Called when a run starts.
    * @param workerId - Worker of the run.
@@ -220,6 +228,16 @@
     this.options.observer.onWorkerStarted(this.record);
   }
 
+  /**
+   * Changes the capacity of the current process. Its runs continue.
+   * @param capacity - New capacity.
+   */
+  resize(capacity: ResourceRequirements): void {
+    this.record = {...this.record, capacity};
+    this.options.observer.onCapacityChanged(this.record);
+    this.updateSpeeds();
+  }
+
   /**
    * Starts a run.
    * @param command - Run to start.
@@ -237,6 +255,7 @@
     if (runNumber <= this.getMaxRunNumber(taskName)) return 'superseded';
     if (this.behavior.startRefusal !== undefined)
       return this.behavior.startRefusal;
+    if (!this.hasRoom(taskName)) return 'no-room';
     this.startRun(command, delayMs);
     return 'done';
   }
@@ -323,6 +342,21 @@
     for (const run of [...this.runs.values()]) this.endRun(run, 'lapsed');
   }
 
+  /** Checks whether a task fits beside all runs, unless the capacity is not guarded. */
+  private hasRoom(taskName: string): boolean {
+    const {getTaskNeeds} = this.options;
+    if (getTaskNeeds === undefined) return true;
+    const {capacity} = this.record;
+    const needs = [...new Set([...this.runs.keys(), taskName])].map(
+      getTaskNeeds,
+    );
+    return (['cpuMillis', 'memoryMb', 'accelerators'] as const).every(
+      resource =>
+        needs.reduce((sum, each) => sum + each[resource], 0) <=
+        capacity[resource],
+    );
+  }
+
   /** Starts a run after stopping the previous run of the same task. */
   private startRun(
     {taskName, runNumber, checkpoint}: StartRunCommand,
