Failing tests: starts that bring a worker over a capacity that has shrunk

What callers would see (LIMIT): a worker that doesn't guard its capacity runs more than it has room for.

- A run that was placed before is started although the worker lists a run of an unknown task, whose needs cannot be counted: one test.

--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -25,6 +25,9 @@
   startMs: PROCESS_START_MS,
 };
 
+/** Capacity that is too small for any run. */
+const SMALL_CAPACITY = {cpuMillis: 1, memoryMb: 64_000, accelerators: 0};
+
 /** Time in which a scripted command, its repetitions and a renewal complete. */
 const SETTLE_MS = 1_000;
 
@@ -220,6 +223,67 @@
       session.stop();
     });
 
+    it('does not start a run for which the worker has no room any more', async () => {
+      const {session, client, clock, assigned, releasedRuns} =
+        SessionFixture.create();
+      session.setRecord({...RECORD, capacity: SMALL_CAPACITY});
+      void session.startRun(assigned);
+      await clock.advance(SETTLE_MS);
+      expect(client.startCommands).to.be.empty;
+      expect(releasedRuns).to.deep.equal([assigned]);
+    });
+
+    it('does not repeat a start command for which the worker has no room any more', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned, releasedRuns} = fixture;
+      client.startResponses.push('none');
+      void session.run();
+      await fixture.report();
+      void session.startRun(assigned);
+      session.setRecord({...RECORD, capacity: SMALL_CAPACITY});
+      await clock.advance(SETTLE_MS);
+      expect(client.startCommands).to.have.length(1);
+      expect(client.stopCommands).to.have.length(1);
+      expect(releasedRuns).to.deep.equal([assigned]);
+      session.stop();
+    });
+
+    it('counts a run that is being stopped against a capacity that has shrunk', async () => {
+      const {session, client, clock, assigned} = SessionFixture.create();
+      const stopping = addTestRun(session.load, {});
+      await session.stopRun(stopping);
+      const {needs} = assigned.step.spec;
+      session.setRecord({...RECORD, capacity: needs});
+      void session.startRun(assigned);
+      await clock.advance(SETTLE_MS);
+      expect(client.startCommands).to.be.empty;
+    });
+
+    it('starts the runs that still fit on a worker that has shrunk', async () => {
+      const {session, client, clock, assigned, releasedRuns} =
+        SessionFixture.create();
+      const other = addTestRun(session.load, {});
+      other.run.isConfirmed = false;
+      session.setRecord({...RECORD, capacity: assigned.step.spec.needs});
+      void session.startRun(assigned);
+      void session.startRun(other);
+      await clock.advance(SETTLE_MS);
+      expect(client.startCommands).to.have.length(1);
+      expect(releasedRuns).to.have.length(1);
+    });
+
+    it('does not start a run on a worker that lists a run of an unknown task', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned, releasedRuns} = fixture;
+      void session.run();
+      await fixture.report({running: [UNKNOWN_RUN]});
+      void session.startRun(assigned);
+      await clock.advance(RENEWAL_MS);
+      expect(client.startCommands).to.be.empty;
+      expect(releasedRuns).to.deep.equal([assigned]);
+      session.stop();
+    });
+
     it('does not start a run on a process that has registered since the placement', async () => {
       const {session, client, clock, assigned} = SessionFixture.create();
       session.setRecord({
