Place no filler on a worker whose other runs exceed its CPU

A filler's own CPU does not count, and WorkerLoad.hasRoom then did not look at CPU at all; the CPU left over by serving tasks, of which 45 % is counted, can be positive although they exceed a capacity that has shrunk. Now a filler needs a worker whose CPU is not exceeded.

Passing beside it: worker_ranking, placement_pass, colocation, filler_takeover.

--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -181,13 +181,13 @@
   /**
    * Checks whether the worker has free capacity for the needs of a task.
    * @param needs - Needs of one task.
-   * @param isFiller - Whether the task is a filler, whose CPU needs are not checked.
+   * @param isFiller - Whether the task is a filler, whose own CPU needs do not count.
    */
   hasRoom(needs: ResourceRequirements, isFiller: boolean): boolean {
     if (needs.memoryMb > this.getFreeMemoryMb()) return false;
     const freeAccelerators = this.capacity.accelerators - this.usedAccelerators;
     if (needs.accelerators > freeAccelerators) return false;
-    return isFiller || needs.cpuMillis <= this.getFreeCpuMillis();
+    return (isFiller ? 0 : needs.cpuMillis) <= this.getFreeCpuMillis();
   }
 
   private updateTotals(assigned: AssignedRun, sign: 1 | -1): void {
