Check the room of a worker again before each start command

Cause: room was checked at the placement only.

Change: before each command, WorkerSession checks that the needs of all runs of the worker, also of those that are being stopped or have yet to start, are within the latest capacity. If not, the run is released on the path of a worker that has begun to drain: stopped first if an earlier command may still be executed, then placed again.

--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -190,6 +190,11 @@
     return (isFiller ? 0 : needs.cpuMillis) <= this.getFreeCpuMillis();
   }
 
+  /** Checks whether the needs of all runs are within the capacity, which may have shrunk. */
+  isWithinCapacity(): boolean {
+    return this.hasRoom({cpuMillis: 0, memoryMb: 0, accelerators: 0}, false);
+  }
+
   private updateTotals(assigned: AssignedRun, sign: 1 | -1): void {
     const {step} = assigned;
     const {needs, isFiller, isLongRunning} = step.spec;
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -276,7 +276,7 @@
 
   /**
    * Sends the start command for a run that has been stored, unless the worker is
-   * draining by now. A command without a response is repeated only once the same
+   * draining or has too little capacity by now. A command without a response is repeated only once the same
    * worker process has responded again, as a later process may be of another kind
    * and has a clock of its own.
    * @param assigned - Run on this worker.
@@ -287,6 +287,7 @@
     for (let attempt = 1; attempt <= MAX_START_ATTEMPTS; attempt++) {
       if (!this.shouldStart(assigned, workerStartMs)) return;
       if (!this.isRegisteredForStarts(workerStartMs)) break;
+      if (!this.load.isWithinCapacity()) break;
       const outcome = await this.sendStart(assigned);
       if (!this.isCurrent(assigned)) return;
       if (run.workerStartMs !== workerStartMs) return;
