Start no run on a worker that lists a run of an unknown task

What callers would see (LIMIT): a worker that doesn't guard its capacity runs more than it has room for. The needs of a run whose job's records were deleted are not known. Nothing is placed on a worker that lists one, but runs that were placed before were started, or their commands were repeated. They are released now like those that fit no more.

--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -287,7 +287,7 @@
     for (let attempt = 1; attempt <= MAX_START_ATTEMPTS; attempt++) {
       if (!this.shouldStart(assigned, workerStartMs)) return;
       if (!this.isRegisteredForStarts(workerStartMs)) break;
-      if (!this.load.isWithinCapacity()) break;
+      if (this.hasUnknownRuns || !this.load.isWithinCapacity()) break;
       const outcome = await this.sendStart(assigned);
       if (!this.isCurrent(assigned)) return;
       if (run.workerStartMs !== workerStartMs) return;
