--- a/packages/experiments/src/invariant_checker.ts
+++ b/packages/experiments/src/invariant_checker.ts
@@ -70,6 +70,11 @@
 export class InvariantChecker implements RunObserver {
   /** Violations, in order of occurrence. */
   readonly violations: string[] = [];
+  /**
+   * Time for which a capacity that was replaced may still be used; a test may
+   * set a stricter bound.
+   */
+  capacityBoundMs = CAPACITY_BOUND_MS;
   private readonly tasks = new Map<string, TaskHistory>();
   private readonly jobs = new Map<string, SubmittedJob>();
   /** Current processes of the workers, by worker ID. */
@@ -273,7 +278,8 @@
     delayMs: number,
   ): void {
     const needs = getTotalNeeds(this.getActiveRuns(workerId).values());
-    const sinceMs = this.clock.getMonotonicMs() - delayMs - CAPACITY_BOUND_MS;
+    const sinceMs =
+      this.clock.getMonotonicMs() - delayMs - this.capacityBoundMs;
     const valid = (this.capacities.get(workerId) ?? []).filter(
       ({replacedMs}) => replacedMs >= sinceMs,
     );
