--- a/packages/standins/test/job_worker_model.test.ts
+++ b/packages/standins/test/job_worker_model.test.ts
@@ -34,6 +34,7 @@
       onTaskCrash: () => this.crashCount++,
       observer: {
         onWorkerStarted: () => {},
+        onCapacityChanged: () => {},
         onRunStarted: () => {},
         onRunEnded: (_workerId, taskName, _runNumber, end) =>
           this.ends.push(`${taskName} ${end}`),
