Count the start crash of a worker that was restarted before the term

Cause: a loss was recorded when a report came from another process than the registration's. A coordinator that takes over after the restart knows only the new process; the stored runs of the earlier one were released as 'the worker was restarted', uncounted.

Change: runs that were assigned to another process than the one that reports count as its loss as well.

--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -461,7 +461,7 @@
 
   private applyReport(report: LeaseReport, sentMs: number): void {
     const receivedMs = this.options.clock.getMonotonicMs();
-    if (report.startMs !== this.processStartMs) this.reportLoss();
+    if (this.isOtherProcess(report.startMs)) this.reportLoss();
     this.workerClock = {clockMs: report.clockMs, receivedMs};
     this.lastResponseMs = receivedMs;
     if (!this.hasResponded) this.limitPreviousTermLeases(receivedMs);
@@ -591,6 +591,18 @@
       this.dropRun(assigned, 'its lease expired');
   }
 
+  /**
+   * Checks whether the worker was restarted, in this term or since an earlier one
+   * assigned runs to it.
+   */
+  private isOtherProcess(startMs: number): boolean {
+    if (startMs !== this.processStartMs) return true;
+    for (const {run} of this.load.getRuns()) {
+      if (run.workerStartMs !== startMs) return true;
+    }
+    return false;
+  }
+
   private reportLoss(): void {
     if (this.record.isDraining) return;
     this.options.listener.onWorkerLost(this, this.lastResponseMs);
--- a/packages/experiments/test/crashing_tasks.test.ts
+++ b/packages/experiments/test/crashing_tasks.test.ts
@@ -220,10 +220,15 @@
     });
   }
 
-  for (const crashDelayMs of [0, CRASH_DELAY_MS]) {
-    it(`fails its job after few starts if each start is followed by a takeover (crash after ${crashDelayMs} ms)`, async () => {
+  for (const [crashDelayMs, recovery] of [
+    [0, BACK_WITH_NEW_ID],
+    [CRASH_DELAY_MS, BACK_WITH_NEW_ID],
+    [CRASH_DELAY_MS, {delayMs: 100, workerId: 'same'}],
+  ] as ReadonlyArray<[number, CrashRecovery]>) {
+    const kind = `crash after ${crashDelayMs} ms, back after ${recovery.delayMs} ms under the ${recovery.workerId} ID`;
+    it(`fails its job after few starts if each start is followed by a takeover (${kind})`, async () => {
       const scenario = CrashScenario.createCrashing(
-        {},
+        {recovery},
         () => true,
         crashDelayMs,
       );
