Try suspected gangs apart from the starts of other steps

Cause: members start together, so a gang was never on trial. Its members' workers were lost together, each one's start without a response, which kept the loss of the others from being attributed; five crashes without any attributed one never fail a job.

Change: a gang with a suspected member is a trial as a whole. Its members start only on workers that start nothing of other steps, and may share one, since a crash is held against their job alone.

--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -13,7 +13,7 @@
   sortWaitingSteps,
   WaitingStep,
 } from './task_order.js';
-import {isSuspected} from './start_crashes.js';
+import {hasSuspectedTask, isSuspected} from './start_crashes.js';
 import {AssignedRun} from './worker_load.js';
 import {WorkerSession} from './worker_session.js';
 
@@ -154,7 +154,10 @@
    */
   private placeSuspectedTasks(waiting: WaitingStep): void {
     const {step} = waiting;
-    if (step.spec.isGang) return;
+    if (step.spec.isGang) {
+      if (hasSuspectedTask(step)) this.placeGang(waiting);
+      return;
+    }
     const tasks = step.tasks.filter(
       task => isWaitingTask(task) && isSuspected(task),
     );
@@ -204,7 +207,7 @@
   private placeGang(waiting: WaitingStep): boolean {
     const {step} = waiting;
     if (step.hasRuns()) return true;
-    const ranking = this.rank(waiting);
+    const ranking = this.rank(waiting, hasSuspectedTask(step));
     const placed: Array<{assigned: AssignedRun; worker: PlacementWorker}> = [];
     for (const task of step.tasks) {
       const worker = ranking.getBest();
--- a/packages/coordination/src/start_crashes.ts
+++ b/packages/coordination/src/start_crashes.ts
@@ -1,6 +1,6 @@
 /** Rules on the crashes of workers that had just started a task. */
 
-import {StartCrash, TaskState} from '@mustardlug/jobs/job_state';
+import {StartCrash, StepState, TaskState} from '@mustardlug/jobs/job_state';
 
 /** Attributed crashes after which a task is given up. */
 const MAX_ATTRIBUTED_CRASHES = 3;
@@ -24,6 +24,14 @@
   );
 }
 
+/**
+ * Checks whether any task of a step is suspected.
+ * @param step - Step to check.
+ */
+export function hasSuspectedTask(step: StepState): boolean {
+  return step.tasks.some(isSuspected);
+}
+
 /**
  * Checks whether enough workers have crashed at the start of a task to give it up.
  * @param task - Task to check.
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -7,7 +7,7 @@
   TaskState,
 } from '@mustardlug/jobs/job_state';
 import {ResourceRequirements} from '@mustardlug/jobs/job_spec';
-import {isSuspected} from './start_crashes.js';
+import {hasSuspectedTask, isSuspected} from './start_crashes.js';
 
 /** A run with the job, step and task that it belongs to. */
 export interface AssignedRun {
@@ -185,7 +185,10 @@
     this.unprovenRuns.delete(assigned);
   }
 
-  /** Checks whether a suspected task is on trial here, so that nothing else may be started. */
+  /**
+   * Checks whether a suspected task is on trial here, so that nothing else may be
+   * started.
+   */
   hasTrial(): boolean {
     for (const assigned of this.unprovenRuns) {
       if (isTrial(assigned)) return true;
@@ -193,6 +196,20 @@
     return false;
   }
 
+  /**
+   * Checks whether a run of a step may be started beside the runs here.
+   * @param step - Step of the run.
+   * @param isTrialOfStep - Whether the run is a trial.
+   */
+  canStartBeside(step: StepState, isTrialOfStep: boolean): boolean {
+    for (const assigned of this.unprovenRuns) {
+      // The members of a gang start together, and a crash is held against all of them.
+      if (step.spec.isGang && assigned.step === step) continue;
+      if (isTrialOfStep || isTrial(assigned)) return false;
+    }
+    return true;
+  }
+
   /** Gets the images of the long-running tasks. */
   getServingImages(): ReadonlySet<string> {
     if (this.servingImages === undefined) {
@@ -236,12 +253,12 @@
 }
 
 /**
- * Checks whether a run is the trial of a suspected task. The members of a gang start
- * together, so that none of them is tried alone.
+ * Checks whether a run is the trial of a suspected task, or of a gang with one.
  * @param assigned - Run to check.
  */
 export function isTrial({step, task, run}: AssignedRun): boolean {
-  return !run.isProven && !step.spec.isGang && isSuspected(task);
+  if (run.isProven) return false;
+  return step.spec.isGang ? hasSuspectedTask(step) : isSuspected(task);
 }
 
 /**
--- a/packages/coordination/src/worker_ranking.ts
+++ b/packages/coordination/src/worker_ranking.ts
@@ -110,23 +110,16 @@
   request: RankingRequest,
   worker: CandidateWorker,
 ): number | undefined {
-  if (!isFreeForStart(request, worker)) return undefined;
-  if (!hasRoomFor(request.step, worker)) return undefined;
+  const {step, isTrial = false} = request;
+  if (!worker.load.canStartBeside(step, isTrial)) return undefined;
+  if (!hasRoomFor(step, worker)) return undefined;
   const suitability = getSuitability(request, worker);
   if (suitability === undefined) return undefined;
-  const targetRack = request.step.spec.dataRack ?? request.preferredRack;
+  const targetRack = step.spec.dataRack ?? request.preferredRack;
   const isOnTargetRack = targetRack !== undefined && targetRack === worker.rack;
   return (isOnTargetRack ? PREFERRED_RACK_SCORE : 0) + suitability;
 }
 
-function isFreeForStart(
-  {isTrial = false}: RankingRequest,
-  {load}: CandidateWorker,
-): boolean {
-  if (load.hasTrial()) return false;
-  return !isTrial || load.getUnprovenRuns().size === 0;
-}
-
 function hasRoomFor(step: StepState, {load, labels}: CandidateWorker): boolean {
   const {needs, requiredLabel, maxPerWorker, isFiller} = step.spec;
   if (requiredLabel !== undefined && !labels.includes(requiredLabel))
--- a/packages/experiments/test/crashing_tasks.test.ts
+++ b/packages/experiments/test/crashing_tasks.test.ts
@@ -247,6 +247,18 @@
     });
   }
 
+  for (const recovery of [BACK_WITH_NEW_ID, BACK_WITH_SAME_ID]) {
+    it(`fails its job after few starts: a gang without a response, back under the ${recovery.workerId} ID`, async () => {
+      const scenario = CrashScenario.createCrashing({recovery}, () => true, 0);
+      await scenario.harness.advance(START_MS);
+      await scenario.submitCrashing([
+        createSampleStep(3, {isGang: true, maxPerWorker: 1}),
+      ]);
+      await scenario.harness.advance(SETTLE_MS);
+      await scenario.expectCrashingFailed();
+    });
+  }
+
   it('fails its job after few starts if the coordinator changes once, after the second start', async () => {
     const scenario = CrashScenario.createCrashing();
     const {harness} = scenario;
