Failing tests: starts that rest on an outdated registration

What callers would see (LIMIT): a start over a capacity that shrank more than 4.5 s before. A coordinator holds its term for 5.5 s without the store, so it may send or repeat a start command on a registration of that age: while the store cannot be reached, or when a lone coordinator continues after it was frozen.

--- a/packages/experiments/test/shrinking_capacity.test.ts
+++ b/packages/experiments/test/shrinking_capacity.test.ts
@@ -14,6 +14,9 @@
 /** Time in which a task is placed and its start command is answered. */
 const PLACEMENT_MS = 500;
 
+/** Time in which a placement is stored and its first start command is sent. */
+const STORAGE_MS = 20;
+
 /** Time in which a worker that can be reached again responds to a renewal. */
 const RENEWAL_RETRY_MS = 1_000;
 
@@ -101,6 +104,33 @@
     await growAndExpectCompletion(harness, [jobId]);
   });
 
+  it('is not told again to start a run while its registration cannot be read', async () => {
+    const harness = await createHarness();
+    const {requestBlockedWorkers} = harness.nodes[0].linkFaults;
+    const jobId = await submit(harness, 1, {needs: LARGE_NEEDS});
+    requestBlockedWorkers.add('worker-0');
+    await harness.advance(STORAGE_MS);
+    harness.store.faults.isSilent = true;
+    harness.resizeWorker('worker-0', HALF);
+    await harness.advance(CAPACITY_BOUND_MS - 100);
+    requestBlockedWorkers.delete('worker-0');
+    await harness.advance(RENEWAL_RETRY_MS);
+    harness.store.faults.isSilent = false;
+    await growAndExpectCompletion(harness, [jobId]);
+  });
+
+  it('is not told to start a run when a frozen coordinator continues', async () => {
+    for (let frozenAtMs = 0; frozenAtMs < STORAGE_MS; frozenAtMs++) {
+      const harness = await createHarness();
+      const jobId = await submit(harness, 1, {needs: LARGE_NEEDS});
+      await harness.advance(frozenAtMs);
+      harness.freezeNode(harness.nodes[0], CAPACITY_BOUND_MS + 300);
+      harness.resizeWorker('worker-0', HALF);
+      await harness.advance(CAPACITY_BOUND_MS + PLACEMENT_MS);
+      await growAndExpectCompletion(harness, [jobId]);
+    }
+  });
+
   it('keeps its runs and gets no filler while they exceed it', async () => {
     const harness = await createHarness();
     const serving = await submit(harness, 4, {isLongRunning: true});
