Wait for current registrations before a start command

What callers would see (LIMIT): a start over a capacity that shrank more than 4.5 s before, while the store cannot be reached or when a lone coordinator continues after it was frozen.

Cause: a coordinator holds its term for 5.5 s without the store, and its start commands rested on registrations of that age.

Change: TableFollower tells when its last call with a response was sent, up to which all changes are known. A start command waits until that is less than 2.5 s ago, then looks at the room. With a heartbeat of 1.5 s that is within the 4.5 s after which a smaller capacity counts; with the wait of 1 s for changes, registrations of a quiet table are up to 2 s old. Releasing the run instead was weighed: it would be placed and stored again several times until the feed responds.

Two new tests of worker_session.test.ts cover the wait.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -87,6 +87,13 @@
  */
 const ISOLATION_TIMEOUT_MS = 5_500;
 
+/**
+ * Age of the registrations beyond which no run is started. Longer than two waits
+ * for changes, and with a heartbeat shorter than the time after which a capacity
+ * that has shrunk counts.
+ */
+const MAX_REGISTRATION_AGE_MS = 2_500;
+
 /** Interval of the `fleet-load` event. */
 const LOAD_LOG_INTERVAL_MS = 2_000;
 
@@ -122,6 +129,7 @@
   private readonly writer: ProgressWriter;
   private readonly retention: JobRetention;
   private readonly followers: TableFollower[] = [];
+  private registrationFollower: TableFollower | undefined;
   /** Number of runs in this term, by step for gangs and by task name for other tasks. */
   private readonly runCounters = new Map<StepState | string, number>();
   private isPassScheduled = false;
@@ -148,6 +156,7 @@
       fencingToken: commitLog.term,
       maxLeaseMs: options.maxLeaseMs,
       isTermConfirmed: () => this.checkTerm(),
+      areRegistrationsCurrent: () => this.areRegistrationsCurrent(),
       previousTermTimeoutMs: ISOLATION_TIMEOUT_MS,
     });
     this.jobTracker = JobTracker.create({
@@ -338,6 +347,7 @@
       onChanges: changes =>
         this.handleWorkerChanges(this.workerPool.applyChanges(changes)),
     });
+    this.registrationFollower = workers;
     const jobs = this.createFollower(JOB_TABLE, undefined, {
       onSnapshot: rows => {
         jobRows = rows;
@@ -594,6 +604,13 @@
     return this.endReason === undefined;
   }
 
+  private areRegistrationsCurrent(): boolean {
+    const confirmedMs =
+      this.registrationFollower?.getConfirmedMs() ?? -Infinity;
+    const ageMs = this.options.clock.getMonotonicMs() - confirmedMs;
+    return ageMs < MAX_REGISTRATION_AGE_MS;
+  }
+
   /** Without access to the store, this node cannot know whether another one has taken over. */
   private isIsolated(): boolean {
     const {commitLog, clock} = this.options;
--- a/packages/coordination/src/table_follower.ts
+++ b/packages/coordination/src/table_follower.ts
@@ -56,6 +56,7 @@
   private isStopped = false;
   private outageStartMs: number | undefined;
   private version: number | undefined;
+  private confirmedMs = -Infinity;
 
   private constructor(private readonly options: TableFollowerOptions) {}
 
@@ -77,7 +78,8 @@
 
   /** Reads a snapshot once, and returns whether that succeeded. */
   async readSnapshot(): Promise<boolean> {
-    const {store, table, part} = this.options;
+    const {store, clock, table, part} = this.options;
+    const sentMs = clock.getMonotonicMs();
     const snapshot =
       part === undefined
         ? await getTableRows(store, table)
@@ -87,6 +89,7 @@
       await this.handleFailure(snapshot.error.message);
       return false;
     }
+    this.confirmedMs = sentMs;
     this.applySnapshot(snapshot.value);
     return true;
   }
@@ -97,6 +100,14 @@
     return this.options.clock.getMonotonicMs() - this.outageStartMs;
   }
 
+  /**
+   * Gets the monotonic time at which the last call with a response was sent. The
+   * listener has received all changes up to then; -Infinity before the first one.
+   */
+  getConfirmedMs(): number {
+    return this.confirmedMs;
+  }
+
   /** Stops following the table. The listener is not called afterwards. */
   stop(): void {
     this.isStopped = true;
@@ -109,12 +120,14 @@
   }
 
   private async readChanges(afterVersion: number): Promise<void> {
-    const {store, table, waitMs, listener} = this.options;
+    const {store, clock, table, waitMs, listener} = this.options;
+    const sentMs = clock.getMonotonicMs();
     const changes = await store.getChanges({table, afterVersion, waitMs});
     if (this.isStopped) return;
     if (changes.isOk()) {
       this.recordResponse();
       this.version = Math.max(afterVersion, changes.value.version);
+      this.confirmedMs = sentMs;
       listener.onChanges(changes.value);
       await this.pauseBetweenCalls();
       return;
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -36,6 +36,8 @@
   readonly maxLeaseMs: number;
   /** Checks whether the term still holds, so that runs may be started. */
   readonly isTermConfirmed: () => boolean;
+  /** Checks whether the registrations are recent enough to start runs. */
+  readonly areRegistrationsCurrent: () => boolean;
   /** How long an earlier coordinator may keep issuing commands. */
   readonly previousTermTimeoutMs: number;
 }
@@ -170,6 +172,7 @@
       record,
       maxLeaseMs: this.options.maxLeaseMs,
       isTermConfirmed: this.options.isTermConfirmed,
+      areRegistrationsCurrent: this.options.areRegistrationsCurrent,
       previousTermTimeoutMs: this.options.previousTermTimeoutMs,
     });
     this.sessions.set(record.workerId, session);
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -71,6 +71,8 @@
   readonly maxLeaseMs: number;
   /** Checks whether the term still holds, so that runs may be started. */
   readonly isTermConfirmed: () => boolean;
+  /** Checks whether the registrations are recent enough to start runs. */
+  readonly areRegistrationsCurrent: () => boolean;
   /** How long an earlier coordinator may grant leases before the worker accepts this term. */
   readonly previousTermTimeoutMs: number;
 }
@@ -112,6 +114,9 @@
  */
 const MAX_START_ATTEMPTS = 4;
 
+/** Interval at which a start that waits for current registrations checks them. */
+const REGISTRATION_POLL_MS = 20;
+
 /** Delay before a stop command without a response is repeated. */
 const STOP_RETRY_MS = 200;
 
@@ -285,6 +290,8 @@
     const {run} = assigned;
     const {workerStartMs} = run;
     for (let attempt = 1; attempt <= MAX_START_ATTEMPTS; attempt++) {
+      if (!this.options.areRegistrationsCurrent())
+        await this.waitForRegistrations(assigned, workerStartMs);
       if (!this.shouldStart(assigned, workerStartMs)) return;
       if (!this.isRegisteredForStarts(workerStartMs)) break;
       if (this.hasUnknownRuns || !this.load.isWithinCapacity()) break;
@@ -655,6 +662,21 @@
     return !isDraining && startMs === workerStartMs;
   }
 
+  /**
+   * Waits until the registrations are current, as the capacity may have shrunk
+   * meanwhile, or until the run is no longer to be started.
+   */
+  private async waitForRegistrations(
+    assigned: AssignedRun,
+    workerStartMs: number,
+  ): Promise<void> {
+    const {clock, areRegistrationsCurrent} = this.options;
+    while (!areRegistrationsCurrent()) {
+      if (!this.shouldStart(assigned, workerStartMs)) return;
+      await clock.sleep(REGISTRATION_POLL_MS);
+    }
+  }
+
   /**
    * Waits until the worker process of a run has responded again, until a report
    * comes from another process, or until the run is no longer assigned.
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -77,6 +77,7 @@
     fencingToken: 1,
     maxLeaseMs: 10_000,
     isTermConfirmed: () => true,
+    areRegistrationsCurrent: () => true,
     previousTermTimeoutMs: 0,
   });
 }
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -55,6 +55,7 @@
   /** Run that the listener assigns when the worker reports an unknown one. */
   reportedRun: AssignedRun | undefined;
   fencedCount = 0;
+  areRegistrationsCurrent = true;
   readonly session: WorkerSession;
   readonly assigned: AssignedRun;
 
@@ -81,6 +82,7 @@
       record: RECORD,
       maxLeaseMs: 10_000,
       isTermConfirmed: () => true,
+      areRegistrationsCurrent: () => this.areRegistrationsCurrent,
       previousTermTimeoutMs: 0,
     });
     this.assigned = addTestRun(this.session.load, {});
@@ -272,6 +274,30 @@
       expect(releasedRuns).to.have.length(1);
     });
 
+    it('waits until the registrations are current', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned} = fixture;
+      fixture.areRegistrationsCurrent = false;
+      void session.startRun(assigned);
+      await clock.advance(SETTLE_MS);
+      expect(client.startCommands).to.be.empty;
+      fixture.areRegistrationsCurrent = true;
+      await clock.advance(SETTLE_MS);
+      expect(client.startCommands).to.have.length(1);
+    });
+
+    it('does not start a run that was stopped before the registrations were current', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned} = fixture;
+      fixture.areRegistrationsCurrent = false;
+      void session.startRun(assigned);
+      void session.stopRun(assigned);
+      await clock.advance(SETTLE_MS);
+      fixture.areRegistrationsCurrent = true;
+      await clock.advance(SETTLE_MS);
+      expect(client.startCommands).to.be.empty;
+    });
+
     it('does not start a run on a worker that lists a run of an unknown task', async () => {
       const fixture = SessionFixture.create();
       const {session, client, clock, assigned, releasedRuns} = fixture;
