Let waves hit tasks that were just started again

The tests now crash waves 5.8 and 6 s apart, which is just after lost tasks are started again; on workers that start tasks all the time; on full workers; and, beside other jobs, right after each start of a chosen task.

The load that keeps all workers starting tasks is 10 jobs of four 0.3 s tasks per second, and one in 8 of two 4 s tasks.

--- a/packages/experiments/test/crashing_tasks.test.ts
+++ b/packages/experiments/test/crashing_tasks.test.ts
@@ -23,17 +23,16 @@
 /** Time within which a waiting task must be started. */
 const MAX_PLACEMENT_MS = 30_000;
 
-/** Time between two waves; about as long as the coordinator takes to place lost tasks again. */
+/**
+ * Times between two waves. The coordinator places lost tasks again about 5.5 s
+ * after a wave, so that the next wave finds them just started.
+ */
+const WAVE_INTERVALS_MS = [5_800, 6_000];
+
 const WAVE_INTERVAL_MS = 6_000;
 
 const WAVE_COUNT = 5;
 
-/** Interval between the jobs of a moderate load. */
-const LOAD_INTERVAL_MS = 500;
-
-/** Interval between the jobs of a load that makes all workers start tasks all the time. */
-const HIGH_LOAD_INTERVAL_MS = 100;
-
 /** Interval at which a scenario checks whether a task was started. */
 const START_POLL_MS = 4;
 
@@ -46,18 +45,34 @@
 const BACK_WITH_SAME_ID: CrashRecovery = {delayMs: 3_000, workerId: 'same'};
 
 const SHORT_STEP = createSampleStep(4, {estimatedMs: 300});
+/** Fills all workers for a multiple of the time between two waves. */
+const WIDE_STEP = createSampleStep(4 * WORKER_COUNT, {estimatedMs: 20_000});
 const LONG_STEP = createSampleStep(2, {estimatedMs: 4_000});
 
+/** Harmless jobs that are submitted at an interval. */
+interface Load {
+  readonly intervalMs: number;
+  /** One in this many jobs has long tasks. */
+  readonly longJobSpacing: number;
+}
+
+const NO_LOAD: Load = {intervalMs: Infinity, longJobSpacing: Infinity};
+const MODERATE_LOAD: Load = {intervalMs: 500, longJobSpacing: 2};
+
+/** Makes all workers start tasks all the time. */
+const BUSY_LOAD: Load = {intervalMs: 100, longJobSpacing: 8};
+
 /** A deployment with harmless jobs and, if given, a first job with tasks that crash workers. */
 class CrashScenario {
   readonly harness: JobHarness;
   private readonly harmlessJobIds: string[] = [];
   private nextNodeIndex = 3;
   private nextWaveIndex = 0;
+  private loadJobCount = 0;
 
   constructor(
     options: JobHarnessOptions = {},
-    private readonly loadIntervalMs = LOAD_INTERVAL_MS,
+    private readonly load = MODERATE_LOAD,
   ) {
     this.harness = JobHarness.create({workers: WORKER_COUNT, ...options});
   }
@@ -104,13 +119,11 @@
   async advanceUnderLoad(durationMs: number): Promise<void> {
     const {clock} = this.harness;
     const endMs = clock.getMonotonicMs() + durationMs;
-    let count = 0;
     while (clock.getMonotonicMs() < endMs) {
-      await this.submitHarmless([count++ % 2 === 0 ? SHORT_STEP : LONG_STEP]);
+      await this.submitLoad();
       const remainingMs = endMs - clock.getMonotonicMs();
-      await this.harness.advance(
-        Math.max(0, Math.min(this.loadIntervalMs, remainingMs)),
-      );
+      const pauseMs = Math.min(this.load.intervalMs, remainingMs);
+      await this.harness.advance(Math.max(0, pauseMs));
     }
   }
 
@@ -142,12 +155,13 @@
   async crashWavesUnderLoad(
     fraction: number,
     recovery: CrashRecovery,
+    intervalMs: number,
     afterWave: () => void = () => undefined,
   ): Promise<void> {
     for (let wave = 0; wave < WAVE_COUNT; wave++) {
-      await this.advanceUnderLoad(WAVE_INTERVAL_MS / 2);
+      await this.advanceUnderLoad(intervalMs / 2);
       afterWave();
-      await this.advanceUnderLoad(WAVE_INTERVAL_MS / 2);
+      await this.advanceUnderLoad(intervalMs / 2);
       this.crashWave(fraction, recovery);
     }
   }
@@ -160,19 +174,32 @@
   }
 
   /**
-   * Advances time until a job has a run on a worker.
+   * Advances time until a job has a run on a worker, while other jobs are submitted.
    * @returns Whether it had one in time.
    */
   async advanceUntilRunning(jobId: string): Promise<boolean> {
-    for (let waitedMs = 0; waitedMs < MAX_PLACEMENT_MS; waitedMs++) {
-      for (const workerId of this.harness.workers.keys()) {
+    const {clock, workers} = this.harness;
+    const endMs = clock.getMonotonicMs() + MAX_PLACEMENT_MS;
+    let nextLoadMs = clock.getMonotonicMs() + this.load.intervalMs;
+    while (clock.getMonotonicMs() < endMs) {
+      for (const workerId of workers.keys()) {
         if (this.isRunning(workerId, jobId)) return true;
       }
       await this.harness.advance(1);
+      if (clock.getMonotonicMs() < nextLoadMs) continue;
+      nextLoadMs += this.load.intervalMs;
+      await this.submitLoad();
     }
     return false;
   }
 
+  /** Gets the current IDs of the workers at an address. */
+  getWorkerIdsAt(address: string): string[] {
+    return [...this.harness.workers]
+      .filter(([, worker]) => worker.getRecord().address === address)
+      .map(([workerId]) => workerId);
+  }
+
   async expectCrashingFailed(): Promise<void> {
     const phase = await this.harness.getPhase(FIRST_JOB_ID);
     expect(this.harness.checker.violations).to.deep.equal([]);
@@ -188,6 +215,12 @@
     expect(this.harness.checker.violations).to.deep.equal([]);
   }
 
+  private async submitLoad(): Promise<void> {
+    this.loadJobCount++;
+    const isLong = this.loadJobCount % this.load.longJobSpacing === 0;
+    await this.submitHarmless([isLong ? LONG_STEP : SHORT_STEP]);
+  }
+
   private isRunning(workerId: string, jobId: string): boolean {
     const runs = this.harness.workers.get(workerId)?.getRuns() ?? [];
     for (const {taskName} of runs) {
@@ -311,43 +344,65 @@
     [1 / 3, 'a third'],
     [1 / 2, 'half'],
   ] as const) {
-    for (const recovery of [BACK_WITH_NEW_ID, BACK_WITH_SAME_ID]) {
-      it(`complete after waves of ${share} of the workers, back under the ${recovery.workerId} ID`, async () => {
+    for (const intervalMs of WAVE_INTERVALS_MS) {
+      for (const recovery of [BACK_WITH_NEW_ID, BACK_WITH_SAME_ID]) {
+        it(`complete after waves of ${share} of the workers every ${intervalMs} ms, back under the ${recovery.workerId} ID`, async () => {
+          const scenario = new CrashScenario();
+          await scenario.harness.advance(START_MS);
+          await scenario.crashWavesUnderLoad(fraction, recovery, intervalMs);
+          await scenario.harness.advance(SETTLE_MS);
+          await scenario.expectHarmlessCompleted();
+        });
+      }
+
+      it(`complete after waves of ${share} of the workers every ${intervalMs} ms while all workers start tasks`, async () => {
+        const scenario = new CrashScenario({}, BUSY_LOAD);
+        const recovery = BACK_WITH_NEW_ID;
+        await scenario.harness.advance(START_MS);
+        await scenario.crashWavesUnderLoad(fraction, recovery, intervalMs);
+        await scenario.harness.advance(SETTLE_MS);
+        await scenario.expectHarmlessCompleted();
+      });
+
+      it(`complete after waves of ${share} of the workers every ${intervalMs} ms if their tasks fill all workers`, async () => {
         const scenario = new CrashScenario();
+        const recovery = BACK_WITH_NEW_ID;
         await scenario.harness.advance(START_MS);
-        await scenario.crashWavesUnderLoad(fraction, recovery);
+        await scenario.submitHarmless([WIDE_STEP]);
+        await scenario.crashWavesUnderLoad(fraction, recovery, intervalMs);
         await scenario.harness.advance(SETTLE_MS);
         await scenario.expectHarmlessCompleted();
       });
     }
 
-    it(`complete after waves of ${share} of the workers while all workers start tasks`, async () => {
-      const scenario = new CrashScenario({}, HIGH_LOAD_INTERVAL_MS);
-      await scenario.harness.advance(START_MS);
-      await scenario.crashWavesUnderLoad(fraction, BACK_WITH_NEW_ID);
-      await scenario.harness.advance(SETTLE_MS);
-      await scenario.expectHarmlessCompleted();
-    });
-
-    it(`complete if each wave of ${share} of the workers follows their start`, async () => {
-      const scenario = new CrashScenario();
-      const {harness} = scenario;
-      await harness.advance(START_MS);
-      const jobId = await scenario.submitHarmless([createSampleStep(2)]);
-      for (let wave = 0; wave < WAVE_COUNT; wave++) {
-        expect(await scenario.advanceUntilRunning(jobId)).to.equal(true);
-        await harness.advance(CRASH_DELAY_MS);
-        scenario.crashWave(fraction, BACK_WITH_NEW_ID, jobId);
-      }
-      await harness.advance(SETTLE_MS);
-      await scenario.expectHarmlessCompleted();
-    });
+    for (const [otherJobs, load] of [
+      ['no other jobs', NO_LOAD],
+      ['other jobs', MODERATE_LOAD],
+      ['jobs that make all workers start tasks', BUSY_LOAD],
+    ] as const) {
+      it(`complete beside ${otherJobs} if each wave of ${share} of the workers follows their start`, async () => {
+        const scenario = new CrashScenario({}, load);
+        const {harness} = scenario;
+        await harness.advance(START_MS);
+        const jobId = await scenario.submitHarmless([createSampleStep(2)]);
+        for (let wave = 0; wave < WAVE_COUNT; wave++) {
+          expect(await scenario.advanceUntilRunning(jobId)).to.equal(true);
+          await harness.advance(CRASH_DELAY_MS);
+          scenario.crashWave(fraction, BACK_WITH_NEW_ID, jobId);
+        }
+        await harness.advance(SETTLE_MS);
+        await scenario.expectHarmlessCompleted();
+      });
+    }
 
     it(`complete after waves of ${share} of the workers with takeovers in between`, async () => {
       const scenario = new CrashScenario();
       await scenario.harness.advance(START_MS);
-      await scenario.crashWavesUnderLoad(fraction, BACK_WITH_NEW_ID, () =>
-        scenario.replaceCoordinator(),
+      await scenario.crashWavesUnderLoad(
+        fraction,
+        BACK_WITH_NEW_ID,
+        WAVE_INTERVAL_MS,
+        () => scenario.replaceCoordinator(),
       );
       await scenario.harness.advance(SETTLE_MS);
       await scenario.expectHarmlessCompleted();
@@ -357,7 +412,11 @@
       const scenario = CrashScenario.createCrashing();
       await scenario.harness.advance(START_MS);
       await scenario.submitCrashing([createSampleStep(2)]);
-      await scenario.crashWavesUnderLoad(fraction, BACK_WITH_NEW_ID);
+      await scenario.crashWavesUnderLoad(
+        fraction,
+        BACK_WITH_NEW_ID,
+        WAVE_INTERVAL_MS,
+      );
       await scenario.harness.advance(SETTLE_MS);
       await scenario.expectHarmlessCompleted();
       await scenario.expectCrashingFailed();
@@ -388,10 +447,7 @@
       const {harness} = scenario;
       await harness.advance(START_MS);
       for (let flap = 0; flap < 15; flap++) {
-        const flapping = [...harness.workers].filter(([, worker]) =>
-          ['worker-0:80', 'worker-1:80'].includes(worker.getRecord().address),
-        );
-        const [id] = flapping[flap % flapping.length];
+        const [id] = scenario.getWorkerIdsAt(`worker-${flap % 2}:80`);
         harness.crashWorkers([id], {delayMs: 500, workerId});
         await scenario.advanceUnderLoad(1_500);
       }
