Add series of waves against one job to the random histories of crashes

A series crashes a third of the workers five times, 5.8 s apart, first those that run the latest job.

--- a/packages/experiments/test/crashing_task_histories.test.ts
+++ b/packages/experiments/test/crashing_task_histories.test.ts
@@ -10,6 +10,7 @@
 type Fault =
   | 'crash-third'
   | 'crash-half'
+  | 'crash-series'
   | 'crash-worker'
   | 'restart-worker'
   | 'partition-worker'
@@ -21,6 +22,7 @@
 const FAULTS: Fault[] = [
   'crash-third',
   'crash-half',
+  'crash-series',
   'crash-worker',
   'crash-worker',
   'restart-worker',
@@ -95,6 +97,12 @@
 /** Time after the last action in which all jobs must have ended. */
 const SETTLE_MS = 120_000;
 
+/** Number of waves of a series. */
+const SERIES_LENGTH = 5;
+
+/** Time between two waves of a series; lost tasks have just been started again by then. */
+const SERIES_INTERVAL_MS = 5_800;
+
 /** Number of the first run of a task in the first term. */
 const FIRST_RUN_NUMBER = 1_000_001;
 
@@ -203,6 +211,9 @@
       case 'crash-half':
         harness.crashWorkers(workerIds.slice(0, HALF_OF_WORKERS), recovery);
         return;
+      case 'crash-series':
+        this.crashSeries(workerIndex, recovery);
+        return;
       case 'crash-worker':
         harness.crashWorkers(workerIds.slice(0, 1), recovery);
         return;
@@ -239,6 +250,29 @@
     }
   }
 
+  /** Crashes a third of the workers several times, first those that run the latest job. */
+  private crashSeries(firstIndex: number, recovery: CrashRecovery): void {
+    const jobId = this.acceptedJobs.at(-1)?.jobId;
+    for (let wave = 0; wave < SERIES_LENGTH; wave++) {
+      this.harness.clock.setTimer(wave * SERIES_INTERVAL_MS, () => {
+        const workerIds = this.getWorkerIds(firstIndex + wave);
+        const targets = workerIds.filter(workerId =>
+          this.isRunning(workerId, jobId),
+        );
+        const crashed = [...new Set([...targets, ...workerIds])];
+        this.harness.crashWorkers(crashed.slice(0, THIRD_OF_WORKERS), recovery);
+      });
+    }
+  }
+
+  private isRunning(workerId: string, jobId: string | undefined): boolean {
+    const runs = this.harness.workers.get(workerId)?.getRuns() ?? [];
+    for (const {taskName} of runs) {
+      if (parseTaskName(taskName)?.jobId === jobId) return true;
+    }
+    return false;
+  }
+
   /** Gets the IDs of the workers that are up, beginning at an index. */
   private getWorkerIds(firstIndex: number): string[] {
     const upIds = [...this.harness.workers]
