Poll the job table often enough to publish queue lengths while no jobs arrive

Cause: lengths are published while the last successful call to the feed of the job table was sent at most 2 s ago. Without changes a call waits for 1 s, and its response is used until the next one, so that the age reached 2 s plus two latencies in each cycle. A status written then had no lengths, for 300 to 550 ms.

Change: a call waits for 500 ms at most.

Evidence: 'is published all the time while no jobs arrive', with responses that take 50 ms, failed with 'expected undefined to not equal undefined' and passes; the other tests of job_queue_length pass.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -81,8 +81,12 @@
 /** Interval of the periodic checks, which run even if nothing has changed. */
 const TICK_MS = 250;
 
-/** Maximum time that one call waits for changes of a table. */
-const CHANGE_POLL_TIMEOUT_MS = 1_000;
+/**
+ * Maximum time that one call waits for changes of a table. The age of the
+ * received contents is up to twice as high, and must stay below `MAX_JOBS_AGE_MS`
+ * while no jobs arrive.
+ */
+const CHANGE_POLL_TIMEOUT_MS = 500;
 
 /**
  * Maximum age of the received jobs for publishing queue lengths; the same as
--- a/packages/experiments/test/job_queue_length.test.ts
+++ b/packages/experiments/test/job_queue_length.test.ts
@@ -19,6 +19,11 @@
 /** Time by which a feed is late; above the 2 s up to which a queue length may be out of date. */
 const FEED_DELAY_MS = 3_000;
 
+/** Usual latency of a response of the store. */
+const FEED_LATENCY_MS = 50;
+
+const IDLE_MS = 60_000;
+
 /** Interval at which the published status is checked. */
 const ROUND_MS = 100;
 
@@ -115,4 +120,15 @@
     await harness.advance(2 * FEED_DELAY_MS);
     expect(getWaitingJobs(harness)).to.equal(1);
   });
+
+  it('is published all the time while no jobs arrive', async () => {
+    const harness = JobHarness.create();
+    await harness.advance(START_MS);
+    const coordinator = harness.getCoordinator()!;
+    coordinator.storeFaults.feedDelaysMs.set(JOB_TABLE, FEED_LATENCY_MS);
+    for (let round = 0; round < IDLE_MS; round += ROUND_MS) {
+      await harness.advance(ROUND_MS);
+      expect(getQueues(harness)).not.to.equal(undefined);
+    }
+  });
 });
