Prove a run by the time for which its worker lists it

Cause: a run counted as proven once a report listed it 500 ms after its placement. The start command follows the storing of the placement, and may be repeated; a report may be late. A run that is started 500 ms after its placement and is listed in the few milliseconds before the crash counted as proven, and that cleared the crashes of its task.

Change: a run is proven once two reports of the same process, 500 ms apart on the worker's clock, list it.

Evidence: 'proves a run by the time for which the worker lists it, not by that since its placement' failed with a run proven by its first listing, and passes. Tests of coordination and jobs, crashing_tasks, crashing_task_histories, job_queue_length and shrinking_capacity pass.

--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -132,8 +132,8 @@
 const CPU_LIMIT_RETRY_MS = 200;
 
 /**
- * Time after its placement from which a run that a report lists counts as proven:
- * it does not crash the worker at its start.
+ * Time for which a worker must list a run, on the worker's clock, until the run
+ * counts as proven: it does not crash the worker at its start.
  */
 const PROVING_TIME_MS = 500;
 
@@ -514,6 +514,7 @@
       run.workerStartMs = this.processStartMs;
       assigned.commandResponseMs = undefined;
       assigned.startLeaseUntilMs = undefined;
+      assigned.firstListedClockMs = undefined;
       void this.stopRun(assigned);
     }
   }
@@ -529,12 +530,17 @@
         void this.stopUnknownRun(running);
         continue;
       }
+      if (assigned.run.workerStartMs !== report.startMs)
+        assigned.firstListedClockMs = undefined;
       assigned.run.workerStartMs = report.startMs;
       confirmRun(assigned);
-      const ageMs = this.options.clock.getMonotonicMs() - assigned.run.placedMs;
       assigned.run.progressPercent = running.progressPercent;
-      assigned.run.progressAgeMs = ageMs;
-      if (!assigned.run.isProven && ageMs >= PROVING_TIME_MS) {
+      assigned.run.progressAgeMs =
+        this.options.clock.getMonotonicMs() - assigned.run.placedMs;
+      // A start or a report may arrive long after the placement.
+      assigned.firstListedClockMs ??= report.clockMs;
+      const listedMs = report.clockMs - assigned.firstListedClockMs;
+      if (!assigned.run.isProven && listedMs >= PROVING_TIME_MS) {
         this.load.markProven(assigned);
         this.options.listener.onRunProven(assigned);
       }
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -54,6 +54,7 @@
   readonly releasedRuns: AssignedRun[] = [];
   /** Run that the listener assigns when the worker reports an unknown one. */
   reportedRun: AssignedRun | undefined;
+  readonly provenRuns: AssignedRun[] = [];
   fencedCount = 0;
   areRegistrationsCurrent = true;
   readonly session: WorkerSession;
@@ -68,7 +69,7 @@
       onRunLost: release,
       onReport: () => undefined,
       onWorkerLost: () => undefined,
-      onRunProven: () => undefined,
+      onRunProven: assigned => this.provenRuns.push(assigned),
       onStartRefused: () => undefined,
       onRunNotStarted: assigned => this.releasedRuns.push(assigned),
       onProcessRestarted: () => undefined,
@@ -171,6 +172,21 @@
     });
   });
 
+  it('proves a run by the time for which the worker lists it, not by that since its placement', async () => {
+    const fixture = SessionFixture.create();
+    const {session, assigned, provenRuns} = fixture;
+    const {taskName, run} = assigned;
+    const running = [{...UNKNOWN_RUN, taskName, runNumber: run.runNumber}];
+    void session.run();
+    await fixture.report({clockMs: 1_000});
+    await fixture.report({clockMs: 2_000, running});
+    await fixture.report({clockMs: 2_490, running});
+    expect(provenRuns).to.be.empty;
+    await fixture.report({clockMs: 2_500, running});
+    expect(provenRuns).to.deep.equal([assigned]);
+    session.stop();
+  });
+
   describe('startRun', () => {
     const refusals: RefusalReason[] = ['unhealthy', 'no-room', 'no-ticket'];
     for (const refusal of refusals) {
