--- a/packages/experiments/src/scheduler_harness.ts
+++ b/packages/experiments/src/scheduler_harness.ts
@@ -78,6 +78,12 @@
   isDead: boolean;
 }
 
+/** A crash of a worker. */
+export interface WorkerCrash {
+  readonly workerId: string;
+  readonly atMs: number;
+}
+
 /** Name of the only failure domain. */
 export const DOMAIN = 'domain-a';
 const VM_LIST_POLL_MS = 1_000;
@@ -87,6 +93,8 @@
   memoryMb: 8_000,
   accelerators: 0,
 };
+/** Time from the crash of a worker to its next boot. */
+const REBOOT_MS = 5_000;
 
 /** Simulates one failure domain. */
 export class SchedulerHarness {
@@ -101,12 +109,16 @@
     taskId?: string;
     atMs: number;
   }> = [];
+  /** Time after which attempts of a service or job crash their worker, by name. */
+  readonly crashDelayMsByName = new Map<string, number>();
+  /** Crashes of workers, in order. */
+  readonly crashes: WorkerCrash[] = [];
   /** Workers on the platform's VM list. */
   vms: Vm[] = [];
   private startedCount = 0;
   private stepHook: ((step: TaskStep, node: SchedulerNode) => void) | undefined;
 
-  private constructor(private readonly options: SchedulerHarnessOptions) {
+  private constructor(readonly options: SchedulerHarnessOptions) {
     this.table.faults.delayMs = 5;
     for (let index = 0; index < options.workers; index++) {
       this.addWorker(`worker-${index}`, `rack-${index % 3}`);
@@ -136,6 +148,8 @@
     const previous = this.models.get(workerId);
     if (previous !== undefined) this.removedModels.push(previous);
     const model = WorkerModel.create(workerId, bootId, size, this.clock);
+    model.behavior.getCrashDelayMs = name => this.crashDelayMsByName.get(name);
+    model.behavior.onCrash = () => this.crashWorker(workerId);
     this.models.set(workerId, model);
     this.vms = [
       ...this.vms.filter(vm => vm.id !== workerId),
@@ -165,6 +179,21 @@
     this.publishMembership();
   }
 
+  /** Crashes a worker, which stays on the VM list and boots again. */
+  crashWorker(workerId: string): void {
+    const model = this.models.get(workerId);
+    const vm = this.vms.find(({id}) => id === workerId);
+    if (model === undefined || vm === undefined) return;
+    this.crashes.push({workerId, atMs: this.clock.getWallMs()});
+    model.destroy();
+    this.removedModels.push(model);
+    this.models.delete(workerId);
+    this.clock.setTimer(REBOOT_MS, () => {
+      const isRemoved = !this.vms.some(({id}) => id === workerId);
+      if (!isRemoved) this.addWorker(workerId, vm.rack);
+    });
+  }
+
   /** Adds a scheduler process. */
   addNode(): SchedulerNode {
     const id = `scheduler-${++this.startedCount}`;
@@ -300,6 +329,12 @@
       .map(row => row.value as TaskRecord);
   }
 
+  /** Gets the number of attempts of a task that workers started. */
+  countStarts(taskId: string): number {
+    const started = this.getAllModels().flatMap(model => model.startedAttempts);
+    return started.filter(attempt => attempt.taskId === taskId).length;
+  }
+
   /** Gets the number of tasks in a state. */
   countTasks(state: TaskRecord['state']): number {
     return this.getTasks().filter(task => task.state === state).length;
--- a/packages/standins/src/worker_model.ts
+++ b/packages/standins/src/worker_model.ts
@@ -46,6 +46,13 @@
   isLeaving: boolean;
   /** Gets the slowdown of colocated services per core that a batch job uses. */
   getInterference: (jobName: string) => number;
+  /**
+   * Gets the time after which an attempt of a service or job crashes the
+   * worker; `undefined` if it does not.
+   */
+  getCrashDelayMs: (name: string) => number | undefined;
+  /** Called when an attempt has crashed the worker. */
+  onCrash: () => void;
 }
 
 interface ScopeLease {
@@ -85,6 +92,8 @@
     checkpointDurationMs: 50,
     isLeaving: false,
     getInterference: () => 0,
+    getCrashDelayMs: () => undefined,
+    onCrash: () => undefined,
   };
   /** Commands that would have exceeded the capacity, in order. */
   readonly violations: string[] = [];
@@ -104,6 +113,7 @@
   private reportNumber = 0;
   private requestsInProgress = 0;
   private leaseTimer: Timer | undefined;
+  private crashTimer: Timer | undefined;
 
   private constructor(
     readonly workerId: string,
@@ -141,6 +151,7 @@
   /** Destroys the worker and all attempts on it. */
   destroy(): void {
     this.leaseTimer?.cancel();
+    this.crashTimer?.cancel();
     for (const attempt of this.attempts.values()) {
       this.updateProgress(attempt);
       attempt.timer?.cancel();
@@ -295,9 +306,19 @@
     const {taskId, attempt: attemptNumber, checkpoint} = start;
     this.startedAttempts.push({taskId, attempt: attemptNumber, checkpoint});
     this.scheduleCompletion(attempt);
+    this.scheduleCrash(start.name);
     return {isAccepted: true};
   }
 
+  private scheduleCrash(name: string): void {
+    const delayMs = this.behavior.getCrashDelayMs(name);
+    if (delayMs === undefined || this.crashTimer !== undefined) return;
+    this.crashTimer = this.clock.setTimer(delayMs, () => {
+      this.destroy();
+      this.behavior.onCrash();
+    });
+  }
+
   /**
    * Checks whether an attempt fits next to the running ones, and records a
    * violation if not.
