Give up tasks that crash each worker that starts them

Cause: a bound task whose worker has another boot id was unbound and bound again, and nothing counted these reboots.

Change: the task's row lists the workers that crashed when they started it. StartTracker knows which attempts are just starting (accepted, and not yet reported 500 ms later), CrashAttributor decides whether a reboot is evidence against an attempt. A counted task starts apart from other starting attempts and off the workers that it crashed, on a worker reserved for it if all are busy; the third worker fails it, with a reason that names the workers and events 609 and 610. A report of the running attempt, or its end, resets the count. The new fields are optional: earlier rows are read, and an earlier build drops the fields when it writes the row.

Crashes before the start is accepted, dropped VMs and domains with fewer than three workers are not covered (docs/DESIGN.md).

--- a/packages/experiments/test/crashing_attempts.test.ts
+++ b/packages/experiments/test/crashing_attempts.test.ts
@@ -101,6 +101,24 @@
     }
   });
 
+  it('a task with a crash starts again while all workers keep starting other tasks', async () => {
+    for (const seed of SEEDS) {
+      const harness = createHarness(seed, [
+        createCrashingJob(),
+        createJob(2_000, {expectedRunMs: 3_000}),
+      ]);
+      harness.crashDelayMsByName.set('crashing', 10);
+      await harness.clock.advance(100_000);
+      expect(
+        harness.countTasks('pending'),
+        'busy until the end',
+      ).to.be.greaterThan(0);
+      const starts = harness.countStarts(CRASHING_TASK);
+      expect(starts, `seed ${seed}`).to.be.within(3, MAX_STARTS);
+      expectStates(harness, 'crashing', 'failed');
+    }
+  });
+
   it('a service that crashes each worker is given up', async () => {
     for (const seed of SEEDS) {
       const harness = createHarness(
--- a/packages/scheduling/src/task_record.ts
+++ b/packages/scheduling/src/task_record.ts
@@ -39,6 +39,12 @@
   /** Worker, and its boot id, that the latest attempt was bound to. */
   workerId: z.string().optional(),
   bootId: z.string().optional(),
+  /** Wall time at which the latest attempt was bound. */
+  boundAtMs: z.number().optional(),
+  /** Workers that crashed when they started the latest attempts; empty if one may have. */
+  crashedWorkerIds: z.array(z.string()).optional(),
+  /** After such crashes: attempt that is being started and is not proven yet. */
+  startingAttempt: z.number().int().optional(),
   /** Checkpoint to resume from. */
   checkpoint: z.string().optional(),
   result: z.string().optional(),
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -30,6 +30,7 @@
   fitsOnEmptyWorker,
 } from './attempt_records.js';
 import {CommandBatcher} from './command_batcher.js';
+import {CrashAttributor, CrashEvidence} from './crash_attributor.js';
 import {InterferenceMonitor} from './interference_monitor.js';
 import {EvictionPlanner} from './eviction_planner.js';
 import {FairShareQueue, PendingTask} from './fair_share_queue.js';
@@ -45,6 +46,13 @@
 } from './placement_policy.js';
 import {ScoredPlacement} from './scored_placement.js';
 import {SizeEstimator} from './size_estimator.js';
+import {
+  countStartCrash,
+  hasStartCrashes,
+  NO_START_CRASHES,
+  recordPossibleCrash,
+} from './start_crashes.js';
+import {MIN_PROOF_MS, StartTracker} from './start_tracker.js';
 import {CachedTask, TaskCache} from './task_cache.js';
 import {ENDED_TASK_RETENTION_MS, TaskPurger} from './task_purger.js';
 import {TaskRecord} from './task_record.js';
@@ -60,6 +68,8 @@
   | 'task-throttled'
   | 'task-failed'
   | 'task-cancelled'
+  | 'task-crashed-worker'
+  | 'task-crash-limit'
   | 'job-infeasible'
   | 'worker-set-aside'
   | 'table-failed';
@@ -130,6 +140,11 @@
  * written their checkpoint by then.
  */
 const STOP_CHECK_DELAY_MS = 150;
+/**
+ * Longest time for which a worker is reserved; running attempts must end to
+ * free enough resources.
+ */
+const MAX_RESERVATION_MS = 30_000;
 const RETRY_BACKOFF_MS = 200;
 const MAX_RETRY_BACKOFF_MS = 10_000;
 
@@ -143,6 +158,8 @@
   private readonly goneWorkers: GoneWorkerTracker;
   private readonly purger: TaskPurger;
   private readonly interferenceMonitor: InterferenceMonitor;
+  private readonly starts: StartTracker;
+  private readonly crashes: CrashAttributor;
   private readonly evictionPlanner = EvictionPlanner.create();
   private readonly views = new Map<string, WorkerView>();
   /** Bound tasks whose attempt is being started, or prevented from starting. */
@@ -158,6 +175,7 @@
   private document: EnvironmentDocument | undefined;
   private timers = new Map<string, Timer>();
   private isUrgentTaskUnplaced = false;
+  private reservation: WorkerReservation | undefined;
   private isStopped = false;
 
   private constructor(private readonly options: TaskSchedulerOptions) {
@@ -177,6 +195,11 @@
     this.fleet = Fleet.create(schedulerId, failureDomain);
     this.goneWorkers = GoneWorkerTracker.create(clock, listLagMs);
     this.interferenceMonitor = InterferenceMonitor.create(clock);
+    this.starts = StartTracker.create(clock);
+    this.crashes = CrashAttributor.create(clock, this.starts, taskId => {
+      const record = this.cache.getTask(taskId)?.record;
+      return record !== undefined && hasStartCrashes(record);
+    });
     this.purger = TaskPurger.create({...options, cache: this.cache});
     this.jobReconciler = JobReconciler.create({
       ...options,
@@ -237,6 +260,7 @@
    */
   setVms(vms: readonly Vm[], schedulers: readonly string[]): void {
     this.fleet.setVms(vms, schedulers);
+    this.starts.retainWorkers(id => this.fleet.getVm(id) !== undefined);
     this.jobReconciler.updateDesiredReplicas();
   }
 
@@ -281,6 +305,7 @@
    * @param workerId - Id of the worker.
    */
   removeWorker(workerId: string): void {
+    this.crashes.recordLeaseLoss(workerId);
     this.views.delete(workerId);
     this.outlierTracker.removeMember(workerId);
     this.backlogByWorker.delete(workerId);
@@ -330,7 +355,21 @@
       return;
     }
     view.isSynced = true;
-    if (this.isCurrent(view)) this.reconcile(view);
+    if (!this.isCurrent(view)) return;
+    this.crashes.recordLeaseGrant(
+      view.lease.getStatus(),
+      this.getBoundRecords(view.workerId),
+    );
+    this.reconcile(view);
+  }
+
+  private getBoundRecords(workerId: string): TaskRecord[] {
+    const records: TaskRecord[] = [];
+    for (const taskId of this.cache.getBoundTaskIds(workerId)) {
+      const task = this.cache.getTask(taskId);
+      if (task !== undefined) records.push(task.record);
+    }
+    return records;
   }
 
   private readonly isStopping = (id: AttemptId): boolean =>
@@ -348,6 +387,7 @@
   private applyStatus(view: WorkerView): void {
     const status = view.lease.getStatus();
     view.attemptReports = status.attempts;
+    this.starts.recordStatus(status);
     this.updateLeaving(view, status.isLeaving);
     for (const report of status.attempts) {
       if (report.state !== 'running') {
@@ -397,6 +437,9 @@
   /** Compares the task rows and attempt reports of one worker and resolves each difference. */
   private reconcile(view: WorkerView): void {
     if (!view.isSynced || !view.lease.isValid()) return;
+    this.starts.retainUnreported(view.workerId, id =>
+      this.isBindingOrBound(view, id),
+    );
     const commands: WorkerCommand[] = [];
     for (const report of view.attemptReports) {
       this.reconcileReport(view, report, commands);
@@ -429,6 +472,7 @@
           this.requestStop(task, 'cancelled');
         // Resending the stop command also requests another early renewal.
         if (this.isStopping(name)) commands.push({kind: 'stop', name});
+        if (hasStartCrashes(task.record)) this.checkProof(view, task);
         return;
       case 'finished':
         void this.commitEnd(view, task, report, 'done');
@@ -443,6 +487,35 @@
     }
   }
 
+  private isBindingOrBound(view: WorkerView, id: AttemptId): boolean {
+    const task = this.cache.getTask(id.taskId);
+    if (task === undefined) return false;
+    return task.isWriting || isBoundTo(task.record, view, id.attempt);
+  }
+
+  /**
+   * Resets the count of crashes once the attempt is proven; until then, polls
+   * the worker, since nothing else starts there.
+   */
+  private checkProof(view: WorkerView, task: CachedTask): void {
+    const {record} = task;
+    if (!this.starts.isProven(view.workerId, record)) {
+      this.renewForProof(view);
+      return;
+    }
+    void this.writer.writeRecord(task, {
+      ...record,
+      writeToken: this.options.tokens.getNext(),
+      ...NO_START_CRASHES,
+    });
+  }
+
+  private renewForProof({workerId}: WorkerView): void {
+    this.options.clock.setTimer(MIN_PROOF_MS, () =>
+      this.options.renewSoon(workerId, 0),
+    );
+  }
+
   /**
    * Starts an attempt that is bound to the worker but not reported, or releases
    * its task if the attempt must not start there any more.
@@ -454,7 +527,7 @@
     if (view.isReported(taskId, record.attempt)) return;
     if (this.commandedTaskIds.has(taskId)) return;
     if (record.bootId !== view.lease.getStatus().bootId)
-      void this.releaseBoundTask(view, task, 'the worker was restarted');
+      this.releaseAfterReboot(view, task);
     else if (this.jobReconciler.isCancelledOrUndeclared(record))
       void this.releaseBoundTask(view, task, 'the task was cancelled');
     else if (view.isLeaving)
@@ -462,6 +535,27 @@
     else void this.startBoundTask(view, task);
   }
 
+  /** Unbinds a task from a rebooted worker, and records whether the attempt may have crashed it. */
+  private releaseAfterReboot(view: WorkerView, task: CachedTask): void {
+    const {record} = task;
+    const {workerId} = view;
+    const reason = 'the worker was restarted';
+    const evidence = this.crashes.getEvidence(record, view.lease.getStatus());
+    if (evidence === 'none') {
+      void this.releaseBoundTask(view, task, reason);
+      return;
+    }
+    // A first crash only limits the placement; it need not wait for other evidence.
+    const isSuspect = hasStartCrashes(record);
+    if (isSuspect && !this.crashes.isSettled(workerId)) return;
+    if (this.crashes.isCommonFailure(workerId, isSuspect)) {
+      const commonReason = `${reason}, like others at about the same time`;
+      void this.releaseBoundTask(view, task, commonReason);
+      return;
+    }
+    void this.releaseBoundTask(view, task, reason, evidence);
+  }
+
   /**
    * Unbinds or cancels a task whose attempt the worker does not report. First
    * sends a stop command, after which a delayed start command has no effect.
@@ -471,6 +565,7 @@
     view: WorkerView,
     task: CachedTask,
     reason: string,
+    evidence: CrashEvidence = 'none',
   ): Promise<void> {
     const {record} = task;
     const {taskId, attempt} = record;
@@ -485,7 +580,8 @@
     if (task.record !== record || task.isWriting) return;
     if (this.jobReconciler.isCancelledOrUndeclared(record))
       await this.commitCancelled(task);
-    else await this.commitUnbind(task, reason);
+    else if (evidence === 'observed') await this.commitStartCrash(view, task);
+    else await this.commitUnbind(task, reason, evidence === 'possible');
   }
 
   /**
@@ -551,6 +647,7 @@
   ): Promise<void> {
     const {record} = task;
     const {taskId} = record;
+    if (!this.mayStart(record, view)) return;
     const placed = this.createPlacedTaskFromRecord(record);
     if (!view.isPlaced(taskId)) {
       // Resources freed for an urgent task must not go to attempts from the backlog.
@@ -559,6 +656,7 @@
       view.addTask(placed);
     }
     if (!view.lease.isValid()) return;
+    this.starts.recordStart(view.workerId, record);
     this.commandedTaskIds.add(taskId);
     const outcome = await this.commandBatcher.addCommand(view, {
       kind: 'start',
@@ -570,6 +668,7 @@
     if (outcome === undefined) return;
     if (!outcome.isAccepted) {
       view.removeTask(taskId);
+      this.starts.removeStart(view.workerId, taskId);
       this.setRetryTime(taskId, record.failures);
       if (this.isCurrent(view) && !task.isWriting && task.record === record)
         await this.releaseBoundTask(
@@ -582,6 +681,21 @@
     const detail = `attempt ${record.attempt}`;
     const {workerId} = view;
     this.options.onEvent('task-started', {taskId, workerId, detail});
+    this.starts.recordAcceptance(workerId, record);
+    if (!hasStartCrashes(record)) return;
+    this.renewForProof(view);
+    if (record.startingAttempt === record.attempt) return;
+    if (task.isWriting || task.record !== record) return;
+    await this.commitStartingAttempt(task, record.attempt);
+  }
+
+  private async commitStartingAttempt(
+    task: CachedTask,
+    startingAttempt: number | undefined,
+  ): Promise<void> {
+    const writeToken = this.options.tokens.getNext();
+    const next: TaskRecord = {...task.record, writeToken, startingAttempt};
+    await this.writer.writeRecord(task, next);
   }
 
   private async commitEnd(
@@ -592,7 +706,11 @@
   ): Promise<void> {
     const {taskId} = task.record;
     const stopReason = this.getStopReason(report);
-    const next = this.getEndRecord(task.record, report, end);
+    // The attempt has ended on a running worker, so it did not crash it.
+    const next: TaskRecord = {
+      ...this.getEndRecord(task.record, report, end),
+      ...NO_START_CRASHES,
+    };
     const isWritten = await this.writer.writeRecord(task, next);
     if (!isWritten) return;
     this.stopping.delete(taskId);
@@ -669,20 +787,41 @@
     this.options.onEvent('worker-set-aside', {workerId});
   }
 
-  private async commitUnbind(task: CachedTask, reason: string): Promise<void> {
-    const {workerId} = task.record;
-    const next: TaskRecord = {
-      ...task.record,
-      writeToken: this.options.tokens.getNext(),
-      state: 'pending',
-      reason,
-    };
+  private async commitUnbind(
+    task: CachedTask,
+    reason: string,
+    isPossibleCrash = false,
+  ): Promise<void> {
+    const {record} = task;
+    const {workerId} = record;
+    const writeToken = this.options.tokens.getNext();
+    const next: TaskRecord = isPossibleCrash
+      ? recordPossibleCrash(record, reason, writeToken)
+      : {...record, writeToken, state: 'pending', reason};
     const isWritten = await this.writer.writeRecord(task, next);
     if (!isWritten || workerId === undefined) return;
     this.views.get(workerId)?.removeTask(next.taskId);
     this.backlogByWorker.get(workerId)?.delete(next.taskId);
   }
 
+  private async commitStartCrash(
+    view: WorkerView,
+    task: CachedTask,
+  ): Promise<void> {
+    const {workerId} = view;
+    const {taskId, attempt} = task.record;
+    const writeToken = this.options.tokens.getNext();
+    const next = countStartCrash(task.record, workerId, writeToken);
+    const isWritten = await this.writer.writeRecord(task, next);
+    if (!isWritten) return;
+    view.removeTask(taskId);
+    this.backlogByWorker.get(workerId)?.delete(taskId);
+    const detail = `attempt ${attempt}`;
+    this.options.onEvent('task-crashed-worker', {taskId, workerId, detail});
+    if (next.state !== 'failed') return;
+    this.options.onEvent('task-crash-limit', {taskId, detail: next.reason});
+  }
+
   private async commitCancelled(task: CachedTask): Promise<void> {
     const {workerId, taskId} = task.record;
     const writeToken = this.options.tokens.getNext();
@@ -730,6 +869,8 @@
         continue;
       }
       if (next.kind === 'service' || next.isUrgent) continue;
+      // Its placement is limited, unlike that of other tasks of the job.
+      if (hasStartCrashes(task.record)) continue;
       blockedNames.add(task.record.name);
       if (blockedNames.size >= MAX_BLOCKED_JOBS) break;
     }
@@ -740,16 +881,22 @@
     task: CachedTask,
     usable: readonly WorkerView[],
   ): boolean {
-    const view = this.chooseView(task.record, usable);
+    const {record} = task;
+    const startable = this.getStartableViews(record, usable);
+    const view = this.chooseView(record, startable);
     if (view !== undefined) {
       void this.bind(view, task, true);
       return true;
     }
-    if (task.record.kind === 'batch' && !task.record.isUrgent) {
-      return this.bindToBacklog(task, usable);
+    if (hasStartCrashes(record)) {
+      this.reserveWorker(record, usable);
+      return false;
+    }
+    if (record.kind === 'batch' && !record.isUrgent) {
+      return this.bindToBacklog(task, startable);
     }
     this.isUrgentTaskUnplaced = true;
-    this.evictForUrgentTask(task.record, usable);
+    this.evictForUrgentTask(record, startable);
     return false;
   }
 
@@ -837,6 +984,104 @@
     return usable;
   }
 
+  /** Gets the workers on which a task may start now. */
+  private getStartableViews(
+    record: TaskRecord,
+    usable: readonly WorkerView[],
+  ): WorkerView[] {
+    return usable.filter(
+      view => this.mayStart(record, view) && !this.isAvoided(record, view),
+    );
+  }
+
+  /**
+   * Checks whether a task is kept off a worker that it may have crashed; only
+   * crashes of different workers show that the task is the cause.
+   */
+  private isAvoided(
+    {crashedWorkerIds = []}: TaskRecord,
+    {workerId}: WorkerView,
+  ): boolean {
+    if (!crashedWorkerIds.includes(workerId)) return false;
+    const workers = this.fleet.getWorkersByDomain();
+    const count = workers.get(this.options.failureDomain) ?? 0;
+    return count > crashedWorkerIds.length;
+  }
+
+  /**
+   * Reserves a worker for a task that must start alone; otherwise the task
+   * would wait as long as each worker keeps starting other tasks.
+   */
+  private reserveWorker(
+    record: TaskRecord,
+    usable: readonly WorkerView[],
+  ): void {
+    if (this.getReservation() !== undefined) return;
+    const request = this.createPlacementRequest(record);
+    let best: WorkerView | undefined;
+    let bestCores = -Infinity;
+    for (const view of usable) {
+      if (this.isAvoided(record, view)) continue;
+      if (!fitsOnEmptyWorker(record, view)) continue;
+      if (!this.placement?.isCompatible(request, view)) continue;
+      const {cores} = view.getFreeResources();
+      if (cores <= bestCores) continue;
+      best = view;
+      bestCores = cores;
+    }
+    if (best === undefined) return;
+    const nowMs = this.options.clock.getMonotonicMs();
+    this.reservation = {
+      workerId: best.workerId,
+      taskId: record.taskId,
+      untilMs: nowMs + MAX_RESERVATION_MS,
+    };
+  }
+
+  private isReservedForOther(
+    {taskId}: TaskRecord,
+    {workerId}: WorkerView,
+  ): boolean {
+    const reservation = this.getReservation();
+    if (reservation?.workerId !== workerId) return false;
+    return reservation.taskId !== taskId;
+  }
+
+  private getReservation(): WorkerReservation | undefined {
+    const {reservation} = this;
+    if (reservation === undefined) return undefined;
+    const {taskId, untilMs} = reservation;
+    const isPending = this.cache.getTask(taskId)?.record.state === 'pending';
+    const isExpired = this.options.clock.getMonotonicMs() > untilMs;
+    if (!isPending || isExpired) this.reservation = undefined;
+    return this.reservation;
+  }
+
+  /**
+   * Checks whether a task may start beside the starting attempts of a worker:
+   * the attempt of a task that may have crashed workers starts alone, so that
+   * the next crash shows whether it is the cause.
+   */
+  private mayStart(record: TaskRecord, view: WorkerView): boolean {
+    const startingIds = this.starts.getStartingTaskIds(view.workerId);
+    // An attempt whose start is in progress already occupies the resources.
+    if (
+      !startingIds.includes(record.taskId) &&
+      this.isReservedForOther(record, view)
+    ) {
+      return false;
+    }
+    const isSuspect = hasStartCrashes(record);
+    for (const taskId of startingIds) {
+      if (taskId === record.taskId) continue;
+      const other = this.cache.getTask(taskId)?.record;
+      if (isSuspect || (other !== undefined && hasStartCrashes(other))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private chooseView(
     record: TaskRecord,
     usable: readonly WorkerView[],
@@ -883,6 +1128,12 @@
     isStartedImmediately: boolean,
   ): Promise<void> {
     const {taskId} = task.record;
+    const attempt = task.record.attempt + 1;
+    this.starts.recordBind(
+      view.workerId,
+      {taskId, attempt},
+      isStartedImmediately,
+    );
     if (isStartedImmediately) {
       view.addTask(this.createPlacedTaskFromRecord(task.record));
       this.outlierTracker.recordDispatch(view.workerId);
@@ -891,9 +1142,11 @@
       ...task.record,
       writeToken: this.options.tokens.getNext(),
       state: 'bound',
-      attempt: task.record.attempt + 1,
+      attempt,
       workerId: view.workerId,
       bootId: view.lease.getStatus().bootId,
+      boundAtMs: this.options.clock.getWallMs(),
+      startingAttempt: hasStartCrashes(task.record) ? attempt : undefined,
       reason: undefined,
     };
     const isWritten = await this.writer.writeRecord(task, next);
@@ -907,6 +1160,22 @@
     if (this.isCurrent(view) && view.lease.isValid()) {
       await this.startBoundTask(view, task);
     }
+    await this.clearUnsentStart(view, task, next);
+  }
+
+  /**
+   * Withdraws the evidence of a start that the worker has not accepted, so that
+   * an earlier failure of the worker is not counted as a crash.
+   */
+  private async clearUnsentStart(
+    view: WorkerView,
+    task: CachedTask,
+    record: TaskRecord,
+  ): Promise<void> {
+    if (record.startingAttempt === undefined) return;
+    if (this.starts.isStarted(view.workerId, record)) return;
+    if (task.isWriting || task.record !== record) return;
+    await this.commitStartingAttempt(task, undefined);
   }
 
   /**
@@ -917,7 +1186,10 @@
     const record = this.cache.getTask(taskId)?.record;
     const isBound =
       record?.state === 'bound' && record.workerId === view.workerId;
-    if (!isBound) view.removeTask(taskId);
+    if (!isBound) {
+      view.removeTask(taskId);
+      this.starts.removeStart(view.workerId, taskId);
+    }
     this.backlogByWorker.get(view.workerId)?.delete(taskId);
   }
 
@@ -1026,6 +1298,13 @@
   }
 }
 
+/** A worker on which only one task may start. */
+interface WorkerReservation {
+  readonly workerId: string;
+  readonly taskId: string;
+  readonly untilMs: number;
+}
+
 interface EligibleTasks {
   /** Tasks that this scheduler is preferred for, service replicas and urgent tasks. */
   readonly primary: readonly PendingTask[];
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -168,6 +168,16 @@
     level: 'warn',
     text: 'A worker was quarantined because of failures or slow runs and receives only probes.',
   },
+  'task-crashed-worker': {
+    number: 609,
+    level: 'warn',
+    text: 'A worker crashed while it was starting an attempt; the task starts apart from others from now on.',
+  },
+  'task-crash-limit': {
+    number: 610,
+    level: 'error',
+    text: 'Several workers crashed when they started a task; it failed and is not started again.',
+  },
   'table-failed': {
     number: 700,
     level: 'warn',
