Add mustardlugctl retry for failed tasks

What callers saw: a task that failed after crashes of its workers could not be run again: a job name is taken, and a failed replica is never created again.

Change: `mustardlugctl retry ID` makes a failed task pending and resets its counts of failures and crashes, by compare-and-set on the row. The schedulers' cache accepts a pending row of a batch task that it has seen end, if it is newer; before, it ignored the row.

The command itself was not run against a platform.

--- a/packages/ctl/src/job_commands.ts
+++ b/packages/ctl/src/job_commands.ts
@@ -20,6 +20,7 @@
   createJobOperations,
   JobExpansion,
 } from '@mustardlug/scheduling/job_expander';
+import {createRetriedRecord} from '@mustardlug/scheduling/start_crashes';
 import {
   CANCEL_PREFIX,
   JOB_PREFIX,
@@ -133,6 +134,39 @@
   });
 }
 
+/**
+ * Makes a failed task pending again.
+ * @param context - Clients.
+ * @param taskId - Id of the task.
+ */
+export async function retryTask(
+  context: CtlContext,
+  taskId: string,
+): Promise<Result<CommandOutput, AppError>> {
+  const rows = await getAllRows(context.table, 'task/');
+  if (rows.isErr()) return err(rows.error);
+  for (const {key, value, revision} of rows.value) {
+    const parsed = taskRecordSchema.safeParse(value);
+    if (!parsed.success || parsed.data.taskId !== taskId) continue;
+    if (parsed.data.state !== 'failed') {
+      const message = `task ${taskId} is ${parsed.data.state}; only failed tasks can be retried`;
+      return err(createConflictError(message));
+    }
+    const writeToken = context.tokens.getNext();
+    const next = createRetriedRecord(parsed.data, writeToken);
+    const written = await context.retryingCommitter.commit(writeToken, [
+      {kind: 'put', key, value: next, expectedRevision: revision},
+    ]);
+    if (written.isErr()) return err(written.error);
+    return ok({
+      text: `task ${taskId} is pending again\n`,
+      json: {taskId, state: next.state},
+    });
+  }
+  const message = `there is no task ${taskId}; ended batch tasks are kept for 10 minutes`;
+  return err(createNotFoundError(message));
+}
+
 /**
  * Shows the current state and the event history of a task, request or worker.
  * @param context - Clients.
--- a/packages/ctl/src/mustardlugctl.ts
+++ b/packages/ctl/src/mustardlugctl.ts
@@ -12,7 +12,13 @@
   publishTrial,
   validateDocument,
 } from './document_commands.js';
-import {cancelJob, explain, EntityKind, submitJob} from './job_commands.js';
+import {
+  cancelJob,
+  explain,
+  EntityKind,
+  retryTask,
+  submitJob,
+} from './job_commands.js';
 import {drainNode, getStatus, showTimeline} from './node_commands.js';
 import {showUsage} from './usage_command.js';
 
@@ -95,6 +101,11 @@
   .description('cancels a batch job')
   .argument('<job>', 'name of the job')
   .action((job: string) => run(context => cancelJob(context, job)));
+program
+  .command('retry')
+  .description('makes a failed task pending again')
+  .argument('<task>', 'id of the task')
+  .action((task: string) => run(context => retryTask(context, task)));
 program
   .command('drain')
   .description('starts a graceful shutdown of a node')
--- a/packages/experiments/test/crashing_attempts.test.ts
+++ b/packages/experiments/test/crashing_attempts.test.ts
@@ -1,4 +1,5 @@
 import {RandomSource} from '@mustardlug/base/random_source';
+import {createRetriedRecord} from '@mustardlug/scheduling/start_crashes';
 import {TaskRecord} from '@mustardlug/scheduling/task_record';
 import {expect} from 'chai';
 import {
@@ -119,6 +120,26 @@
     }
   });
 
+  it('a task that is retried after a correction runs', async () => {
+    for (const kind of ['batch', 'service'] as const) {
+      const harness = createHarness(
+        1,
+        kind === 'batch' ? [createCrashingJob()] : [],
+        kind === 'batch' ? [] : [createService(1, {name: 'crashing'})],
+      );
+      harness.crashDelayMsByName.set('crashing', 10);
+      await harness.clock.advance(RUN_MS);
+      expectStates(harness, 'crashing', 'failed');
+      harness.crashDelayMsByName.clear();
+      const [row] = harness.table.getRowsByPrefix('task/');
+      const value = createRetriedRecord(row.value as TaskRecord, 'retry');
+      const {key, revision: expectedRevision} = row;
+      void harness.table.commit([{kind: 'put', key, value, expectedRevision}]);
+      await harness.clock.advance(60_000);
+      expectStates(harness, 'crashing', kind === 'batch' ? 'done' : 'bound');
+    }
+  });
+
   it('a service that crashes each worker is given up', async () => {
     for (const seed of SEEDS) {
       const harness = createHarness(
--- a/packages/scheduling/src/start_crashes.ts
+++ b/packages/scheduling/src/start_crashes.ts
@@ -63,3 +63,23 @@
       : `worker ${workerId} crashed when it started attempt ${attempt}`,
   };
 }
+
+/**
+ * Makes a failed task pending again, without counted failures and crashes.
+ * @param record - Record of the failed task.
+ * @param writeToken - Token of the write.
+ */
+export function createRetriedRecord(
+  record: TaskRecord,
+  writeToken: string,
+): TaskRecord {
+  return {
+    ...record,
+    ...NO_START_CRASHES,
+    writeToken,
+    state: 'pending',
+    failures: 0,
+    endedAtMs: undefined,
+    reason: undefined,
+  };
+}
--- a/packages/scheduling/src/task_cache.ts
+++ b/packages/scheduling/src/task_cache.ts
@@ -160,7 +160,12 @@
    * @param revision - Revision of the row.
    */
   applyRecord(key: string, record: TaskRecord, revision: number): void {
-    if (this.ended.has(record.taskId)) return;
+    const ended = this.ended.get(record.taskId);
+    if (ended !== undefined) {
+      // Only an operator's retry makes an ended task pending again.
+      if (record.state !== 'pending' || ended.revision >= revision) return;
+      this.ended.delete(record.taskId);
+    }
     const existing = this.tasks.get(record.taskId);
     if (existing !== undefined && existing.revision >= revision) return;
     if (isEndedBatch(record)) {
