Rank the workers for suspected tasks only when one may be placed

What callers would see: later starts while many suspected tasks wait on a large fleet.

Cause: each step with a suspected task ranked all workers in each pass, and again for the tasks without suspicion, even if there were none.

Change: a class of needs that could not be tried is not ranked again in the pass, nor a step at the limit of trials, nor one whose waiting tasks are all suspected.

Evidence: tests of coordination pass.

--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -161,13 +161,16 @@
     const tasks = step.tasks.filter(
       task => isWaitingTask(task) && isSuspected(task),
     );
+    const key = getEquivalenceClass(waiting, true);
+    if (this.isKnownToFail(key, step)) return;
     const workers: PlacementWorker[] = [];
     for (const task of tasks) {
       const worker = this.findTrialWorker(waiting, task);
-      if (worker === undefined) continue;
+      if (worker === undefined) break;
       this.options.place({waiting, task, worker});
       workers.push(worker);
     }
+    if (workers.length < tasks.length) this.recordFailure(key, step);
     this.recordPlacedStep(waiting, workers);
   }
 
@@ -200,11 +203,14 @@
 
   /** Places the waiting tasks one by one. Returns whether all of them were placed. */
   private placeTasks(waiting: WaitingStep): boolean {
+    const tasks = waiting.step.tasks.filter(
+      task => isWaitingTask(task) && !isSuspected(task),
+    );
+    if (tasks.length === 0) return true;
     const ranking = this.rank(waiting, this.getWorkers(waiting), false);
     const workers: PlacementWorker[] = [];
     let hasRoom = true;
-    for (const task of waiting.step.tasks) {
-      if (!isWaitingTask(task) || isSuspected(task)) continue;
+    for (const task of tasks) {
       const worker = ranking.getBest();
       hasRoom = worker !== undefined;
       if (worker === undefined) break;
@@ -285,7 +291,10 @@
  * from their CPU and memory needs. Returns `undefined` for steps with placement
  * constraints of their own.
  */
-function getEquivalenceClass({step, queue}: WaitingStep): string | undefined {
+function getEquivalenceClass(
+  {step, queue}: WaitingStep,
+  isTrial = false,
+): string | undefined {
   const {spec} = step;
   const isConstrained =
     spec.isGang ||
@@ -294,7 +303,7 @@
     spec.needs.accelerators > 0;
   if (isConstrained) return undefined;
   const kind = spec.isFiller ? `filler ${spec.image ?? ''}` : 'plain';
-  return `${queue.serviceName} ${kind}`;
+  return `${queue.serviceName} ${kind}${isTrial ? ' trial' : ''}`;
 }
 
 function findRackWithMostFreeCpu(
--- a/packages/coordination/test/placement_pass.test.ts
+++ b/packages/coordination/test/placement_pass.test.ts
@@ -138,6 +138,20 @@
     expect(runPass(createJob({}), [idle])).to.have.length(1);
   });
 
+  it('tries a suspected task after a larger one that fits on no worker', () => {
+    const needs = {cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0};
+    const large = {...needs, cpuMillis: 1_000_000};
+    const job = createTestJob([
+      createTestStep({needs: large}),
+      createTestStep({needs}),
+      createTestStep({needs: large}),
+    ]);
+    for (const {tasks} of job.occurrences.get(0)!.steps)
+      tasks[0].startCrashes = CRASHES;
+    const placed = runPass(job, [createWorker('worker-1')]);
+    expect(placed.map(({step}) => step.index)).to.deep.equal([1]);
+  });
+
   it('tries suspected tasks on at most a fifth of the workers at the same time', () => {
     const job = createJob({taskCount: 6});
     for (const task of job.occurrences.get(0)!.steps[0].tasks)
--- a/packages/experiments/test/crashing_tasks.test.ts
+++ b/packages/experiments/test/crashing_tasks.test.ts
@@ -379,7 +379,7 @@
         harness.getHealthyNode(),
       );
       crashingJobIds.add(jobId);
-      await scenario.advanceUnderLoad(LOAD_INTERVAL_MS);
+      await scenario.advanceUnderLoad(MODERATE_LOAD.intervalMs);
     }
     await harness.advance(SETTLE_MS);
     await scenario.expectHarmlessCompleted();
