--- a/packages/coordination/test/job_tracker.test.ts
+++ b/packages/coordination/test/job_tracker.test.ts
@@ -185,4 +185,65 @@
       const queue = tracker.getQueue(getOnlyJob(tracker)!);
       expect(queue.serviceName).to.equal(expected);
     });
+
+  describe('crashes at the start of a task', () => {
+    let fixture: TrackerFixture;
+    let step: StepState;
+
+    beforeEach(() => {
+      fixture = createTracker();
+      step = acceptJob(fixture, [createTestStep({taskCount: 2})]);
+    });
+
+    /** Records attributed crashes of different workers. */
+    function recordCrashes(count: number): AssignedRun {
+      const assigned = placeRun(fixture, step, 0);
+      for (let index = 0; index < count; index++) {
+        const run = {...assigned.run, workerId: `worker-${index}`};
+        fixture.tracker.recordStartCrash({
+          assigned: {...assigned, run},
+          isAttributed: true,
+          reason: '',
+        });
+      }
+      return assigned;
+    }
+
+    it('fail the job after three workers, with a reason that names them', () => {
+      const {job, taskName} = recordCrashes(3);
+      expect(job.phase).to.equal('failed');
+      expect(job.failureReason).to.equal(
+        `task ${taskName} crashed 3 workers that started it: worker-0, worker-1, worker-2`,
+      );
+    });
+
+    it('do not fail the job if they are all of one worker, until there are five', () => {
+      const {job} = recordCrashes(1);
+      for (let count = 2; count <= 4; count++) recordCrashes(1);
+      expect(job.phase).to.equal('pending');
+      recordCrashes(1);
+      expect(job.phase).to.equal('failed');
+    });
+
+    it('are cleared by a run that is proven', () => {
+      const assigned = recordCrashes(2);
+      fixture.tracker.recordRunProven(assigned);
+      expect(recordCrashes(2).job.phase).to.equal('pending');
+    });
+
+    it('are cleared by a run that fails by itself', () => {
+      const assigned = recordCrashes(2);
+      const {taskName, run} = assigned;
+      const end = createEnd(taskName, run.runNumber);
+      fixture.tracker.recordRunEnd(assigned, {...end, outcome: 'failed'});
+      expect(recordCrashes(2).job.phase).to.equal('pending');
+    });
+
+    it('are cleared by a lapsed run that a worker lists after it was given up', () => {
+      const {taskName} = recordCrashes(2);
+      const end = createEnd(taskName, 1);
+      fixture.tracker.recordUnassignedRunEnd({...end, outcome: 'lapsed'});
+      expect(recordCrashes(2).job.phase).to.equal('pending');
+    });
+  });
 });
