--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -161,6 +161,7 @@
     const tasks = step.tasks.filter(
       task => isWaitingTask(task) && isSuspected(task),
     );
+    if (tasks.length === 0) return;
     const key = getEquivalenceClass(waiting, true);
     if (this.isKnownToFail(key, step)) return;
     const workers: PlacementWorker[] = [];
