Count the crash of a run once, also if its stop was pending at a takeover

Cause: a run with an open start that a restarted worker is told to stop is still stored; a successor that finds the worker restarted again counted it once more.

Change: a stored crash has the run's number; a run that is among them is not counted again.

--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -199,8 +199,14 @@
   recordStartCrash({assigned, isAttributed, reason}: SuspectedRun): void {
     const {job, task, run, taskName} = assigned;
     if (job.isEnded() || task.isDone) return;
-    const {workerId} = run;
-    task.startCrashes = [...task.startCrashes, {workerId, isAttributed}];
+    const {workerId, runNumber} = run;
+    // A run whose stop was pending at a takeover may be lost once more.
+    const isCounted = task.startCrashes.some(
+      crash => crash.workerId === workerId && crash.runNumber === runNumber,
+    );
+    if (isCounted) return;
+    const crash = {workerId, runNumber, isAttributed};
+    task.startCrashes = [...task.startCrashes, crash];
     this.markChanged(job);
     this.options.events.addEvent('start-crashed', {
       taskId: taskName,
--- a/packages/coordination/test/crash_attributor.test.ts
+++ b/packages/coordination/test/crash_attributor.test.ts
@@ -34,7 +34,9 @@
 
 function addTrialRun(load: WorkerLoad): AssignedRun {
   const assigned = addTestRun(load, {});
-  assigned.task.startCrashes = [{workerId: 'worker-9', isAttributed: true}];
+  assigned.task.startCrashes = [
+    {workerId: 'worker-9', runNumber: 1, isAttributed: true},
+  ];
   return assigned;
 }
 
--- a/packages/coordination/test/job_tracker.test.ts
+++ b/packages/coordination/test/job_tracker.test.ts
@@ -189,6 +189,7 @@
   describe('crashes at the start of a task', () => {
     let fixture: TrackerFixture;
     let step: StepState;
+    let nextRunNumber = 1;
 
     beforeEach(() => {
       fixture = createTracker();
@@ -199,7 +200,8 @@
     function recordCrashes(count: number): AssignedRun {
       const assigned = placeRun(fixture, step, 0);
       for (let index = 0; index < count; index++) {
-        const run = {...assigned.run, workerId: `worker-${index}`};
+        const runNumber = nextRunNumber++;
+        const run = {...assigned.run, runNumber, workerId: `worker-${index}`};
         fixture.tracker.recordStartCrash({
           assigned: {...assigned, run},
           isAttributed: true,
@@ -225,6 +227,14 @@
       expect(job.phase).to.equal('failed');
     });
 
+    it('count once for each run, also across a takeover', () => {
+      const assigned = placeRun(fixture, step, 0);
+      const suspected = {assigned, isAttributed: true, reason: ''};
+      fixture.tracker.recordStartCrash(suspected);
+      fixture.tracker.recordStartCrash(suspected);
+      expect(assigned.task.startCrashes).to.have.length(1);
+    });
+
     it('are cleared by a run that is proven', () => {
       const assigned = recordCrashes(2);
       fixture.tracker.recordRunProven(assigned);
--- a/packages/coordination/test/placement_pass.test.ts
+++ b/packages/coordination/test/placement_pass.test.ts
@@ -70,7 +70,9 @@
 }
 
 /** A crash that was attributed to the start of a task. */
-const CRASHES: StartCrash[] = [{workerId: 'worker-9', isAttributed: true}];
+const CRASHES: StartCrash[] = [
+  {workerId: 'worker-9', runNumber: 1, isAttributed: true},
+];
 
 describe(PlacementPass.name, () => {
   it('places at most `maxPerWorker` tasks of a step on a worker, also over several passes', () => {
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -22,8 +22,8 @@
 /** Step index and task index, followed by the fields of the run. */
 type StoredDoneTaskRun = [number, number, ...StoredRun];
 
-/** Worker ID, and 1 if the crash is attributed to the start or 0 if not. */
-type StoredStartCrash = [string, 0 | 1];
+/** Worker ID, run number, and 1 if the crash is attributed to the start or 0 if not. */
+type StoredStartCrash = [string, number, 0 | 1];
 
 /** Step index and task index, followed by the crashes. */
 type StoredTaskCrashes = [number, number, ...StoredStartCrash[]];
@@ -199,11 +199,15 @@
 }
 
 function toStoredStartCrash(crash: StartCrash): StoredStartCrash {
-  return [crash.workerId, crash.isAttributed ? 1 : 0];
+  return [crash.workerId, crash.runNumber, crash.isAttributed ? 1 : 0];
 }
 
-function restoreStartCrash([workerId, mark]: StoredStartCrash): StartCrash {
-  return {workerId, isAttributed: mark === 1};
+function restoreStartCrash([
+  workerId,
+  runNumber,
+  mark,
+]: StoredStartCrash): StartCrash {
+  return {workerId, runNumber, isAttributed: mark === 1};
 }
 
 function restoreTask(
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -48,6 +48,7 @@
 /** Loss of a worker while a run of a task had just been started there. */
 export interface StartCrash {
   readonly workerId: string;
+  readonly runNumber: number;
   /** Whether the start is the likely cause, and no failure that other workers share. */
   readonly isAttributed: boolean;
 }
--- a/packages/jobs/test/job_model.test.ts
+++ b/packages/jobs/test/job_model.test.ts
@@ -222,8 +222,8 @@
     job.createDueOccurrences(2_000);
     const {tasks} = job.occurrences.get(0)!.steps[0];
     const startCrashes = [
-      {workerId: 'worker-1', isAttributed: true},
-      {workerId: 'worker-2', isAttributed: false},
+      {workerId: 'worker-1', runNumber: 1, isAttributed: true},
+      {workerId: 'worker-2', runNumber: 2, isAttributed: false},
     ];
     tasks[1].startCrashes = startCrashes;
     job.failureReason = 'reason';
