Publish the coordinator status apart from the progress of jobs

Cause: the status was the last row of the progress commits, so a coordinator with much to store over a slow link published it late and was taken for a lost one; its successor, no faster, had to read everything first and was replaced in turn. Commits of up to 98 rows also took longer than the time limit of a call and were repeated.

Change: a heartbeat of its own, conditional on the version of the status row, which the first transaction of a successor replaces; the holder's longest recent interval is part of the status and lengthens the time-out of standbys, up to 4 s; the size of commits follows their duration.

Ruled out: reading the term row again before a takeover; it changes no more often than the status.

--- a/packages/coordination/src/commit_log.ts
+++ b/packages/coordination/src/commit_log.ts
@@ -113,6 +113,24 @@
     return this.lastConfirmedSendMs;
   }
 
+  /**
+   * Gets the version of the last transaction of the term. All rows that it wrote
+   * have this version.
+   */
+  getVersion(): number {
+    return this.termVersion;
+  }
+
+  /**
+   * Records that the term held when a write outside of this log was executed.
+   * @param sentMs - Monotonic time at which the write was sent.
+   * @param storeMs - Time of the store in its response.
+   */
+  confirmTerm(sentMs: number, storeMs: number): void {
+    this.lastConfirmedSendMs = Math.max(this.lastConfirmedSendMs, sentMs);
+    this.recordStoreTime(storeMs);
+  }
+
   /** Estimates the current time of the store from its last response. */
   getStoreMs(): number {
     if (this.lastReceipt === undefined) return 0;
@@ -145,7 +163,7 @@
         const own = outcome.error.rows.find(row => this.isOwnCommit(row));
         if (own === undefined) return 'superseded';
         this.termVersion = own.version;
-        this.lastConfirmedSendMs = sentMs;
+        this.lastConfirmedSendMs = Math.max(this.lastConfirmedSendMs, sentMs);
         return 'committed';
       }
       if (attempt >= maxAttempts) return 'superseded';
@@ -178,8 +196,7 @@
     sentMs: number,
   ): CommitOutcome {
     this.termVersion = receipt.version;
-    this.lastConfirmedSendMs = sentMs;
-    this.recordStoreTime(receipt.storeMs);
+    this.confirmTerm(sentMs, receipt.storeMs);
     return 'committed';
   }
 
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -1,7 +1,7 @@
 /** Schedules the tasks of all accepted jobs for the duration of one coordinator term. */
 
 import {Clock} from '@mustardlug/base/clock';
-import {createTaskRun} from '@mustardlug/jobs/job_codec';
+import {createTaskRun, encodeRowValue} from '@mustardlug/jobs/job_codec';
 import {StepState} from '@mustardlug/jobs/job_state';
 import {DeploymentConfig} from '@mustardlug/jobs/queue_config';
 import {
@@ -17,7 +17,8 @@
   StoredRow,
 } from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
-import {CommitLog} from './commit_log.js';
+import {CommitLog, CommitOutcome} from './commit_log.js';
+import {CoordinatorHeartbeat, STATUS_ADDRESS} from './coordinator_heartbeat.js';
 import {QueueLoad} from './coordinator_status.js';
 import {CrashAttributor, LostWorker} from './crash_attributor.js';
 import {
@@ -145,6 +146,7 @@
   private readonly jobTracker: JobTracker;
   private readonly workerSupervisor: WorkerSupervisor;
   private readonly writer: ProgressWriter;
+  private readonly heartbeat: CoordinatorHeartbeat;
   private readonly retention: JobRetention;
   private readonly crashAttributor = CrashAttributor.create();
   private readonly followers: TableFollower[] = [];
@@ -165,7 +167,7 @@
   private resolveEnd: ((end: CoordinatorEndReason) => void) | undefined;
 
   private constructor(private readonly options: CoordinatorOptions) {
-    const {clock, events, commitLog, nodeId} = options;
+    const {clock, events, commitLog, nodeId, store} = options;
     this.workerSupervisor = WorkerSupervisor.create({clock, events});
     this.workerPool = WorkerPool.create({
       clock,
@@ -188,12 +190,18 @@
     this.writer = ProgressWriter.create({
       clock,
       commitLog,
-      nodeId,
       interferenceModel: this.workerSupervisor.getInterferenceModel(),
+    });
+    this.heartbeat = CoordinatorHeartbeat.create({
+      store,
+      clock,
+      commitLog,
+      nodeId,
       getQueueLoads: () => this.getQueueLoads(),
+      onSuperseded: () => this.finish('superseded'),
     });
     this.retention = JobRetention.create({
-      store: options.store,
+      store,
       clock,
       events,
       jobTracker: this.jobTracker,
@@ -216,8 +224,9 @@
    */
   async run(): Promise<CoordinatorEndReason> {
     const {commitLog, events, nodeId, clock} = this.options;
-    const outcome = await this.writer.commitStatus(nodeId, 1);
+    const outcome = await this.commitStatus(nodeId, 1);
     if (outcome === 'superseded') return 'superseded';
+    void this.heartbeat.run(commitLog.getVersion());
     this.electedMs = clock.getMonotonicMs();
     events.addEvent('coordinator-elected', {detail: `term ${commitLog.term}`});
     const ended = new Promise<CoordinatorEndReason>(resolve => {
@@ -226,6 +235,7 @@
     void this.loadState();
     this.scheduleTick();
     const end = await ended;
+    this.heartbeat.stop();
     for (const follower of this.followers) follower.stop();
     this.workerPool.stop();
     commitLog.close();
@@ -242,7 +252,8 @@
       await this.options.clock.sleep(HANDOVER_POLL_MS);
     if (this.endReason !== undefined) return;
     this.isCommitting = true;
-    await this.writer.commitStatus('', MAX_HANDOVER_ATTEMPTS);
+    this.heartbeat.stop();
+    await this.commitStatus('', MAX_HANDOVER_ATTEMPTS);
     this.finish('stopped');
   }
 
@@ -366,6 +377,16 @@
     this.finish('superseded');
   }
 
+  /** Stores a status in a transaction of the term, which begins or ends with it. */
+  private commitStatus(
+    holder: string,
+    maxAttempts: number,
+  ): Promise<CommitOutcome> {
+    const value = encodeRowValue(this.heartbeat.createStatus(holder));
+    const writes = [{...STATUS_ADDRESS, value}];
+    return this.options.commitLog.commit({writes, removals: []}, maxAttempts);
+  }
+
   private finish(end: CoordinatorEndReason): void {
     if (this.endReason !== undefined) return;
     this.endReason = end;
--- /dev/null
+++ b/packages/coordination/src/coordinator_heartbeat.ts
@@ -0,0 +1,154 @@
+/**
+ * Publishes the coordinator status, apart from the progress of jobs, so that a
+ * coordinator with much to store is not taken for a lost one.
+ */
+
+import {Clock} from '@mustardlug/base/clock';
+import {decodeRowValue, encodeRowValue} from '@mustardlug/jobs/job_codec';
+import {RowAddress, RowStore, StoredRow} from '@mustardlug/platform/row_store';
+import {CommitLog} from './commit_log.js';
+import {CoordinatorStatus, QueueLoad} from './coordinator_status.js';
+import {
+  COORDINATOR_PART,
+  COORDINATOR_STATUS_TABLE,
+  SINGLE_ROW_KEY,
+} from './tables.js';
+
+export interface CoordinatorHeartbeatOptions {
+  readonly store: RowStore;
+  readonly clock: Clock;
+  readonly commitLog: CommitLog;
+  readonly nodeId: string;
+  /** Returns the load by name of the queue, or `undefined` while accepted jobs may be unknown. */
+  readonly getQueueLoads: () => Record<string, QueueLoad> | undefined;
+  /** Called when another coordinator has replaced the status. */
+  readonly onSuperseded: () => void;
+}
+
+/** Interval of the coordinator status; a quarter of the age at which its holder counts as lost. */
+const HEARTBEAT_INTERVAL_MS = 300;
+
+/** Delay before a heartbeat without a response is repeated. */
+const RETRY_MS = 50;
+
+/** Factor by which the longest recent interval shrinks with each heartbeat. */
+const INTERVAL_DECAY = 0.9;
+
+/** Address of the status row. */
+export const STATUS_ADDRESS: RowAddress = {
+  table: COORDINATOR_STATUS_TABLE,
+  part: COORDINATOR_PART,
+  key: SINGLE_ROW_KEY,
+};
+
+/**
+ * Rewrites the status row at a fixed interval. Each write is conditional on the
+ * version that the previous one gave to the row. As a successor's first
+ * transaction replaces the row, a successful write also proves that the term
+ * still holds.
+ */
+export class CoordinatorHeartbeat {
+  private isStopped = false;
+  private version = 0;
+  private lastSentMs: number;
+  /** Longest recent time between two heartbeats, in milliseconds. */
+  private intervalMs = HEARTBEAT_INTERVAL_MS;
+
+  private constructor(private readonly options: CoordinatorHeartbeatOptions) {
+    this.lastSentMs = options.clock.getMonotonicMs();
+  }
+
+  /**
+   * Creates a heartbeat; `run` starts it.
+   * @param options - Store, commit log of the term and source of the queue loads.
+   */
+  static create(options: CoordinatorHeartbeatOptions): CoordinatorHeartbeat {
+    return new CoordinatorHeartbeat(options);
+  }
+
+  /**
+   * Creates the status as of now.
+   * @param holder - Identifier of the coordinating node; empty to hand the role over.
+   */
+  createStatus(holder: string): CoordinatorStatus {
+    const {commitLog, getQueueLoads} = this.options;
+    return {
+      term: commitLog.term,
+      holder,
+      writtenStoreMs: commitLog.getStoreMs(),
+      intervalMs: Math.round(this.intervalMs),
+      queues: getQueueLoads(),
+    };
+  }
+
+  /**
+   * Publishes the status until `stop` is called or another coordinator has replaced it.
+   * @param version - Version of the status row that the first transaction of the term wrote.
+   */
+  async run(version: number): Promise<void> {
+    this.version = version;
+    while (!this.isStopped) {
+      await this.options.clock.sleep(this.getDelayMs());
+      if (this.isStopped) return;
+      const isSent = await this.send();
+      if (!isSent && !this.isStopped) await this.options.clock.sleep(RETRY_MS);
+    }
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private getDelayMs(): number {
+    const elapsedMs = this.options.clock.getMonotonicMs() - this.lastSentMs;
+    return Math.max(0, HEARTBEAT_INTERVAL_MS - elapsedMs);
+  }
+
+  /** Sends one heartbeat, and returns whether the store responded. */
+  private async send(): Promise<boolean> {
+    const {store, clock, commitLog, nodeId} = this.options;
+    const sentMs = clock.getMonotonicMs();
+    const value = encodeRowValue(this.createStatus(nodeId));
+    const outcome = await store.commit({
+      conditions: [{...STATUS_ADDRESS, version: this.version}],
+      writes: [{...STATUS_ADDRESS, value}],
+      removals: [],
+    });
+    if (this.isStopped) return false;
+    if (outcome.isOk()) {
+      this.version = outcome.value.version;
+      commitLog.confirmTerm(sentMs, outcome.value.storeMs);
+      this.recordInterval(sentMs);
+      return true;
+    }
+    if (outcome.error.kind === 'row-conflict')
+      return this.handleConflict(outcome.error.rows);
+    return false;
+  }
+
+  /** Continues after an earlier heartbeat whose response was lost. */
+  private handleConflict(rows: readonly StoredRow[]): boolean {
+    const row = rows.find(({table}) => table === COORDINATOR_STATUS_TABLE);
+    const {commitLog, nodeId, onSuperseded} = this.options;
+    if (row !== undefined) {
+      const {term, holder} = decodeRowValue<CoordinatorStatus>(row.value);
+      if (term === commitLog.term && holder === nodeId) {
+        this.version = row.version;
+        return false;
+      }
+    }
+    this.isStopped = true;
+    onSuperseded();
+    return false;
+  }
+
+  private recordInterval(sentMs: number): void {
+    const intervalMs = sentMs - this.lastSentMs;
+    this.lastSentMs = sentMs;
+    this.intervalMs = Math.max(
+      HEARTBEAT_INTERVAL_MS,
+      intervalMs,
+      this.intervalMs * INTERVAL_DECAY,
+    );
+  }
+}
--- a/packages/coordination/src/coordinator_status.ts
+++ b/packages/coordination/src/coordinator_status.ts
@@ -14,6 +14,12 @@
   readonly holder: string;
   /** Time of the store when the status was written, in milliseconds. */
   readonly writtenStoreMs: number;
+  /**
+   * Longest recent time between two statuses, in milliseconds; absent in statuses
+   * of earlier versions. A holder that is short of processor time or bandwidth
+   * writes less often.
+   */
+  readonly intervalMs?: number;
   /** Load by name of the queue; absent while the holder may not know all accepted jobs. */
   readonly queues?: Readonly<Record<string, QueueLoad>>;
 }
--- a/packages/coordination/src/election.ts
+++ b/packages/coordination/src/election.ts
@@ -5,6 +5,15 @@
 /** Age of the coordinator status beyond which its holder counts as lost. */
 const STATUS_TIMEOUT_MS = 1_200;
 
+/**
+ * Multiple of the holder's longest recent interval between two statuses beyond
+ * which it counts as lost, as a busy holder writes its status less often.
+ */
+const STATUS_INTERVAL_FACTOR = 3;
+
+/** Upper limit for the effect of the holder's interval on the timeout. */
+const MAX_STATUS_TIMEOUT_MS = 4_000;
+
 /** Maximum time between two responses of the store that counts as observed. */
 const MAX_RESPONSE_GAP_MS = 600;
 
@@ -86,9 +95,18 @@
     if (!this.hasReadStatus) return false;
     if (this.status === undefined) return true;
     if (this.status.holder === '') return true;
-    const timeoutMs = STATUS_TIMEOUT_MS + ROUND_TRIP_FACTOR * this.roundTripMs;
+    const timeoutMs =
+      getStatusTimeoutMs(this.status) + ROUND_TRIP_FACTOR * this.roundTripMs;
     if (storeMs - this.status.writtenStoreMs <= timeoutMs) return false;
     // After an outage of the store, the holder needs time to write its status again.
     return !this.hadStoreOutage || this.observedUnchangedMs > timeoutMs;
   }
 }
+
+function getStatusTimeoutMs({intervalMs = 0}: CoordinatorStatus): number {
+  const observedMs = intervalMs * STATUS_INTERVAL_FACTOR;
+  return Math.max(
+    STATUS_TIMEOUT_MS,
+    Math.min(observedMs, MAX_STATUS_TIMEOUT_MS),
+  );
+}
--- a/packages/coordination/src/progress_writer.ts
+++ b/packages/coordination/src/progress_writer.ts
@@ -4,40 +4,27 @@
 import {encodeRowValue, toStoredProgress} from '@mustardlug/jobs/job_codec';
 import {JobState} from '@mustardlug/jobs/job_state';
 import {RowAddress, RowWrite} from '@mustardlug/platform/row_store';
-import {CoordinatorStatus, QueueLoad} from './coordinator_status.js';
 import {CommitLog, CommitOutcome, MAX_COMMIT_ROWS} from './commit_log.js';
+import {CommitSizeLimit} from './commit_size_limit.js';
 import {InterferenceModel} from './interference_model.js';
-import {
-  COORDINATOR_STATUS_TABLE,
-  COORDINATOR_PART,
-  EFFECT_TABLE,
-  PROGRESS_TABLE,
-  SINGLE_ROW_KEY,
-} from './tables.js';
+import {COORDINATOR_PART, EFFECT_TABLE, PROGRESS_TABLE} from './tables.js';
 
 export interface ProgressWriterOptions {
   readonly clock: Clock;
   readonly commitLog: CommitLog;
-  readonly nodeId: string;
   readonly interferenceModel: InterferenceModel;
-  /** Returns the load by name of the queue, or `undefined` while accepted jobs may be unknown. */
-  readonly getQueueLoads: () => Record<string, QueueLoad> | undefined;
 }
 
-/** Interval of the coordinator status; a quarter of the age at which its holder counts as lost. */
-const STATUS_INTERVAL_MS = 300;
-
 /** Interval at which the learned effects of fillers are stored for a successor. */
 const EFFECTS_INTERVAL_MS = 3_000;
 
 /**
- * Writes the progress of jobs, the coordinator status and learned effects, one
- * commit at a time.
+ * Writes the progress of jobs and learned effects, one commit at a time.
  */
 export class ProgressWriter {
   private deferredActions: Array<() => void> = [];
   private removals: RowAddress[] = [];
-  private lastStatusMs = -Infinity;
+  private readonly sizeLimit = CommitSizeLimit.create();
   private lastEffectsMs = -Infinity;
 
   private constructor(private readonly options: ProgressWriterOptions) {}
@@ -76,39 +63,56 @@
   }
 
   /**
-   * Stores the progress of jobs, and the coordinator status and learned effects
-   * when due. Then runs the actions that were deferred before the call.
+   * Stores the progress of jobs, and the learned effects when due. Then runs the
+   * actions that were deferred before the call.
    * @param jobs - Jobs that changed.
    */
   async commit(jobs: readonly JobState[]): Promise<CommitOutcome> {
     const writes = this.createProgressWrites(jobs);
-    writes.push(
-      ...this.createDueStatusWrites(),
-      ...this.createDueEffectWrites(),
-    );
+    writes.push(...this.createDueEffectWrites());
     const actions = this.takeDeferredActions();
     const removals = this.removals;
     this.removals = [];
     while (writes.length + removals.length > 0) {
-      const chunk = writes.splice(0, MAX_COMMIT_ROWS);
-      const outcome = await this.options.commitLog.commit({
-        writes: chunk,
-        removals: removals.splice(0, MAX_COMMIT_ROWS - chunk.length),
-      });
+      const outcome = await this.commitChunk(writes, removals);
       if (outcome === 'superseded') return outcome;
     }
     for (const action of actions) action();
     return 'committed';
   }
 
-  /**
-   * Stores the coordinator status at once.
-   * @param holder - Identifier of the coordinating node; empty to hand the role over.
-   * @param maxAttempts - Attempts after which the commit counts as superseded.
-   */
-  commitStatus(holder: string, maxAttempts: number): Promise<CommitOutcome> {
-    const writes = [this.createStatusWrite(holder)];
-    return this.options.commitLog.commit({writes, removals: []}, maxAttempts);
+  /** Commits the first rows, which are removed from the lists. */
+  private async commitChunk(
+    writes: RowWrite[],
+    removals: RowAddress[],
+  ): Promise<CommitOutcome> {
+    const {clock, commitLog} = this.options;
+    const {count, sizeBytes} = this.measureChunk(writes);
+    const sentMs = clock.getMonotonicMs();
+    const outcome = await commitLog.commit({
+      writes: writes.splice(0, count),
+      removals: removals.splice(0, MAX_COMMIT_ROWS - count),
+    });
+    const durationMs = clock.getMonotonicMs() - sentMs;
+    this.sizeLimit.recordCommit(sizeBytes, durationMs);
+    return outcome;
+  }
+
+  /** Gets the number of rows of the next commit, one at least if there are any, and their size. */
+  private measureChunk(writes: readonly RowWrite[]): {
+    count: number;
+    sizeBytes: number;
+  } {
+    const maxBytes = this.sizeLimit.getMaxBytes();
+    let count = 0;
+    let sizeBytes = 0;
+    for (const {value} of writes) {
+      const isFull = count > 0 && sizeBytes + value.length > maxBytes;
+      if (isFull || count >= MAX_COMMIT_ROWS) break;
+      count++;
+      sizeBytes += value.length;
+    }
+    return {count, sizeBytes};
   }
 
   private takeDeferredActions(): Array<() => void> {
@@ -129,29 +133,6 @@
     });
   }
 
-  private createDueStatusWrites(): RowWrite[] {
-    const nowMs = this.options.clock.getMonotonicMs();
-    if (nowMs - this.lastStatusMs < STATUS_INTERVAL_MS) return [];
-    return [this.createStatusWrite(this.options.nodeId)];
-  }
-
-  private createStatusWrite(holder: string): RowWrite {
-    const {commitLog, clock, getQueueLoads} = this.options;
-    this.lastStatusMs = clock.getMonotonicMs();
-    const status: CoordinatorStatus = {
-      term: commitLog.term,
-      holder,
-      writtenStoreMs: commitLog.getStoreMs(),
-      queues: getQueueLoads(),
-    };
-    return {
-      table: COORDINATOR_STATUS_TABLE,
-      part: COORDINATOR_PART,
-      key: SINGLE_ROW_KEY,
-      value: encodeRowValue(status),
-    };
-  }
-
   private createDueEffectWrites(): RowWrite[] {
     const nowMs = this.options.clock.getMonotonicMs();
     if (nowMs - this.lastEffectsMs < EFFECTS_INTERVAL_MS) return [];
--- a/packages/coordination/test/election.test.ts
+++ b/packages/coordination/test/election.test.ts
@@ -29,6 +29,15 @@
     expect(election.isTakeoverDue(2_500)).to.equal(true);
   });
 
+  it('waits longer for a holder that writes its status less often', () => {
+    const election = Election.create();
+    election.recordStatus({...createStatus(1_000), intervalMs: 900});
+    expect(election.isTakeoverDue(3_600)).to.equal(false);
+    expect(election.isTakeoverDue(3_800)).to.equal(true);
+    election.recordStatus({...createStatus(1_000), intervalMs: 9_000});
+    expect(election.isTakeoverDue(5_100)).to.equal(true);
+  });
+
   it('is due earlier on nodes with a shorter round trip to the store', () => {
     const near = Election.create();
     const far = Election.create();
--- a/packages/standins/src/memory_row_store.ts
+++ b/packages/standins/src/memory_row_store.ts
@@ -36,6 +36,12 @@
   applyNextLate: number;
   /** Delay of the writes that `applyNextLate` counts. */
   lateMs: number;
+  /**
+   * Bandwidth for writes of the node, in bytes per second. Concurrent writes share
+   * it in the order in which they are sent. A write that takes longer than the
+   * time limit of the client is executed, but its response is not waited for.
+   */
+  writeBytesPerSecond: number;
   /** Time by which responses of the change feed arrive late, by table. */
   readonly feedDelaysMs: Map<string, number>;
 }
@@ -49,6 +55,7 @@
     loseNextAnswers: 0,
     applyNextLate: 0,
     lateMs: 2_000,
+    writeBytesPerSecond: Infinity,
     feedDelaysMs: new Map(),
   };
 }
@@ -244,6 +251,9 @@
 
 /** Client of one node, subject to the faults of the node and of the store. */
 class MemoryRowStoreClient extends RowStore {
+  /** Time at which all writes that were sent so far have left the node. */
+  private linkFreeMs = 0;
+
   constructor(
     private readonly store: MemoryRowStore,
     private readonly clock: Clock,
@@ -256,6 +266,13 @@
   override async commit(
     transaction: RowTransaction,
   ): Promise<Result<RowReceipt, RowCommitError>> {
+    const transferMs = this.reserveLink(transaction);
+    if (transferMs > CLIENT_TIMEOUT_MS) {
+      this.clock.setTimer(transferMs, () => this.store.apply(transaction));
+      await this.clock.sleep(CLIENT_TIMEOUT_MS);
+      return err(createNoResponseError(true));
+    }
+    if (transferMs > 0) await this.clock.sleep(transferMs);
     const outcome = await this.commitOnStore(transaction);
     await this.waitUntilResumed();
     return outcome;
@@ -291,6 +308,16 @@
     return outcome;
   }
 
+  /** Reserves the link of the node for a write, and returns the time until it has been sent. */
+  private reserveLink({writes}: RowTransaction): number {
+    const nowMs = this.clock.getMonotonicMs();
+    let sizeBytes = 0;
+    for (const {value} of writes) sizeBytes += value.length;
+    const sendMs = (sizeBytes * 1_000) / this.clientFaults.writeBytesPerSecond;
+    this.linkFreeMs = Math.max(nowMs, this.linkFreeMs) + sendMs;
+    return this.linkFreeMs - nowMs;
+  }
+
   private getFeedDelayMs(table: string): number {
     const delaysMs = [this.clientFaults, this.store.faults].map(
       faults => faults.feedDelaysMs.get(table) ?? 0,
