Limit the start commands in progress while the coordinator falls behind

Cause: a pass placed all eligible tasks and sent their commands at once; 405 in one turn on a VM with 0.069 of a core blocked the event loop for 1.5 s, 323 of them timed out.

Change: a window, lowered while timers fire over 150 ms late; a pass places no more tasks than are free in it, the others wait by priority. Renewals are spaced by the delay, 400 ms at most.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -40,6 +40,7 @@
 } from './tables.js';
 import {TableFollower} from './table_follower.js';
 import {WaitingStep} from './task_order.js';
+import {StartWindow} from './start_window.js';
 import {getWaitingSteps, Placement, PlacementPass} from './placement_pass.js';
 import {WorkerSupervisor} from './worker_supervisor.js';
 import {AssignedRun} from './worker_load.js';
@@ -148,6 +149,7 @@
   private readonly writer: ProgressWriter;
   private readonly heartbeat: CoordinatorHeartbeat;
   private readonly retention: JobRetention;
+  private readonly startWindow: StartWindow;
   private readonly crashAttributor = CrashAttributor.create();
   private readonly followers: TableFollower[] = [];
   private jobFollower: TableFollower | undefined;
@@ -158,6 +160,8 @@
   private isCommitting = false;
   private isPassPending = false;
   private isHandingOver = false;
+  /** Whether the last pass may have left tasks waiting because of the start commands in progress. */
+  private isStartLimited = false;
   private isLoaded = false;
   private isReady = false;
   private electedMs = 0;
@@ -169,6 +173,7 @@
   private constructor(private readonly options: CoordinatorOptions) {
     const {clock, events, commitLog, nodeId, store} = options;
     this.workerSupervisor = WorkerSupervisor.create({clock, events});
+    this.startWindow = StartWindow.create(clock);
     this.workerPool = WorkerPool.create({
       clock,
       events,
@@ -180,6 +185,7 @@
       isTermConfirmed: () => this.checkTerm(),
       areRegistrationsCurrent: () => this.areRegistrationsCurrent(),
       previousTermTimeoutMs: ISOLATION_TIMEOUT_MS,
+      startWindow: this.startWindow,
     });
     this.jobTracker = JobTracker.create({
       clock,
@@ -226,6 +232,7 @@
     const {commitLog, events, nodeId, clock} = this.options;
     const outcome = await this.commitStatus(nodeId, 1);
     if (outcome === 'superseded') return 'superseded';
+    this.startWindow.start();
     void this.heartbeat.run(commitLog.getVersion());
     this.electedMs = clock.getMonotonicMs();
     events.addEvent('coordinator-elected', {detail: `term ${commitLog.term}`});
@@ -236,6 +243,7 @@
     this.scheduleTick();
     const end = await ended;
     this.heartbeat.stop();
+    this.startWindow.stop();
     for (const follower of this.followers) follower.stop();
     this.workerPool.stop();
     commitLog.close();
@@ -551,10 +559,12 @@
       workersByService: this.workerSupervisor.getUsableWorkers(
         this.workerPool.getSessions(),
       ),
+      maxPlacements: this.startWindow.getFreeCount(),
       place: placement => this.placeTask(placement),
       undo: (assigned, {session}) => this.undoPlacement(assigned, session),
     });
     pass.run(this.getWaitingSteps(wallMs), wallMs);
+    this.isStartLimited = pass.isLimitReached();
     for (const step of pass.getPlacedSteps()) {
       this.options.events.addEvent('step-placed', {
         requestId: step.waiting.job.getId(),
@@ -610,7 +620,9 @@
       workerId: session.getId(),
       detail: formatRun(assigned.run),
     });
-    void session.startRun(assigned);
+    void session.startRun(assigned).then(() => {
+      if (this.isStartLimited) this.schedulePass();
+    });
   }
 
   /**
@@ -666,6 +678,7 @@
     const detail = [
       formatFleetLoad(this.workerPool.getSessions(), waiting),
       formatQueueLoads(this.jobTracker.getQueueLoads()),
+      `timers ${Math.round(this.startWindow.getDelayMs())} ms late, ${Math.round(this.startWindow.getLimit())} start commands at a time`,
       `job feed ${Math.round(this.jobFollower?.getMaxAgeMs() ?? Infinity)} ms old`,
     ].join(', ');
     this.options.events.addEvent('fleet-load', {detail});
--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -34,6 +34,8 @@
   readonly interferenceModel: InterferenceModel;
   /** Workers that are usable for new runs, by service. */
   readonly workersByService: ReadonlyMap<string, readonly PlacementWorker[]>;
+  /** Maximum number of tasks to place; the members of a gang may exceed it. */
+  readonly maxPlacements: number;
   /** Assigns the task to the worker and reserves the worker's capacity for it. */
   readonly place: (placement: Placement) => AssignedRun;
   /** Reverts a placement and releases the reserved capacity. */
@@ -102,6 +104,7 @@
    */
   private readonly unplaceableNeeds = new Map<string, UnplaceableNeeds>();
   private readonly placedSteps: PlacedStep[] = [];
+  private placementCount = 0;
 
   private constructor(private readonly options: PlacementPassOptions) {}
 
@@ -122,6 +125,7 @@
     const sorted = sortWaitingSteps(waiting, wallMs);
     for (const each of sorted) this.placeSuspectedTasks(each);
     for (const each of sorted) {
+      if (this.isLimitReached()) return;
       const key = getEquivalenceClass(each);
       if (this.isKnownToFail(key, each.step)) continue;
       const isPlaced = each.step.spec.isGang
@@ -131,6 +135,11 @@
     }
   }
 
+  /** Checks whether tasks may be left waiting because of `maxPlacements`. */
+  isLimitReached(): boolean {
+    return this.placementCount >= this.options.maxPlacements;
+  }
+
   /** Gets the steps of which tasks were placed, in order of placement. */
   getPlacedSteps(): readonly PlacedStep[] {
     return this.placedSteps;
@@ -141,6 +150,7 @@
     workers: readonly PlacementWorker[],
   ): void {
     if (workers.length === 0) return;
+    this.placementCount += workers.length;
     this.placedSteps.push({
       waiting,
       workerIds: workers.map(({session}) => session.getId()),
@@ -211,7 +221,8 @@
     const ranking = this.rank(waiting, this.getWorkers(waiting), false);
     const workers: PlacementWorker[] = [];
     let hasRoom = true;
-    for (const task of tasks) {
+    const maxTasks = this.options.maxPlacements - this.placementCount;
+    for (const task of tasks.slice(0, maxTasks)) {
       const worker = ranking.getBest();
       hasRoom = worker !== undefined;
       if (worker === undefined) break;
--- /dev/null
+++ b/packages/coordination/src/start_window.ts
@@ -0,0 +1,96 @@
+/**
+ * Limits the start commands in progress while this process falls behind.
+ *
+ * Load pattern: many steps become eligible at once on a VM that is short of
+ * processor time. Commands that are sent all at once wait for each other, time out
+ * although they are executed, and are repeated, so that the process falls behind
+ * further. Tasks that are held back wait in the order of their priority instead.
+ */
+
+import {Clock, Timer} from '@mustardlug/base/clock';
+
+/** Interval at which the delay of timers is measured. */
+const MEASUREMENT_INTERVAL_MS = 50;
+
+/** Delay of a timer above which the process counts as falling behind. */
+const MAX_DELAY_MS = 150;
+
+/** Delay of a timer below which the process counts as keeping up. */
+const LOW_DELAY_MS = 50;
+
+const INITIAL_LIMIT = 256;
+
+const MIN_LIMIT = 8;
+
+const MAX_LIMIT = 2_048;
+
+const DECREASE_FACTOR = 0.7;
+
+const INCREASE_FACTOR = 1.1;
+
+/** Tracks start commands in progress, and limits them by the delay of this process's timers. */
+export class StartWindow {
+  private commandCount = 0;
+  private limit = INITIAL_LIMIT;
+  private delayMs = 0;
+  private isStopped = false;
+  private timer: Timer | undefined;
+
+  private constructor(private readonly clock: Clock) {}
+
+  /**
+   * Creates a window that does not measure delays yet.
+   * @param clock - Clock of the process, whose timers fire late while it is busy.
+   */
+  static create(clock: Clock): StartWindow {
+    return new StartWindow(clock);
+  }
+
+  /** Measures the delay of timers until `stop` is called. */
+  start(): void {
+    const dueMs = this.clock.getMonotonicMs() + MEASUREMENT_INTERVAL_MS;
+    this.timer = this.clock.setTimer(MEASUREMENT_INTERVAL_MS, () => {
+      if (this.isStopped) return;
+      this.recordDelay(this.clock.getMonotonicMs() - dueMs);
+      this.start();
+    });
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    this.timer?.cancel();
+  }
+
+  /** Gets how late the last timer fired, in milliseconds. */
+  getDelayMs(): number {
+    return this.delayMs;
+  }
+
+  /** Gets the number of start commands that may be in progress. */
+  getLimit(): number {
+    return this.limit;
+  }
+
+  /** Gets the number of start commands that may be added to those in progress. */
+  getFreeCount(): number {
+    return Math.max(0, Math.floor(this.limit) - this.commandCount);
+  }
+
+  /** Records that a start command is sent. */
+  addCommand(): void {
+    this.commandCount++;
+  }
+
+  /** Records that a start command was answered or has timed out. */
+  removeCommand(): void {
+    this.commandCount--;
+  }
+
+  private recordDelay(delayMs: number): void {
+    this.delayMs = delayMs;
+    if (delayMs > MAX_DELAY_MS)
+      this.limit = Math.max(MIN_LIMIT, this.limit * DECREASE_FACTOR);
+    else if (delayMs < LOW_DELAY_MS)
+      this.limit = Math.min(MAX_LIMIT, this.limit * INCREASE_FACTOR);
+  }
+}
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -11,6 +11,7 @@
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {Result} from 'neverthrow';
 import {getTaskName} from './task_names.js';
+import {StartWindow} from './start_window.js';
 import {AssignedRun} from './worker_load.js';
 import {
   MAX_LEASE_VALIDITY_MS,
@@ -40,6 +41,8 @@
   readonly areRegistrationsCurrent: () => boolean;
   /** How long an earlier coordinator may keep issuing commands. */
   readonly previousTermTimeoutMs: number;
+  /** Start commands in progress to all workers. */
+  readonly startWindow: StartWindow;
 }
 
 /** Holds the sessions of workers, and the runs whose worker is not registered. */
@@ -174,6 +177,7 @@
       isTermConfirmed: this.options.isTermConfirmed,
       areRegistrationsCurrent: this.options.areRegistrationsCurrent,
       previousTermTimeoutMs: this.options.previousTermTimeoutMs,
+      startWindow: this.options.startWindow,
     });
     this.sessions.set(record.workerId, session);
     this.adoptOrphans(session);
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -12,6 +12,7 @@
   JobWorkerError,
 } from '@mustardlug/platform/job_worker_client';
 import {Result} from 'neverthrow';
+import {StartWindow} from './start_window.js';
 import {AssignedRun, getRunKey, WorkerLoad} from './worker_load.js';
 
 /** Receives the events of a worker session. */
@@ -83,6 +84,8 @@
   readonly areRegistrationsCurrent: () => boolean;
   /** How long an earlier coordinator may grant leases before the worker accepts this term. */
   readonly previousTermTimeoutMs: number;
+  /** Start commands in progress to all workers. */
+  readonly startWindow: StartWindow;
 }
 
 /**
@@ -97,6 +100,9 @@
 /** Minimum time between two renewals, so that runs that end close together share a report. */
 const MIN_RENEWAL_INTERVAL_MS = 20;
 
+/** Maximum pause between two renewals of a process that falls behind; well below the lease. */
+const MAX_RENEWAL_INTERVAL_MS = 400;
+
 /** Delay before a failed renewal is repeated. */
 const RENEWAL_RETRY_MS = 150;
 
@@ -686,12 +692,15 @@
       leaseUntilMs,
     );
     run.openStarts++;
+    const {startWindow} = this.options;
+    startWindow.addCommand();
     const outcome = await this.options.client.startRun({
       ...this.createRunCommand(assigned),
       specification: job.accepted.spec.specification,
       checkpoint: task.checkpoint,
       leaseUntilMs,
     });
+    startWindow.removeCommand();
     const isSettled =
       outcome.isOk() ||
       outcome.error.kind === 'worker-refusal' ||
@@ -783,11 +792,18 @@
     };
   }
 
+  /** Spaces renewals while this process falls behind, so that more ended runs share a report. */
+  private getRenewalIntervalMs(): number {
+    const delayMs = this.options.startWindow.getDelayMs();
+    const intervalMs = MIN_RENEWAL_INTERVAL_MS + delayMs;
+    return Math.min(intervalMs, MAX_RENEWAL_INTERVAL_MS);
+  }
+
   private waitForNextRenewal(isRenewed: boolean): Promise<void> {
     const {clock} = this.options;
     if (!isRenewed) return clock.sleep(RENEWAL_RETRY_MS);
     if (this.processedSequence <= this.acknowledgedSequence)
-      return clock.sleep(MIN_RENEWAL_INTERVAL_MS);
+      return clock.sleep(this.getRenewalIntervalMs());
     return new Promise(resolve => {
       const timer = clock.setTimer(MAX_ACKNOWLEDGE_DELAY_MS, resolve);
       this.wakeUp = () => {
--- a/packages/coordination/test/placement_pass.test.ts
+++ b/packages/coordination/test/placement_pass.test.ts
@@ -29,11 +29,13 @@
   job: JobState,
   workers: readonly PlacementWorker[],
   serviceName = SAMPLE_QUEUE.serviceName,
+  maxPlacements = Infinity,
 ): AssignedRun[] {
   const placed = new Set<AssignedRun>();
   const pass = PlacementPass.create({
     interferenceModel: InterferenceModel.create(),
     workersByService: new Map([[serviceName, workers]]),
+    maxPlacements,
     place: ({waiting, task, worker}) => {
       const run = createTaskRun(worker.session.getId(), 1, 1, 0);
       task.runs.push(run);
@@ -121,6 +123,15 @@
       expect(runPass(other, workers)).to.have.length(0);
     });
 
+  it('leaves tasks beyond the limit waiting', () => {
+    const job = createJob({taskCount: 6});
+    const {serviceName} = SAMPLE_QUEUE;
+    const workers = [createWorker('worker-1'), createWorker('worker-2')];
+    expect(runPass(job, workers, serviceName, 4)).to.have.length(4);
+    expect(runPass(job, workers, serviceName, 0)).to.have.length(0);
+    expect(runPass(job, workers, serviceName)).to.have.length(2);
+  });
+
   it('places tasks only on workers of the service of their queue', () => {
     const workers = [createWorker('worker-1')];
     expect(runPass(createJob({}), workers, 'other')).to.have.length(0);
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -12,6 +12,7 @@
 import {HybridLogicalClock} from '@mustardlug/telemetry/hybrid_logical_clock';
 import {expect} from 'chai';
 import {err, ok} from 'neverthrow';
+import {StartWindow} from '../src/start_window.js';
 import {WorkerPool} from '../src/worker_pool.js';
 
 const RECORD: WorkerRecord = {
@@ -81,6 +82,7 @@
     isTermConfirmed: () => true,
     areRegistrationsCurrent: () => true,
     previousTermTimeoutMs: 0,
+    startWindow: StartWindow.create(clock),
   });
 }
 
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -9,6 +9,7 @@
 import {AssignedRun} from '../src/worker_load.js';
 import {SessionListener, WorkerSession} from '../src/worker_session.js';
 import {ScriptedJobWorkerClient} from './scripted_job_worker_client.js';
+import {StartWindow} from '../src/start_window.js';
 import {addTestRun} from './test_runs.js';
 
 const PROCESS_START_MS = 1;
@@ -87,6 +88,7 @@
       isTermConfirmed: () => true,
       areRegistrationsCurrent: () => this.areRegistrationsCurrent,
       previousTermTimeoutMs: 0,
+      startWindow: StartWindow.create(this.clock),
     });
     this.assigned = addTestRun(this.session.load, {});
     this.assigned.run.isConfirmed = false;
