Place interrupted long-running tasks before other work

Cause: long-running steps come after all batch steps of their priority, so a task that had been running and lost its worker waited behind batch work as long as that filled the workers; on an overloaded coordinator also behind the limit of start commands.

Change: tasks that have run before are placed first, beyond the limit of a pass; stored, so that a successor knows them.

--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -159,6 +159,7 @@
   recordRunEnd(assigned: AssignedRun, ended: EndedRun): void {
     const {job, step, task, run} = assigned;
     job.hasStarted = true;
+    task.hasRun = true;
     task.runs = task.runs.filter(each => each !== run);
     if (ended.checkpoint !== '') task.checkpoint = ended.checkpoint;
     if (ended.outcome === 'done' || ended.outcome === 'failed')
--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -124,6 +124,7 @@
   run(waiting: readonly WaitingStep[], wallMs: number): void {
     const sorted = sortWaitingSteps(waiting, wallMs);
     for (const each of sorted) this.placeSuspectedTasks(each);
+    for (const each of sorted) this.placeInterruptedTasks(each);
     for (const each of sorted) {
       if (this.isLimitReached()) return;
       const key = getEquivalenceClass(each);
@@ -185,6 +186,23 @@
     this.recordPlacedStep(waiting, workers);
   }
 
+  /**
+   * Places long-running tasks again that were running before. They come before
+   * other tasks, also beyond the limit of placements: their users are waiting, and
+   * on a full fleet batch work would take each room that becomes free.
+   */
+  private placeInterruptedTasks(waiting: WaitingStep): void {
+    const {step} = waiting;
+    if (!step.spec.isLongRunning || step.spec.isGang) return;
+    const tasks = step.tasks.filter(
+      task => task.hasRun && isWaitingTask(task) && !isSuspected(task),
+    );
+    if (tasks.length === 0) return;
+    const key = getEquivalenceClass(waiting);
+    if (this.isKnownToFail(key, step)) return;
+    if (!this.placeEach(waiting, tasks)) this.recordFailure(key, step);
+  }
+
   /** Finds a worker for a suspected task, if possible one that has not crashed at its start. */
   private findTrialWorker(
     waiting: WaitingStep,
@@ -212,17 +230,25 @@
     return trialCount < Math.max(1, workers.length * MAX_TRIAL_FRACTION);
   }
 
-  /** Places the waiting tasks one by one. Returns whether all of them were placed. */
+  /** Places waiting tasks within the limit. Returns whether there was room for all of them. */
   private placeTasks(waiting: WaitingStep): boolean {
     const tasks = waiting.step.tasks.filter(
       task => isWaitingTask(task) && !isSuspected(task),
     );
+    const maxTasks = this.options.maxPlacements - this.placementCount;
+    return this.placeEach(waiting, tasks.slice(0, maxTasks));
+  }
+
+  /** Places tasks of a step one by one. Returns whether there was room for all of them. */
+  private placeEach(
+    waiting: WaitingStep,
+    tasks: readonly TaskState[],
+  ): boolean {
     if (tasks.length === 0) return true;
     const ranking = this.rank(waiting, this.getWorkers(waiting), false);
     const workers: PlacementWorker[] = [];
     let hasRoom = true;
-    const maxTasks = this.options.maxPlacements - this.placementCount;
-    for (const task of tasks.slice(0, maxTasks)) {
+    for (const task of tasks) {
       const worker = ranking.getBest();
       hasRoom = worker !== undefined;
       if (worker === undefined) break;
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -815,7 +815,8 @@
   }
 }
 
-function confirmRun({job, run}: AssignedRun): void {
+function confirmRun({job, task, run}: AssignedRun): void {
   run.isConfirmed = true;
+  task.hasRun = true;
   job.hasStarted = true;
 }
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -178,7 +178,7 @@
   if (task.isDone) return 1;
   const isNotStarted =
     task.runs.length === 0 && task.failures === 0 && task.checkpoint === '';
-  if (isNotStarted) return 0;
+  if (isNotStarted && !task.hasRun) return 0;
   return [task.failures, task.checkpoint, ...task.runs.map(toStoredRun)];
 }
 
@@ -229,6 +229,8 @@
   monotonicMs: number,
 ): void {
   const [failures, checkpoint, ...runs] = stored;
+  // The start command of a stored run has most probably been sent.
+  task.hasRun = true;
   task.failures = failures;
   task.checkpoint = checkpoint;
   task.runs = runs.map(run => restoreRun(run, monotonicMs));
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -57,6 +57,8 @@
   readonly index: number;
   isDone: boolean;
   failures: number;
+  /** Whether a worker has confirmed a run of the task. */
+  hasRun: boolean;
   /** Losses of workers that had just started the task, since a run of it last was proven. */
   startCrashes: StartCrash[];
   /** Latest checkpoint; empty when there is none. */
@@ -89,6 +91,7 @@
         isDone: false,
         failures: 0,
         startCrashes: [],
+        hasRun: false,
         checkpoint: '',
         runs: [],
       });
--- a/packages/jobs/test/job_model.test.ts
+++ b/packages/jobs/test/job_model.test.ts
@@ -128,6 +128,8 @@
     step.markDone(step.tasks[0]);
     step.tasks[1].failures = 1;
     step.tasks[1].checkpoint = 'half';
+    step.tasks[1].hasRun = true;
+    step.tasks[2].hasRun = true;
     const run = createTaskRun('worker-1', 7, 1_001, 0);
     step.tasks[1].runs = [run];
     const stored = decodeRowValue<StoredProgress>(
@@ -178,6 +180,19 @@
     );
   });
 
+  it('restores compressed progress of a large job', () => {
+    const tasks = Array.from({length: 40}, (_, index) => [
+      0,
+      '',
+      [`worker-${index % 7}`, 7, 1_000 + index],
+    ]);
+    const occurrences = [{number: 0, steps: [tasks]}];
+    const stored = {phase: 'running', nextOccurrence: 1, occurrences};
+    const bytes = encodeRowValue(stored);
+    expect(bytes.length).to.be.below(JSON.stringify(stored).length / 2);
+    expect(decodeRowValue<object>(bytes)).to.deep.equal(stored);
+  });
+
   it('stores no occurrences of a job that has ended', () => {
     const job = createJob();
     job.createDueOccurrences(1_000);
