Name the first reason that excludes a worker from a step

What could not be told apart: placement asked of each worker only whether it may get a task, so nothing could say why it may not.

Change: the decision and the reason come from the same functions. `WorkerSession.isUsable` is built upon `findExclusion`, `WorkerLoad.hasRoom` upon `findShortage`, `WorkerSupervisor.getUsableWorkers` upon `getPlacementWorker`, and the score of `WorkerRanking` is the result of `assessWorker`, a number or a reason. `InterferenceModel.predict` gives the first reason beside `isTolerable`. `PlacementPass.getObstacles` says what the pass adds: its limit, an earlier step with equal or smaller needs that failed, a gang with runs, suspected tasks. No rule changes; only the order of the checks of a session does, which have no side effects.

--- a/packages/coordination/src/interference_model.ts
+++ b/packages/coordination/src/interference_model.ts
@@ -78,12 +78,18 @@
 /** Format version of the stored rows; rows of another version are ignored and relearned. */
 export const STORED_FORMAT_VERSION = 2;
 
+/** Why a filler may not be added to a worker. */
+export type FillerIntolerance =
+  'filler-unknown-share' | 'filler-explored-elsewhere' | 'filler-effect';
+
 /** Predicted effect of a filler on the serving tasks of a worker. */
 export interface InterferencePrediction {
   /** Largest predicted increase of a serving task's load index. */
   readonly addedLoadIndex: number;
   /** Whether all serving tasks are expected to meet their targets. */
   readonly isTolerable: boolean;
+  /** Why serving tasks may miss their targets; `undefined` if all are expected to meet them. */
+  readonly intolerance: FillerIntolerance | undefined;
   /** Whether the filler is known not to interfere with any of them. */
   readonly isHarmless: boolean;
 }
@@ -266,15 +272,17 @@
     const share = cpuMillis / load.getCapacity().cpuMillis;
     const fillers = getFillerShares(load);
     let addedLoadIndex = 0;
-    let isTolerable = true;
+    let intolerance: FillerIntolerance | undefined;
     let isHarmless = true;
     for (const [servingImage, measuredIndex] of getMaxLoadIndexes(load)) {
       const estimator = this.getEffects(servingImage);
       if (!estimator.isKnown(image)) {
         isHarmless = false;
         const unknownShare = getUnknownShare(estimator, fillers) + share;
-        if (unknownShare > MAX_UNKNOWN_SHARE) isTolerable = false;
-        if (!this.canExplore(servingImage, image, load)) isTolerable = false;
+        if (unknownShare > MAX_UNKNOWN_SHARE)
+          intolerance ??= 'filler-unknown-share';
+        if (!this.canExplore(servingImage, image, load))
+          intolerance ??= 'filler-explored-elsewhere';
         continue;
       }
       const effect = estimator.getEffect(image);
@@ -284,9 +292,11 @@
       isHarmless = false;
       const expected = this.predictLoadIndex(servingImage, fillers);
       const currentIndex = Math.max(expected, measuredIndex);
-      if (currentIndex + added > MAX_PLANNED_LOAD_INDEX) isTolerable = false;
+      if (currentIndex + added > MAX_PLANNED_LOAD_INDEX)
+        intolerance ??= 'filler-effect';
     }
-    return {addedLoadIndex, isTolerable, isHarmless};
+    const isTolerable = intolerance === undefined;
+    return {addedLoadIndex, isTolerable, intolerance, isHarmless};
   }
 
   /**
--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -58,6 +58,8 @@
 
 /** Resource needs that no worker could satisfy in this pass. */
 interface UnplaceableNeeds {
+  /** First step that failed with these needs. */
+  readonly waiting: WaitingStep;
   readonly cpuMillis: number;
   readonly memoryMb: number;
 }
@@ -132,7 +134,7 @@
       const isPlaced = each.step.spec.isGang
         ? this.placeGang(each)
         : this.placeTasks(each);
-      if (!isPlaced) this.recordFailure(key, each.step);
+      if (!isPlaced) this.recordFailure(key, each);
     }
   }
 
@@ -146,6 +148,37 @@
     return this.placedSteps;
   }
 
+  /**
+   * Gets the reasons of this pass, besides the workers', why tasks of a step may
+   * have been left waiting.
+   * @param waiting - Step with waiting tasks.
+   */
+  getObstacles(waiting: WaitingStep): string[] {
+    const {step} = waiting;
+    const obstacles: string[] = [];
+    if (this.isLimitReached())
+      obstacles.push(
+        `limit of ${this.options.maxPlacements} placements reached`,
+      );
+    if (step.spec.isGang && step.hasRuns())
+      obstacles.push('members of the gang still have runs');
+    const tasks = step.tasks.filter(isWaitingTask);
+    const suspectedCount = tasks.filter(isSuspected).length;
+    const isTrial = suspectedCount === tasks.length;
+    const key = getEquivalenceClass(waiting, isTrial);
+    const failed = this.findFailure(key, step);
+    if (failed !== undefined && failed.step !== step)
+      obstacles.push(
+        `skipped as ${failed.job.getId()}.${failed.occurrence}.${failed.step.index} failed with equal or smaller needs`,
+      );
+    if (suspectedCount > 0) {
+      const isLimited = !step.spec.isGang && !this.canStartTrial(waiting);
+      const limit = isLimited ? ', limit of trials reached' : '';
+      obstacles.push(`${suspectedCount} tasks suspected${limit}`);
+    }
+    return obstacles;
+  }
+
   private recordPlacedStep(
     waiting: WaitingStep,
     workers: readonly PlacementWorker[],
@@ -182,7 +215,7 @@
       this.options.place({waiting, task, worker});
       workers.push(worker);
     }
-    if (workers.length < tasks.length) this.recordFailure(key, step);
+    if (workers.length < tasks.length) this.recordFailure(key, waiting);
     this.recordPlacedStep(waiting, workers);
   }
 
@@ -200,7 +233,7 @@
     if (tasks.length === 0) return;
     const key = getEquivalenceClass(waiting);
     if (this.isKnownToFail(key, step)) return;
-    if (!this.placeEach(waiting, tasks)) this.recordFailure(key, step);
+    if (!this.placeEach(waiting, tasks)) this.recordFailure(key, waiting);
   }
 
   /** Finds a worker for a suspected task, if possible one that has not crashed at its start. */
@@ -310,17 +343,27 @@
   }
 
   private isKnownToFail(key: string | undefined, step: StepState): boolean {
+    return this.findFailure(key, step) !== undefined;
+  }
+
+  /** Finds a step of the class that failed with equal or smaller needs. */
+  private findFailure(
+    key: string | undefined,
+    step: StepState,
+  ): WaitingStep | undefined {
     const failed =
       key === undefined ? undefined : this.unplaceableNeeds.get(key);
-    if (failed === undefined) return false;
+    if (failed === undefined) return undefined;
     const {cpuMillis, memoryMb} = step.spec.needs;
-    return cpuMillis >= failed.cpuMillis && memoryMb >= failed.memoryMb;
+    const isLarger =
+      cpuMillis >= failed.cpuMillis && memoryMb >= failed.memoryMb;
+    return isLarger ? failed.waiting : undefined;
   }
 
-  private recordFailure(key: string | undefined, step: StepState): void {
+  private recordFailure(key: string | undefined, waiting: WaitingStep): void {
     if (key === undefined) return;
-    const {cpuMillis, memoryMb} = step.spec.needs;
-    this.unplaceableNeeds.set(key, {cpuMillis, memoryMb});
+    const {cpuMillis, memoryMb} = waiting.step.spec.needs;
+    this.unplaceableNeeds.set(key, {cpuMillis, memoryMb, waiting});
   }
 }
 
--- a/packages/coordination/src/task_order.ts
+++ b/packages/coordination/src/task_order.ts
@@ -27,7 +27,7 @@
 const DEFAULT_TASK_MS = 1_000;
 
 /** How a step is expected to end relative to its objective and late limit; placed in this order. */
-type DeadlineStatus = 'in-time' | 'late' | 'expired';
+export type DeadlineStatus = 'in-time' | 'late' | 'expired';
 
 const DEADLINE_STATUS_RANK: Record<DeadlineStatus, number> = {
   'in-time': 0,
@@ -140,7 +140,15 @@
   return ranked.map(({step}) => step);
 }
 
-function getDeadlineStatus(step: WaitingStep, wallMs: number): DeadlineStatus {
+/**
+ * Gets how a step is expected to end relative to its objective and late limit.
+ * @param step - Step with waiting tasks.
+ * @param wallMs - Wall-clock time.
+ */
+export function getDeadlineStatus(
+  step: WaitingStep,
+  wallMs: number,
+): DeadlineStatus {
   if (step.step.spec.isLongRunning) return 'in-time';
   const expectedEndMs = wallMs + step.remainingCriticalPathMs;
   if (expectedEndMs <= step.objectiveMs) return 'in-time';
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -38,6 +38,9 @@
  */
 const SERVING_CPU_UTILIZATION = 0.45;
 
+/** Resource of which a worker has too little for a task. */
+export type Shortage = 'memory' | 'accelerators' | 'cpu';
+
 /** Runs of one worker, its capacity, and the totals that the runs declare. */
 export class WorkerLoad {
   private readonly runs = new Map<string, AssignedRun>();
@@ -229,10 +232,23 @@
    * @param isFiller - Whether the task is a filler, whose own CPU needs do not count.
    */
   hasRoom(needs: ResourceRequirements, isFiller: boolean): boolean {
-    if (needs.memoryMb > this.getFreeMemoryMb()) return false;
+    return this.findShortage(needs, isFiller) === undefined;
+  }
+
+  /**
+   * Gets the first resource of which too little is free for the needs of a task.
+   * @param needs - Needs of one task.
+   * @param isFiller - Whether the task is a filler, whose own CPU needs do not count.
+   */
+  findShortage(
+    needs: ResourceRequirements,
+    isFiller: boolean,
+  ): Shortage | undefined {
+    if (needs.memoryMb > this.getFreeMemoryMb()) return 'memory';
     const freeAccelerators = this.capacity.accelerators - this.usedAccelerators;
-    if (needs.accelerators > freeAccelerators) return false;
-    return (isFiller ? 0 : needs.cpuMillis) <= this.getFreeCpuMillis();
+    if (needs.accelerators > freeAccelerators) return 'accelerators';
+    const cpuMillis = isFiller ? 0 : needs.cpuMillis;
+    return cpuMillis <= this.getFreeCpuMillis() ? undefined : 'cpu';
   }
 
   /** Checks whether the needs of all runs are within the capacity, which may have shrunk. */
--- a/packages/coordination/src/worker_ranking.ts
+++ b/packages/coordination/src/worker_ranking.ts
@@ -1,8 +1,8 @@
 /** Ranks the candidate workers for the tasks of a step. */
 
 import {StepState} from '@mustardlug/jobs/job_state';
-import {InterferenceModel} from './interference_model.js';
-import {WorkerLoad} from './worker_load.js';
+import {FillerIntolerance, InterferenceModel} from './interference_model.js';
+import {Shortage, WorkerLoad} from './worker_load.js';
 
 /** A worker that is eligible for new tasks. */
 export interface CandidateWorker {
@@ -23,6 +23,16 @@
   readonly isTrial?: boolean;
 }
 
+/** Why a candidate worker is not eligible for a task of a step. */
+export type CandidateExclusion =
+  | 'trial'
+  | 'label'
+  | 'limit-per-worker'
+  | Shortage
+  | 'filler-no-reclaimable-cpu'
+  | FillerIntolerance
+  | 'filler-hold-off';
+
 /** Score bonus of workers on the rack of the step's data or of its other tasks. */
 const PREFERRED_RACK_SCORE = 10;
 
@@ -68,8 +78,8 @@
   ): WorkerRanking<T> {
     const ranking = new WorkerRanking<T>(request);
     for (const worker of workers) {
-      const score = getScore(request, worker);
-      if (score !== undefined) ranking.ranked.push({worker, score});
+      const score = assessWorker(request, worker);
+      if (typeof score === 'number') ranking.ranked.push({worker, score});
     }
     ranking.ranked.sort((left, right) => left.score - right.score);
     return ranking;
@@ -84,8 +94,8 @@
   rescoreBest(): void {
     const best = this.ranked.pop();
     if (best === undefined) return;
-    const score = getScore(this.request, best.worker);
-    if (score === undefined) return;
+    const score = assessWorker(this.request, best.worker);
+    if (typeof score !== 'number') return;
     this.ranked.splice(this.findInsertionIndex(score), 0, {
       worker: best.worker,
       score,
@@ -105,34 +115,43 @@
   }
 }
 
-/** Gets the score of a worker for the step, or `undefined` if it is not eligible. */
-function getScore(
+/**
+ * Gets the score of a worker for the tasks of a step, or the first reason why it
+ * is not eligible.
+ * @param request - Step of the tasks.
+ * @param worker - Worker of the step's service.
+ */
+export function assessWorker(
   request: RankingRequest,
   worker: CandidateWorker,
-): number | undefined {
+): number | CandidateExclusion {
   const {step, isTrial = false} = request;
-  if (!worker.load.canStartBeside(step, isTrial)) return undefined;
-  if (!hasRoomFor(step, worker)) return undefined;
+  if (!worker.load.canStartBeside(step, isTrial)) return 'trial';
+  const obstacle = findRoomObstacle(step, worker);
+  if (obstacle !== undefined) return obstacle;
   const suitability = getSuitability(request, worker);
-  if (suitability === undefined) return undefined;
+  if (typeof suitability !== 'number') return suitability;
   const targetRack = step.spec.dataRack ?? request.preferredRack;
   const isOnTargetRack = targetRack !== undefined && targetRack === worker.rack;
   return (isOnTargetRack ? PREFERRED_RACK_SCORE : 0) + suitability;
 }
 
-function hasRoomFor(step: StepState, {load, labels}: CandidateWorker): boolean {
+function findRoomObstacle(
+  step: StepState,
+  {load, labels}: CandidateWorker,
+): CandidateExclusion | undefined {
   const {needs, requiredLabel, maxPerWorker, isFiller} = step.spec;
   if (requiredLabel !== undefined && !labels.includes(requiredLabel))
-    return false;
+    return 'label';
   if (maxPerWorker > 0 && load.getStepRunCount(step) >= maxPerWorker)
-    return false;
-  return load.hasRoom(needs, isFiller);
+    return 'limit-per-worker';
+  return load.findShortage(needs, isFiller);
 }
 
 function getSuitability(
   request: RankingRequest,
   worker: CandidateWorker,
-): number | undefined {
+): number | CandidateExclusion {
   const {isFiller, isLongRunning, image} = request.step.spec;
   if (isFiller) return getFillerSuitability(request, worker);
   if (isLongRunning) return getServingSuitability(image ?? '', worker.load);
@@ -146,16 +165,18 @@
 function getFillerSuitability(
   request: RankingRequest,
   {load, acceptsFillers}: CandidateWorker,
-): number | undefined {
+): number | CandidateExclusion {
   const {needs, image} = request.step.spec;
   const reclaimableCpuMillis = load.getReclaimableCpuMillis();
-  if (reclaimableCpuMillis < needs.cpuMillis) return undefined;
+  if (reclaimableCpuMillis < needs.cpuMillis)
+    return 'filler-no-reclaimable-cpu';
   const reclaimableShare = reclaimableCpuMillis / load.getCapacity().cpuMillis;
   if (load.getServingCpuMillis() === 0) return reclaimableShare;
-  const {addedLoadIndex, isHarmless, isTolerable} =
+  const {addedLoadIndex, isHarmless, intolerance} =
     request.interferenceModel.predict(image ?? '', needs.cpuMillis, load);
   if (isHarmless) return reclaimableShare + HARMLESS_FILLER_SCORE;
-  if (!isTolerable || !acceptsFillers) return undefined;
+  if (intolerance !== undefined) return intolerance;
+  if (!acceptsFillers) return 'filler-hold-off';
   return reclaimableShare - addedLoadIndex * INTERFERENCE_WEIGHT;
 }
 
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -15,6 +15,16 @@
 import {StartWindow} from './start_window.js';
 import {AssignedRun, getRunKey, WorkerLoad} from './worker_load.js';
 
+/** Why no new runs may be placed on a worker. */
+export type SessionExclusion =
+  | 'session-ended'
+  | 'not-registered'
+  | 'draining'
+  | 'unresponsive'
+  | 'other-process'
+  | 'unknown-runs'
+  | 'out-of-capacity';
+
 /** Receives the events of a worker session. */
 export interface SessionListener {
   /** Called once for each run that the worker lists as ended, in the order of the list. */
@@ -238,16 +248,25 @@
 
   /** Checks whether new runs may be placed on the worker. */
   isUsable(): boolean {
-    if (this.isStopped || !this.hasResponded) return false;
-    if (!this.isRegistered || this.record.isDraining) return false;
+    return this.findExclusion() === undefined;
+  }
+
+  /** Gets the first reason why no new runs may be placed on the worker. */
+  findExclusion(): SessionExclusion | undefined {
+    if (this.isStopped) return 'session-ended';
+    if (!this.isRegistered) return 'not-registered';
+    if (this.record.isDraining) return 'draining';
+    if (!this.hasResponded || this.hasLastRenewalFailed || this.isSilent())
+      return 'unresponsive';
     // The registration of another process may have other labels or capacity.
-    if (this.record.startMs !== this.processStartMs) return false;
-    if (this.isOutOfCapacity || this.hasUnknownRuns) return false;
-    if (this.hasLastRenewalFailed) return false;
-    return (
-      this.options.clock.getMonotonicMs() - this.lastResponseMs <
-      UNRESPONSIVE_TIMEOUT_MS
-    );
+    if (this.record.startMs !== this.processStartMs) return 'other-process';
+    if (this.hasUnknownRuns) return 'unknown-runs';
+    return this.isOutOfCapacity ? 'out-of-capacity' : undefined;
+  }
+
+  /** Gets the monotonic time from which runs are given up if the worker does not respond. */
+  getLeaseEndMs(): number {
+    return this.leaseEndMs;
   }
 
   /** Gets the time since the last response to a lease renewal; infinite before the first one. */
--- a/packages/coordination/src/worker_supervisor.ts
+++ b/packages/coordination/src/worker_supervisor.ts
@@ -11,13 +11,16 @@
 import {PlacementWorker} from './placement_pass.js';
 import {HealthChange, WorkerHealth} from './worker_health.js';
 import {AssignedRun} from './worker_load.js';
-import {WorkerSession} from './worker_session.js';
+import {SessionExclusion, WorkerSession} from './worker_session.js';
 
 export interface WorkerSupervisorOptions {
   readonly clock: Clock;
   readonly events: EventRecorder;
 }
 
+/** Why a worker may not get new runs of any step. */
+export type UnusableReason = SessionExclusion | 'quarantined';
+
 /** Stops, throttles and moves runs that should not continue as they are. */
 export class WorkerSupervisor {
   private readonly fillerController: FillerController;
@@ -111,22 +114,36 @@
     const nowMs = this.options.clock.getMonotonicMs();
     const workers = new Map<string, PlacementWorker[]>();
     for (const session of sessions) {
-      if (!session.isUsable()) continue;
-      const workerId = session.getId();
-      if (!this.health.isUsable(workerId, nowMs)) continue;
-      const {serviceName, rack, labels} = session.getRecord();
+      const worker = this.getPlacementWorker(session, nowMs);
+      if (typeof worker === 'string') continue;
+      const {serviceName} = session.getRecord();
       const list = workers.get(serviceName) ?? [];
-      const acceptsFillers = this.fillerController.canAddFillers(
-        workerId,
-        nowMs,
-      );
-      list.push({session, load: session.load, rack, labels, acceptsFillers});
+      list.push(worker);
       workers.set(serviceName, list);
     }
     this.usableWorkers = workers;
     return workers;
   }
 
+  /**
+   * Gets a worker for the placement of new runs, or the first reason why it may
+   * not get any.
+   * @param session - Worker.
+   * @param nowMs - Monotonic time.
+   */
+  getPlacementWorker(
+    session: WorkerSession,
+    nowMs: number,
+  ): PlacementWorker | UnusableReason {
+    const exclusion = session.findExclusion();
+    if (exclusion !== undefined) return exclusion;
+    const workerId = session.getId();
+    if (!this.health.isUsable(workerId, nowMs)) return 'quarantined';
+    const {rack, labels} = session.getRecord();
+    const acceptsFillers = this.fillerController.canAddFillers(workerId, nowMs);
+    return {session, load: session.load, rack, labels, acceptsFillers};
+  }
+
   /** Stops runs whose job or task ended, such as while their worker was not registered. */
   private stopObsoleteRuns(session: WorkerSession): void {
     for (const assigned of session.load.getRuns()) {
--- a/packages/coordination/test/interference_model.test.ts
+++ b/packages/coordination/test/interference_model.test.ts
@@ -88,6 +88,8 @@
       added++;
     }
     expect(added).to.be.lessThan(8);
+    const {intolerance} = model.predict('noisy', 1_000, load);
+    expect(intolerance).to.equal('filler-effect');
   });
 
   it('limits the CPU share of fillers of unknown effect', () => {
@@ -96,6 +98,9 @@
     expect(model.predict('new', FILLER_CPU, load).isTolerable).to.equal(true);
     addTestRun(load, createFiller('new'));
     expect(model.predict('new', FILLER_CPU, load).isTolerable).to.equal(false);
+    expect(model.predict('new', FILLER_CPU, load).intolerance).to.equal(
+      'filler-unknown-share',
+    );
   });
 
   it('does not learn from a worker that misses targets without fillers', () => {
--- a/packages/coordination/test/worker_ranking.test.ts
+++ b/packages/coordination/test/worker_ranking.test.ts
@@ -1,6 +1,10 @@
 import {expect} from 'chai';
 import {InterferenceModel} from '../src/interference_model.js';
-import {CandidateWorker, WorkerRanking} from '../src/worker_ranking.js';
+import {
+  assessWorker,
+  CandidateWorker,
+  WorkerRanking,
+} from '../src/worker_ranking.js';
 import {WorkerLoad} from '../src/worker_load.js';
 import {
   addTaskRun,
@@ -28,6 +32,63 @@
   return WorkerRanking.create({step, interferenceModel}, workers).getBest();
 }
 
+function assess(
+  fields: Parameters<typeof createTestStep>[0],
+  worker: CandidateWorker,
+  interferenceModel = InterferenceModel.create(),
+) {
+  const job = createTestJob([createTestStep(fields)]);
+  const step = job.occurrences.get(0)!.steps[0];
+  return assessWorker({step, interferenceModel}, worker);
+}
+
+describe('assessWorker', () => {
+  it('names the first reason that excludes a worker', () => {
+    const load = createTestLoad();
+    const worker = createWorker(load);
+    const needs = {cpuMillis: 1, memoryMb: 1, accelerators: 0};
+    for (const [field, shortage] of [
+      ['memoryMb', 'memory'],
+      ['accelerators', 'accelerators'],
+      ['cpuMillis', 'cpu'],
+    ]) {
+      const excessive = {...needs, [field]: 999_999};
+      expect(assess({needs: excessive}, worker)).to.equal(shortage);
+    }
+    expect(assess({needs}, worker)).to.be.a('number');
+    expect(assess({requiredLabel: 'fast'}, worker)).to.equal('label');
+    const {step, task} = addTestRun(load, {maxPerWorker: 1});
+    const request = {step, interferenceModel: InterferenceModel.create()};
+    expect(assessWorker(request, worker)).to.equal('limit-per-worker');
+    task.startCrashes = [{workerId: 'w', runNumber: 1, isAttributed: true}];
+    expect(assess({needs}, worker)).to.equal('trial');
+  });
+
+  it('names why a filler may not be added', () => {
+    const createServing = () => {
+      const worker = createWorker(createTestLoad());
+      addTestRun(worker.load, {...SERVING_FIELDS, image: 'desk'});
+      return worker;
+    };
+    const worker = createServing();
+    const model = InterferenceModel.create();
+    const assessFiller = (cpuMillis: number, fields = {}) => {
+      const needs = {cpuMillis, memoryMb: 1, accelerators: 0};
+      const filler = {isFiller: true, image: 'report', needs};
+      return assess(filler, {...worker, ...fields}, model);
+    };
+    expect(assessFiller(31_000)).to.equal('filler-no-reclaimable-cpu');
+    expect(assessFiller(6_000)).to.equal('filler-unknown-share');
+    const closed = {acceptsFillers: false};
+    expect(assessFiller(1_000, closed)).to.equal('filler-hold-off');
+    for (const {load} of [0, 1, 2].map(createServing)) {
+      addTestRun(load, {isFiller: true, image: 'report'});
+      model.recordPlacement('report', load, 0);
+    }
+    expect(assessFiller(1_000)).to.equal('filler-explored-elsewhere');
+  });
+});
+
 describe(WorkerRanking.name, () => {
   it('never exceeds the CPU, memory or accelerators of a worker', () => {
     const full = createWorker(createTestLoad(1_000));
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -112,6 +112,31 @@
 }
 
 describe('WorkerSession', () => {
+  it('names the first reason that excludes the worker from new runs', async () => {
+    const fixture = SessionFixture.create();
+    const {session, client} = fixture;
+    void session.run();
+    await fixture.clock.advance(SETTLE_MS);
+    expect(session.findExclusion()).to.equal('unresponsive');
+    await fixture.report();
+    expect(session.findExclusion()).to.equal(undefined);
+    session.setRecord({...RECORD, startMs: PROCESS_START_MS + 1});
+    expect(session.findExclusion()).to.equal('other-process');
+    session.setRecord({...RECORD, isDraining: true});
+    expect(session.findExclusion()).to.equal('draining');
+    session.markUnregistered();
+    expect(session.findExclusion()).to.equal('not-registered');
+    session.setRecord(RECORD);
+    client.report = undefined;
+    await fixture.clock.advance(SETTLE_MS);
+    expect(session.findExclusion()).to.equal('unresponsive');
+    const leaseEndMs = session.getLeaseEndMs();
+    expect(leaseEndMs).to.be.greaterThan(fixture.clock.getMonotonicMs());
+    await fixture.clock.advance(SETTLE_MS);
+    expect(session.getLeaseEndMs()).to.equal(leaseEndMs);
+    session.stop();
+  });
+
   describe('applying a report', () => {
     it('excludes the worker from new runs while it lists a run of an unknown task', async () => {
       const fixture = SessionFixture.create();
@@ -121,6 +146,7 @@
       expect(session.isUsable()).to.equal(true);
       await fixture.report({running: [UNKNOWN_RUN]});
       expect(session.isUsable()).to.equal(false);
+      expect(session.findExclusion()).to.equal('unknown-runs');
       expect(client.stopCommands[0].taskName).to.equal(UNKNOWN_RUN.taskName);
       await fixture.report();
       expect(session.isUsable()).to.equal(true);
