Log why steps wait and how long lost workers are waited for

What could not be told apart: a filler that no worker is acceptable for, work that is skipped or last in the order, suspected tasks and workers that look unusable were all silence; so were a job that the coordinator does not know and the wait for the runs of a lost worker.

Change: event 847 `step-waiting` for steps that have had waiting tasks for over 3 s, once in 5 s each, at most 4 a second, the oldest first, with the workers by the first reason that excludes them; explanations are computed for these lines only. Event 848 `runs-awaited`, once for each silence of a worker with runs and for runs of unregistered workers at a takeover, with the time until they are given up. `state-restored` names the oldest 100 jobs without a run. Gauges of the longest wait and of the steps that wait for over 10 s.

Evidence: 171 tests of coordination, node and telemetry pass. In a scratch call of the metrics page the gauges are 0 without a coordinator and follow the summary with one. An explanation drops exploration workers without fillers of the image from the interference model's set, as each pass does that ranks such a step.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -23,6 +23,7 @@
 import {CrashAttributor, LostWorker} from './crash_attributor.js';
 import {
   formatFleetLoad,
+  formatOrphanedRuns,
   formatPlacedStep,
   formatQueueLoads,
   formatRestoredJobs,
@@ -43,6 +44,9 @@
 import {StartWindow} from './start_window.js';
 import {getWaitingSteps, Placement, PlacementPass} from './placement_pass.js';
 import {WorkerSupervisor} from './worker_supervisor.js';
+import {SilenceReporter} from './silence_reporter.js';
+import {explainWait} from './wait_explanation.js';
+import {WaitReporter, WaitSummary} from './wait_reporter.js';
 import {AssignedRun} from './worker_load.js';
 import {WorkerDecoder, WorkerPool} from './worker_pool.js';
 import {SessionListener, WorkerSession} from './worker_session.js';
@@ -151,6 +155,8 @@
   private readonly retention: JobRetention;
   private readonly startWindow: StartWindow;
   private readonly crashAttributor = CrashAttributor.create();
+  private readonly waitReporter: WaitReporter;
+  private readonly silenceReporter: SilenceReporter;
   private readonly followers: TableFollower[] = [];
   private jobFollower: TableFollower | undefined;
   private registrationFollower: TableFollower | undefined;
@@ -165,6 +171,8 @@
   private isLoaded = false;
   private isReady = false;
   private electedMs = 0;
+  private lastPass: PlacementPass | undefined;
+  private lastPassStartMs = -Infinity;
   private lastPassDurationMs = 0;
   private lastLoadLogMs = -Infinity;
   private endReason: CoordinatorEndReason | undefined;
@@ -174,6 +182,11 @@
     const {clock, events, commitLog, nodeId, store} = options;
     this.workerSupervisor = WorkerSupervisor.create({clock, events});
     this.startWindow = StartWindow.create(clock);
+    this.waitReporter = WaitReporter.create({
+      events,
+      explain: waiting => this.explainWait(waiting),
+    });
+    this.silenceReporter = SilenceReporter.create(clock, events);
     this.workerPool = WorkerPool.create({
       clock,
       events,
@@ -265,6 +278,11 @@
     this.finish('stopped');
   }
 
+  /** Gets how long steps have been waiting in this term. */
+  getWaitSummary(): WaitSummary {
+    return this.waitReporter.getSummary();
+  }
+
   onRunEnded(
     session: WorkerSession,
     ended: EndedRun,
@@ -460,6 +478,11 @@
     this.isLoaded = true;
     const detail = formatRestoredJobs(this.jobTracker.getActiveJobs());
     this.options.events.addEvent('state-restored', {detail});
+    const orphanedRuns = this.workerPool.getOrphanedRuns();
+    if (orphanedRuns.size === 0) return;
+    this.options.events.addEvent('runs-awaited', {
+      detail: formatOrphanedRuns(orphanedRuns, nowMs),
+    });
   }
 
   private createFollower(
@@ -542,6 +565,7 @@
     this.isCommitting = true;
     this.isPassPending = false;
     const startMs = clock.getMonotonicMs();
+    this.lastPassStartMs = startMs;
     this.placeWaitingTasks();
     this.lastPassDurationMs = clock.getMonotonicMs() - startMs;
     const outcome = await this.writer.commit(this.jobTracker.takeChangedJobs());
@@ -565,6 +589,7 @@
     });
     pass.run(this.getWaitingSteps(wallMs), wallMs);
     this.isStartLimited = pass.isLimitReached();
+    this.lastPass = pass;
     for (const step of pass.getPlacedSteps()) {
       this.options.events.addEvent('step-placed', {
         requestId: step.waiting.job.getId(),
@@ -667,11 +692,32 @@
       this.jobTracker.recordStartCrash({assigned, isAttributed: false, reason});
       this.releaseRun(assigned);
     }
+    if (this.isLoaded) this.reportWaits(nowMs);
     if (nowMs - this.lastLoadLogMs >= LOAD_LOG_INTERVAL_MS) this.logLoad(nowMs);
     if (this.isLoaded) void this.retention.purge();
     this.schedulePass();
   }
 
+  private reportWaits(nowMs: number): void {
+    this.silenceReporter.update(this.workerPool.getSessions());
+    if (!this.waitReporter.isDue(nowMs)) return;
+    const wallMs = this.options.clock.getWallMs();
+    const waiting = this.getWaitingSteps(wallMs);
+    this.waitReporter.update(waiting, nowMs);
+  }
+
+  private explainWait(waiting: WaitingStep): string {
+    const {clock} = this.options;
+    return explainWait(waiting, {
+      supervisor: this.workerSupervisor,
+      sessions: this.workerPool.getSessions(),
+      pass: this.lastPass,
+      passAgeMs: clock.getMonotonicMs() - this.lastPassStartMs,
+      nowMs: clock.getMonotonicMs(),
+      wallMs: clock.getWallMs(),
+    });
+  }
+
   private logLoad(nowMs: number): void {
     this.lastLoadLogMs = nowMs;
     const waiting = this.getWaitingSteps(this.options.clock.getWallMs());
--- a/packages/coordination/src/fleet_report.ts
+++ b/packages/coordination/src/fleet_report.ts
@@ -4,11 +4,14 @@
 import {QueueLoad} from './coordinator_status.js';
 import {isWaitingTask, PlacedStep} from './placement_pass.js';
 import {WaitingStep} from './task_order.js';
-import {WorkerLoad} from './worker_load.js';
+import {AssignedRun, WorkerLoad} from './worker_load.js';
 import {WorkerSession} from './worker_session.js';
 
 const CPU_MILLIS_PER_CORE = 1_000;
 
+/** Maximum number of restored jobs without a run that are listed. */
+const MAX_LISTED_JOBS = 100;
+
 /** Maximum number of workers listed for one step. */
 const MAX_LISTED_WORKERS = 12;
 
@@ -21,10 +24,8 @@
   const {waiting, workerIds, waitingCount} = placed;
   const {step, occurrence, queue, objectiveMs} = waiting;
   const distinct = [...new Set(workerIds)];
-  const named = distinct.slice(0, MAX_LISTED_WORKERS).join(' ');
-  const more = distinct.length > MAX_LISTED_WORKERS ? ' and more' : '';
   return [
-    `${occurrence}.${step.index}: ${workerIds.length} tasks on ${named}${more}`,
+    `${occurrence}.${step.index}: ${workerIds.length} tasks on ${formatWorkers(distinct)}`,
     `${waitingCount} waiting`,
     `priority ${queue.priority}`,
     `objective in ${Math.round(objectiveMs - wallMs)} ms`,
@@ -74,12 +75,53 @@
   let jobCount = 0;
   let startedCount = 0;
   let unconfirmedCount = 0;
+  const idleJobs: JobState[] = [];
   for (const job of jobs) {
     jobCount++;
+    const hasRuns = job.hasRuns();
     if (job.hasStarted) startedCount++;
-    else if (job.hasRuns()) unconfirmedCount++;
+    else if (hasRuns) unconfirmedCount++;
+    if (!hasRuns && !job.isEnded()) idleJobs.push(job);
+  }
+  return [
+    `${jobCount} jobs`,
+    `${startedCount} started`,
+    `${unconfirmedCount} with runs to be confirmed`,
+    `${idleJobs.length} without a run${formatOldestJobs(idleJobs)}`,
+  ].join(', ');
+}
+
+function formatOldestJobs(jobs: readonly JobState[]): string {
+  if (jobs.length === 0) return '';
+  const sorted = [...jobs].sort(
+    (left, right) => left.accepted.acceptedMs - right.accepted.acceptedMs,
+  );
+  const listed = sorted.slice(0, MAX_LISTED_JOBS).map(job => job.getId());
+  const more = jobs.length - listed.length;
+  return `: ${listed.join(' ')}${more > 0 ? ` and ${more} more` : ''}`;
+}
+
+/**
+ * Formats how long runs of workers that are not registered are waited for.
+ * @param orphanedRuns - Runs, with the monotonic time at which each is given up.
+ * @param nowMs - Monotonic time.
+ */
+export function formatOrphanedRuns(
+  orphanedRuns: ReadonlyMap<AssignedRun, number>,
+  nowMs: number,
+): string {
+  const workerIds = new Set<string>();
+  let lastEndMs = nowMs;
+  for (const [{run}, endMs] of orphanedRuns) {
+    workerIds.add(run.workerId);
+    lastEndMs = Math.max(lastEndMs, endMs);
   }
-  return `${jobCount} jobs, ${startedCount} started, ${unconfirmedCount} with runs to be confirmed`;
+  return `${orphanedRuns.size} runs on ${workerIds.size} workers that are not registered (${formatWorkers([...workerIds])}), given up in ${Math.round(lastEndMs - nowMs)} ms at the latest`;
+}
+
+function formatWorkers(workerIds: readonly string[]): string {
+  const named = workerIds.slice(0, MAX_LISTED_WORKERS).join(' ');
+  return workerIds.length > MAX_LISTED_WORKERS ? `${named} and more` : named;
 }
 
 function sumCores(
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -117,6 +117,11 @@
     }
   }
 
+  /** Gets the runs of unregistered workers, with the monotonic time at which each is given up. */
+  getOrphanedRuns(): ReadonlyMap<AssignedRun, number> {
+    return this.orphanedRuns;
+  }
+
   /**
    * Removes and returns the runs of unregistered workers that have certainly ended.
    * @param nowMs - Monotonic time.
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -6,6 +6,7 @@
 import {Coordinator} from '@mustardlug/coordination/coordinator';
 import {Election} from '@mustardlug/coordination/election';
 import {TableFollower} from '@mustardlug/coordination/table_follower';
+import {WaitSummary} from '@mustardlug/coordination/wait_reporter';
 import {
   COORDINATOR_STATUS_TABLE,
   COORDINATOR_PART,
@@ -149,6 +150,11 @@
     return this.coordinator !== undefined;
   }
 
+  /** Gets how long steps have been waiting; `undefined` without the coordinator role. */
+  getWaitSummary(): WaitSummary | undefined {
+    return this.coordinator?.getWaitSummary();
+  }
+
   private applySnapshot(rows: readonly StoredRow[], storeMs: number): void {
     if (rows.length === 0) this.election.recordStatus(undefined);
     this.applyRows(rows, storeMs);
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -61,6 +61,8 @@
 /** Time limit for completing the requests in progress after the listeners have stopped accepting new ones. */
 const CLOSE_TIMEOUT_MS = 1_500;
 
+const MS_PER_SECOND = 1_000;
+
 /** Node process; composes the caller API, the configuration follower and the coordinator role. */
 export class NodeProcess {
   private isDraining = false;
@@ -183,6 +185,16 @@
       'Whether this node has the coordinator role.',
       () => Number(this.role.isCoordinating()),
     );
+    metrics.addGauge(
+      'mustardlug_oldest_step_wait_seconds',
+      'Longest time in this term for which a step has had waiting tasks; 0 without the coordinator role.',
+      () => (this.role.getWaitSummary()?.oldestWaitMs ?? 0) / MS_PER_SECOND,
+    );
+    metrics.addGauge(
+      'mustardlug_long_waiting_steps',
+      'Number of steps that have had waiting tasks for over 10 s in this term; 0 without the coordinator role.',
+      () => this.role.getWaitSummary()?.longWaitCount ?? 0,
+    );
     const app = new Hono();
     app.get(this.options.platform.metricsPath, async context =>
       context.text(await metrics.getText()),
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -343,6 +343,16 @@
     level: 'error',
     text: 'A task was given up and its job failed, because workers crashed when they started it.',
   },
+  'step-waiting': {
+    number: 847,
+    level: 'info',
+    text: 'A step has had waiting tasks for several seconds; the detail counts the workers of its service by the reason that excludes them.',
+  },
+  'runs-awaited': {
+    number: 848,
+    level: 'warn',
+    text: 'A worker with runs does not respond or is not registered; their tasks are not started again before the runs are given up.',
+  },
   'worker-restored': {
     number: 836,
     level: 'info',
