Release runs of lost workers across takeovers

Tasks whose worker had gone dark were not started again for 23 s and more, with most of the room free, while coordinators were replaced every 5 to 7 s.

Cause: a coordinator gives up the runs of a worker that does not respond 11 s after its own election (5.5 s for which the one before may go on, a lease of 5.45 s). What an earlier term knew of the leases was lost with it, so takeovers less than 11 s apart put the release off for as long as they went on. The same held for runs of workers that are not registered.

Change: a coordinator that finds a worker silent grants it no more leases, and stores the time by which the last one has expired, on the clock of the store. A successor waits for that time.

--- a/packages/coordination/src/commit_log.ts
+++ b/packages/coordination/src/commit_log.ts
@@ -24,6 +24,8 @@
   readonly holder: string;
   /** Number of the last commit of this term. Identifies the commits of this log. */
   readonly commitNumber: number;
+  /** Whether the stored bounds of leases hold for this term; absent in rows of earlier builds. */
+  readonly keepsLeaseBounds?: boolean;
 }
 
 export type CommitOutcome = 'committed' | 'superseded';
@@ -65,12 +67,18 @@
   private isClosed = false;
   private lastReceipt: {storeMs: number; receivedMs: number} | undefined;
   private lastConfirmedSendMs = -Infinity;
+  /** Last response to a commit, with the monotonic time at which the commit was sent. */
+  private lastCommitTime: {storeMs: number; sentMs: number} | undefined;
+  private areLeaseBoundsKept: boolean;
 
   private constructor(
     private readonly options: CommitLogOptions,
     readonly term: number,
     private termVersion: number,
-  ) {}
+    private readonly predecessor: TermRow | undefined,
+  ) {
+    this.areLeaseBoundsKept = this.hasPredecessorKeptLeaseBounds();
+  }
 
   /**
    * Creates the log of a new term. The term begins with its first commit.
@@ -78,9 +86,10 @@
    * @param snapshot - Term row as `readTerm` returned it.
    */
   static create(options: CommitLogOptions, snapshot: RowSnapshot): CommitLog {
-    const term = CommitLog.getTerm(snapshot) + 1;
+    const predecessor = CommitLog.getTermRow(snapshot);
+    const term = (predecessor?.term ?? 0) + 1;
     const version = snapshot.rows.at(0)?.version ?? ABSENT_VERSION;
-    const log = new CommitLog(options, term, version);
+    const log = new CommitLog(options, term, version, predecessor);
     log.recordStoreTime(snapshot.storeMs);
     return log;
   }
@@ -103,9 +112,25 @@
    * @param snapshot - Term row as `readTerm` returned it.
    */
   static getTerm(snapshot: RowSnapshot): number {
+    return CommitLog.getTermRow(snapshot)?.term ?? 0;
+  }
+
+  private static getTermRow(snapshot: RowSnapshot): TermRow | undefined {
     const row = snapshot.rows.at(0);
-    if (row === undefined) return 0;
-    return decodeRowValue<TermRow>(row.value).term;
+    return row && decodeRowValue<TermRow>(row.value);
+  }
+
+  /**
+   * Declares that the stored bounds of leases hold for this term: those that an
+   * earlier build did not respect have been removed.
+   */
+  declareLeaseBoundsKept(): void {
+    this.areLeaseBoundsKept = true;
+  }
+
+  /** Checks whether the stored bounds of leases held for the previous term. */
+  hasPredecessorKeptLeaseBounds(): boolean {
+    return this.predecessor?.keepsLeaseBounds ?? false;
   }
 
   /** Gets the monotonic time at which the last confirmed commit was sent. */
@@ -128,16 +153,30 @@
    */
   confirmTerm(sentMs: number, storeMs: number): void {
     this.lastConfirmedSendMs = Math.max(this.lastConfirmedSendMs, sentMs);
+    this.lastCommitTime = {storeMs, sentMs};
     this.recordStoreTime(storeMs);
   }
 
-  /** Estimates the current time of the store from its last response. */
+  /**
+   * Estimates the current time of the store from its last response; at most the
+   * actual time.
+   */
   getStoreMs(): number {
     if (this.lastReceipt === undefined) return 0;
     const {storeMs, receivedMs} = this.lastReceipt;
     return storeMs + this.options.clock.getMonotonicMs() - receivedMs;
   }
 
+  /**
+   * Gets the latest time that the store may have now, or `undefined` before the
+   * first response to a commit.
+   */
+  getMaxStoreMs(): number | undefined {
+    if (this.lastCommitTime === undefined) return undefined;
+    const {storeMs, sentMs} = this.lastCommitTime;
+    return storeMs + this.options.clock.getMonotonicMs() - sentMs;
+  }
+
   /** Closes the log. A commit in progress returns `superseded`. */
   close(): void {
     this.isClosed = true;
@@ -180,6 +219,7 @@
       term: this.term,
       holder: this.options.holder,
       commitNumber: this.commitNumber,
+      keepsLeaseBounds: this.areLeaseBoundsKept,
     };
     return this.options.store.commit({
       conditions: [{...TERM_ADDRESS, version: this.termVersion}],
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -29,6 +29,7 @@
   formatRun,
 } from './fleet_report.js';
 import {JobTracker} from './job_tracker.js';
+import {LeaseBounds} from './lease_bounds.js';
 import {JobRetention} from './job_retention.js';
 import {ProgressWriter} from './progress_writer.js';
 import {getTaskName} from './task_names.js';
@@ -36,6 +37,7 @@
   COORDINATOR_PART,
   EFFECT_TABLE,
   JOB_TABLE,
+  LEASE_BOUND_TABLE,
   PROGRESS_TABLE,
 } from './tables.js';
 import {TableFollower} from './table_follower.js';
@@ -150,6 +152,7 @@
   private readonly heartbeat: CoordinatorHeartbeat;
   private readonly retention: JobRetention;
   private readonly startWindow: StartWindow;
+  private readonly leaseBounds: LeaseBounds;
   private readonly crashAttributor = CrashAttributor.create();
   private readonly followers: TableFollower[] = [];
   private jobFollower: TableFollower | undefined;
@@ -174,6 +177,7 @@
     const {clock, events, commitLog, nodeId, store} = options;
     this.workerSupervisor = WorkerSupervisor.create({clock, events});
     this.startWindow = StartWindow.create(clock);
+    this.leaseBounds = LeaseBounds.create(clock, commitLog);
     this.workerPool = WorkerPool.create({
       clock,
       events,
@@ -186,6 +190,7 @@
       areRegistrationsCurrent: () => this.areRegistrationsCurrent(),
       previousTermTimeoutMs: ISOLATION_TIMEOUT_MS,
       startWindow: this.startWindow,
+      leaseBounds: this.leaseBounds,
     });
     this.jobTracker = JobTracker.create({
       clock,
@@ -197,6 +202,7 @@
       clock,
       commitLog,
       interferenceModel: this.workerSupervisor.getInterferenceModel(),
+      leaseBounds: this.leaseBounds,
     });
     this.heartbeat = CoordinatorHeartbeat.create({
       store,
@@ -361,7 +367,8 @@
     this.writer.deferUntilStored(() =>
       session.acknowledge(sequence, processStartMs),
     );
-    if (!this.jobTracker.hasChanges() && !this.isCommitting)
+    this.releaseLeaseBound(session);
+    if (!this.hasUnstoredChanges() && !this.isCommitting)
       this.writer.runDeferredActions();
   }
 
@@ -385,6 +392,11 @@
     this.finish('superseded');
   }
 
+  onLeasesSuspended(session: WorkerSession, leaseEndMs: number): void {
+    this.leaseBounds.setLeaseEnd(session.getId(), leaseEndMs);
+    this.schedulePass();
+  }
+
   /** Stores a status in a transaction of the term, which begins or ends with it. */
   private commitStatus(
     holder: string,
@@ -425,13 +437,15 @@
     });
     this.jobFollower = jobs;
     while (this.endReason === undefined && !this.isLoaded) {
-      const [hasWorkers, hasJobs, progress, effects] = await Promise.all([
-        workers.readSnapshot(),
-        jobs.readSnapshot(),
-        getPartRows(store, PROGRESS_TABLE, COORDINATOR_PART),
-        getPartRows(store, EFFECT_TABLE, COORDINATOR_PART),
-      ]);
-      if (!hasWorkers || !hasJobs || progress.isErr()) {
+      const [hasWorkers, hasJobs, progress, bounds, effects] =
+        await Promise.all([
+          workers.readSnapshot(),
+          jobs.readSnapshot(),
+          getPartRows(store, PROGRESS_TABLE, COORDINATOR_PART),
+          getPartRows(store, LEASE_BOUND_TABLE, COORDINATOR_PART),
+          getPartRows(store, EFFECT_TABLE, COORDINATOR_PART),
+        ]);
+      if (!hasWorkers || !hasJobs || progress.isErr() || bounds.isErr()) {
         await clock.sleep(SNAPSHOT_RETRY_MS);
         continue;
       }
@@ -440,6 +454,10 @@
         this.workerSupervisor
           .getInterferenceModel()
           .restore(effects.value.rows);
+      this.leaseBounds.restore(bounds.value.rows);
+      this.writer.deferUntilStored(() =>
+        this.options.commitLog.declareLeaseBoundsKept(),
+      );
       this.restore(workerRows, jobRows, progress.value.rows);
     }
     if (this.endReason !== undefined) return;
@@ -506,6 +524,28 @@
     this.schedulePass();
   }
 
+  /** Removes the bound of a worker, and grants leases again once that is stored. */
+  private releaseLeaseBound(session: WorkerSession): void {
+    const suspension = session.getLeaseSuspension();
+    if (suspension === undefined) return;
+    this.leaseBounds.remove(session.getId());
+    this.writer.deferUntilStored(() => session.resumeLeases(suspension));
+    this.schedulePass();
+  }
+
+  /** Removes the bounds of workers that have no more runs. */
+  private removeObsoleteLeaseBounds(): void {
+    for (const workerId of this.leaseBounds.getWorkerIds()) {
+      const session = this.workerPool.findSession(workerId);
+      if (session?.load.getRunCount() === 0) this.releaseLeaseBound(session);
+      else if (
+        session === undefined &&
+        !this.workerPool.hasOrphanedRuns(workerId)
+      )
+        this.leaseBounds.remove(workerId);
+    }
+  }
+
   private checkReady(): void {
     const sessions = this.workerPool.getSessions();
     const acceptedCount = sessions.filter(session =>
@@ -548,8 +588,12 @@
     this.isCommitting = false;
     if (outcome === 'superseded') this.finish('superseded');
     if (this.endReason !== undefined) return;
-    if (!this.jobTracker.hasChanges()) this.writer.runDeferredActions();
-    if (this.isPassPending || this.jobTracker.hasChanges()) this.schedulePass();
+    if (!this.hasUnstoredChanges()) this.writer.runDeferredActions();
+    if (this.isPassPending || this.hasUnstoredChanges()) this.schedulePass();
+  }
+
+  private hasUnstoredChanges(): boolean {
+    return this.jobTracker.hasChanges() || this.leaseBounds.hasChanges();
   }
 
   private placeWaitingTasks(): void {
@@ -667,6 +711,7 @@
       this.jobTracker.recordStartCrash({assigned, isAttributed: false, reason});
       this.releaseRun(assigned);
     }
+    if (this.isLoaded) this.removeObsoleteLeaseBounds();
     if (nowMs - this.lastLoadLogMs >= LOAD_LOG_INTERVAL_MS) this.logLoad(nowMs);
     if (this.isLoaded) void this.retention.purge();
     this.schedulePass();
--- /dev/null
+++ b/packages/coordination/src/lease_bounds.ts
@@ -0,0 +1,123 @@
+/**
+ * Stored expiry times of the leases of workers that do not respond, so that a
+ * successor does not have to wait for leases that were never granted.
+ *
+ * A bound is a promise of all terms: no lease of the worker lasts longer, and none
+ * is granted before the row has been removed by a commit of the current term.
+ */
+
+import {Clock} from '@mustardlug/base/clock';
+import {decodeRowValue, encodeRowValue} from '@mustardlug/jobs/job_codec';
+import {RowAddress, RowWrite, StoredRow} from '@mustardlug/platform/row_store';
+import {CommitLog} from './commit_log.js';
+import {COORDINATOR_PART, LEASE_BOUND_TABLE} from './tables.js';
+
+/** Stored bound of one worker, keyed by its identifier. */
+interface StoredLeaseBound {
+  /** Time of the store by which all leases of the worker have expired, in milliseconds. */
+  readonly leaseEndStoreMs: number;
+}
+
+/** Changes of the stored bounds since the last commit. */
+export interface LeaseBoundChanges {
+  readonly writes: RowWrite[];
+  readonly removals: RowAddress[];
+}
+
+/** Bounds of the leases of workers that do not respond, and their changes that are not stored yet. */
+export class LeaseBounds {
+  /** Time of the store by which all leases of a worker have expired, by worker ID. */
+  private readonly leaseEndsStoreMs = new Map<string, number>();
+  private readonly changedWorkerIds = new Set<string>();
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly commitLog: CommitLog,
+  ) {}
+
+  /**
+   * Creates an empty set of bounds.
+   * @param clock - Clock of this node.
+   * @param commitLog - Log of the term, which knows the time of the store.
+   */
+  static create(clock: Clock, commitLog: CommitLog): LeaseBounds {
+    return new LeaseBounds(clock, commitLog);
+  }
+
+  /**
+   * Restores the bounds of earlier terms. Removes them if the previous coordinator
+   * ran an earlier build, which grants leases regardless of them.
+   * @param rows - Rows of the table of bounds.
+   */
+  restore(rows: readonly StoredRow[]): void {
+    for (const {key, value} of rows) {
+      const {leaseEndStoreMs} = decodeRowValue<StoredLeaseBound>(value);
+      if (this.commitLog.hasPredecessorKeptLeaseBounds())
+        this.leaseEndsStoreMs.set(key, leaseEndStoreMs);
+      else this.changedWorkerIds.add(key);
+    }
+  }
+
+  /** Gets the workers that have a bound. */
+  getWorkerIds(): string[] {
+    return [...this.leaseEndsStoreMs.keys()];
+  }
+
+  /**
+   * Gets the monotonic time by which all leases of a worker have expired, or
+   * `undefined` if no bound is known.
+   * @param workerId - Identifier of the worker.
+   */
+  getLeaseEndMs(workerId: string): number | undefined {
+    const leaseEndStoreMs = this.leaseEndsStoreMs.get(workerId);
+    if (leaseEndStoreMs === undefined) return undefined;
+    const remainingMs = leaseEndStoreMs - this.commitLog.getStoreMs();
+    return this.clock.getMonotonicMs() + remainingMs;
+  }
+
+  /**
+   * Records a bound. The caller must grant the worker no lease until the bound has
+   * been removed and the removal is stored.
+   * @param workerId - Identifier of the worker.
+   * @param leaseEndMs - Monotonic time by which all its leases have expired.
+   */
+  setLeaseEnd(workerId: string, leaseEndMs: number): void {
+    const storeMs = this.commitLog.getMaxStoreMs();
+    if (storeMs === undefined) return;
+    const remainingMs = leaseEndMs - this.clock.getMonotonicMs();
+    this.leaseEndsStoreMs.set(workerId, Math.ceil(storeMs + remainingMs));
+    this.changedWorkerIds.add(workerId);
+  }
+
+  /**
+   * Removes the bound of a worker.
+   * @param workerId - Identifier of the worker.
+   */
+  remove(workerId: string): void {
+    if (this.leaseEndsStoreMs.delete(workerId))
+      this.changedWorkerIds.add(workerId);
+  }
+
+  /** Checks whether any change is not stored yet. */
+  hasChanges(): boolean {
+    return this.changedWorkerIds.size > 0;
+  }
+
+  /** Returns the changes since the last call, the last one of each worker. */
+  takeChanges(): LeaseBoundChanges {
+    const writes: RowWrite[] = [];
+    const removals: RowAddress[] = [];
+    for (const key of this.changedWorkerIds) {
+      const address = {table: LEASE_BOUND_TABLE, part: COORDINATOR_PART, key};
+      const leaseEndStoreMs = this.leaseEndsStoreMs.get(key);
+      if (leaseEndStoreMs === undefined) {
+        removals.push(address);
+        continue;
+      }
+      const bound: StoredLeaseBound = {leaseEndStoreMs};
+      writes.push({...address, value: encodeRowValue(bound)});
+    }
+    this.changedWorkerIds.clear();
+    return {writes, removals};
+  }
+}
--- a/packages/coordination/src/progress_writer.ts
+++ b/packages/coordination/src/progress_writer.ts
@@ -7,12 +7,14 @@
 import {CommitLog, CommitOutcome, MAX_COMMIT_ROWS} from './commit_log.js';
 import {CommitSizeLimit} from './commit_size_limit.js';
 import {InterferenceModel} from './interference_model.js';
+import {LeaseBounds} from './lease_bounds.js';
 import {COORDINATOR_PART, EFFECT_TABLE, PROGRESS_TABLE} from './tables.js';
 
 export interface ProgressWriterOptions {
   readonly clock: Clock;
   readonly commitLog: CommitLog;
   readonly interferenceModel: InterferenceModel;
+  readonly leaseBounds: LeaseBounds;
 }
 
 /** Interval at which the learned effects of fillers are stored for a successor. */
@@ -63,15 +65,17 @@
   }
 
   /**
-   * Stores the progress of jobs, and the learned effects when due. Then runs the
-   * actions that were deferred before the call.
+   * Stores the progress of jobs, the changed bounds of leases, and the learned
+   * effects when due. Then runs the actions that were deferred before the call.
    * @param jobs - Jobs that changed.
    */
   async commit(jobs: readonly JobState[]): Promise<CommitOutcome> {
     const writes = this.createProgressWrites(jobs);
     writes.push(...this.createDueEffectWrites());
+    const leaseBoundChanges = this.options.leaseBounds.takeChanges();
+    writes.push(...leaseBoundChanges.writes);
     const actions = this.takeDeferredActions();
-    const removals = this.removals;
+    const removals = [...this.removals, ...leaseBoundChanges.removals];
     this.removals = [];
     while (writes.length + removals.length > 0) {
       const outcome = await this.commitChunk(writes, removals);
--- a/packages/coordination/src/tables.ts
+++ b/packages/coordination/src/tables.ts
@@ -9,6 +9,9 @@
 /** Learned effects of fillers, one row for each serving image, written by the coordinator. */
 export const EFFECT_TABLE = 'mustardlug-effects';
 
+/** Expiry of the leases of workers that do not respond, written by the coordinator. */
+export const LEASE_BOUND_TABLE = 'mustardlug-lease-bounds';
+
 /** The coordinator's term; every write of a coordinator is conditional on it. */
 export const TERM_TABLE = 'mustardlug-term';
 
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -10,6 +10,7 @@
 import {RowChanges, StoredRow} from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {Result} from 'neverthrow';
+import {LeaseBounds} from './lease_bounds.js';
 import {getTaskName} from './task_names.js';
 import {StartWindow} from './start_window.js';
 import {AssignedRun} from './worker_load.js';
@@ -43,6 +44,7 @@
   readonly previousTermTimeoutMs: number;
   /** Start commands in progress to all workers. */
   readonly startWindow: StartWindow;
+  readonly leaseBounds: LeaseBounds;
 }
 
 /** Holds the sessions of workers, and the runs whose worker is not registered. */
@@ -145,6 +147,25 @@
     }
   }
 
+  /**
+   * Finds the session of a worker.
+   * @param workerId - Identifier of the worker.
+   */
+  findSession(workerId: string): WorkerSession | undefined {
+    return this.sessions.get(workerId);
+  }
+
+  /**
+   * Checks whether runs wait for the leases of an unregistered worker.
+   * @param workerId - Identifier of the worker.
+   */
+  hasOrphanedRuns(workerId: string): boolean {
+    for (const {run} of this.orphanedRuns.keys()) {
+      if (run.workerId === workerId) return true;
+    }
+    return false;
+  }
+
   stop(): void {
     for (const session of this.sessions.values()) session.stop();
   }
@@ -178,6 +199,7 @@
       areRegistrationsCurrent: this.options.areRegistrationsCurrent,
       previousTermTimeoutMs: this.options.previousTermTimeoutMs,
       startWindow: this.options.startWindow,
+      leaseBoundMs: this.options.leaseBounds.getLeaseEndMs(record.workerId),
     });
     this.sessions.set(record.workerId, session);
     this.adoptOrphans(session);
@@ -213,10 +235,23 @@
       session.load.addRun(assigned);
       return;
     }
-    const {clock, previousTermTimeoutMs} = this.options;
-    const endMs =
+    this.orphanedRuns.set(
+      assigned,
+      this.getOrphanLeaseEndMs(assigned.run.workerId),
+    );
+  }
+
+  /**
+   * Gets the time by which the leases of an unregistered worker have expired. Stores
+   * it for a successor; a session with the worker would be created with it.
+   */
+  private getOrphanLeaseEndMs(workerId: string): number {
+    const {clock, previousTermTimeoutMs, leaseBounds} = this.options;
+    const maxEndMs =
       clock.getMonotonicMs() + previousTermTimeoutMs + MAX_LEASE_VALIDITY_MS;
-    this.orphanedRuns.set(assigned, endMs);
+    const boundMs = leaseBounds.getLeaseEndMs(workerId);
+    if (boundMs === undefined) leaseBounds.setLeaseEnd(workerId, maxEndMs);
+    return Math.min(maxEndMs, boundMs ?? Infinity);
   }
 
   private adoptOrphans(session: WorkerSession): void {
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -68,6 +68,12 @@
   ): void;
   /** Called when the worker has seen a higher fencing token. */
   onFenced(session: WorkerSession): void;
+  /**
+   * Called when the worker does not respond and has runs. No lease is granted any
+   * more until `resumeLeases` is called.
+   * @param leaseEndMs - Monotonic time by which all leases have expired.
+   */
+  onLeasesSuspended(session: WorkerSession, leaseEndMs: number): void;
 }
 
 export interface WorkerSessionOptions {
@@ -86,6 +92,11 @@
   readonly previousTermTimeoutMs: number;
   /** Start commands in progress to all workers. */
   readonly startWindow: StartWindow;
+  /**
+   * Monotonic time by which all leases of earlier terms have expired, if a stored
+   * bound tells. Leases are then suspended at first.
+   */
+  readonly leaseBoundMs: number | undefined;
 }
 
 /**
@@ -122,6 +133,12 @@
 /** Age of the last response beyond which a worker receives no new runs. */
 const UNRESPONSIVE_TIMEOUT_MS = 1_500;
 
+/**
+ * Time without a first response after which leases are suspended. Short, as none
+ * has been granted in this term, and the term may be short as well.
+ */
+const FIRST_RESPONSE_TIMEOUT_MS = 300;
+
 /**
  * Start commands without confirmation after which the run is stopped, so that a
  * delayed command cannot start it.
@@ -156,12 +173,16 @@
   private processStartMs: number;
   private isStopped = false;
   private isRegistered = true;
+  private readonly createdMs: number;
   private lastResponseMs = -Infinity;
   private hasResponded = false;
   private hasLastRenewalFailed = false;
   private workerClock: {clockMs: number; receivedMs: number} | undefined;
   /** Monotonic time at which all leases have expired, including those of earlier terms. */
   private leaseEndMs: number;
+  private areLeasesSuspended: boolean;
+  /** Number of times that leases were suspended. */
+  private suspensionCount = 0;
   private processedSequence = 0;
   private acknowledgedSequence = 0;
   /** Whether the last report listed ended runs, which the worker keeps until they are acknowledged. */
@@ -182,10 +203,13 @@
     this.record = options.record;
     this.processStartMs = options.record.startMs;
     this.load = WorkerLoad.create(options.record.capacity);
-    this.leaseEndMs =
-      options.clock.getMonotonicMs() +
-      options.previousTermTimeoutMs +
-      MAX_LEASE_VALIDITY_MS;
+    const {clock, previousTermTimeoutMs, leaseBoundMs} = options;
+    this.createdMs = clock.getMonotonicMs();
+    this.areLeasesSuspended = leaseBoundMs !== undefined;
+    this.leaseEndMs = Math.min(
+      this.createdMs + previousTermTimeoutMs + MAX_LEASE_VALIDITY_MS,
+      leaseBoundMs ?? Infinity,
+    );
   }
 
   /**
@@ -243,7 +267,7 @@
     // The registration of another process may have other labels or capacity.
     if (this.record.startMs !== this.processStartMs) return false;
     if (this.isOutOfCapacity || this.hasUnknownRuns) return false;
-    if (this.hasLastRenewalFailed) return false;
+    if (this.hasLastRenewalFailed || this.areLeasesSuspended) return false;
     return (
       this.options.clock.getMonotonicMs() - this.lastResponseMs <
       UNRESPONSIVE_TIMEOUT_MS
@@ -297,11 +321,28 @@
       const isRenewed = await this.renew();
       if (this.isStopped) return;
       this.dropExpiredRuns();
+      this.suspendLeases();
       this.notifyRenewalWaiters();
       await this.waitForNextRenewal(isRenewed);
     }
   }
 
+  /**
+   * Gets the number of the current suspension of leases, or `undefined` if leases
+   * are being granted.
+   */
+  getLeaseSuspension(): number | undefined {
+    return this.areLeasesSuspended ? this.suspensionCount : undefined;
+  }
+
+  /**
+   * Grants leases again, unless they were suspended anew.
+   * @param suspension - Suspension to end, as `getLeaseSuspension` returned it.
+   */
+  resumeLeases(suspension: number): void {
+    if (this.suspensionCount === suspension) this.areLeasesSuspended = false;
+  }
+
   /** Ends the session. Runs on the worker continue until their lease expires. */
   stop(): void {
     this.isStopped = true;
@@ -324,6 +365,7 @@
         await this.waitForRegistrations(assigned, workerStartMs);
       if (!this.shouldStart(assigned, workerStartMs)) return;
       if (!this.isRegisteredForStarts(workerStartMs)) break;
+      if (this.areLeasesSuspended) break;
       if (this.hasUnknownRuns || !this.load.isWithinCapacity()) break;
       const outcome = await this.sendStart(assigned);
       if (!this.isCurrent(assigned)) return;
@@ -435,7 +477,9 @@
     // Without a recent report, another process may respond, to which neither the
     // clock nor the sequence numbers of the previous one apply.
     const isReportOnly =
-      this.workerClock === undefined || this.hasLastRenewalFailed;
+      this.workerClock === undefined ||
+      this.hasLastRenewalFailed ||
+      this.areLeasesSuspended;
     const outcome = await client.renewLease({
       worker: this.record,
       fencingToken,
@@ -610,6 +654,26 @@
       this.dropRun(assigned, 'its lease expired');
   }
 
+  /**
+   * Grants no more leases to a worker that does not respond, so that the expiry of
+   * the last one can be stored for a successor.
+   */
+  private suspendLeases(): void {
+    if (this.areLeasesSuspended || !this.hasLastRenewalFailed) return;
+    if (this.load.getRunCount() === 0) return;
+    const {clock} = this.options;
+    const silentSinceMs = this.hasResponded
+      ? this.lastResponseMs
+      : this.createdMs;
+    const timeoutMs = this.hasResponded
+      ? UNRESPONSIVE_TIMEOUT_MS
+      : FIRST_RESPONSE_TIMEOUT_MS;
+    if (clock.getMonotonicMs() - silentSinceMs < timeoutMs) return;
+    this.areLeasesSuspended = true;
+    this.suspensionCount++;
+    this.options.listener.onLeasesSuspended(this, this.leaseEndMs);
+  }
+
   /**
    * Checks whether the worker was restarted, in this term or since an earlier one
    * assigned runs to it.
--- /dev/null
+++ b/packages/coordination/test/lease_bounds.test.ts
@@ -0,0 +1,72 @@
+import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {expect} from 'chai';
+import {TermRow} from '../src/commit_log.js';
+import {LeaseBoundChanges, LeaseBounds} from '../src/lease_bounds.js';
+import {createTestCommitLog, TEST_STORE_MS} from './test_commit_logs.js';
+
+/** Time from sending a commit to its response. */
+const ROUND_TRIP_MS = 40;
+
+const LEASE_MS = 5_000;
+
+const PREDECESSOR: TermRow = {
+  term: 3,
+  holder: 'node-0',
+  commitNumber: 7,
+  keepsLeaseBounds: true,
+};
+
+async function createBounds(clock: VirtualClock, predecessor = PREDECESSOR) {
+  const commitLog = createTestCommitLog(clock, predecessor);
+  await clock.advance(ROUND_TRIP_MS);
+  commitLog.confirmTerm(
+    clock.getMonotonicMs() - ROUND_TRIP_MS,
+    TEST_STORE_MS + ROUND_TRIP_MS / 2,
+  );
+  return LeaseBounds.create(clock, commitLog);
+}
+
+function toStoredRows({writes}: LeaseBoundChanges) {
+  return writes.map(write => ({...write, version: 1}));
+}
+
+describe(LeaseBounds.name, () => {
+  it('gives a successor a time at which the lease has expired, and little more', async () => {
+    const clock = VirtualClock.create();
+    const bounds = await createBounds(clock);
+    const leaseEndMs = clock.getMonotonicMs() + LEASE_MS;
+    bounds.setLeaseEnd('worker-1', leaseEndMs);
+    const successor = await createBounds(clock);
+    // The store went on while the successor's clock stood at the same time.
+    successor.restore(toStoredRows(bounds.takeChanges()));
+    const restoredMs = successor.getLeaseEndMs('worker-1') ?? 0;
+    expect(restoredMs).to.be.at.least(leaseEndMs);
+    expect(restoredMs).to.be.at.most(leaseEndMs + 2 * ROUND_TRIP_MS);
+    expect(successor.hasChanges()).to.equal(false);
+  });
+
+  it('removes the bounds that a coordinator of an earlier build did not respect', async () => {
+    const clock = VirtualClock.create();
+    const bounds = await createBounds(clock);
+    bounds.setLeaseEnd('worker-1', clock.getMonotonicMs() + LEASE_MS);
+    const rows = toStoredRows(bounds.takeChanges());
+    const {term, holder, commitNumber} = PREDECESSOR;
+    const successor = await createBounds(clock, {term, holder, commitNumber});
+    successor.restore(rows);
+    expect(successor.getLeaseEndMs('worker-1')).to.equal(undefined);
+    const {writes, removals} = successor.takeChanges();
+    expect(writes).to.deep.equal([]);
+    expect(removals.map(({key}) => key)).to.deep.equal(['worker-1']);
+  });
+
+  it('stores the last of several changes of a worker', async () => {
+    const clock = VirtualClock.create();
+    const bounds = await createBounds(clock);
+    bounds.setLeaseEnd('worker-1', clock.getMonotonicMs() + LEASE_MS);
+    bounds.remove('worker-1');
+    const {writes, removals} = bounds.takeChanges();
+    expect(writes).to.deep.equal([]);
+    expect(removals.length).to.equal(1);
+    expect(bounds.hasChanges()).to.equal(false);
+  });
+});
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -14,6 +14,8 @@
 import {err, ok} from 'neverthrow';
 import {StartWindow} from '../src/start_window.js';
 import {WorkerPool} from '../src/worker_pool.js';
+import {LeaseBounds} from '../src/lease_bounds.js';
+import {createTestCommitLog} from './test_commit_logs.js';
 
 const RECORD: WorkerRecord = {
   workerId: 'worker-1',
@@ -76,6 +78,7 @@
       onUnknownRun: () => undefined,
       onCommandUnanswered: () => undefined,
       onFenced: () => undefined,
+      onLeasesSuspended: () => undefined,
     },
     fencingToken: 1,
     maxLeaseMs: 10_000,
@@ -83,6 +86,7 @@
     areRegistrationsCurrent: () => true,
     previousTermTimeoutMs: 0,
     startWindow: StartWindow.create(clock),
+    leaseBounds: LeaseBounds.create(clock, createTestCommitLog(clock)),
   });
 }
 
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -1,5 +1,6 @@
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
 import {
+  LeaseRenewal,
   LeaseReport,
   RefusalReason,
   RunningRun,
@@ -40,6 +41,9 @@
   usage: 0,
 };
 
+/** Time after which a worker counts as not responding. */
+const SILENCE_MS = 2_500;
+
 /** Time in which a renewal completes and the next stop command is not due yet. */
 const RENEWAL_MS = 50;
 
@@ -57,11 +61,13 @@
   reportedRun: AssignedRun | undefined;
   readonly provenRuns: AssignedRun[] = [];
   fencedCount = 0;
+  /** Expiry of the leases at each suspension. */
+  readonly suspendedLeaseEndsMs: number[] = [];
   areRegistrationsCurrent = true;
   readonly session: WorkerSession;
   readonly assigned: AssignedRun;
 
-  private constructor() {
+  private constructor(leaseBoundDelayMs: number | undefined) {
     const release = (_session: WorkerSession, assigned: AssignedRun): void => {
       this.releasedRuns.push(assigned);
     };
@@ -77,6 +83,8 @@
       onUnknownRun: () => this.reportedRun,
       onCommandUnanswered: () => undefined,
       onFenced: () => this.fencedCount++,
+      onLeasesSuspended: (_session, leaseEndMs) =>
+        this.suspendedLeaseEndsMs.push(leaseEndMs),
     };
     this.session = WorkerSession.create({
       clock: this.clock,
@@ -89,14 +97,16 @@
       areRegistrationsCurrent: () => this.areRegistrationsCurrent,
       previousTermTimeoutMs: 0,
       startWindow: StartWindow.create(this.clock),
+      leaseBoundMs:
+        leaseBoundDelayMs && this.clock.getMonotonicMs() + leaseBoundDelayMs,
     });
     this.assigned = addTestRun(this.session.load, {});
     this.assigned.run.isConfirmed = false;
     this.assigned.commandResponseMs = undefined;
   }
 
-  static create(): SessionFixture {
-    return new SessionFixture();
+  static create(leaseBoundDelayMs?: number): SessionFixture {
+    return new SessionFixture(leaseBoundDelayMs);
   }
 
   /** Gets the CPU limits that were sent to the worker. */
@@ -111,6 +121,10 @@
   }
 }
 
+function hasLease({leaseUntilMs}: LeaseRenewal): boolean {
+  return leaseUntilMs !== undefined;
+}
+
 describe('WorkerSession', () => {
   describe('applying a report', () => {
     it('excludes the worker from new runs while it lists a run of an unknown task', async () => {
@@ -517,4 +531,62 @@
       });
     }
   });
+
+  describe('a worker that does not respond', () => {
+    it('gets no lease until leases are resumed', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned} = fixture;
+      const {taskName, run} = assigned;
+      const running = [{...UNKNOWN_RUN, taskName, runNumber: run.runNumber}];
+      void session.run();
+      await fixture.report({running});
+      const lastGrantMs = clock.getMonotonicMs();
+      client.report = undefined;
+      await clock.advance(SILENCE_MS);
+      expect(fixture.suspendedLeaseEndsMs.length).to.equal(1);
+      expect(fixture.suspendedLeaseEndsMs[0]).to.be.at.least(lastGrantMs);
+      client.renewals.length = 0;
+      await fixture.report({running});
+      expect(session.isUsable()).to.equal(false);
+      expect(client.renewals.some(hasLease)).to.equal(false);
+      session.resumeLeases(session.getLeaseSuspension() ?? -1);
+      await fixture.report({running});
+      expect(session.isUsable()).to.equal(true);
+      expect(client.renewals.some(hasLease)).to.equal(true);
+      session.stop();
+    });
+
+    it('is not granted leases by the end of an earlier suspension', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock} = fixture;
+      void session.run();
+      await clock.advance(SILENCE_MS);
+      const earlier = session.getLeaseSuspension() ?? -1;
+      session.resumeLeases(earlier);
+      await clock.advance(SILENCE_MS);
+      session.resumeLeases(earlier);
+      expect(session.getLeaseSuspension()).to.equal(earlier + 1);
+      expect(client.renewals.some(hasLease)).to.equal(false);
+      session.stop();
+    });
+
+    it('is sent no start command', async () => {
+      const fixture = SessionFixture.create(SETTLE_MS);
+      const {session, client, assigned, releasedRuns} = fixture;
+      await session.startRun(assigned);
+      expect(client.startCommands).to.deep.equal([]);
+      expect(releasedRuns).to.deep.equal([assigned]);
+    });
+
+    it('loses its runs when the stored bound of its leases has passed', async () => {
+      const fixture = SessionFixture.create(SETTLE_MS);
+      const {session, clock, assigned, releasedRuns} = fixture;
+      void session.run();
+      await clock.advance(SETTLE_MS - RENEWAL_MS);
+      expect(releasedRuns).to.deep.equal([]);
+      await clock.advance(SETTLE_MS);
+      expect(releasedRuns).to.deep.equal([assigned]);
+      session.stop();
+    });
+  });
 });
