--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -23,7 +23,8 @@
   | 'unresponsive'
   | 'other-process'
   | 'unknown-runs'
-  | 'out-of-capacity';
+  | 'out-of-capacity'
+  | 'leases-suspended';
 
 /** Receives the events of a worker session. */
 export interface SessionListener {
@@ -78,6 +79,12 @@
   ): void;
   /** Called when the worker has seen a higher fencing token. */
   onFenced(session: WorkerSession): void;
+  /**
+   * Called when the worker does not respond and has runs. No lease is granted any
+   * more until `resumeLeases` is called.
+   * @param leaseEndMs - Monotonic time by which all leases have expired.
+   */
+  onLeasesSuspended(session: WorkerSession, leaseEndMs: number): void;
 }
 
 export interface WorkerSessionOptions {
@@ -96,6 +103,11 @@
   readonly previousTermTimeoutMs: number;
   /** Start commands in progress to all workers. */
   readonly startWindow: StartWindow;
+  /**
+   * Monotonic time by which all leases of earlier terms have expired, if a stored
+   * bound tells. Leases are then suspended at first.
+   */
+  readonly leaseBoundMs: number | undefined;
 }
 
 /**
@@ -132,6 +144,12 @@
 /** Age of the last response beyond which a worker receives no new runs. */
 const UNRESPONSIVE_TIMEOUT_MS = 1_500;
 
+/**
+ * Time without a first response after which leases are suspended. Short, as none
+ * has been granted in this term, and the term may be short as well.
+ */
+const FIRST_RESPONSE_TIMEOUT_MS = 300;
+
 /**
  * Start commands without confirmation after which the run is stopped, so that a
  * delayed command cannot start it.
@@ -166,12 +184,16 @@
   private processStartMs: number;
   private isStopped = false;
   private isRegistered = true;
+  private readonly createdMs: number;
   private lastResponseMs = -Infinity;
   private hasResponded = false;
   private hasLastRenewalFailed = false;
   private workerClock: {clockMs: number; receivedMs: number} | undefined;
   /** Monotonic time at which all leases have expired, including those of earlier terms. */
   private leaseEndMs: number;
+  private areLeasesSuspended: boolean;
+  /** Number of times that leases were suspended. */
+  private suspensionCount = 0;
   private processedSequence = 0;
   private acknowledgedSequence = 0;
   /** Whether the last report listed ended runs, which the worker keeps until they are acknowledged. */
@@ -192,10 +214,13 @@
     this.record = options.record;
     this.processStartMs = options.record.startMs;
     this.load = WorkerLoad.create(options.record.capacity);
-    this.leaseEndMs =
-      options.clock.getMonotonicMs() +
-      options.previousTermTimeoutMs +
-      MAX_LEASE_VALIDITY_MS;
+    const {clock, previousTermTimeoutMs, leaseBoundMs} = options;
+    this.createdMs = clock.getMonotonicMs();
+    this.areLeasesSuspended = leaseBoundMs !== undefined;
+    this.leaseEndMs = Math.min(
+      this.createdMs + previousTermTimeoutMs + MAX_LEASE_VALIDITY_MS,
+      leaseBoundMs ?? Infinity,
+    );
   }
 
   /**
@@ -261,7 +286,8 @@
     // The registration of another process may have other labels or capacity.
     if (this.record.startMs !== this.processStartMs) return 'other-process';
     if (this.hasUnknownRuns) return 'unknown-runs';
-    return this.isOutOfCapacity ? 'out-of-capacity' : undefined;
+    if (this.isOutOfCapacity) return 'out-of-capacity';
+    return this.areLeasesSuspended ? 'leases-suspended' : undefined;
   }
 
   /** Gets the monotonic time from which runs are given up if the worker does not respond. */
@@ -316,11 +342,28 @@
       const isRenewed = await this.renew();
       if (this.isStopped) return;
       this.dropExpiredRuns();
+      this.suspendLeases();
       this.notifyRenewalWaiters();
       await this.waitForNextRenewal(isRenewed);
     }
   }
 
+  /**
+   * Gets the number of the current suspension of leases, or `undefined` if leases
+   * are being granted.
+   */
+  getLeaseSuspension(): number | undefined {
+    return this.areLeasesSuspended ? this.suspensionCount : undefined;
+  }
+
+  /**
+   * Grants leases again, unless they were suspended anew.
+   * @param suspension - Suspension to end, as `getLeaseSuspension` returned it.
+   */
+  resumeLeases(suspension: number): void {
+    if (this.suspensionCount === suspension) this.areLeasesSuspended = false;
+  }
+
   /** Ends the session. Runs on the worker continue until their lease expires. */
   stop(): void {
     this.isStopped = true;
@@ -343,6 +386,7 @@
         await this.waitForRegistrations(assigned, workerStartMs);
       if (!this.shouldStart(assigned, workerStartMs)) return;
       if (!this.isRegisteredForStarts(workerStartMs)) break;
+      if (this.areLeasesSuspended) break;
       if (this.hasUnknownRuns || !this.load.isWithinCapacity()) break;
       const outcome = await this.sendStart(assigned);
       if (!this.isCurrent(assigned)) return;
@@ -454,7 +498,9 @@
     // Without a recent report, another process may respond, to which neither the
     // clock nor the sequence numbers of the previous one apply.
     const isReportOnly =
-      this.workerClock === undefined || this.hasLastRenewalFailed;
+      this.workerClock === undefined ||
+      this.hasLastRenewalFailed ||
+      this.areLeasesSuspended;
     const outcome = await client.renewLease({
       worker: this.record,
       fencingToken,
@@ -629,6 +675,26 @@
       this.dropRun(assigned, 'its lease expired');
   }
 
+  /**
+   * Grants no more leases to a worker that does not respond, so that the expiry of
+   * the last one can be stored for a successor.
+   */
+  private suspendLeases(): void {
+    if (this.areLeasesSuspended || !this.hasLastRenewalFailed) return;
+    if (this.load.getRunCount() === 0) return;
+    const {clock} = this.options;
+    const silentSinceMs = this.hasResponded
+      ? this.lastResponseMs
+      : this.createdMs;
+    const timeoutMs = this.hasResponded
+      ? UNRESPONSIVE_TIMEOUT_MS
+      : FIRST_RESPONSE_TIMEOUT_MS;
+    if (clock.getMonotonicMs() - silentSinceMs < timeoutMs) return;
+    this.areLeasesSuspended = true;
+    this.suspensionCount++;
+    this.options.listener.onLeasesSuspended(this, this.leaseEndMs);
+  }
+
   /**
    * Checks whether the worker was restarted, in this term or since an earlier one
    * assigned runs to it.
