--- a/packages/coordination/test/worker_health.test.ts
+++ b/packages/coordination/test/worker_health.test.ts
@@ -12,6 +12,23 @@
   return health;
 }
 
+/** Lets runs of two jobs fail on each of ten workers, and counts those that are quarantined. */
+function countQuarantined(health: WorkerHealth, nowMs: number): number {
+  const workerIds = Array.from({length: 10}, (_, index) => `worker-${index}`);
+  for (const workerId of workerIds)
+    health.evaluate(createTestLoad(), workerId, nowMs);
+  let quarantinedCount = 0;
+  for (const workerId of workerIds) {
+    const load = createTestLoad();
+    for (let failure = 0; failure < 2; failure++) {
+      const run = addTestRun(load, {}, nowMs, workerId);
+      if (health.recordRunEnd(run, 'failed', nowMs) === 'quarantined')
+        quarantinedCount++;
+    }
+  }
+  return quarantinedCount;
+}
+
 describe(WorkerHealth.name, () => {
   it('quarantines a worker after consecutive failures of two jobs', () => {
     const health = createHealth();
@@ -112,6 +129,20 @@
     expect(health.findStragglers(load, 2_500)).to.deep.equal([filler]);
   });
 
+  it('quarantines at most a fifth of the workers that are left of a larger fleet', () => {
+    const health = createHealth();
+    for (let worker = 0; worker < 40; worker++)
+      health.evaluate(createTestLoad(), `gone-${worker}`, 0);
+    expect(countQuarantined(health, 60_000)).to.equal(2);
+  });
+
+  it('quarantines a fifth of the fleet although quarantined workers have gone', () => {
+    const health = createHealth();
+    for (const workerId of ['gone-1', 'gone-2'])
+      health.evaluate(createTestLoad(), workerId, 0, 'saturated');
+    expect(countQuarantined(health, 60_000)).to.equal(2);
+  });
+
   it('quarantines at most a fifth of the fleet', () => {
     const health = createHealth();
     let quarantinedCount = 0;
