Pause placements on workers that do not start runs

Callers saw accepted tasks wait without bound and without a run, while workers that would have started them had room.

Cause: a worker can renew its lease and refuse starts (unhealthy, no room, late) or not respond to them. The run is released, the next pass a few ms later ranks the same worker highest, as nothing remembers the refusal, and places the task there again. As many tasks as fit on such a worker wait for as long as it refuses, the first ones of their steps; later tasks pass them by. Only a refusal for want of room was remembered, until the next report of the worker.

Change: a start that failed for a reason of the worker's excludes the worker from placements for 250 ms, doubled up to 2 s by each further failure, until a run starts there or another process takes over. A run that is released unstarted counts again, so that its task goes elsewhere. Refusals that concern the task (invalid, no ticket) do not count. When a run is released is unchanged, so that no task can run twice because of this.

Evidence: refused_starts.test.ts on: 0 of 8 tasks run after 3 s (unhealthy, late) and after 9.2 s (no response), with two sound workers of four; now all 8 run. Known limit: a task may meet several workers in turn that never respond to starts, each for about 6 s, until their start commands have lapsed.

--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -12,6 +12,7 @@
   JobWorkerError,
 } from '@mustardlug/platform/job_worker_client';
 import {Result} from 'neverthrow';
+import {StartBackoff} from './start_backoff.js';
 import {StartWindow} from './start_window.js';
 import {AssignedRun, getRunKey, WorkerLoad} from './worker_load.js';
 
@@ -146,6 +147,14 @@
 /** Maximum number of ended runs in one report. A report with as many may be incomplete. */
 const MAX_REPORTED_ENDS = 500;
 
+/** Reasons of refusals that concern the worker and not the task. */
+const WORKER_REFUSALS: ReadonlySet<RefusalReason> = new Set([
+  'lapsed',
+  'no-room',
+  'other-lifetime',
+  'unhealthy',
+]);
+
 /** Minimum time between two stop commands for the same unknown run. */
 const UNKNOWN_RUN_STOP_INTERVAL_MS = 500;
 
@@ -172,6 +181,7 @@
   private renewalWaiters: Array<() => void> = [];
   private wakeUp: (() => void) | undefined;
   private isOutOfCapacity = false;
+  private readonly startBackoff: StartBackoff;
   /** Whether the last report listed runs of unknown tasks, whose needs cannot be counted. */
   private hasUnknownRuns = false;
   private readonly unknownRunStopTimes = new Map<string, number>();
@@ -182,6 +192,7 @@
     this.record = options.record;
     this.processStartMs = options.record.startMs;
     this.load = WorkerLoad.create(options.record.capacity);
+    this.startBackoff = StartBackoff.create(options.clock);
     this.leaseEndMs =
       options.clock.getMonotonicMs() +
       options.previousTermTimeoutMs +
@@ -243,7 +254,7 @@
     // The registration of another process may have other labels or capacity.
     if (this.record.startMs !== this.processStartMs) return false;
     if (this.isOutOfCapacity || this.hasUnknownRuns) return false;
-    if (this.hasLastRenewalFailed) return false;
+    if (this.hasLastRenewalFailed || this.startBackoff.isPaused()) return false;
     return (
       this.options.clock.getMonotonicMs() - this.lastResponseMs <
       UNRESPONSIVE_TIMEOUT_MS
@@ -331,6 +342,7 @@
       if (outcome.isOk()) {
         this.recordCommandResponse(assigned);
         confirmRun(assigned);
+        this.startBackoff.reset();
         return;
       }
       if (!this.shouldStart(assigned, workerStartMs)) return;
@@ -344,8 +356,9 @@
       await this.handleRefusal(assigned, error.reason);
       return;
     }
-    if (this.shouldStart(assigned, workerStartMs))
-      await this.abandonStart(assigned);
+    if (!this.shouldStart(assigned, workerStartMs)) return;
+    this.startBackoff.recordFailure();
+    await this.abandonStart(assigned);
   }
 
   /**
@@ -499,6 +512,7 @@
     if (processStartMs === this.processStartMs) return;
     const previousStartMs = this.processStartMs;
     this.processStartMs = processStartMs;
+    this.startBackoff.reset();
     this.processedSequence = 0;
     this.acknowledgedSequence = 0;
     this.options.listener.onProcessRestarted(this, previousStartMs);
@@ -595,10 +609,15 @@
       if (listed.has(key)) continue;
       const {commandResponseMs = Infinity, startLeaseUntilMs = Infinity} =
         assigned;
-      if (commandResponseMs <= sentMs)
-        this.dropRun(assigned, 'the worker no longer lists it');
-      else if (report.clockMs > startLeaseUntilMs)
-        this.dropRun(assigned, 'its start commands have lapsed');
+      const isLapsed = report.clockMs > startLeaseUntilMs;
+      if (commandResponseMs > sentMs && !isLapsed) continue;
+      if (isUnstarted(assigned)) this.startBackoff.recordFailure();
+      this.dropRun(
+        assigned,
+        commandResponseMs <= sentMs
+          ? 'the worker no longer lists it'
+          : 'its start commands have lapsed',
+      );
     }
   }
 
@@ -659,6 +678,7 @@
       return;
     }
     if (reason === 'no-room') this.isOutOfCapacity = true;
+    if (WORKER_REFUSALS.has(reason)) this.startBackoff.recordFailure();
     this.options.listener.onStartRefused(this, assigned, reason);
     await this.abandonStart(assigned);
   }
@@ -815,6 +835,12 @@
   }
 }
 
+/** Checks whether a run of this term was still to be started when it was given up. */
+function isUnstarted({job, task, run}: AssignedRun): boolean {
+  if (run.isConfirmed || run.isAdopted) return false;
+  return !job.isEnded() && !task.isDone;
+}
+
 function confirmRun({job, task, run}: AssignedRun): void {
   run.isConfirmed = true;
   task.hasRun = true;
