Count only present workers for the limit on quarantined ones

Callers saw: tasks could wait while all workers that were left were quarantined.

Cause: the limit of a fifth was taken over the records of all workers since the start of the term, and records are never removed. Once 40 workers had gone, all of 10 others could be quarantined at the same time; and a quarantined worker that was gone counted against the limit for the rest of the term.

Change: a worker counts while its last report is less than 6 s old.

--- a/packages/coordination/src/worker_health.ts
+++ b/packages/coordination/src/worker_health.ts
@@ -14,6 +14,8 @@
 
 /** Observations of one worker and its quarantine state. All times are monotonic. */
 interface HealthRecord {
+  /** Time of the last report; negative infinity before the first one. */
+  lastReportMs: number;
   /** Jobs with failed runs since the last successful run. */
   readonly failedJobs: Set<string>;
   /** Recent slowdowns of ended runs. */
@@ -90,6 +92,12 @@
  */
 const MAX_QUARANTINED_FRACTION = 0.2;
 
+/**
+ * Time after its last report from which a worker no longer counts as a part of the
+ * fleet. By then its leases have expired.
+ */
+const FLEET_MEMBERSHIP_MS = 6_000;
+
 /** Age from which the progress of a run is a reliable measure of its speed. */
 const MIN_RUN_AGE_MS = 600;
 
@@ -187,6 +195,7 @@
     responseState: ResponseState = 'unknown',
   ): HealthChange {
     const record = this.getRecord(workerId);
+    record.lastReportMs = nowMs;
     if (responseState === 'saturated')
       return this.handleSaturation(record, nowMs);
     const isRecovered =
@@ -276,15 +285,15 @@
     cause: QuarantineCause,
     nowMs: number,
   ): HealthChange {
+    let fleetSize = 0;
     let quarantinedCount = 1;
-    for (const each of this.records.values()) {
-      if (each.isQuarantined) quarantinedCount++;
+    for (const {lastReportMs, isQuarantined} of this.records.values()) {
+      if (nowMs - lastReportMs >= FLEET_MEMBERSHIP_MS) continue;
+      fleetSize++;
+      if (isQuarantined) quarantinedCount++;
     }
-    if (
-      quarantinedCount >
-      Math.max(1, MAX_QUARANTINED_FRACTION * this.records.size)
-    )
-      return 'unchanged';
+    const limit = Math.max(1, MAX_QUARANTINED_FRACTION * fleetSize);
+    if (quarantinedCount > limit) return 'unchanged';
     record.isQuarantined = true;
     record.cause = cause;
     record.quarantineMs = INITIAL_QUARANTINE_MS;
@@ -335,6 +344,7 @@
     let record = this.records.get(workerId);
     if (record === undefined) {
       record = {
+        lastReportMs: -Infinity,
         failedJobs: new Set(),
         slowdowns: [],
         quarantineEndMs: -Infinity,
