Reserve a worker for a suspected task that waits

Callers saw a task whose worker had crashed wait without bound while little of the capacity was in use.

Cause: a suspected task is tried only where no other run is being started, and a run counts as being started until its worker has listed it for 500 ms. Nothing kept a worker free for the trial: where every worker gets a short task more often than twice a second, no worker ever qualifies. Fillers spread over all workers, so that this takes little load.

Change: if no worker is free for a trial, the worker on which the fewest runs are being started, of those that the step could be placed on, gets no other starts in that pass. Reserved workers count against the fifth of the workers that may try suspected tasks. Gangs with a suspected task are placed as before.

--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -104,6 +104,8 @@
    */
   private readonly unplaceableNeeds = new Map<string, UnplaceableNeeds>();
   private readonly placedSteps: PlacedStep[] = [];
+  /** Workers on which nothing else is started, so that a waiting trial can begin there. */
+  private readonly reservedWorkers = new Set<PlacementWorker>();
   private placementCount = 0;
 
   private constructor(private readonly options: PlacementPassOptions) {}
@@ -178,7 +180,10 @@
     const workers: PlacementWorker[] = [];
     for (const task of tasks) {
       const worker = this.findTrialWorker(waiting, task);
-      if (worker === undefined) break;
+      if (worker === undefined) {
+        this.reserveTrialWorker(waiting, task);
+        break;
+      }
       this.options.place({waiting, task, worker});
       workers.push(worker);
     }
@@ -206,27 +211,57 @@
   /** Finds a worker for a suspected task, if possible one that has not crashed at its start. */
   private findTrialWorker(
     waiting: WaitingStep,
-    {startCrashes}: TaskState,
+    task: TaskState,
   ): PlacementWorker | undefined {
     if (!this.canStartTrial(waiting)) return undefined;
-    const crashedIds = new Set(startCrashes.map(({workerId}) => workerId));
     const workers = this.getWorkers(waiting);
-    const others = workers.filter(
-      ({session}) => !crashedIds.has(session.getId()),
-    );
+    const others = getUncrashedWorkers(workers, task);
     return (
       this.rank(waiting, others, true).getBest() ??
       this.rank(waiting, workers, true).getBest()
     );
   }
 
+  /**
+   * Reserves the worker on which the next trial can probably begin soonest.
+   * Otherwise workers that keep starting short tasks would never be free for it.
+   */
+  private reserveTrialWorker(waiting: WaitingStep, task: TaskState): void {
+    if (!this.canStartTrial(waiting)) return;
+    const workers = this.getWorkers(waiting);
+    const others = getUncrashedWorkers(workers, task);
+    const worker =
+      this.findLeastStarting(waiting, others) ??
+      this.findLeastStarting(waiting, workers);
+    if (worker !== undefined) this.reservedWorkers.add(worker);
+  }
+
+  /** Finds the worker that is starting the fewest runs, of those that a step can be placed on. */
+  private findLeastStarting(
+    waiting: WaitingStep,
+    workers: readonly PlacementWorker[],
+  ): PlacementWorker | undefined {
+    let best: PlacementWorker | undefined;
+    let minCount = Infinity;
+    for (const worker of workers) {
+      const count = worker.load.getUnprovenRuns().size;
+      if (count >= minCount) continue;
+      if (this.rank(waiting, [worker], false).getBest() === undefined) continue;
+      best = worker;
+      minCount = count;
+    }
+    return best;
+  }
+
   private getWorkers({queue}: WaitingStep): readonly PlacementWorker[] {
     return this.options.workersByService.get(queue.serviceName) ?? [];
   }
 
   private canStartTrial(waiting: WaitingStep): boolean {
     const workers = this.getWorkers(waiting);
-    const trialCount = workers.filter(({load}) => load.hasTrial()).length;
+    const trialCount = workers.filter(
+      worker => worker.load.hasTrial() || this.reservedWorkers.has(worker),
+    ).length;
     return trialCount < Math.max(1, workers.length * MAX_TRIAL_FRACTION);
   }
 
@@ -306,7 +341,10 @@
         ? findRackWithMostFreeCpu(workers)
         : undefined,
     };
-    return WorkerRanking.create(request, workers);
+    const unreserved = workers.filter(
+      worker => !this.reservedWorkers.has(worker),
+    );
+    return WorkerRanking.create(request, unreserved);
   }
 
   private isKnownToFail(key: string | undefined, step: StepState): boolean {
@@ -344,6 +382,15 @@
   return `${queue.serviceName} ${kind}${isTrial ? ' trial' : ''}`;
 }
 
+/** Gets the workers that have not crashed at a start of a task. */
+function getUncrashedWorkers(
+  workers: readonly PlacementWorker[],
+  {startCrashes}: TaskState,
+): PlacementWorker[] {
+  const crashedIds = new Set(startCrashes.map(({workerId}) => workerId));
+  return workers.filter(({session}) => !crashedIds.has(session.getId()));
+}
+
 function findRackWithMostFreeCpu(
   workers: readonly PlacementWorker[],
 ): string | undefined {
