--- a/packages/experiments/test/refused_starts.test.ts
+++ b/packages/experiments/test/refused_starts.test.ts
@@ -67,4 +67,18 @@
       expect(await harness.getPhase(jobId)).to.equal('running');
       expect(harness.checker.violations).to.deep.equal([]);
     });
+
+  it('meet each worker that does not respond to them once', async () => {
+    const harness = JobHarness.create({workers: 5, nodes: 1});
+    const silentWorkers = [...harness.workers.values()].slice(2);
+    for (const worker of silentWorkers) {
+      worker.start = () => undefined;
+      worker.stop = () => 'unhealthy';
+    }
+    await harness.advance(START_MS);
+    const {jobId} = await harness.submit([createSampleStep(1)]);
+    await harness.advance(silentWorkers.length * LAPSE_MS + MAX_WAIT_MS);
+    expect(await harness.getPhase(jobId)).to.equal('completed');
+    expect(harness.checker.violations).to.deep.equal([]);
+  });
 });
