Place a task first where a start of it has not failed yet

Callers saw a task wait without bound where two or more workers renew their leases but do not respond to starts.

Cause: a run is released about 6 s after its placement, when its start commands have lapsed, and the pause of each other silent worker, 2 s at most, is over by then.

Change: a task remembers the workers that did not start it, and meets each of them again only if no other worker has room, until a run of it has started. The memory is not stored; a successor may try each worker once more. Ruled out: a longer pause of the worker alone, as each visit takes longer than any pause that suits a worker which only sheds load for a moment.

Evidence: refused_starts.test.ts, 'meet each worker that does not respond to them once'.

--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -217,8 +217,8 @@
     const workers = this.getWorkers(waiting);
     const others = getUncrashedWorkers(workers, task);
     return (
-      this.rank(waiting, others, true).getBest() ??
-      this.rank(waiting, workers, true).getBest()
+      this.rank(waiting, others, true).getBest(isAvoidedBy(task)) ??
+      this.rank(waiting, workers, true).getBest(isAvoidedBy(task))
     );
   }
 
@@ -284,12 +284,12 @@
     const workers: PlacementWorker[] = [];
     let hasRoom = true;
     for (const task of tasks) {
-      const worker = ranking.getBest();
+      const worker = ranking.getBest(isAvoidedBy(task));
       hasRoom = worker !== undefined;
       if (worker === undefined) break;
       this.options.place({waiting, task, worker});
       workers.push(worker);
-      ranking.rescoreBest();
+      ranking.rescore(worker);
     }
     this.recordPlacedStep(waiting, workers);
     return hasRoom;
@@ -309,7 +309,7 @@
     );
     const placed: Array<{assigned: AssignedRun; worker: PlacementWorker}> = [];
     for (const task of step.tasks) {
-      const worker = ranking.getBest();
+      const worker = ranking.getBest(isAvoidedBy(task));
       if (worker === undefined) {
         for (const each of placed)
           this.options.undo(each.assigned, each.worker);
@@ -319,7 +319,7 @@
         assigned: this.options.place({waiting, task, worker}),
         worker,
       });
-      ranking.rescoreBest();
+      ranking.rescore(worker);
     }
     this.recordPlacedStep(
       waiting,
@@ -382,6 +382,11 @@
   return `${queue.serviceName} ${kind}${isTrial ? ' trial' : ''}`;
 }
 
+/** Selects the workers that have not started a task when they were to. */
+function isAvoidedBy({unstartedOn}: TaskState) {
+  return ({session}: PlacementWorker) => unstartedOn.has(session.getId());
+}
+
 /** Gets the workers that have not crashed at a start of a task. */
 function getUncrashedWorkers(
   workers: readonly PlacementWorker[],
--- a/packages/coordination/src/worker_ranking.ts
+++ b/packages/coordination/src/worker_ranking.ts
@@ -75,21 +75,26 @@
     return ranking;
   }
 
-  /** Gets the worker with the highest score, or `undefined` if none has room. */
-  getBest(): T | undefined {
-    return this.ranked.at(-1)?.worker;
+  /**
+   * Gets the worker with the highest score, or `undefined` if none has room.
+   * @param isAvoided - Selects workers that are returned only if no other has room.
+   */
+  getBest(isAvoided: (worker: T) => boolean = () => false): T | undefined {
+    const best = this.ranked.findLast(({worker}) => !isAvoided(worker));
+    return (best ?? this.ranked.at(-1))?.worker;
   }
 
-  /** Recomputes the score of the best worker after a task was placed on it. */
-  rescoreBest(): void {
-    const best = this.ranked.pop();
-    if (best === undefined) return;
-    const score = getScore(this.request, best.worker);
+  /**
+   * Recomputes the score of a worker after a task was placed on it.
+   * @param worker - Worker that `getBest` returned.
+   */
+  rescore(worker: T): void {
+    const index = this.ranked.findLastIndex(each => each.worker === worker);
+    if (index < 0) return;
+    this.ranked.splice(index, 1);
+    const score = getScore(this.request, worker);
     if (score === undefined) return;
-    this.ranked.splice(this.findInsertionIndex(score), 0, {
-      worker: best.worker,
-      score,
-    });
+    this.ranked.splice(this.findInsertionIndex(score), 0, {worker, score});
   }
 
   /** Finds the first index whose score is not lower than the given one. */
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -357,7 +357,7 @@
       return;
     }
     if (!this.shouldStart(assigned, workerStartMs)) return;
-    this.startBackoff.recordFailure();
+    this.recordStartFailure(assigned);
     await this.abandonStart(assigned);
   }
 
@@ -611,7 +611,7 @@
         assigned;
       const isLapsed = report.clockMs > startLeaseUntilMs;
       if (commandResponseMs > sentMs && !isLapsed) continue;
-      if (isUnstarted(assigned)) this.startBackoff.recordFailure();
+      if (isUnstarted(assigned)) this.recordStartFailure(assigned);
       this.dropRun(
         assigned,
         commandResponseMs <= sentMs
@@ -678,11 +678,16 @@
       return;
     }
     if (reason === 'no-room') this.isOutOfCapacity = true;
-    if (WORKER_REFUSALS.has(reason)) this.startBackoff.recordFailure();
+    if (WORKER_REFUSALS.has(reason)) this.recordStartFailure(assigned);
     this.options.listener.onStartRefused(this, assigned, reason);
     await this.abandonStart(assigned);
   }
 
+  private recordStartFailure({task}: AssignedRun): void {
+    this.startBackoff.recordFailure();
+    task.unstartedOn.add(this.getId());
+  }
+
   /** Releases a run that has not started, once none of its start commands can take effect. */
   private async abandonStart(assigned: AssignedRun): Promise<void> {
     if (assigned.run.openStarts > 0) {
@@ -844,5 +849,6 @@
 function confirmRun({job, task, run}: AssignedRun): void {
   run.isConfirmed = true;
   task.hasRun = true;
+  task.unstartedOn.clear();
   job.hasStarted = true;
 }
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -61,6 +61,8 @@
   hasRun: boolean;
   /** Losses of workers that had just started the task, since a run of it last was proven. */
   startCrashes: StartCrash[];
+  /** Workers that did not start a run of the task, since one was last started; not stored. */
+  readonly unstartedOn: Set<string>;
   /** Latest checkpoint; empty when there is none. */
   checkpoint: string;
   /** Runs that may be in progress; more than one only with speculative copies. */
@@ -91,6 +93,7 @@
         isDone: false,
         failures: 0,
         startCrashes: [],
+        unstartedOn: new Set(),
         hasRun: false,
         checkpoint: '',
         runs: [],
