--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -106,6 +106,8 @@
    */
   private readonly unplaceableNeeds = new Map<string, UnplaceableNeeds>();
   private readonly placedSteps: PlacedStep[] = [];
+  /** Workers on which nothing else is started, so that a waiting trial can begin there. */
+  private readonly reservedWorkers = new Set<PlacementWorker>();
   private placementCount = 0;
 
   private constructor(private readonly options: PlacementPassOptions) {}
@@ -160,6 +162,8 @@
       obstacles.push(
         `limit of ${this.options.maxPlacements} placements reached`,
       );
+    if (this.reservedWorkers.size > 0)
+      obstacles.push(`${this.reservedWorkers.size} workers kept for trials`);
     if (step.spec.isGang && step.hasRuns())
       obstacles.push('members of the gang still have runs');
     const tasks = step.tasks.filter(isWaitingTask);
@@ -211,7 +215,10 @@
     const workers: PlacementWorker[] = [];
     for (const task of tasks) {
       const worker = this.findTrialWorker(waiting, task);
-      if (worker === undefined) break;
+      if (worker === undefined) {
+        this.reserveTrialWorker(waiting, task);
+        break;
+      }
       this.options.place({waiting, task, worker});
       workers.push(worker);
     }
@@ -239,27 +246,57 @@
   /** Finds a worker for a suspected task, if possible one that has not crashed at its start. */
   private findTrialWorker(
     waiting: WaitingStep,
-    {startCrashes}: TaskState,
+    task: TaskState,
   ): PlacementWorker | undefined {
     if (!this.canStartTrial(waiting)) return undefined;
-    const crashedIds = new Set(startCrashes.map(({workerId}) => workerId));
     const workers = this.getWorkers(waiting);
-    const others = workers.filter(
-      ({session}) => !crashedIds.has(session.getId()),
-    );
+    const others = getUncrashedWorkers(workers, task);
     return (
-      this.rank(waiting, others, true).getBest() ??
-      this.rank(waiting, workers, true).getBest()
+      this.rank(waiting, others, true).getBest(isAvoidedBy(task)) ??
+      this.rank(waiting, workers, true).getBest(isAvoidedBy(task))
     );
   }
 
+  /**
+   * Reserves the worker on which the next trial can probably begin soonest.
+   * Otherwise workers that keep starting short tasks would never be free for it.
+   */
+  private reserveTrialWorker(waiting: WaitingStep, task: TaskState): void {
+    if (!this.canStartTrial(waiting)) return;
+    const workers = this.getWorkers(waiting);
+    const others = getUncrashedWorkers(workers, task);
+    const worker =
+      this.findLeastStarting(waiting, others) ??
+      this.findLeastStarting(waiting, workers);
+    if (worker !== undefined) this.reservedWorkers.add(worker);
+  }
+
+  /** Finds the worker that is starting the fewest runs, of those that a step can be placed on. */
+  private findLeastStarting(
+    waiting: WaitingStep,
+    workers: readonly PlacementWorker[],
+  ): PlacementWorker | undefined {
+    let best: PlacementWorker | undefined;
+    let minCount = Infinity;
+    for (const worker of workers) {
+      const count = worker.load.getUnprovenRuns().size;
+      if (count >= minCount) continue;
+      if (this.rank(waiting, [worker], false).getBest() === undefined) continue;
+      best = worker;
+      minCount = count;
+    }
+    return best;
+  }
+
   private getWorkers({queue}: WaitingStep): readonly PlacementWorker[] {
     return this.options.workersByService.get(queue.serviceName) ?? [];
   }
 
   private canStartTrial(waiting: WaitingStep): boolean {
     const workers = this.getWorkers(waiting);
-    const trialCount = workers.filter(({load}) => load.hasTrial()).length;
+    const trialCount = workers.filter(
+      worker => worker.load.hasTrial() || this.reservedWorkers.has(worker),
+    ).length;
     return trialCount < Math.max(1, workers.length * MAX_TRIAL_FRACTION);
   }
 
@@ -282,12 +319,12 @@
     const workers: PlacementWorker[] = [];
     let hasRoom = true;
     for (const task of tasks) {
-      const worker = ranking.getBest();
+      const worker = ranking.getBest(isAvoidedBy(task));
       hasRoom = worker !== undefined;
       if (worker === undefined) break;
       this.options.place({waiting, task, worker});
       workers.push(worker);
-      ranking.rescoreBest();
+      ranking.rescore(worker);
     }
     this.recordPlacedStep(waiting, workers);
     return hasRoom;
@@ -307,7 +344,7 @@
     );
     const placed: Array<{assigned: AssignedRun; worker: PlacementWorker}> = [];
     for (const task of step.tasks) {
-      const worker = ranking.getBest();
+      const worker = ranking.getBest(isAvoidedBy(task));
       if (worker === undefined) {
         for (const each of placed)
           this.options.undo(each.assigned, each.worker);
@@ -317,7 +354,7 @@
         assigned: this.options.place({waiting, task, worker}),
         worker,
       });
-      ranking.rescoreBest();
+      ranking.rescore(worker);
     }
     this.recordPlacedStep(
       waiting,
@@ -339,7 +376,10 @@
         ? findRackWithMostFreeCpu(workers)
         : undefined,
     };
-    return WorkerRanking.create(request, workers);
+    const unreserved = workers.filter(
+      worker => !this.reservedWorkers.has(worker),
+    );
+    return WorkerRanking.create(request, unreserved);
   }
 
   private isKnownToFail(key: string | undefined, step: StepState): boolean {
@@ -387,6 +427,20 @@
   return `${queue.serviceName} ${kind}${isTrial ? ' trial' : ''}`;
 }
 
+/** Selects the workers that have not started a task when they were to. */
+function isAvoidedBy({unstartedOn}: TaskState) {
+  return ({session}: PlacementWorker) => unstartedOn.has(session.getId());
+}
+
+/** Gets the workers that have not crashed at a start of a task. */
+function getUncrashedWorkers(
+  workers: readonly PlacementWorker[],
+  {startCrashes}: TaskState,
+): PlacementWorker[] {
+  const crashedIds = new Set(startCrashes.map(({workerId}) => workerId));
+  return workers.filter(({session}) => !crashedIds.has(session.getId()));
+}
+
 function findRackWithMostFreeCpu(
   workers: readonly PlacementWorker[],
 ): string | undefined {
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -12,6 +12,7 @@
   JobWorkerError,
 } from '@mustardlug/platform/job_worker_client';
 import {Result} from 'neverthrow';
+import {StartBackoff} from './start_backoff.js';
 import {StartWindow} from './start_window.js';
 import {AssignedRun, getRunKey, WorkerLoad} from './worker_load.js';
 
@@ -24,6 +25,7 @@
   | 'other-process'
   | 'unknown-runs'
   | 'out-of-capacity'
+  | 'starts-failed'
   | 'leases-suspended';
 
 /** Receives the events of a worker session. */
@@ -174,6 +176,14 @@
 /** Maximum number of ended runs in one report. A report with as many may be incomplete. */
 const MAX_REPORTED_ENDS = 500;
 
+/** Reasons of refusals that concern the worker and not the task. */
+const WORKER_REFUSALS: ReadonlySet<RefusalReason> = new Set([
+  'lapsed',
+  'no-room',
+  'other-lifetime',
+  'unhealthy',
+]);
+
 /** Minimum time between two stop commands for the same unknown run. */
 const UNKNOWN_RUN_STOP_INTERVAL_MS = 500;
 
@@ -204,6 +214,7 @@
   private renewalWaiters: Array<() => void> = [];
   private wakeUp: (() => void) | undefined;
   private isOutOfCapacity = false;
+  private readonly startBackoff: StartBackoff;
   /** Whether the last report listed runs of unknown tasks, whose needs cannot be counted. */
   private hasUnknownRuns = false;
   private readonly unknownRunStopTimes = new Map<string, number>();
@@ -215,6 +226,7 @@
     this.processStartMs = options.record.startMs;
     this.load = WorkerLoad.create(options.record.capacity);
     const {clock, previousTermTimeoutMs, leaseBoundMs} = options;
+    this.startBackoff = StartBackoff.create(clock);
     this.createdMs = clock.getMonotonicMs();
     this.areLeasesSuspended = leaseBoundMs !== undefined;
     this.leaseEndMs = Math.min(
@@ -287,6 +299,7 @@
     if (this.record.startMs !== this.processStartMs) return 'other-process';
     if (this.hasUnknownRuns) return 'unknown-runs';
     if (this.isOutOfCapacity) return 'out-of-capacity';
+    if (this.startBackoff.isPaused()) return 'starts-failed';
     return this.areLeasesSuspended ? 'leases-suspended' : undefined;
   }
 
@@ -394,6 +407,7 @@
       if (outcome.isOk()) {
         this.recordCommandResponse(assigned);
         confirmRun(assigned);
+        this.startBackoff.reset();
         return;
       }
       if (!this.shouldStart(assigned, workerStartMs)) return;
@@ -407,8 +421,9 @@
       await this.handleRefusal(assigned, error.reason);
       return;
     }
-    if (this.shouldStart(assigned, workerStartMs))
-      await this.abandonStart(assigned);
+    if (!this.shouldStart(assigned, workerStartMs)) return;
+    this.recordStartFailure(assigned);
+    await this.abandonStart(assigned);
   }
 
   /**
@@ -564,6 +579,7 @@
     if (processStartMs === this.processStartMs) return;
     const previousStartMs = this.processStartMs;
     this.processStartMs = processStartMs;
+    this.startBackoff.reset();
     this.processedSequence = 0;
     this.acknowledgedSequence = 0;
     this.options.listener.onProcessRestarted(this, previousStartMs);
@@ -660,10 +676,15 @@
       if (listed.has(key)) continue;
       const {commandResponseMs = Infinity, startLeaseUntilMs = Infinity} =
         assigned;
-      if (commandResponseMs <= sentMs)
-        this.dropRun(assigned, 'the worker no longer lists it');
-      else if (report.clockMs > startLeaseUntilMs)
-        this.dropRun(assigned, 'its start commands have lapsed');
+      const isLapsed = report.clockMs > startLeaseUntilMs;
+      if (commandResponseMs > sentMs && !isLapsed) continue;
+      if (isUnstarted(assigned)) this.recordStartFailure(assigned);
+      this.dropRun(
+        assigned,
+        commandResponseMs <= sentMs
+          ? 'the worker no longer lists it'
+          : 'its start commands have lapsed',
+      );
     }
   }
 
@@ -744,10 +765,16 @@
       return;
     }
     if (reason === 'no-room') this.isOutOfCapacity = true;
+    if (WORKER_REFUSALS.has(reason)) this.recordStartFailure(assigned);
     this.options.listener.onStartRefused(this, assigned, reason);
     await this.abandonStart(assigned);
   }
 
+  private recordStartFailure({task}: AssignedRun): void {
+    this.startBackoff.recordFailure();
+    task.unstartedOn.add(this.getId());
+  }
+
   /** Releases a run that has not started, once none of its start commands can take effect. */
   private async abandonStart(assigned: AssignedRun): Promise<void> {
     if (assigned.run.openStarts > 0) {
@@ -900,8 +927,15 @@
   }
 }
 
+/** Checks whether a run of this term was still to be started when it was given up. */
+function isUnstarted({job, task, run}: AssignedRun): boolean {
+  if (run.isConfirmed || run.isAdopted) return false;
+  return !job.isEnded() && !task.isDone;
+}
+
 function confirmRun({job, task, run}: AssignedRun): void {
   run.isConfirmed = true;
   task.hasRun = true;
+  task.unstartedOn.clear();
   job.hasStarted = true;
 }
