Place a filler that would be late under a CPU limit that serving tasks tolerate

Where each worker has serving tasks that the image disturbs, for which its effect was learned too high, beside which it is unknown and over 0.15 of the worker, whose own load leaves no room, or whose worker takes no fillers after a miss, no worker was ever eligible.

Change: a filler whose job would miss its objective if it started now (by the wall clock and the job's record, so a takeover does not start the wait anew) is placed, where no worker takes it at full speed, under the CPU limit that the prediction tolerates. One filler on a worker gets at least the share that cannot cause a missed target. The limit is sent when the start is confirmed and again to each other process. It rises to what the latest response times tolerate; on a miss it falls instead of an eviction.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -585,7 +585,8 @@
     return getWaitingSteps(jobs, job => this.jobTracker.getQueue(job), wallMs);
   }
 
-  private placeTask({waiting, task, worker}: Placement): AssignedRun {
+  private placeTask(placement: Placement): AssignedRun {
+    const {waiting, task, worker, cpuLimitPercent} = placement;
     const {job, occurrence, step} = waiting;
     const {session} = worker;
     const taskName = getTaskName(job, occurrence, step, task);
@@ -595,6 +596,7 @@
       this.allocateRunNumber(step, taskName),
       this.options.clock.getMonotonicMs(),
     );
+    run.cpuLimitPercent = cpuLimitPercent;
     task.runs.push(run);
     const assigned: AssignedRun = {
       job,
--- a/packages/coordination/src/filler_throttler.ts
+++ b/packages/coordination/src/filler_throttler.ts
@@ -6,6 +6,7 @@
   hasResponseTarget,
   MAX_PLANNED_LOAD_INDEX,
 } from './interference_model.js';
+import {getTolerableCpuLimitPercent} from './limited_fillers.js';
 import {AssignedRun, WorkerLoad} from './worker_load.js';
 
 /** An action on one filler: a new CPU limit, or eviction. */
@@ -84,6 +85,7 @@
    */
   decide(load: WorkerLoad, nowMs: number): FillerAction[] {
     const actions = this.chooseActions(load, nowMs);
+    actions.push(...this.confirmCpuLimits(load, actions));
     for (const {kind, assigned} of actions) {
       if (kind !== 'limit') continue;
       this.limitedProcesses.set(assigned.run, assigned.run.workerStartMs);
@@ -91,6 +93,25 @@
     return actions;
   }
 
+  /** Sends the CPU limits with which fillers were placed again to the processes that run them. */
+  private confirmCpuLimits(
+    load: WorkerLoad,
+    actions: readonly FillerAction[],
+  ): FillerAction[] {
+    const acted = new Set(actions.map(({assigned}) => assigned));
+    const confirmed: FillerAction[] = [];
+    for (const assigned of load.getFillerRuns()) {
+      const {run} = assigned;
+      const {cpuLimitPercent} = run;
+      if (cpuLimitPercent === UNLIMITED_PERCENT || acted.has(assigned))
+        continue;
+      if (!run.isConfirmed || run.isStopping) continue;
+      if (this.limitedProcesses.get(run) === run.workerStartMs) continue;
+      confirmed.push({kind: 'limit', assigned, cpuLimitPercent});
+    }
+    return confirmed;
+  }
+
   private chooseActions(load: WorkerLoad, nowMs: number): FillerAction[] {
     const fillers = [...load.getFillerRuns()].filter(
       ({run}) => run.isConfirmed && !run.isStopping,
@@ -98,7 +119,7 @@
     const worst = getWorstServing(load.getServingRuns());
     if (worst === undefined) {
       this.cpuLimitPercent = UNLIMITED_PERCENT;
-      return this.raiseCpuLimit(fillers);
+      return this.raiseCpuLimit(fillers, load);
     }
     const ratio = getTargetRatio(worst);
     this.recordRatio(ratio, nowMs);
@@ -115,23 +136,20 @@
       this.lastAdjustmentMs = nowMs;
       return this.reduceInterference(fillers, worst, load);
     }
-    const mayBeLimited =
-      this.cpuLimitPercent < UNLIMITED_PERCENT ||
-      fillers.some(each => this.isLimitUnknown(each));
-    if (ratio < RECOVERY_RATIO && mayBeLimited) {
-      this.lastAdjustmentMs = nowMs;
-      this.cpuLimitPercent = Math.min(
-        UNLIMITED_PERCENT,
-        this.cpuLimitPercent + INCREASE_PERCENT,
-      );
-      return this.raiseCpuLimit(fillers);
-    }
-    return [];
+    if (ratio >= RECOVERY_RATIO) return [];
+    const wasLimited = this.cpuLimitPercent < UNLIMITED_PERCENT;
+    this.cpuLimitPercent = Math.min(
+      UNLIMITED_PERCENT,
+      this.cpuLimitPercent + INCREASE_PERCENT,
+    );
+    const actions = this.raiseCpuLimit(fillers, load);
+    if (wasLimited || actions.length > 0) this.lastAdjustmentMs = nowMs;
+    return actions;
   }
 
   /**
-   * Evicts fillers that are known to interfere with the serving task, in
-   * descending order of their effect: at least one, and as many as needed until
+   * Evicts fillers that are known to interfere with the serving task, or lowers
+   * the CPU limits that they have, in descending order of their effect: at least one, and as many as needed until
    * its target is expected to be met. Throttles all fillers if none of them is
    * known to interfere.
    */
@@ -141,6 +159,7 @@
     load: WorkerLoad,
   ): FillerAction[] {
     const harmfulFillers = fillers
+      .filter(filler => filler.run.cpuLimitPercent > 0)
       .filter(filler => this.interferenceModel.isHarmfulPair(filler, worst))
       .map(filler => ({
         filler,
@@ -158,7 +177,7 @@
       );
       if (removed.size > 0 && expected <= MAX_PLANNED_LOAD_INDEX) break;
       removed.add(filler);
-      actions.push({kind: 'evict', assigned: filler});
+      actions.push(reduceFiller(filler));
     }
     return actions;
   }
@@ -188,31 +207,50 @@
   }
 
   private lowerCpuLimit(fillers: readonly AssignedRun[]): FillerAction[] {
-    const reducedPercent = this.cpuLimitPercent * DECREASE_FACTOR;
-    this.cpuLimitPercent =
-      reducedPercent < MIN_CPU_LIMIT_PERCENT ? 0 : Math.round(reducedPercent);
-    const {cpuLimitPercent} = this;
+    this.cpuLimitPercent = getReducedPercent(this.cpuLimitPercent);
     return fillers.map(assigned => ({
       kind: 'limit',
       assigned,
-      cpuLimitPercent,
+      cpuLimitPercent: Math.min(
+        this.cpuLimitPercent,
+        assigned.run.cpuLimitPercent,
+      ),
     }));
   }
 
-  private raiseCpuLimit(fillers: readonly AssignedRun[]): FillerAction[] {
+  private raiseCpuLimit(
+    fillers: readonly AssignedRun[],
+    load: WorkerLoad,
+  ): FillerAction[] {
     const actions: FillerAction[] = [];
     for (const assigned of fillers) {
-      const isRaised = assigned.run.cpuLimitPercent >= this.cpuLimitPercent;
-      if (isRaised && !this.isLimitUnknown(assigned)) continue;
-      actions.push({
-        kind: 'limit',
-        assigned,
-        cpuLimitPercent: this.cpuLimitPercent,
-      });
+      const {run} = assigned;
+      const isUnknown = this.isLimitUnknown(assigned);
+      const cpuLimitPercent = this.getRaisedPercent(assigned, load);
+      if (!isUnknown && cpuLimitPercent <= run.cpuLimitPercent) continue;
+      actions.push({kind: 'limit', assigned, cpuLimitPercent});
     }
     return actions;
   }
 
+  /** Gets the limit to which a filler may be raised: at most what its serving tasks tolerate. */
+  private getRaisedPercent(assigned: AssignedRun, load: WorkerLoad): number {
+    const {step, run} = assigned;
+    const {needs, image = ''} = step.spec;
+    const tolerablePercent = getTolerableCpuLimitPercent(
+      {image, cpuMillis: needs.cpuMillis, running: assigned},
+      load,
+      this.interferenceModel,
+    );
+    if (run.isAdopted && this.isLimitUnknown(assigned))
+      return Math.min(this.cpuLimitPercent, tolerablePercent);
+    const raisedPercent = run.cpuLimitPercent + INCREASE_PERCENT;
+    return Math.min(
+      this.cpuLimitPercent,
+      Math.max(run.cpuLimitPercent, Math.min(raisedPercent, tolerablePercent)),
+    );
+  }
+
   /**
    * Checks whether the actual CPU limit of a run may differ from the recorded
    * one: an earlier coordinator may have set it, or another worker process may
@@ -225,6 +263,24 @@
   }
 }
 
+/** Evicts a filler, or lowers its CPU limit further if it has one: it would find no better worker. */
+function reduceFiller(assigned: AssignedRun): FillerAction {
+  const {cpuLimitPercent} = assigned.run;
+  if (cpuLimitPercent === UNLIMITED_PERCENT) return {kind: 'evict', assigned};
+  return {
+    kind: 'limit',
+    assigned,
+    cpuLimitPercent: getReducedPercent(cpuLimitPercent),
+  };
+}
+
+function getReducedPercent(cpuLimitPercent: number): number {
+  const reducedPercent = cpuLimitPercent * DECREASE_FACTOR;
+  return reducedPercent < MIN_CPU_LIMIT_PERCENT
+    ? 0
+    : Math.round(reducedPercent);
+}
+
 /**
  * Gets the ratio of a serving task's latest response time to its target.
  * @param serving - Run of a serving task.
--- a/packages/coordination/src/interference_model.ts
+++ b/packages/coordination/src/interference_model.ts
@@ -39,7 +39,7 @@
 export const MAX_PLANNED_LOAD_INDEX = 0.66;
 
 /** CPU share of a worker's fillers below which they cannot cause a missed target. */
-const NEGLIGIBLE_FILLER_SHARE = 0.02;
+export const NEGLIGIBLE_FILLER_SHARE = 0.02;
 
 /**
  * Time for which reports of a worker are not used for learning after one that
@@ -289,6 +289,57 @@
     return {addedLoadIndex, isTolerable, isHarmless};
   }
 
+  /**
+   * Gets the CPU share of a worker that a filler may use while all serving tasks
+   * are expected to meet their targets. Fillers of unknown effect may use a small
+   * total share.
+   * @param image - Image of the filler.
+   * @param load - Runs of the worker.
+   * @param running - Run of the filler, if it is already on the worker.
+   */
+  getTolerableShare(
+    image: string,
+    load: WorkerLoad,
+    running?: AssignedRun,
+  ): number {
+    const excluded = running === undefined ? NO_RUNS : new Set([running]);
+    const fillers = getFillerShares(load, excluded);
+    const usedShare = running === undefined ? 0 : getShare(running, load);
+    let share = 1;
+    for (const [servingImage, measuredIndex] of getMaxLoadIndexes(load)) {
+      const estimator = this.getEffects(servingImage);
+      if (!estimator.isKnown(image)) {
+        if (!running && !this.canExplore(servingImage, image, load)) return 0;
+        const unknownShare = getUnknownShare(estimator, fillers);
+        share = Math.min(share, MAX_UNKNOWN_SHARE - unknownShare);
+        continue;
+      }
+      const effect = estimator.getEffect(image);
+      if (effect < MIN_HARMFUL_EFFECT) continue;
+      const expectedIndex = this.predictLoadIndex(servingImage, fillers);
+      const currentIndex = Math.max(
+        expectedIndex,
+        measuredIndex - effect * usedShare,
+      );
+      share = Math.min(share, (MAX_PLANNED_LOAD_INDEX - currentIndex) / effect);
+    }
+    return Math.max(0, share);
+  }
+
+  /**
+   * Checks whether a filler image is known not to interfere with the serving tasks of a worker.
+   * @param image - Image of the filler.
+   * @param load - Runs of the worker.
+   */
+  isHarmlessOn(image: string, load: WorkerLoad): boolean {
+    for (const servingImage of load.getServingImages()) {
+      const estimator = this.getEffects(servingImage);
+      if (!estimator.isKnown(image)) return false;
+      if (estimator.getEffect(image) >= MIN_HARMFUL_EFFECT) return false;
+    }
+    return true;
+  }
+
   /**
    * Records the placement of a filler. The worker counts against the limit on
    * exploration workers for each unknown pair of images.
@@ -455,19 +506,22 @@
   load: WorkerLoad,
   excluded: ReadonlySet<AssignedRun> = NO_RUNS,
 ): EffectInput[] {
-  const capacity = load.getCapacity().cpuMillis;
   const shares = new Map<string, number>();
   for (const filler of load.getFillerRuns()) {
     if (excluded.has(filler)) continue;
     const image = getImage(filler);
-    const {needs} = filler.step.spec;
-    const share =
-      (needs.cpuMillis * filler.run.cpuLimitPercent) / 100 / capacity;
+    const share = getShare(filler, load);
     shares.set(image, (shares.get(image) ?? 0) + share);
   }
   return [...shares].map(([name, amount]) => ({name, amount}));
 }
 
+/** Gets the share of the worker's CPU that a filler may use under its CPU limit. */
+function getShare({step, run}: AssignedRun, load: WorkerLoad): number {
+  const limitMillis = (step.spec.needs.cpuMillis * run.cpuLimitPercent) / 100;
+  return limitMillis / load.getCapacity().cpuMillis;
+}
+
 const NO_RUNS: ReadonlySet<AssignedRun> = new Set();
 
 /** Gets the highest measured load index of the serving tasks, by image. */
--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -10,6 +10,7 @@
 } from './worker_ranking.js';
 import {
   createWaitingStep,
+  isLate,
   sortWaitingSteps,
   WaitingStep,
 } from './task_order.js';
@@ -27,6 +28,8 @@
   readonly waiting: WaitingStep;
   readonly task: TaskState;
   readonly worker: PlacementWorker;
+  /** CPU limit from the start of the run, in percent of the task's needs. */
+  readonly cpuLimitPercent: number;
 }
 
 /** Options of a placement pass. */
@@ -105,6 +108,7 @@
   private readonly unplaceableNeeds = new Map<string, UnplaceableNeeds>();
   private readonly placedSteps: PlacedStep[] = [];
   private placementCount = 0;
+  private wallMs = 0;
 
   private constructor(private readonly options: PlacementPassOptions) {}
 
@@ -122,12 +126,13 @@
    * @param wallMs - Wall-clock time.
    */
   run(waiting: readonly WaitingStep[], wallMs: number): void {
+    this.wallMs = wallMs;
     const sorted = sortWaitingSteps(waiting, wallMs);
     for (const each of sorted) this.placeSuspectedTasks(each);
     for (const each of sorted) this.placeInterruptedTasks(each);
     for (const each of sorted) {
       if (this.isLimitReached()) return;
-      const key = getEquivalenceClass(each);
+      const key = this.getEquivalenceClass(each);
       if (this.isKnownToFail(key, each.step)) continue;
       const isPlaced = each.step.spec.isGang
         ? this.placeGang(each)
@@ -173,13 +178,14 @@
       task => isWaitingTask(task) && isSuspected(task),
     );
     if (tasks.length === 0) return;
-    const key = getEquivalenceClass(waiting, true);
+    const key = this.getEquivalenceClass(waiting, true);
     if (this.isKnownToFail(key, step)) return;
     const workers: PlacementWorker[] = [];
     for (const task of tasks) {
-      const worker = this.findTrialWorker(waiting, task);
-      if (worker === undefined) break;
-      this.options.place({waiting, task, worker});
+      const ranking = this.rankForTrial(waiting, task);
+      const worker = ranking?.getBest();
+      if (ranking === undefined || worker === undefined) break;
+      this.placeOnBest(waiting, task, ranking, worker);
       workers.push(worker);
     }
     if (workers.length < tasks.length) this.recordFailure(key, step);
@@ -198,26 +204,35 @@
       task => task.hasRun && isWaitingTask(task) && !isSuspected(task),
     );
     if (tasks.length === 0) return;
-    const key = getEquivalenceClass(waiting);
+    const key = this.getEquivalenceClass(waiting);
     if (this.isKnownToFail(key, step)) return;
     if (!this.placeEach(waiting, tasks)) this.recordFailure(key, step);
   }
 
-  /** Finds a worker for a suspected task, if possible one that has not crashed at its start. */
-  private findTrialWorker(
+  /** Ranks workers for a suspected task, if possible those that have not crashed at its start. */
+  private rankForTrial(
     waiting: WaitingStep,
     {startCrashes}: TaskState,
-  ): PlacementWorker | undefined {
+  ): WorkerRanking<PlacementWorker> | undefined {
     if (!this.canStartTrial(waiting)) return undefined;
     const crashedIds = new Set(startCrashes.map(({workerId}) => workerId));
     const workers = this.getWorkers(waiting);
     const others = workers.filter(
       ({session}) => !crashedIds.has(session.getId()),
     );
-    return (
-      this.rank(waiting, others, true).getBest() ??
-      this.rank(waiting, workers, true).getBest()
-    );
+    const ranking = this.rank(waiting, others, true);
+    if (ranking.getBest() !== undefined) return ranking;
+    return this.rank(waiting, workers, true);
+  }
+
+  private placeOnBest(
+    waiting: WaitingStep,
+    task: TaskState,
+    ranking: WorkerRanking<PlacementWorker>,
+    worker: PlacementWorker,
+  ): AssignedRun {
+    const cpuLimitPercent = ranking.getBestCpuLimitPercent();
+    return this.options.place({waiting, task, worker, cpuLimitPercent});
   }
 
   private getWorkers({queue}: WaitingStep): readonly PlacementWorker[] {
@@ -252,7 +267,7 @@
       const worker = ranking.getBest();
       hasRoom = worker !== undefined;
       if (worker === undefined) break;
-      this.options.place({waiting, task, worker});
+      this.placeOnBest(waiting, task, ranking, worker);
       workers.push(worker);
       ranking.rescoreBest();
     }
@@ -281,7 +296,7 @@
         return false;
       }
       placed.push({
-        assigned: this.options.place({waiting, task, worker}),
+        assigned: this.placeOnBest(waiting, task, ranking, worker),
         worker,
       });
       ranking.rescoreBest();
@@ -294,13 +309,15 @@
   }
 
   private rank(
-    {step}: WaitingStep,
+    waiting: WaitingStep,
     workers: readonly PlacementWorker[],
     isTrial: boolean,
   ): WorkerRanking<PlacementWorker> {
+    const {step} = waiting;
     const request: RankingRequest = {
       step,
       isTrial,
+      canLimitFillers: this.canLimitFillers(waiting),
       interferenceModel: this.options.interferenceModel,
       preferredRack: step.spec.isSameRackPreferred
         ? findRackWithMostFreeCpu(workers)
@@ -309,6 +326,33 @@
     return WorkerRanking.create(request, workers);
   }
 
+  /** A filler that would be late waits no longer for a worker that it does not disturb. */
+  private canLimitFillers(waiting: WaitingStep): boolean {
+    return waiting.step.spec.isFiller && isLate(waiting, this.wallMs);
+  }
+
+  /**
+   * Gets the key that is shared by all steps that fit on the same workers, apart
+   * from their CPU and memory needs. Returns `undefined` for steps with placement
+   * constraints of their own.
+   */
+  private getEquivalenceClass(
+    waiting: WaitingStep,
+    isTrial = false,
+  ): string | undefined {
+    const {spec} = waiting.step;
+    const isConstrained =
+      spec.isGang ||
+      spec.maxPerWorker > 0 ||
+      spec.requiredLabel !== undefined ||
+      spec.needs.accelerators > 0;
+    if (isConstrained) return undefined;
+    const kind = spec.isFiller ? `filler ${spec.image ?? ''}` : 'plain';
+    const limit = this.canLimitFillers(waiting) ? ' limited' : '';
+    const trial = isTrial ? ' trial' : '';
+    return `${waiting.queue.serviceName} ${kind}${limit}${trial}`;
+  }
+
   private isKnownToFail(key: string | undefined, step: StepState): boolean {
     const failed =
       key === undefined ? undefined : this.unplaceableNeeds.get(key);
@@ -324,26 +368,6 @@
   }
 }
 
-/**
- * Gets the key that is shared by all steps that fit on the same workers, apart
- * from their CPU and memory needs. Returns `undefined` for steps with placement
- * constraints of their own.
- */
-function getEquivalenceClass(
-  {step, queue}: WaitingStep,
-  isTrial = false,
-): string | undefined {
-  const {spec} = step;
-  const isConstrained =
-    spec.isGang ||
-    spec.maxPerWorker > 0 ||
-    spec.requiredLabel !== undefined ||
-    spec.needs.accelerators > 0;
-  if (isConstrained) return undefined;
-  const kind = spec.isFiller ? `filler ${spec.image ?? ''}` : 'plain';
-  return `${queue.serviceName} ${kind}${isTrial ? ' trial' : ''}`;
-}
-
 function findRackWithMostFreeCpu(
   workers: readonly PlacementWorker[],
 ): string | undefined {
--- a/packages/coordination/src/task_order.ts
+++ b/packages/coordination/src/task_order.ts
@@ -140,6 +140,15 @@
   return ranked.map(({step}) => step);
 }
 
+/**
+ * Checks whether a job misses its objective even if the step starts now.
+ * @param step - Step with waiting tasks.
+ * @param wallMs - Wall-clock time.
+ */
+export function isLate(step: WaitingStep, wallMs: number): boolean {
+  return getDeadlineStatus(step, wallMs) !== 'in-time';
+}
+
 function getDeadlineStatus(step: WaitingStep, wallMs: number): DeadlineStatus {
   if (step.step.spec.isLongRunning) return 'in-time';
   const expectedEndMs = wallMs + step.remainingCriticalPathMs;
--- a/packages/coordination/src/worker_ranking.ts
+++ b/packages/coordination/src/worker_ranking.ts
@@ -2,6 +2,10 @@
 
 import {StepState} from '@mustardlug/jobs/job_state';
 import {InterferenceModel} from './interference_model.js';
+import {
+  getMinCpuLimitPercent,
+  getTolerableCpuLimitPercent,
+} from './limited_fillers.js';
 import {WorkerLoad} from './worker_load.js';
 
 /** A worker that is eligible for new tasks. */
@@ -21,6 +25,8 @@
   readonly preferredRack?: string;
   /** Whether the tasks are suspected, so that each is tried on a worker that starts nothing else. */
   readonly isTrial?: boolean;
+  /** Whether fillers may also be placed under a CPU limit, if no worker can take them without. */
+  readonly canLimitFillers?: boolean;
 }
 
 /** Score bonus of workers on the rack of the step's data or of its other tasks. */
@@ -41,10 +47,21 @@
  */
 const NO_SERVING_TASK_SCORE = 2;
 
-/** A worker and its score for the tasks of a step. */
-interface RankedWorker<T> {
-  readonly worker: T;
+/** Score, less the CPU limit, of workers that can take a filler only under one: below all others. */
+const LIMITED_FILLER_SCORE = -1_000;
+
+const UNLIMITED_PERCENT = 100;
+
+/** Suitability of a worker for the tasks of a step. */
+interface Suitability {
   readonly score: number;
+  /** CPU limit under which the worker can take a task, in percent of its needs. */
+  readonly cpuLimitPercent: number;
+}
+
+/** A worker and its suitability for the tasks of a step. */
+interface RankedWorker<T> extends Suitability {
+  readonly worker: T;
 }
 
 /**
@@ -68,8 +85,9 @@
   ): WorkerRanking<T> {
     const ranking = new WorkerRanking<T>(request);
     for (const worker of workers) {
-      const score = getScore(request, worker);
-      if (score !== undefined) ranking.ranked.push({worker, score});
+      const suitability = getRankedSuitability(request, worker);
+      if (suitability !== undefined)
+        ranking.ranked.push({worker, ...suitability});
     }
     ranking.ranked.sort((left, right) => left.score - right.score);
     return ranking;
@@ -80,16 +98,20 @@
     return this.ranked.at(-1)?.worker;
   }
 
+  /** Gets the CPU limit under which the best worker can take a task, in percent of its needs. */
+  getBestCpuLimitPercent(): number {
+    return this.ranked.at(-1)?.cpuLimitPercent ?? UNLIMITED_PERCENT;
+  }
+
   /** Recomputes the score of the best worker after a task was placed on it. */
   rescoreBest(): void {
     const best = this.ranked.pop();
     if (best === undefined) return;
-    const score = getScore(this.request, best.worker);
-    if (score === undefined) return;
-    this.ranked.splice(this.findInsertionIndex(score), 0, {
-      worker: best.worker,
-      score,
-    });
+    const {worker} = best;
+    const suitability = getRankedSuitability(this.request, worker);
+    if (suitability === undefined) return;
+    const index = this.findInsertionIndex(suitability.score);
+    this.ranked.splice(index, 0, {worker, ...suitability});
   }
 
   /** Finds the first index whose score is not lower than the given one. */
@@ -105,19 +127,21 @@
   }
 }
 
-/** Gets the score of a worker for the step, or `undefined` if it is not eligible. */
-function getScore(
+/** Gets the suitability of a worker for the step, or `undefined` if it is not eligible. */
+function getRankedSuitability(
   request: RankingRequest,
   worker: CandidateWorker,
-): number | undefined {
+): Suitability | undefined {
   const {step, isTrial = false} = request;
   if (!worker.load.canStartBeside(step, isTrial)) return undefined;
   if (!hasRoomFor(step, worker)) return undefined;
   const suitability = getSuitability(request, worker);
   if (suitability === undefined) return undefined;
   const targetRack = step.spec.dataRack ?? request.preferredRack;
-  const isOnTargetRack = targetRack !== undefined && targetRack === worker.rack;
-  return (isOnTargetRack ? PREFERRED_RACK_SCORE : 0) + suitability;
+  if (targetRack === undefined || targetRack !== worker.rack)
+    return suitability;
+  const score = suitability.score + PREFERRED_RACK_SCORE;
+  return {...suitability, score};
 }
 
 function hasRoomFor(step: StepState, {load, labels}: CandidateWorker): boolean {
@@ -132,24 +156,52 @@
 function getSuitability(
   request: RankingRequest,
   worker: CandidateWorker,
-): number | undefined {
+): Suitability | undefined {
   const {isFiller, isLongRunning, image} = request.step.spec;
   if (isFiller) return getFillerSuitability(request, worker);
-  if (isLongRunning) return getServingSuitability(image ?? '', worker.load);
-  return -getFreeShare(worker.load);
+  const score = isLongRunning
+    ? getServingScore(image ?? '', worker.load)
+    : -getFreeShare(worker.load);
+  return {score, cpuLimitPercent: UNLIMITED_PERCENT};
+}
+
+function getFillerSuitability(
+  request: RankingRequest,
+  worker: CandidateWorker,
+): Suitability | undefined {
+  const {needs} = request.step.spec;
+  if (worker.load.getReclaimableCpuMillis() < needs.cpuMillis) return undefined;
+  const score = getFillerScore(request, worker);
+  if (score !== undefined) return {score, cpuLimitPercent: UNLIMITED_PERCENT};
+  return request.canLimitFillers
+    ? getLimitedFillerSuitability(request, worker)
+    : undefined;
+}
+
+/** Prefers workers on which the filler runs fastest. */
+function getLimitedFillerSuitability(
+  {step, interferenceModel}: RankingRequest,
+  {load, acceptsFillers}: CandidateWorker,
+): Suitability | undefined {
+  const {needs, image = ''} = step.spec;
+  const filler = {image, cpuMillis: needs.cpuMillis};
+  const cpuLimitPercent = acceptsFillers
+    ? getTolerableCpuLimitPercent(filler, load, interferenceModel)
+    : getMinCpuLimitPercent(filler, load, interferenceModel);
+  if (cpuLimitPercent === 0) return undefined;
+  return {score: LIMITED_FILLER_SCORE + cpuLimitPercent, cpuLimitPercent};
 }
 
 /**
  * Prefers workers with much reclaimable CPU and little interference with their
  * serving tasks. Excludes workers where a serving task would miss its target.
  */
-function getFillerSuitability(
+function getFillerScore(
   request: RankingRequest,
   {load, acceptsFillers}: CandidateWorker,
 ): number | undefined {
   const {needs, image} = request.step.spec;
   const reclaimableCpuMillis = load.getReclaimableCpuMillis();
-  if (reclaimableCpuMillis < needs.cpuMillis) return undefined;
   const reclaimableShare = reclaimableCpuMillis / load.getCapacity().cpuMillis;
   if (load.getServingCpuMillis() === 0) return reclaimableShare;
   const {addedLoadIndex, isHarmless, isTolerable} =
@@ -164,7 +216,7 @@
  * that image remain for fillers that interfere with it. Among equal workers the
  * one with the least free CPU is preferred.
  */
-function getServingSuitability(image: string, load: WorkerLoad): number {
+function getServingScore(image: string, load: WorkerLoad): number {
   const images = load.getServingImages();
   const freeShare = getFreeShare(load);
   if (images.size === 0) return NO_SERVING_TASK_SCORE - freeShare;
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -134,6 +134,9 @@
 /** Delay before a stop command without a response is repeated. */
 const STOP_RETRY_MS = 200;
 
+/** CPU limit of a run when it starts. */
+const UNLIMITED_PERCENT = 100;
+
 /** Delay before a CPU limit command without a response is repeated. */
 const CPU_LIMIT_RETRY_MS = 200;
 
@@ -331,6 +334,8 @@
       if (outcome.isOk()) {
         this.recordCommandResponse(assigned);
         confirmRun(assigned);
+        if (run.cpuLimitPercent < UNLIMITED_PERCENT)
+          void this.setRunCpuLimit(assigned, run.cpuLimitPercent);
         return;
       }
       if (!this.shouldStart(assigned, workerStartMs)) return;
