Test of paused fillers that never go on, as a known failure

Beside serving tasks whose response times stay between 0.65 and 0.95 of the target after a miss, a paused filler makes no progress any more (fails on: running after 60 s).

--- a/packages/experiments/test/waiting_fillers.test.ts
+++ b/packages/experiments/test/waiting_fillers.test.ts
@@ -220,14 +220,8 @@
   });
 
   it('if their response times stay between the thresholds after a miss', async () => {
-    const fleet = await ServingFleet.create({ownLoad: 0.7, actualEffect: 0});
-    const firstId = await fleet.submitFiller(2_000, WORKERS, 20_000);
-    await fleet.advanceUntil(() => false, 1_000);
-    fleet.setSlowness(1.3);
-    await fleet.advanceUntil(() => false, 5_000);
-    fleet.setSlowness(1);
-    await fleet.advanceUntil(() => false, 1_000);
-    await fleet.harness.cancel(firstId);
+    const {fleet, pausedJobId} = await createFleetAfterMiss(0);
+    await fleet.harness.cancel(pausedJobId);
     const jobId = await fleet.submitFiller(2_000);
     const isStarted = () => fleet.getStartedTasks(jobId).size > 0;
     await fleet.advanceUntil(isStarted, LATE_LIMIT_MS + START_ALLOWANCE_MS);
@@ -235,6 +229,18 @@
   });
 });
 
+/** Creates a fleet on which fillers are paused and response times stay between the thresholds. */
+async function createFleetAfterMiss(actualEffect: number) {
+  const fleet = await ServingFleet.create({ownLoad: 0.7, actualEffect});
+  const pausedJobId = await fleet.submitFiller(2_000, WORKERS, 5_000);
+  await fleet.advanceUntil(() => false, 1_000);
+  fleet.setSlowness(1.3);
+  await fleet.advanceUntil(() => false, 5_000);
+  fleet.setSlowness(1);
+  fleet.maxOverTargetMs = 0;
+  return {fleet, pausedJobId};
+}
+
 describe('a filler beside serving tasks that it disturbs', () => {
   it('completes without keeping any of them over its target', async () => {
     const fleet = await ServingFleet.create({
@@ -242,13 +248,31 @@
       learnedEffect: 5,
     });
     const jobId = await fleet.submitFiller(4_400, 3);
+    await expectCompletion(fleet, jobId);
+    expect(fleet.maxOverTargetMs).to.be.lessThan(MAX_HARM_MS);
+  });
+
+  it('completes after a pause if response times stay between the thresholds', async () => {
+    const {fleet, pausedJobId} = await createFleetAfterMiss(0);
+    await expectCompletion(fleet, pausedJobId);
+  });
+
+  it('keeps none of them over its target if its smallest share is too much', async () => {
+    const {fleet} = await createFleetAfterMiss(8);
+    await fleet.advanceUntil(() => false, 60_000);
+    expect(fleet.maxOverTargetMs).to.be.lessThan(MAX_HARM_MS);
+  });
+
+  async function expectCompletion(
+    fleet: ServingFleet,
+    jobId: string,
+  ): Promise<void> {
     let phase: string | undefined;
     for (let second = 0; second < 60 && phase !== 'completed'; second++) {
       await fleet.advanceUntil(() => false, 1_000);
       phase = await fleet.harness.getPhase(jobId);
     }
     expect(phase).to.equal('completed');
-    expect(fleet.maxOverTargetMs).to.be.lessThan(MAX_HARM_MS);
     expect(fleet.harness.checker.violations).to.deep.equal([]);
-  });
+  }
 });
