Let paused fillers go on one at a time beside serving tasks without a margin

What callers saw: none reported; fillers that run without any progress.

Cause: the CPU limit of a worker's fillers rose again only below 0.65 of the target. Beside serving tasks that stay between 0.65 and 0.95 after a miss, fillers stayed paused for ever.

Change: 5 s after the last miss one paused filler goes on at the share that cannot cause a missed target. A miss that follows doubles the wait, up to 40 s; a margin resets it.

Evidence: the test failed on (running after 60 s) and passes; another shows that no serving task is over its target for 4 s (harm_ms) where even that share is too much. 154 tests of coordination, filler_takeover, colocation and waiting_fillers pass.

--- a/packages/coordination/src/filler_throttler.ts
+++ b/packages/coordination/src/filler_throttler.ts
@@ -6,7 +6,11 @@
   hasResponseTarget,
   MAX_PLANNED_LOAD_INDEX,
 } from './interference_model.js';
-import {getTolerableCpuLimitPercent} from './limited_fillers.js';
+import {
+  getMinCpuLimitPercent,
+  getTolerableCpuLimitPercent,
+  LimitedFiller,
+} from './limited_fillers.js';
 import {AssignedRun, WorkerLoad} from './worker_load.js';
 
 /** An action on one filler: a new CPU limit, or eviction. */
@@ -48,6 +52,13 @@
  */
 const MAX_MISS_MS = 1_800;
 
+/**
+ * Time without a miss after which one paused filler may go on although the
+ * response times leave no margin. Doubles with each miss that follows, up to the maximum.
+ */
+const MIN_RESUME_INTERVAL_MS = 5_000;
+const MAX_RESUME_INTERVAL_MS = 40_000;
+
 const UNLIMITED_PERCENT = 100;
 
 /** Feedback controller for the CPU limit of one worker's fillers. */
@@ -56,6 +67,8 @@
   private lastAdjustmentMs = -Infinity;
   private lastMissMs = -Infinity;
   private missStartMs: number | undefined;
+  private lastResumeMs = -Infinity;
+  private resumeIntervalMs = MIN_RESUME_INTERVAL_MS;
   /** Start times of the worker processes for which this throttler has set the CPU limit of a run. */
   private readonly limitedProcesses = new WeakMap<TaskRun, number>();
 
@@ -136,7 +149,8 @@
       this.lastAdjustmentMs = nowMs;
       return this.reduceInterference(fillers, worst, load);
     }
-    if (ratio >= RECOVERY_RATIO) return [];
+    if (ratio >= RECOVERY_RATIO) return this.resumeOne(fillers, load, nowMs);
+    this.resumeIntervalMs = MIN_RESUME_INTERVAL_MS;
     const wasLimited = this.cpuLimitPercent < UNLIMITED_PERCENT;
     this.cpuLimitPercent = Math.min(
       UNLIMITED_PERCENT,
@@ -182,11 +196,36 @@
     return actions;
   }
 
+  /** Lets one paused filler go on at a share that cannot cause a missed target. */
+  private resumeOne(
+    fillers: readonly AssignedRun[],
+    load: WorkerLoad,
+    nowMs: number,
+  ): FillerAction[] {
+    const waitedMs = nowMs - Math.max(this.lastMissMs, this.lastResumeMs);
+    if (waitedMs < this.resumeIntervalMs) return [];
+    const paused = fillers.find(({run}) => run.cpuLimitPercent === 0);
+    if (paused === undefined) return [];
+    const cpuLimitPercent = getMinCpuLimitPercent(
+      toLimitedFiller(paused),
+      load,
+      this.interferenceModel,
+    );
+    if (cpuLimitPercent === 0) return [];
+    this.lastAdjustmentMs = nowMs;
+    this.lastResumeMs = nowMs;
+    return [{kind: 'limit', assigned: paused, cpuLimitPercent}];
+  }
+
   private recordRatio(ratio: number, nowMs: number): void {
     if (ratio <= 1) {
       this.missStartMs = undefined;
       return;
     }
+    if (this.lastResumeMs > this.lastMissMs) {
+      const doubledMs = this.resumeIntervalMs * 2;
+      this.resumeIntervalMs = Math.min(MAX_RESUME_INTERVAL_MS, doubledMs);
+    }
     this.lastMissMs = nowMs;
     this.missStartMs ??= nowMs;
   }
@@ -235,10 +274,9 @@
 
   /** Gets the limit to which a filler may be raised: at most what its serving tasks tolerate. */
   private getRaisedPercent(assigned: AssignedRun, load: WorkerLoad): number {
-    const {step, run} = assigned;
-    const {needs, image = ''} = step.spec;
+    const {run} = assigned;
     const tolerablePercent = getTolerableCpuLimitPercent(
-      {image, cpuMillis: needs.cpuMillis, running: assigned},
+      toLimitedFiller(assigned),
       load,
       this.interferenceModel,
     );
@@ -263,6 +301,11 @@
   }
 }
 
+function toLimitedFiller(running: AssignedRun): LimitedFiller {
+  const {needs, image = ''} = running.step.spec;
+  return {image, cpuMillis: needs.cpuMillis, running};
+}
+
 /** Evicts a filler, or lowers its CPU limit further if it has one: it would find no better worker. */
 function reduceFiller(assigned: AssignedRun): FillerAction {
   const {cpuLimitPercent} = assigned.run;
--- a/packages/coordination/src/limited_fillers.ts
+++ b/packages/coordination/src/limited_fillers.ts
@@ -76,6 +76,9 @@
 ): boolean {
   for (const other of load.getFillerRuns()) {
     if (other === running) continue;
+    const isPaused = other.run.cpuLimitPercent === 0;
+    // A worker with paused fillers takes no others, but lets one of them go on.
+    if (isPaused && running !== undefined) continue;
     if (!model.isHarmlessOn(other.step.spec.image ?? '', load)) return true;
   }
   return false;
