Limit late fillers only once they are overdue, and share out the margin once

Slow fillers took the room of others that could still end in time. And several limits were set from one measurement, so that each filler got the whole margin that it shows.

The margin counts the fillers that the measurement lacks.

--- a/packages/coordination/src/filler_throttler.ts
+++ b/packages/coordination/src/filler_throttler.ts
@@ -267,6 +267,8 @@
       const isUnknown = this.isLimitUnknown(assigned);
       const cpuLimitPercent = this.getRaisedPercent(assigned, load);
       if (!isUnknown && cpuLimitPercent <= run.cpuLimitPercent) continue;
+      // The limits of the others depend on it.
+      run.cpuLimitPercent = cpuLimitPercent;
       actions.push({kind: 'limit', assigned, cpuLimitPercent});
     }
     return actions;
--- a/packages/coordination/src/interference_model.ts
+++ b/packages/coordination/src/interference_model.ts
@@ -304,7 +304,7 @@
   ): number {
     const excluded = running === undefined ? NO_RUNS : new Set([running]);
     const fillers = getFillerShares(load, excluded);
-    const usedShare = running === undefined ? 0 : getShare(running, load);
+    const measuredFillers = this.getUsageAverages(load).getAverages();
     let share = 1;
     for (const [servingImage, measuredIndex] of getMaxLoadIndexes(load)) {
       const estimator = this.getEffects(servingImage);
@@ -316,11 +316,12 @@
       }
       const effect = estimator.getEffect(image);
       if (effect < MIN_HARMFUL_EFFECT) continue;
-      const expectedIndex = this.predictLoadIndex(servingImage, fillers);
-      const currentIndex = Math.max(
-        expectedIndex,
-        measuredIndex - effect * usedShare,
+      // The measured index still lacks the fillers that were added or raised just now.
+      const ownIndex = Math.max(
+        this.getBaselineMean(servingImage),
+        measuredIndex - estimator.getCombinedEffect(measuredFillers),
       );
+      const currentIndex = ownIndex + estimator.getCombinedEffect(fillers);
       share = Math.min(share, (MAX_PLANNED_LOAD_INDEX - currentIndex) / effect);
     }
     return Math.max(0, share);
@@ -446,6 +447,10 @@
     return baselineLoad.getMean() + effects.getCombinedEffect(fillers);
   }
 
+  private getBaselineMean(image: string): number {
+    return this.getServingImageModel(image).baselineLoad.getMean();
+  }
+
   private getServingImageModel(image: string): ServingImageModel {
     let model = this.servingImageModels.get(image);
     if (model === undefined) {
--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -10,7 +10,7 @@
 } from './worker_ranking.js';
 import {
   createWaitingStep,
-  isLate,
+  isOverdue,
   sortWaitingSteps,
   WaitingStep,
 } from './task_order.js';
@@ -326,9 +326,9 @@
     return WorkerRanking.create(request, workers);
   }
 
-  /** A filler that would be late waits no longer for a worker that it does not disturb. */
+  /** A filler that is overdue waits no longer for a worker that it does not disturb. */
   private canLimitFillers(waiting: WaitingStep): boolean {
-    return waiting.step.spec.isFiller && isLate(waiting, this.wallMs);
+    return waiting.step.spec.isFiller && isOverdue(waiting, this.wallMs);
   }
 
   /**
--- a/packages/coordination/src/task_order.ts
+++ b/packages/coordination/src/task_order.ts
@@ -26,6 +26,9 @@
 /** Duration that is assumed for tasks without an estimate from the caller. */
 const DEFAULT_TASK_MS = 1_000;
 
+/** Time after which callers may hold a late job for lost, with time to start it before. */
+const MAX_LATE_WAIT_MS = 10_000;
+
 /** How a step is expected to end relative to its objective and late limit; placed in this order. */
 type DeadlineStatus = 'in-time' | 'late' | 'expired';
 
@@ -141,12 +144,15 @@
 }
 
 /**
- * Checks whether a job misses its objective even if the step starts now.
+ * Checks whether a step has waited too long: its job will earn nothing, or it is
+ * late and was due so long ago that callers may hold it for lost.
  * @param step - Step with waiting tasks.
  * @param wallMs - Wall-clock time.
  */
-export function isLate(step: WaitingStep, wallMs: number): boolean {
-  return getDeadlineStatus(step, wallMs) !== 'in-time';
+export function isOverdue(step: WaitingStep, wallMs: number): boolean {
+  const status = getDeadlineStatus(step, wallMs);
+  if (status !== 'late') return status === 'expired';
+  return wallMs - step.job.getDueMs(step.occurrence) > MAX_LATE_WAIT_MS;
 }
 
 function getDeadlineStatus(step: WaitingStep, wallMs: number): DeadlineStatus {
--- a/packages/experiments/test/waiting_fillers.test.ts
+++ b/packages/experiments/test/waiting_fillers.test.ts
@@ -252,6 +252,18 @@
     expect(fleet.maxOverTargetMs).to.be.lessThan(MAX_HARM_MS);
   });
 
+  it('completes without keeping any of them over its target after a takeover', async () => {
+    const fleet = await ServingFleet.create({
+      actualEffect: 5,
+      learnedEffect: 5,
+    });
+    const jobId = await fleet.submitFiller(4_400, 3 * WORKERS);
+    await fleet.advanceUntil(() => false, LATE_LIMIT_MS);
+    fleet.harness.killNode(fleet.harness.getCoordinator()!);
+    await expectCompletion(fleet, jobId);
+    expect(fleet.maxOverTargetMs).to.be.lessThan(MAX_HARM_MS);
+  });
+
   it('completes after a pause if response times stay between the thresholds', async () => {
     const {fleet, pausedJobId} = await createFleetAfterMiss(0);
     await expectCompletion(fleet, pausedJobId);
