Test of fillers that stay paused on a slow worker, as a known failure

Beside serving tasks that miss their targets because their worker is slow, paused fillers stay for ever, though three other workers could run them (fails on: running after 60 s).

--- a/packages/experiments/test/waiting_fillers.test.ts
+++ b/packages/experiments/test/waiting_fillers.test.ts
@@ -269,6 +269,15 @@
     await expectCompletion(fleet, pausedJobId);
   });
 
+  it('completes elsewhere if they are over their target for another reason', async () => {
+    const fleet = await ServingFleet.create({actualEffect: 0});
+    const jobId = await fleet.submitFiller(2_000, 2 * WORKERS, 8_000);
+    await fleet.advanceUntil(() => false, 4_000);
+    const [slow] = fleet.harness.workers.values();
+    slow.behavior.slowness = 2;
+    await expectCompletion(fleet, jobId);
+  });
+
   it('keeps none of them over its target if its smallest share is too much', async () => {
     const {fleet} = await createFleetAfterMiss(8);
     await fleet.advanceUntil(() => false, 60_000);
