Evict a filler that cannot go on where it is paused, so that it can elsewhere

What callers saw: none reported; fillers that hold memory and make no progress.

Cause: on a worker whose serving tasks miss their targets for another reason (it is slow, or a filler effect that no limit removes), all fillers were paused until the response times fall below 0.65 of the target, also while other workers could run them.

Change: where all fillers are paused and one has been for 10 s, it is evicted, one in each adjustment interval. Pausing comes first, so a miss is never prolonged by it.

--- a/packages/coordination/src/filler_throttler.ts
+++ b/packages/coordination/src/filler_throttler.ts
@@ -59,6 +59,9 @@
 const MIN_RESUME_INTERVAL_MS = 5_000;
 const MAX_RESUME_INTERVAL_MS = 40_000;
 
+/** Time after which a paused filler that cannot go on here is evicted, so that it can elsewhere. */
+const MAX_PAUSE_MS = 10_000;
+
 const UNLIMITED_PERCENT = 100;
 
 /** Feedback controller for the CPU limit of one worker's fillers. */
@@ -141,15 +144,22 @@
       if (this.isMissProlonged(nowMs)) {
         this.lastAdjustmentMs = nowMs;
         this.cpuLimitPercent = 0;
-        return this.pause(fillers);
+        const actions = this.pause(fillers);
+        return actions.length > 0 ? actions : this.evictStuck(fillers, nowMs);
       }
+      if (fillers.every(each => this.isPaused(each)))
+        return this.evictStuck(fillers, nowMs);
       // The response time is already falling.
       if (worst.run.usage < worst.run.previousUsage) return [];
       if (fillers.length === 0) return [];
       this.lastAdjustmentMs = nowMs;
       return this.reduceInterference(fillers, worst, load);
     }
-    if (ratio >= RECOVERY_RATIO) return this.resumeOne(fillers, load, nowMs);
+    if (ratio >= RECOVERY_RATIO) {
+      const actions = this.evictStuck(fillers, nowMs);
+      if (actions.length > 0) return actions;
+      return this.resumeOne(fillers, load, nowMs);
+    }
     this.resumeIntervalMs = MIN_RESUME_INTERVAL_MS;
     const wasLimited = this.cpuLimitPercent < UNLIMITED_PERCENT;
     this.cpuLimitPercent = Math.min(
@@ -163,9 +173,9 @@
 
   /**
    * Evicts fillers that are known to interfere with the serving task, or lowers
-   * the CPU limits that they have, in descending order of their effect: at least one, and as many as needed until
-   * its target is expected to be met. Throttles all fillers if none of them is
-   * known to interfere.
+   * the CPU limits that they have, in descending order of their effect: at least
+   * one, and as many as needed until its target is expected to be met. Throttles
+   * all fillers if none of them is known to interfere.
    */
   private reduceInterference(
     fillers: readonly AssignedRun[],
@@ -217,6 +227,25 @@
     return [{kind: 'limit', assigned: paused, cpuLimitPercent}];
   }
 
+  /** Evicts one filler that has been paused for too long, if there is one. */
+  private evictStuck(
+    fillers: readonly AssignedRun[],
+    nowMs: number,
+  ): FillerAction[] {
+    for (const assigned of fillers) {
+      const pausedMs = nowMs - assigned.run.cpuLimitChangedMs;
+      if (!this.isPaused(assigned) || pausedMs <= MAX_PAUSE_MS) continue;
+      this.lastAdjustmentMs = nowMs;
+      return [{kind: 'evict', assigned}];
+    }
+    return [];
+  }
+
+  private isPaused(assigned: AssignedRun): boolean {
+    if (assigned.run.cpuLimitPercent > 0) return false;
+    return !this.isLimitUnknown(assigned);
+  }
+
   private recordRatio(ratio: number, nowMs: number): void {
     if (ratio <= 1) {
       this.missStartMs = undefined;
@@ -238,8 +267,7 @@
   private pause(fillers: readonly AssignedRun[]): FillerAction[] {
     const actions: FillerAction[] = [];
     for (const assigned of fillers) {
-      const isPaused = assigned.run.cpuLimitPercent === 0;
-      if (isPaused && !this.isLimitUnknown(assigned)) continue;
+      if (this.isPaused(assigned)) continue;
       actions.push({kind: 'limit', assigned, cpuLimitPercent: 0});
     }
     return actions;
