--- a/packages/coordination/src/filler_throttler.ts
+++ b/packages/coordination/src/filler_throttler.ts
@@ -6,6 +6,11 @@
   hasResponseTarget,
   MAX_PLANNED_LOAD_INDEX,
 } from './interference_model.js';
+import {
+  getMinCpuLimitPercent,
+  getTolerableCpuLimitPercent,
+  LimitedFiller,
+} from './limited_fillers.js';
 import {AssignedRun, WorkerLoad} from './worker_load.js';
 
 /** An action on one filler: a new CPU limit, or eviction. */
@@ -47,6 +52,16 @@
  */
 const MAX_MISS_MS = 1_800;
 
+/**
+ * Time without a miss after which one paused filler may go on although the
+ * response times leave no margin. Doubles with each miss that follows, up to the maximum.
+ */
+const MIN_RESUME_INTERVAL_MS = 5_000;
+const MAX_RESUME_INTERVAL_MS = 40_000;
+
+/** Time after which a paused filler that cannot go on here is evicted, so that it can elsewhere. */
+const MAX_PAUSE_MS = 10_000;
+
 const UNLIMITED_PERCENT = 100;
 
 /** Feedback controller for the CPU limit of one worker's fillers. */
@@ -55,6 +70,8 @@
   private lastAdjustmentMs = -Infinity;
   private lastMissMs = -Infinity;
   private missStartMs: number | undefined;
+  private lastResumeMs = -Infinity;
+  private resumeIntervalMs = MIN_RESUME_INTERVAL_MS;
   /** Start times of the worker processes for which this throttler has set the CPU limit of a run. */
   private readonly limitedProcesses = new WeakMap<TaskRun, number>();
 
@@ -84,6 +101,7 @@
    */
   decide(load: WorkerLoad, nowMs: number): FillerAction[] {
     const actions = this.chooseActions(load, nowMs);
+    actions.push(...this.confirmCpuLimits(load, actions));
     for (const {kind, assigned} of actions) {
       if (kind !== 'limit') continue;
       this.limitedProcesses.set(assigned.run, assigned.run.workerStartMs);
@@ -91,6 +109,25 @@
     return actions;
   }
 
+  /** Sends the CPU limits with which fillers were placed again to the processes that run them. */
+  private confirmCpuLimits(
+    load: WorkerLoad,
+    actions: readonly FillerAction[],
+  ): FillerAction[] {
+    const acted = new Set(actions.map(({assigned}) => assigned));
+    const confirmed: FillerAction[] = [];
+    for (const assigned of load.getFillerRuns()) {
+      const {run} = assigned;
+      const {cpuLimitPercent} = run;
+      if (cpuLimitPercent === UNLIMITED_PERCENT || acted.has(assigned))
+        continue;
+      if (!run.isConfirmed || run.isStopping) continue;
+      if (this.limitedProcesses.get(run) === run.workerStartMs) continue;
+      confirmed.push({kind: 'limit', assigned, cpuLimitPercent});
+    }
+    return confirmed;
+  }
+
   private chooseActions(load: WorkerLoad, nowMs: number): FillerAction[] {
     const fillers = [...load.getFillerRuns()].filter(
       ({run}) => run.isConfirmed && !run.isStopping,
@@ -98,7 +135,7 @@
     const worst = getWorstServing(load.getServingRuns());
     if (worst === undefined) {
       this.cpuLimitPercent = UNLIMITED_PERCENT;
-      return this.raiseCpuLimit(fillers);
+      return this.raiseCpuLimit(fillers, load);
     }
     const ratio = getTargetRatio(worst);
     this.recordRatio(ratio, nowMs);
@@ -107,33 +144,38 @@
       if (this.isMissProlonged(nowMs)) {
         this.lastAdjustmentMs = nowMs;
         this.cpuLimitPercent = 0;
-        return this.pause(fillers);
+        const actions = this.pause(fillers);
+        return actions.length > 0 ? actions : this.evictStuck(fillers, nowMs);
       }
+      if (fillers.every(each => this.isPaused(each)))
+        return this.evictStuck(fillers, nowMs);
       // The response time is already falling.
       if (worst.run.usage < worst.run.previousUsage) return [];
       if (fillers.length === 0) return [];
       this.lastAdjustmentMs = nowMs;
       return this.reduceInterference(fillers, worst, load);
     }
-    const mayBeLimited =
-      this.cpuLimitPercent < UNLIMITED_PERCENT ||
-      fillers.some(each => this.isLimitUnknown(each));
-    if (ratio < RECOVERY_RATIO && mayBeLimited) {
-      this.lastAdjustmentMs = nowMs;
-      this.cpuLimitPercent = Math.min(
-        UNLIMITED_PERCENT,
-        this.cpuLimitPercent + INCREASE_PERCENT,
-      );
-      return this.raiseCpuLimit(fillers);
+    if (ratio >= RECOVERY_RATIO) {
+      const actions = this.evictStuck(fillers, nowMs);
+      if (actions.length > 0) return actions;
+      return this.resumeOne(fillers, load, nowMs);
     }
-    return [];
+    this.resumeIntervalMs = MIN_RESUME_INTERVAL_MS;
+    const wasLimited = this.cpuLimitPercent < UNLIMITED_PERCENT;
+    this.cpuLimitPercent = Math.min(
+      UNLIMITED_PERCENT,
+      this.cpuLimitPercent + INCREASE_PERCENT,
+    );
+    const actions = this.raiseCpuLimit(fillers, load);
+    if (wasLimited || actions.length > 0) this.lastAdjustmentMs = nowMs;
+    return actions;
   }
 
   /**
-   * Evicts fillers that are known to interfere with the serving task, in
-   * descending order of their effect: at least one, and as many as needed until
-   * its target is expected to be met. Throttles all fillers if none of them is
-   * known to interfere.
+   * Evicts fillers that are known to interfere with the serving task, or lowers
+   * the CPU limits that they have, in descending order of their effect: at least
+   * one, and as many as needed until its target is expected to be met. Throttles
+   * all fillers if none of them is known to interfere.
    */
   private reduceInterference(
     fillers: readonly AssignedRun[],
@@ -141,6 +183,7 @@
     load: WorkerLoad,
   ): FillerAction[] {
     const harmfulFillers = fillers
+      .filter(filler => filler.run.cpuLimitPercent > 0)
       .filter(filler => this.interferenceModel.isHarmfulPair(filler, worst))
       .map(filler => ({
         filler,
@@ -158,16 +201,60 @@
       );
       if (removed.size > 0 && expected <= MAX_PLANNED_LOAD_INDEX) break;
       removed.add(filler);
-      actions.push({kind: 'evict', assigned: filler});
+      actions.push(reduceFiller(filler));
     }
     return actions;
   }
 
+  /** Lets one paused filler go on at a share that cannot cause a missed target. */
+  private resumeOne(
+    fillers: readonly AssignedRun[],
+    load: WorkerLoad,
+    nowMs: number,
+  ): FillerAction[] {
+    const waitedMs = nowMs - Math.max(this.lastMissMs, this.lastResumeMs);
+    if (waitedMs < this.resumeIntervalMs) return [];
+    const paused = fillers.find(({run}) => run.cpuLimitPercent === 0);
+    if (paused === undefined) return [];
+    const cpuLimitPercent = getMinCpuLimitPercent(
+      toLimitedFiller(paused),
+      load,
+      this.interferenceModel,
+    );
+    if (cpuLimitPercent === 0) return [];
+    this.lastAdjustmentMs = nowMs;
+    this.lastResumeMs = nowMs;
+    return [{kind: 'limit', assigned: paused, cpuLimitPercent}];
+  }
+
+  /** Evicts one filler that has been paused for too long, if there is one. */
+  private evictStuck(
+    fillers: readonly AssignedRun[],
+    nowMs: number,
+  ): FillerAction[] {
+    for (const assigned of fillers) {
+      const pausedMs = nowMs - assigned.run.cpuLimitChangedMs;
+      if (!this.isPaused(assigned) || pausedMs <= MAX_PAUSE_MS) continue;
+      this.lastAdjustmentMs = nowMs;
+      return [{kind: 'evict', assigned}];
+    }
+    return [];
+  }
+
+  private isPaused(assigned: AssignedRun): boolean {
+    if (assigned.run.cpuLimitPercent > 0) return false;
+    return !this.isLimitUnknown(assigned);
+  }
+
   private recordRatio(ratio: number, nowMs: number): void {
     if (ratio <= 1) {
       this.missStartMs = undefined;
       return;
     }
+    if (this.lastResumeMs > this.lastMissMs) {
+      const doubledMs = this.resumeIntervalMs * 2;
+      this.resumeIntervalMs = Math.min(MAX_RESUME_INTERVAL_MS, doubledMs);
+    }
     this.lastMissMs = nowMs;
     this.missStartMs ??= nowMs;
   }
@@ -180,39 +267,58 @@
   private pause(fillers: readonly AssignedRun[]): FillerAction[] {
     const actions: FillerAction[] = [];
     for (const assigned of fillers) {
-      const isPaused = assigned.run.cpuLimitPercent === 0;
-      if (isPaused && !this.isLimitUnknown(assigned)) continue;
+      if (this.isPaused(assigned)) continue;
       actions.push({kind: 'limit', assigned, cpuLimitPercent: 0});
     }
     return actions;
   }
 
   private lowerCpuLimit(fillers: readonly AssignedRun[]): FillerAction[] {
-    const reducedPercent = this.cpuLimitPercent * DECREASE_FACTOR;
-    this.cpuLimitPercent =
-      reducedPercent < MIN_CPU_LIMIT_PERCENT ? 0 : Math.round(reducedPercent);
-    const {cpuLimitPercent} = this;
+    this.cpuLimitPercent = getReducedPercent(this.cpuLimitPercent);
     return fillers.map(assigned => ({
       kind: 'limit',
       assigned,
-      cpuLimitPercent,
+      cpuLimitPercent: Math.min(
+        this.cpuLimitPercent,
+        assigned.run.cpuLimitPercent,
+      ),
     }));
   }
 
-  private raiseCpuLimit(fillers: readonly AssignedRun[]): FillerAction[] {
+  private raiseCpuLimit(
+    fillers: readonly AssignedRun[],
+    load: WorkerLoad,
+  ): FillerAction[] {
     const actions: FillerAction[] = [];
     for (const assigned of fillers) {
-      const isRaised = assigned.run.cpuLimitPercent >= this.cpuLimitPercent;
-      if (isRaised && !this.isLimitUnknown(assigned)) continue;
-      actions.push({
-        kind: 'limit',
-        assigned,
-        cpuLimitPercent: this.cpuLimitPercent,
-      });
+      const {run} = assigned;
+      const isUnknown = this.isLimitUnknown(assigned);
+      const cpuLimitPercent = this.getRaisedPercent(assigned, load);
+      if (!isUnknown && cpuLimitPercent <= run.cpuLimitPercent) continue;
+      // The limits of the others depend on it.
+      run.cpuLimitPercent = cpuLimitPercent;
+      actions.push({kind: 'limit', assigned, cpuLimitPercent});
     }
     return actions;
   }
 
+  /** Gets the limit to which a filler may be raised: at most what its serving tasks tolerate. */
+  private getRaisedPercent(assigned: AssignedRun, load: WorkerLoad): number {
+    const {run} = assigned;
+    const tolerablePercent = getTolerableCpuLimitPercent(
+      toLimitedFiller(assigned),
+      load,
+      this.interferenceModel,
+    );
+    if (run.isAdopted && this.isLimitUnknown(assigned))
+      return Math.min(this.cpuLimitPercent, tolerablePercent);
+    const raisedPercent = run.cpuLimitPercent + INCREASE_PERCENT;
+    return Math.min(
+      this.cpuLimitPercent,
+      Math.max(run.cpuLimitPercent, Math.min(raisedPercent, tolerablePercent)),
+    );
+  }
+
   /**
    * Checks whether the actual CPU limit of a run may differ from the recorded
    * one: an earlier coordinator may have set it, or another worker process may
@@ -225,6 +331,29 @@
   }
 }
 
+function toLimitedFiller(running: AssignedRun): LimitedFiller {
+  const {needs, image = ''} = running.step.spec;
+  return {image, cpuMillis: needs.cpuMillis, running};
+}
+
+/** Evicts a filler, or lowers its CPU limit further if it has one: it would find no better worker. */
+function reduceFiller(assigned: AssignedRun): FillerAction {
+  const {cpuLimitPercent} = assigned.run;
+  if (cpuLimitPercent === UNLIMITED_PERCENT) return {kind: 'evict', assigned};
+  return {
+    kind: 'limit',
+    assigned,
+    cpuLimitPercent: getReducedPercent(cpuLimitPercent),
+  };
+}
+
+function getReducedPercent(cpuLimitPercent: number): number {
+  const reducedPercent = cpuLimitPercent * DECREASE_FACTOR;
+  return reducedPercent < MIN_CPU_LIMIT_PERCENT
+    ? 0
+    : Math.round(reducedPercent);
+}
+
 /**
  * Gets the ratio of a serving task's latest response time to its target.
  * @param serving - Run of a serving task.
--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -10,6 +10,7 @@
 } from './worker_ranking.js';
 import {
   createWaitingStep,
+  isOverdue,
   sortWaitingSteps,
   WaitingStep,
 } from './task_order.js';
@@ -27,6 +28,8 @@
   readonly waiting: WaitingStep;
   readonly task: TaskState;
   readonly worker: PlacementWorker;
+  /** CPU limit from the start of the run, in percent of the task's needs. */
+  readonly cpuLimitPercent: number;
 }
 
 /** Options of a placement pass. */
@@ -98,6 +101,16 @@
   return !task.isDone && task.runs.length === 0;
 }
 
+/**
+ * Checks whether tasks of a step may be placed under a CPU limit. A filler that is
+ * overdue waits no longer for a worker that it does not disturb.
+ * @param waiting - Step with waiting tasks.
+ * @param wallMs - Wall-clock time.
+ */
+export function canLimitFillers(waiting: WaitingStep, wallMs: number): boolean {
+  return waiting.step.spec.isFiller && isOverdue(waiting, wallMs);
+}
+
 /** A single pass over all waiting steps, in the order of `sortWaitingSteps`. */
 export class PlacementPass {
   /**
@@ -109,6 +122,7 @@
   /** Workers on which nothing else is started, so that a waiting trial can begin there. */
   private readonly reservedWorkers = new Set<PlacementWorker>();
   private placementCount = 0;
+  private wallMs = 0;
 
   private constructor(private readonly options: PlacementPassOptions) {}
 
@@ -126,12 +140,13 @@
    * @param wallMs - Wall-clock time.
    */
   run(waiting: readonly WaitingStep[], wallMs: number): void {
+    this.wallMs = wallMs;
     const sorted = sortWaitingSteps(waiting, wallMs);
     for (const each of sorted) this.placeSuspectedTasks(each);
     for (const each of sorted) this.placeInterruptedTasks(each);
     for (const each of sorted) {
       if (this.isLimitReached()) return;
-      const key = getEquivalenceClass(each);
+      const key = this.getEquivalenceClass(each);
       if (this.isKnownToFail(key, each.step)) continue;
       const isPlaced = each.step.spec.isGang
         ? this.placeGang(each)
@@ -169,7 +184,7 @@
     const tasks = step.tasks.filter(isWaitingTask);
     const suspectedCount = tasks.filter(isSuspected).length;
     const isTrial = suspectedCount === tasks.length;
-    const key = getEquivalenceClass(waiting, isTrial);
+    const key = this.getEquivalenceClass(waiting, isTrial);
     const failed = this.findFailure(key, step);
     if (failed !== undefined && failed.step !== step)
       obstacles.push(
@@ -210,16 +225,17 @@
       task => isWaitingTask(task) && isSuspected(task),
     );
     if (tasks.length === 0) return;
-    const key = getEquivalenceClass(waiting, true);
+    const key = this.getEquivalenceClass(waiting, true);
     if (this.isKnownToFail(key, step)) return;
     const workers: PlacementWorker[] = [];
     for (const task of tasks) {
-      const worker = this.findTrialWorker(waiting, task);
-      if (worker === undefined) {
+      const ranking = this.rankForTrial(waiting, task);
+      const worker = ranking?.getBest(isAvoidedBy(task));
+      if (ranking === undefined || worker === undefined) {
         this.reserveTrialWorker(waiting, task);
         break;
       }
-      this.options.place({waiting, task, worker});
+      this.placeOnWorker(waiting, task, ranking, worker);
       workers.push(worker);
     }
     if (workers.length < tasks.length) this.recordFailure(key, waiting);
@@ -238,23 +254,32 @@
       task => task.hasRun && isWaitingTask(task) && !isSuspected(task),
     );
     if (tasks.length === 0) return;
-    const key = getEquivalenceClass(waiting);
+    const key = this.getEquivalenceClass(waiting);
     if (this.isKnownToFail(key, step)) return;
     if (!this.placeEach(waiting, tasks)) this.recordFailure(key, waiting);
   }
 
-  /** Finds a worker for a suspected task, if possible one that has not crashed at its start. */
-  private findTrialWorker(
+  /** Ranks workers for a suspected task, if possible those that have not crashed at its start. */
+  private rankForTrial(
     waiting: WaitingStep,
     task: TaskState,
-  ): PlacementWorker | undefined {
+  ): WorkerRanking<PlacementWorker> | undefined {
     if (!this.canStartTrial(waiting)) return undefined;
     const workers = this.getWorkers(waiting);
     const others = getUncrashedWorkers(workers, task);
-    return (
-      this.rank(waiting, others, true).getBest(isAvoidedBy(task)) ??
-      this.rank(waiting, workers, true).getBest(isAvoidedBy(task))
-    );
+    const ranking = this.rank(waiting, others, true);
+    if (ranking.getBest() !== undefined) return ranking;
+    return this.rank(waiting, workers, true);
+  }
+
+  private placeOnWorker(
+    waiting: WaitingStep,
+    task: TaskState,
+    ranking: WorkerRanking<PlacementWorker>,
+    worker: PlacementWorker,
+  ): AssignedRun {
+    const cpuLimitPercent = ranking.getCpuLimitPercent(worker);
+    return this.options.place({waiting, task, worker, cpuLimitPercent});
   }
 
   /**
@@ -322,7 +347,7 @@
       const worker = ranking.getBest(isAvoidedBy(task));
       hasRoom = worker !== undefined;
       if (worker === undefined) break;
-      this.options.place({waiting, task, worker});
+      this.placeOnWorker(waiting, task, ranking, worker);
       workers.push(worker);
       ranking.rescore(worker);
     }
@@ -351,7 +376,7 @@
         return false;
       }
       placed.push({
-        assigned: this.options.place({waiting, task, worker}),
+        assigned: this.placeOnWorker(waiting, task, ranking, worker),
         worker,
       });
       ranking.rescore(worker);
@@ -364,13 +389,15 @@
   }
 
   private rank(
-    {step}: WaitingStep,
+    waiting: WaitingStep,
     workers: readonly PlacementWorker[],
     isTrial: boolean,
   ): WorkerRanking<PlacementWorker> {
+    const {step} = waiting;
     const request: RankingRequest = {
       step,
       isTrial,
+      canLimitFillers: canLimitFillers(waiting, this.wallMs),
       interferenceModel: this.options.interferenceModel,
       preferredRack: step.spec.isSameRackPreferred
         ? findRackWithMostFreeCpu(workers)
@@ -382,6 +409,28 @@
     return WorkerRanking.create(request, unreserved);
   }
 
+  /**
+   * Gets the key that is shared by all steps that fit on the same workers, apart
+   * from their CPU and memory needs. Returns `undefined` for steps with placement
+   * constraints of their own.
+   */
+  private getEquivalenceClass(
+    waiting: WaitingStep,
+    isTrial = false,
+  ): string | undefined {
+    const {spec} = waiting.step;
+    const isConstrained =
+      spec.isGang ||
+      spec.maxPerWorker > 0 ||
+      spec.requiredLabel !== undefined ||
+      spec.needs.accelerators > 0;
+    if (isConstrained) return undefined;
+    const kind = spec.isFiller ? `filler ${spec.image ?? ''}` : 'plain';
+    const limit = canLimitFillers(waiting, this.wallMs) ? ' limited' : '';
+    const trial = isTrial ? ' trial' : '';
+    return `${waiting.queue.serviceName} ${kind}${limit}${trial}`;
+  }
+
   private isKnownToFail(key: string | undefined, step: StepState): boolean {
     return this.findFailure(key, step) !== undefined;
   }
@@ -407,26 +456,6 @@
   }
 }
 
-/**
- * Gets the key that is shared by all steps that fit on the same workers, apart
- * from their CPU and memory needs. Returns `undefined` for steps with placement
- * constraints of their own.
- */
-function getEquivalenceClass(
-  {step, queue}: WaitingStep,
-  isTrial = false,
-): string | undefined {
-  const {spec} = step;
-  const isConstrained =
-    spec.isGang ||
-    spec.maxPerWorker > 0 ||
-    spec.requiredLabel !== undefined ||
-    spec.needs.accelerators > 0;
-  if (isConstrained) return undefined;
-  const kind = spec.isFiller ? `filler ${spec.image ?? ''}` : 'plain';
-  return `${queue.serviceName} ${kind}${isTrial ? ' trial' : ''}`;
-}
-
 /** Selects the workers that have not started a task when they were to. */
 function isAvoidedBy({unstartedOn}: TaskState) {
   return ({session}: PlacementWorker) => unstartedOn.has(session.getId());
--- a/packages/coordination/src/wait_explanation.ts
+++ b/packages/coordination/src/wait_explanation.ts
@@ -1,9 +1,17 @@
 /** Explains why the tasks of a step are waiting, with the functions that place them. */
 
 import {hasSuspectedTask, isSuspected} from './start_crashes.js';
-import {isWaitingTask, PlacementPass} from './placement_pass.js';
+import {
+  canLimitFillers,
+  isWaitingTask,
+  PlacementPass,
+} from './placement_pass.js';
 import {getDeadlineStatus, WaitingStep} from './task_order.js';
-import {assessWorker, CandidateExclusion} from './worker_ranking.js';
+import {
+  assessWorker,
+  CandidateExclusion,
+  RankingRequest,
+} from './worker_ranking.js';
 import {UnusableReason, WorkerSupervisor} from './worker_supervisor.js';
 import {WorkerSession} from './worker_session.js';
 
@@ -58,14 +66,23 @@
  */
 export function countVerdicts(
   waiting: WaitingStep,
-  inputs: Pick<WaitExplanationInputs, 'supervisor' | 'sessions' | 'nowMs'>,
+  inputs: Pick<
+    WaitExplanationInputs,
+    'supervisor' | 'sessions' | 'nowMs' | 'wallMs'
+  >,
 ): Map<WorkerVerdict, number> {
-  const {supervisor, sessions, nowMs} = inputs;
+  const {supervisor, sessions, nowMs, wallMs} = inputs;
   const {step, queue} = waiting;
   const isTrial = step.spec.isGang
     ? hasSuspectedTask(step)
     : step.tasks.filter(isWaitingTask).every(isSuspected);
   const interferenceModel = supervisor.getInterferenceModel();
+  const request: RankingRequest = {
+    step,
+    isTrial,
+    canLimitFillers: canLimitFillers(waiting, wallMs),
+    interferenceModel,
+  };
   const counts = new Map<WorkerVerdict, number>();
   for (const session of sessions) {
     if (session.getRecord().serviceName !== queue.serviceName) continue;
@@ -74,8 +91,8 @@
     if (typeof worker === 'string') {
       verdict = worker;
     } else {
-      const score = assessWorker({step, isTrial, interferenceModel}, worker);
-      if (typeof score === 'string') verdict = score;
+      const suitability = assessWorker(request, worker);
+      if (typeof suitability === 'string') verdict = suitability;
     }
     counts.set(verdict, (counts.get(verdict) ?? 0) + 1);
   }
--- a/packages/coordination/src/worker_ranking.ts
+++ b/packages/coordination/src/worker_ranking.ts
@@ -2,6 +2,10 @@
 
 import {StepState} from '@mustardlug/jobs/job_state';
 import {FillerIntolerance, InterferenceModel} from './interference_model.js';
+import {
+  getMinCpuLimitPercent,
+  getTolerableCpuLimitPercent,
+} from './limited_fillers.js';
 import {Shortage, WorkerLoad} from './worker_load.js';
 
 /** A worker that is eligible for new tasks. */
@@ -21,6 +25,8 @@
   readonly preferredRack?: string;
   /** Whether the tasks are suspected, so that each is tried on a worker that starts nothing else. */
   readonly isTrial?: boolean;
+  /** Whether fillers may also be placed under a CPU limit, if no worker can take them without. */
+  readonly canLimitFillers?: boolean;
 }
 
 /** Why a candidate worker is not eligible for a task of a step. */
@@ -51,10 +57,21 @@
  */
 const NO_SERVING_TASK_SCORE = 2;
 
-/** A worker and its score for the tasks of a step. */
-interface RankedWorker<T> {
-  readonly worker: T;
+/** Score, less the CPU limit, of workers that can take a filler only under one: below all others. */
+const LIMITED_FILLER_SCORE = -1_000;
+
+const UNLIMITED_PERCENT = 100;
+
+/** Suitability of a worker for the tasks of a step. */
+export interface Suitability {
   readonly score: number;
+  /** CPU limit under which the worker can take a task, in percent of its needs. */
+  readonly cpuLimitPercent: number;
+}
+
+/** A worker and its suitability for the tasks of a step. */
+interface RankedWorker<T> extends Suitability {
+  readonly worker: T;
 }
 
 /**
@@ -78,8 +95,9 @@
   ): WorkerRanking<T> {
     const ranking = new WorkerRanking<T>(request);
     for (const worker of workers) {
-      const score = assessWorker(request, worker);
-      if (typeof score === 'number') ranking.ranked.push({worker, score});
+      const suitability = assessWorker(request, worker);
+      if (typeof suitability !== 'string')
+        ranking.ranked.push({worker, ...suitability});
     }
     ranking.ranked.sort((left, right) => left.score - right.score);
     return ranking;
@@ -94,6 +112,15 @@
     return (best ?? this.ranked.at(-1))?.worker;
   }
 
+  /**
+   * Gets the CPU limit under which a worker can take a task, in percent of its needs.
+   * @param worker - Worker that `getBest` returned.
+   */
+  getCpuLimitPercent(worker: T): number {
+    const found = this.ranked.findLast(each => each.worker === worker);
+    return found?.cpuLimitPercent ?? UNLIMITED_PERCENT;
+  }
+
   /**
    * Recomputes the score of a worker after a task was placed on it.
    * @param worker - Worker that `getBest` returned.
@@ -102,9 +129,10 @@
     const index = this.ranked.findLastIndex(each => each.worker === worker);
     if (index < 0) return;
     this.ranked.splice(index, 1);
-    const score = assessWorker(this.request, worker);
-    if (typeof score !== 'number') return;
-    this.ranked.splice(this.findInsertionIndex(score), 0, {worker, score});
+    const suitability = assessWorker(this.request, worker);
+    if (typeof suitability === 'string') return;
+    const newIndex = this.findInsertionIndex(suitability.score);
+    this.ranked.splice(newIndex, 0, {worker, ...suitability});
   }
 
   /** Finds the first index whose score is not lower than the given one. */
@@ -121,24 +149,26 @@
 }
 
 /**
- * Gets the score of a worker for the tasks of a step, or the first reason why it
- * is not eligible.
+ * Gets the suitability of a worker for the tasks of a step, or the first reason
+ * why it is not eligible.
  * @param request - Step of the tasks.
  * @param worker - Worker of the step's service.
  */
 export function assessWorker(
   request: RankingRequest,
   worker: CandidateWorker,
-): number | CandidateExclusion {
+): Suitability | CandidateExclusion {
   const {step, isTrial = false} = request;
   if (!worker.load.canStartBeside(step, isTrial)) return 'trial';
   const obstacle = findRoomObstacle(step, worker);
   if (obstacle !== undefined) return obstacle;
   const suitability = getSuitability(request, worker);
-  if (typeof suitability !== 'number') return suitability;
+  if (typeof suitability === 'string') return suitability;
   const targetRack = step.spec.dataRack ?? request.preferredRack;
-  const isOnTargetRack = targetRack !== undefined && targetRack === worker.rack;
-  return (isOnTargetRack ? PREFERRED_RACK_SCORE : 0) + suitability;
+  if (targetRack === undefined || targetRack !== worker.rack)
+    return suitability;
+  const score = suitability.score + PREFERRED_RACK_SCORE;
+  return {...suitability, score};
 }
 
 function findRoomObstacle(
@@ -156,25 +186,55 @@
 function getSuitability(
   request: RankingRequest,
   worker: CandidateWorker,
-): number | CandidateExclusion {
+): Suitability | CandidateExclusion {
   const {isFiller, isLongRunning, image} = request.step.spec;
   if (isFiller) return getFillerSuitability(request, worker);
-  if (isLongRunning) return getServingSuitability(image ?? '', worker.load);
-  return -getFreeShare(worker.load);
+  const score = isLongRunning
+    ? getServingScore(image ?? '', worker.load)
+    : -getFreeShare(worker.load);
+  return {score, cpuLimitPercent: UNLIMITED_PERCENT};
+}
+
+function getFillerSuitability(
+  request: RankingRequest,
+  worker: CandidateWorker,
+): Suitability | CandidateExclusion {
+  const {needs} = request.step.spec;
+  if (worker.load.getReclaimableCpuMillis() < needs.cpuMillis)
+    return 'filler-no-reclaimable-cpu';
+  const score = getFillerScore(request, worker);
+  if (typeof score === 'number')
+    return {score, cpuLimitPercent: UNLIMITED_PERCENT};
+  const limited = request.canLimitFillers
+    ? getLimitedFillerSuitability(request, worker)
+    : undefined;
+  return limited ?? score;
+}
+
+/** Prefers workers on which the filler runs fastest. */
+function getLimitedFillerSuitability(
+  {step, interferenceModel}: RankingRequest,
+  {load, acceptsFillers}: CandidateWorker,
+): Suitability | undefined {
+  const {needs, image = ''} = step.spec;
+  const filler = {image, cpuMillis: needs.cpuMillis};
+  const cpuLimitPercent = acceptsFillers
+    ? getTolerableCpuLimitPercent(filler, load, interferenceModel)
+    : getMinCpuLimitPercent(filler, load, interferenceModel);
+  if (cpuLimitPercent === 0) return undefined;
+  return {score: LIMITED_FILLER_SCORE + cpuLimitPercent, cpuLimitPercent};
 }
 
 /**
  * Prefers workers with much reclaimable CPU and little interference with their
  * serving tasks. Excludes workers where a serving task would miss its target.
  */
-function getFillerSuitability(
+function getFillerScore(
   request: RankingRequest,
   {load, acceptsFillers}: CandidateWorker,
 ): number | CandidateExclusion {
   const {needs, image} = request.step.spec;
   const reclaimableCpuMillis = load.getReclaimableCpuMillis();
-  if (reclaimableCpuMillis < needs.cpuMillis)
-    return 'filler-no-reclaimable-cpu';
   const reclaimableShare = reclaimableCpuMillis / load.getCapacity().cpuMillis;
   if (load.getServingCpuMillis() === 0) return reclaimableShare;
   const {addedLoadIndex, isHarmless, intolerance} =
@@ -190,7 +250,7 @@
  * that image remain for fillers that interfere with it. Among equal workers the
  * one with the least free CPU is preferred.
  */
-function getServingSuitability(image: string, load: WorkerLoad): number {
+function getServingScore(image: string, load: WorkerLoad): number {
   const images = load.getServingImages();
   const freeShare = getFreeShare(load);
   if (images.size === 0) return NO_SERVING_TASK_SCORE - freeShare;
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -164,6 +164,9 @@
 /** Delay before a stop command without a response is repeated. */
 const STOP_RETRY_MS = 200;
 
+/** CPU limit of a run when it starts. */
+const UNLIMITED_PERCENT = 100;
+
 /** Delay before a CPU limit command without a response is repeated. */
 const CPU_LIMIT_RETRY_MS = 200;
 
@@ -408,6 +411,8 @@
         this.recordCommandResponse(assigned);
         confirmRun(assigned);
         this.startBackoff.reset();
+        if (run.cpuLimitPercent < UNLIMITED_PERCENT)
+          void this.setRunCpuLimit(assigned, run.cpuLimitPercent);
         return;
       }
       if (!this.shouldStart(assigned, workerStartMs)) return;
--- a/packages/coordination/test/worker_ranking.test.ts
+++ b/packages/coordination/test/worker_ranking.test.ts
@@ -55,7 +55,7 @@
       const excessive = {...needs, [field]: 999_999};
       expect(assess({needs: excessive}, worker)).to.equal(shortage);
     }
-    expect(assess({needs}, worker)).to.be.a('number');
+    expect(assess({needs}, worker)).to.have.property('score');
     expect(assess({requiredLabel: 'fast'}, worker)).to.equal('label');
     const {step, task} = addTestRun(load, {maxPerWorker: 1});
     const request = {step, interferenceModel: InterferenceModel.create()};
