Place one task of an overdue filler job beyond the CPU of a full fleet

Filler jobs accepted at 4.7 and 17.1 s never got a run until the end at 129 s, while 57 filler jobs that were accepted later did, with under half of the declared capacity in use.

Cause: work that can earn nothing any more is placed after all other work. Fillers are counted against the CPU that other tasks leave, so on workers that are slow for long, younger fillers take all of it as it becomes free, for as long as they keep arriving.

Change: at the end of a pass, an overdue filler job without any run gets one task on the worker whose CPU is overcommitted least, under the lowest CPU limit. Where it would disturb serving tasks beside other fillers, it is not placed.

Evidence: two tests in waiting_fillers.test.ts, "a filler job without any run starts although other fillers take all CPU"; both failed before (no run within 6.7 s and 25 s).

--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -153,6 +153,7 @@
         : this.placeTasks(each);
       if (!isPlaced) this.recordFailure(key, each);
     }
+    for (const each of sorted) this.placeNeglectedFiller(each);
   }
 
   /** Checks whether tasks may be left waiting because of `maxPlacements`. */
@@ -355,6 +356,27 @@
     return hasRoom;
   }
 
+  /**
+   * Places one task of an overdue filler job that has no run, also where other
+   * fillers have taken all CPU. Overdue jobs come last, so that on a full fleet
+   * they would wait for as long as others arrive.
+   */
+  private placeNeglectedFiller(waiting: WaitingStep): void {
+    const {job, step} = waiting;
+    if (this.isLimitReached() || step.spec.isGang || job.hasRuns()) return;
+    if (!canLimitFillers(waiting, this.wallMs)) return;
+    const task = step.tasks.find(
+      each => isWaitingTask(each) && !isSuspected(each),
+    );
+    if (task === undefined) return;
+    const workers = this.getWorkers(waiting);
+    const ranking = this.rank(waiting, workers, false, true);
+    const worker = ranking.getBest(isAvoidedBy(task));
+    if (worker === undefined) return;
+    this.placeOnWorker(waiting, task, ranking, worker);
+    this.recordPlacedStep(waiting, [worker]);
+  }
+
   /**
    * Places all tasks of a gang or none of them, as they can only run together.
    * Returns `false` if the gang did not fit.
@@ -392,12 +414,14 @@
     waiting: WaitingStep,
     workers: readonly PlacementWorker[],
     isTrial: boolean,
+    canOvercommitFillers = false,
   ): WorkerRanking<PlacementWorker> {
     const {step} = waiting;
     const request: RankingRequest = {
       step,
       isTrial,
       canLimitFillers: canLimitFillers(waiting, this.wallMs),
+      canOvercommitFillers,
       interferenceModel: this.options.interferenceModel,
       preferredRack: step.spec.isSameRackPreferred
         ? findRackWithMostFreeCpu(workers)
--- a/packages/coordination/src/worker_ranking.ts
+++ b/packages/coordination/src/worker_ranking.ts
@@ -27,6 +27,8 @@
   readonly isTrial?: boolean;
   /** Whether fillers may also be placed under a CPU limit, if no worker can take them without. */
   readonly canLimitFillers?: boolean;
+  /** Whether a filler may also be placed, under the lowest CPU limit, where others have taken all CPU. */
+  readonly canOvercommitFillers?: boolean;
 }
 
 /** Why a candidate worker is not eligible for a task of a step. */
@@ -60,6 +62,9 @@
 /** Score, less the CPU limit, of workers that can take a filler only under one: below all others. */
 const LIMITED_FILLER_SCORE = -1_000;
 
+/** Score of workers that can take a filler only beyond their CPU: below all others. */
+const OVERCOMMITTED_SCORE = -2_000;
+
 const UNLIMITED_PERCENT = 100;
 
 /** Suitability of a worker for the tasks of a step. */
@@ -200,8 +205,12 @@
   worker: CandidateWorker,
 ): Suitability | CandidateExclusion {
   const {needs} = request.step.spec;
-  if (worker.load.getReclaimableCpuMillis() < needs.cpuMillis)
-    return 'filler-no-reclaimable-cpu';
+  if (worker.load.getReclaimableCpuMillis() < needs.cpuMillis) {
+    const overcommitted = request.canOvercommitFillers
+      ? getOvercommittedSuitability(request, worker)
+      : undefined;
+    return overcommitted ?? 'filler-no-reclaimable-cpu';
+  }
   const score = getFillerScore(request, worker);
   if (typeof score === 'number')
     return {score, cpuLimitPercent: UNLIMITED_PERCENT};
@@ -211,6 +220,24 @@
   return limited ?? score;
 }
 
+/** Prefers workers whose CPU is overcommitted least. */
+function getOvercommittedSuitability(
+  {step, interferenceModel}: RankingRequest,
+  {load}: CandidateWorker,
+): Suitability | undefined {
+  const {needs, image = ''} = step.spec;
+  const filler = {image, cpuMillis: needs.cpuMillis};
+  const cpuLimitPercent = getMinCpuLimitPercent(
+    filler,
+    load,
+    interferenceModel,
+  );
+  if (cpuLimitPercent === 0) return undefined;
+  const reclaimableShare =
+    load.getReclaimableCpuMillis() / load.getCapacity().cpuMillis;
+  return {score: OVERCOMMITTED_SCORE + reclaimableShare, cpuLimitPercent};
+}
+
 /** Prefers workers on which the filler runs fastest. */
 function getLimitedFillerSuitability(
   {step, interferenceModel}: RankingRequest,
--- a/packages/experiments/test/waiting_fillers.test.ts
+++ b/packages/experiments/test/waiting_fillers.test.ts
@@ -229,6 +229,34 @@
   });
 });
 
+describe('a filler job without any run starts although other fillers take all CPU', () => {
+  /** Creates a fleet whose reclaimable CPU is taken for a minute. */
+  async function createFullFleet(): Promise<ServingFleet> {
+    const fleet = await ServingFleet.create({
+      actualEffect: 0,
+      learnedEffect: 0,
+    });
+    await fleet.submitFiller(4_400, 5 * WORKERS, 60_000);
+    await fleet.advanceUntil(() => false, START_ALLOWANCE_MS);
+    return fleet;
+  }
+
+  it('once it is overdue', async () => {
+    const fleet = await createFullFleet();
+    const jobId = await fleet.submitFiller(4_400, 3);
+    const isStarted = () => fleet.getStartedTasks(jobId).size > 0;
+    await fleet.advanceUntil(isStarted, LATE_LIMIT_MS + START_ALLOWANCE_MS);
+    expect(isStarted()).to.equal(true);
+  });
+
+  it('with one task at a time', async () => {
+    const fleet = await createFullFleet();
+    const jobId = await fleet.submitFiller(4_400, 3, 5_000);
+    await fleet.advanceUntil(() => false, 25_000);
+    expect(fleet.getStartedTasks(jobId).size).to.equal(1);
+  });
+});
+
 /** Creates a fleet on which fillers are paused and response times stay between the thresholds. */
 async function createFleetAfterMiss(actualEffect: number) {
   const fleet = await ServingFleet.create({ownLoad: 0.7, actualEffect});
