Mend five findings of a review of the stored bounds of leases

A reviewer who had not seen the work found no run of a task twice, and these faults, each shown by a test or a mutation of his:

A worker that was cut for 2 s while the store stopped responding for 6 s lost its runs 4.15 s into the outage; before the bounds they survived. Leases were suspended although neither the bound nor its removal could be stored. Now they are not suspended while the last confirmed write is over 1 s old. 2. A successor gave up runs by a bound that had passed already at its first failed renewal, when other workers of the same loss still counted as responding, and attributed the loss to the task on trial. Now not before the session has been silent for 1 s. 3. A single lost first renewal suspended leases: its time limit is 500 ms, above the 300 ms of FIRST_RESPONSE_TIMEOUT_MS. The bound of a worker without a session was forgotten before its removal was stored; a session that was created meanwhile granted leases. No run of a task twice was found by this, but the promise was broken. 5.

Besides, a renewal grants nothing once the term is not confirmed, which only the spacing of renewals had prevented for a paused coordinator, and a worker with suspended leases is asked every 100 ms instead of every 20 ms.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -120,6 +120,12 @@
  */
 const MAX_REGISTRATION_AGE_MS = 2_500;
 
+/**
+ * Time without a confirmed write after which no leases are suspended, as they
+ * could be resumed only when the store responds again.
+ */
+const STORE_RESPONSE_TIMEOUT_MS = 1_000;
+
 /** Interval of the `fleet-load` event. */
 const LOAD_LOG_INTERVAL_MS = 2_000;
 
@@ -201,6 +207,7 @@
       maxLeaseMs: options.maxLeaseMs,
       isTermConfirmed: () => this.checkTerm(),
       areRegistrationsCurrent: () => this.areRegistrationsCurrent(),
+      isStoreResponding: () => this.isStoreResponding(),
       previousTermTimeoutMs: ISOLATION_TIMEOUT_MS,
       startWindow: this.startWindow,
       leaseBounds: this.leaseBounds,
@@ -551,11 +558,18 @@
   private releaseLeaseBound(session: WorkerSession): void {
     const suspension = session.getLeaseSuspension();
     if (suspension === undefined) return;
-    this.leaseBounds.remove(session.getId());
+    this.removeLeaseBound(session.getId());
     this.writer.deferUntilStored(() => session.resumeLeases(suspension));
     this.schedulePass();
   }
 
+  private removeLeaseBound(workerId: string): void {
+    this.leaseBounds.remove(workerId);
+    this.writer.deferUntilStored(() =>
+      this.leaseBounds.forgetRemoved(workerId),
+    );
+  }
+
   /** Removes the bounds of workers that have no more runs. */
   private removeObsoleteLeaseBounds(): void {
     for (const workerId of this.leaseBounds.getWorkerIds()) {
@@ -565,7 +579,7 @@
         session === undefined &&
         !this.workerPool.hasOrphanedRuns(workerId)
       )
-        this.leaseBounds.remove(workerId);
+        this.removeLeaseBound(workerId);
     }
   }
 
@@ -794,12 +808,19 @@
     return ageMs < MAX_REGISTRATION_AGE_MS;
   }
 
+  private isStoreResponding(): boolean {
+    return this.getUnconfirmedMs() < STORE_RESPONSE_TIMEOUT_MS;
+  }
+
   /** Without access to the store, this node cannot know whether another one has taken over. */
   private isIsolated(): boolean {
+    return this.getUnconfirmedMs() > ISOLATION_TIMEOUT_MS;
+  }
+
+  /** Gets the time since the last write to the store that was confirmed was sent. */
+  private getUnconfirmedMs(): number {
     const {commitLog, clock} = this.options;
-    const unconfirmedMs =
-      clock.getMonotonicMs() - commitLog.getLastConfirmedSendMs();
-    return unconfirmedMs > ISOLATION_TIMEOUT_MS;
+    return clock.getMonotonicMs() - commitLog.getLastConfirmedSendMs();
   }
 }
 
--- a/packages/coordination/src/lease_bounds.ts
+++ b/packages/coordination/src/lease_bounds.ts
@@ -29,6 +29,8 @@
   /** Time of the store by which all leases of a worker have expired, by worker ID. */
   private readonly leaseEndsStoreMs = new Map<string, number>();
   private readonly changedWorkerIds = new Set<string>();
+  /** Workers whose bound is known until its removal is stored. */
+  private readonly removedWorkerIds = new Set<string>();
 
   private constructor(
     private readonly clock: Clock,
@@ -58,9 +60,11 @@
     }
   }
 
-  /** Gets the workers that have a bound. */
+  /** Gets the workers that have a bound which is not being removed. */
   getWorkerIds(): string[] {
-    return [...this.leaseEndsStoreMs.keys()];
+    return [...this.leaseEndsStoreMs.keys()].filter(
+      workerId => !this.removedWorkerIds.has(workerId),
+    );
   }
 
   /**
@@ -86,16 +90,30 @@
     if (storeMs === undefined) return;
     const remainingMs = leaseEndMs - this.clock.getMonotonicMs();
     this.leaseEndsStoreMs.set(workerId, Math.ceil(storeMs + remainingMs));
+    this.removedWorkerIds.delete(workerId);
     this.changedWorkerIds.add(workerId);
   }
 
   /**
-   * Removes the bound of a worker.
+   * Removes the stored bound of a worker, which is known until `forgetRemoved` is
+   * called.
    * @param workerId - Identifier of the worker.
    */
   remove(workerId: string): void {
-    if (this.leaseEndsStoreMs.delete(workerId))
-      this.changedWorkerIds.add(workerId);
+    if (!this.leaseEndsStoreMs.has(workerId)) return;
+    if (this.removedWorkerIds.has(workerId)) return;
+    this.removedWorkerIds.add(workerId);
+    this.changedWorkerIds.add(workerId);
+  }
+
+  /**
+   * Forgets the bound of a worker if it was removed. Must be called only when the
+   * removal is stored.
+   * @param workerId - Identifier of the worker.
+   */
+  forgetRemoved(workerId: string): void {
+    if (this.removedWorkerIds.delete(workerId))
+      this.leaseEndsStoreMs.delete(workerId);
   }
 
   /** Checks whether any change is not stored yet. */
@@ -110,7 +128,7 @@
     for (const key of this.changedWorkerIds) {
       const address = {table: LEASE_BOUND_TABLE, part: COORDINATOR_PART, key};
       const leaseEndStoreMs = this.leaseEndsStoreMs.get(key);
-      if (leaseEndStoreMs === undefined) {
+      if (leaseEndStoreMs === undefined || this.removedWorkerIds.has(key)) {
         removals.push(address);
         continue;
       }
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -40,6 +40,8 @@
   readonly isTermConfirmed: () => boolean;
   /** Checks whether the registrations are recent enough to start runs. */
   readonly areRegistrationsCurrent: () => boolean;
+  /** Checks whether the store responds, so that bounds of leases can be stored and removed. */
+  readonly isStoreResponding: () => boolean;
   /** How long an earlier coordinator may keep issuing commands. */
   readonly previousTermTimeoutMs: number;
   /** Start commands in progress to all workers. */
@@ -202,6 +204,7 @@
       maxLeaseMs: this.options.maxLeaseMs,
       isTermConfirmed: this.options.isTermConfirmed,
       areRegistrationsCurrent: this.options.areRegistrationsCurrent,
+      isStoreResponding: this.options.isStoreResponding,
       previousTermTimeoutMs: this.options.previousTermTimeoutMs,
       startWindow: this.options.startWindow,
       leaseBoundMs: this.options.leaseBounds.getLeaseEndMs(record.workerId),
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -101,6 +101,8 @@
   readonly isTermConfirmed: () => boolean;
   /** Checks whether the registrations are recent enough to start runs. */
   readonly areRegistrationsCurrent: () => boolean;
+  /** Checks whether the store responds, so that bounds of leases can be stored and removed. */
+  readonly isStoreResponding: () => boolean;
   /** How long an earlier coordinator may grant leases before the worker accepts this term. */
   readonly previousTermTimeoutMs: number;
   /** Start commands in progress to all workers. */
@@ -127,6 +129,9 @@
 /** Maximum pause between two renewals of a process that falls behind; well below the lease. */
 const MAX_RENEWAL_INTERVAL_MS = 400;
 
+/** Pause between two renewals while no leases are granted, and so also the delay until they are again. */
+const SUSPENDED_RENEWAL_INTERVAL_MS = 100;
+
 /** Delay before a failed renewal is repeated. */
 const RENEWAL_RETRY_MS = 150;
 
@@ -147,10 +152,11 @@
 const UNRESPONSIVE_TIMEOUT_MS = 1_500;
 
 /**
- * Time without a first response after which leases are suspended. Short, as none
- * has been granted in this term, and the term may be short as well.
+ * Time without a first response after which leases are suspended, and runs given
+ * up by a stored bound. Exceeds the time limit of one renewal, so that a single
+ * lost call is no silence; short, as the term may be short as well.
  */
-const FIRST_RESPONSE_TIMEOUT_MS = 300;
+const FIRST_RESPONSE_TIMEOUT_MS = 1_000;
 
 /**
  * Start commands without confirmation after which the run is stopped, so that a
@@ -520,7 +526,8 @@
     const isReportOnly =
       this.workerClock === undefined ||
       this.hasLastRenewalFailed ||
-      this.areLeasesSuspended;
+      this.areLeasesSuspended ||
+      !this.options.isTermConfirmed();
     const outcome = await client.renewLease({
       worker: this.record,
       fencingToken,
@@ -696,11 +703,19 @@
   private dropExpiredRuns(): void {
     if (this.options.clock.getMonotonicMs() < this.leaseEndMs) return;
     if (!this.hasLastRenewalFailed || this.load.getRunCount() === 0) return;
+    // By then the other workers have responded, or are known to be silent as well.
+    if (this.getSilenceMs() < FIRST_RESPONSE_TIMEOUT_MS) return;
     this.reportLoss();
     for (const assigned of [...this.load.getRuns()])
       this.dropRun(assigned, 'its lease expired');
   }
 
+  /** Gets the time since the last response, or since the session was created. */
+  private getSilenceMs(): number {
+    const sinceMs = this.hasResponded ? this.lastResponseMs : this.createdMs;
+    return this.options.clock.getMonotonicMs() - sinceMs;
+  }
+
   /**
    * Grants no more leases to a worker that does not respond, so that the expiry of
    * the last one can be stored for a successor.
@@ -708,14 +723,11 @@
   private suspendLeases(): void {
     if (this.areLeasesSuspended || !this.hasLastRenewalFailed) return;
     if (this.load.getRunCount() === 0) return;
-    const {clock} = this.options;
-    const silentSinceMs = this.hasResponded
-      ? this.lastResponseMs
-      : this.createdMs;
+    if (!this.options.isStoreResponding()) return;
     const timeoutMs = this.hasResponded
       ? UNRESPONSIVE_TIMEOUT_MS
       : FIRST_RESPONSE_TIMEOUT_MS;
-    if (clock.getMonotonicMs() - silentSinceMs < timeoutMs) return;
+    if (this.getSilenceMs() < timeoutMs) return;
     this.areLeasesSuspended = true;
     this.suspensionCount++;
     this.options.listener.onLeasesSuspended(this, this.leaseEndMs);
@@ -919,6 +931,8 @@
   private waitForNextRenewal(isRenewed: boolean): Promise<void> {
     const {clock} = this.options;
     if (!isRenewed) return clock.sleep(RENEWAL_RETRY_MS);
+    if (this.areLeasesSuspended)
+      return clock.sleep(SUSPENDED_RENEWAL_INTERVAL_MS);
     if (this.processedSequence <= this.acknowledgedSequence)
       return clock.sleep(this.getRenewalIntervalMs());
     return new Promise(resolve => {
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -84,6 +84,7 @@
     maxLeaseMs: 10_000,
     isTermConfirmed: () => true,
     areRegistrationsCurrent: () => true,
+    isStoreResponding: () => true,
     previousTermTimeoutMs: 0,
     startWindow: StartWindow.create(clock),
     leaseBounds: LeaseBounds.create(clock, createTestCommitLog(clock)),
