--- a/packages/experiments/src/scheduler_harness.ts
+++ b/packages/experiments/src/scheduler_harness.ts
@@ -141,9 +141,12 @@
     this.stepHook = hook;
   }
 
-  /** Adds a worker that has just booted. */
-  addWorker(workerId: string, rack: string): WorkerModel {
-    const size = this.options.size ?? DEFAULT_SIZE;
+  /** Adds a worker that has just booted; it has the size of the others by default. */
+  addWorker(
+    workerId: string,
+    rack: string,
+    size: WorkerCapacity = this.options.size ?? DEFAULT_SIZE,
+  ): WorkerModel {
     const bootId = `boot-${++this.startedCount}`;
     const previous = this.models.get(workerId);
     if (previous !== undefined) this.removedModels.push(previous);
@@ -162,7 +165,9 @@
         state: 'live',
         host: 'none',
         port: 1,
-        ...size,
+        cores: size.cores,
+        memoryMb: size.memoryMb,
+        accelerators: size.accelerators,
       },
     ];
     this.publishMembership();
@@ -190,7 +195,7 @@
     this.models.delete(workerId);
     this.clock.setTimer(REBOOT_MS, () => {
       const isRemoved = !this.vms.some(({id}) => id === workerId);
-      if (!isRemoved) this.addWorker(workerId, vm.rack);
+      if (!isRemoved) this.addWorker(workerId, vm.rack, vm);
     });
   }
 
--- a/packages/scheduling/test/gone_worker_tracker.test.ts
+++ b/packages/scheduling/test/gone_worker_tracker.test.ts
@@ -46,4 +46,15 @@
     await checkFor(CONFIRMATION_MS, {isBound: false, isListed: true});
     expect(await checkFor(CHECK_INTERVAL_MS)).to.equal(false);
   });
+
+  it('confirms a worker although the list cannot be read again and again', async () => {
+    const outageMs = 10_000;
+    let isGone = false;
+    for (let ms = 0; ms < 2 * CONFIRMATION_MS; ms += 2 * outageMs) {
+      isGone ||= await checkFor(outageMs);
+      await clock.advance(outageMs);
+      expect(tracker.getGoneWorkers(['w'], () => false)).to.deep.equal([]);
+    }
+    expect(isGone).to.equal(true);
+  });
 });
