Return every row from reads by key of the table in memory

Callers saw: the operators' lists of tasks and usage miss rows against the stand-in platform if there are more than a page of them (1,000).

Cause: getRows cut its pages by revision, as getChanges must so that the rows of one transaction stay together. By key, rows of the page that were newer than its last row were dropped, and no later page has them.

Change: pages by key are cut by their limit.

Evidence: of six rows in pages of two, the newest first by key, five were returned; now six (memory_table.test.ts). The schedulers read by revision alone (TaskCache, JobReconciler), so no task was lost to it.

--- a/packages/standins/src/memory_table.ts
+++ b/packages/standins/src/memory_table.ts
@@ -110,7 +110,11 @@
     const matching = this.getRowsByPrefix(query.prefix)
       .filter(row => row.key > afterKey)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
-    return ok(this.createPage(matching, query.limit));
+    return ok({
+      rows: matching.slice(0, query.limit),
+      revision: this.revision,
+      hasMore: matching.length > query.limit,
+    });
   }
 
   override async getChanges(
@@ -119,7 +123,7 @@
     await this.simulateDelay();
     if (this.faults.isOutage) return err(createNoResponseError(false));
     this.counts.reads++;
-    return ok(this.createPage(this.getChangedRows(query), query.limit));
+    return ok(this.createChangePage(this.getChangedRows(query), query.limit));
   }
 
   /**
@@ -147,7 +151,7 @@
     return changed;
   }
 
-  private createPage(rows: readonly TableRow[], limit: number): RowPage {
+  private createChangePage(rows: readonly TableRow[], limit: number): RowPage {
     const page = rows.slice(0, limit);
     const hasMore = rows.length > limit;
     const last = page[page.length - 1];
