Count the absence of a worker on through outages of the VM list

Callers saw: tasks of a VM that the platform has removed stay bound as long as the list fails for 5 s at least once in 65 s.

Cause: the time since which a worker is missing was forgotten whenever the latest list was older than 5 s, so that the wait of 65 s (list lag and task lease) started anew with each outage.

Change: the time is kept; the worker counts as gone only on a list that is up to date and was read 65 s after the first one that missed it. The time is kept by boot of the worker, no longer by worker.

Why no task runs twice: the first absence is noted when a task is bound to the boot, so the boot existed by then; a list read more than the lag later that misses it shows that the platform has stopped the VM, whatever happened in between. A VM that is created anew under the id has another boot id, whose time starts with the first task bound to it; before, tasks that another scheduler bound to the new VM could be released at once by one whose list was older (test of two boots).

--- a/packages/scheduling/src/gone_worker_tracker.ts
+++ b/packages/scheduling/src/gone_worker_tracker.ts
@@ -2,8 +2,10 @@
  * Detects workers on which no attempt can be running any more.
  *
  * The platform lists a VM until the VM has stopped. A worker counts as gone
- * once it has been missing from up-to-date lists for the maximum list
- * staleness plus the duration of the task lease.
+ * once an up-to-date list misses it that was read the maximum list staleness
+ * plus the duration of the task lease after the first one that missed it.
+ * Whether the list could be read in between does not matter: a boot that tasks
+ * are bound to was listed before, and a stopped one does not return.
  */
 
 import {Clock} from '@mustardlug/base/clock';
@@ -12,7 +14,7 @@
 /** Age above which the VM list is too old to conclude that a missing VM is gone. */
 const MAX_LIST_AGE_MS = 5_000;
 
-/** Tracks how long workers have been missing from the VM list. */
+/** Tracks how long boots of workers have been missing from the VM list. */
 export class GoneWorkerTracker {
   private readonly unlistedSinceMs = new Map<string, number>();
   private lastReadMs = -Infinity;
@@ -37,39 +39,36 @@
   }
 
   /**
-   * Gets the workers that are confirmed to be gone.
-   * @param workerIds - Workers that tasks are bound to.
-   * @param isListed - Whether the latest list contains a worker.
+   * Gets the boots of workers that are confirmed to be gone.
+   * @param bootKeys - Boots that tasks are bound to.
+   * @param isListed - Whether the latest list contains the worker of a boot.
    */
   getGoneWorkers(
-    workerIds: readonly string[],
-    isListed: (workerId: string) => boolean,
+    bootKeys: readonly string[],
+    isListed: (bootKey: string) => boolean,
   ): string[] {
     const nowMs = this.clock.getMonotonicMs();
-    if (nowMs - this.lastReadMs > MAX_LIST_AGE_MS) {
-      this.unlistedSinceMs.clear();
-      return [];
-    }
-    this.forgetWorkersExcept(new Set(workerIds));
-    return workerIds.filter(workerId =>
-      this.isGone(workerId, isListed(workerId), nowMs),
+    if (nowMs - this.lastReadMs > MAX_LIST_AGE_MS) return [];
+    this.forgetBootsExcept(new Set(bootKeys));
+    return bootKeys.filter(bootKey =>
+      this.isGone(bootKey, isListed(bootKey), nowMs),
     );
   }
 
-  /** A worker without bound tasks is not checked, so that it may be listed again meanwhile. */
-  private forgetWorkersExcept(workerIds: ReadonlySet<string>): void {
-    for (const workerId of this.unlistedSinceMs.keys()) {
-      if (!workerIds.has(workerId)) this.unlistedSinceMs.delete(workerId);
+  /** A boot without bound tasks is not checked, so that it may be listed again meanwhile. */
+  private forgetBootsExcept(bootKeys: ReadonlySet<string>): void {
+    for (const bootKey of this.unlistedSinceMs.keys()) {
+      if (!bootKeys.has(bootKey)) this.unlistedSinceMs.delete(bootKey);
     }
   }
 
-  private isGone(workerId: string, isListed: boolean, nowMs: number): boolean {
+  private isGone(bootKey: string, isListed: boolean, nowMs: number): boolean {
     if (isListed) {
-      this.unlistedSinceMs.delete(workerId);
+      this.unlistedSinceMs.delete(bootKey);
       return false;
     }
-    const sinceMs = this.unlistedSinceMs.get(workerId) ?? nowMs;
-    this.unlistedSinceMs.set(workerId, sinceMs);
-    return nowMs - sinceMs >= this.confirmationMs;
+    const sinceMs = this.unlistedSinceMs.get(bootKey) ?? nowMs;
+    this.unlistedSinceMs.set(bootKey, sinceMs);
+    return this.lastReadMs - sinceMs >= this.confirmationMs;
   }
 }
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -1270,19 +1270,37 @@
   }
 
   private unbindFromGoneWorkers(): void {
+    const boots = this.getBoundBoots();
     const gone = this.goneWorkers.getGoneWorkers(
-      this.cache.getBoundWorkerIds(),
-      workerId => this.fleet.getVm(workerId) !== undefined,
+      [...boots.keys()],
+      bootKey =>
+        this.fleet.getVm(boots.get(bootKey)?.workerId ?? '') !== undefined,
     );
-    for (const workerId of gone) {
-      for (const taskId of this.cache.getBoundTaskIds(workerId)) {
-        const task = this.cache.getTask(taskId);
-        if (task === undefined || task.isWriting) continue;
+    for (const bootKey of gone) {
+      const {workerId, tasks} = boots.get(bootKey) ?? NO_BOOT;
+      for (const task of tasks) {
+        if (task.isWriting) continue;
         void this.commitUnbind(task, `worker ${workerId} is gone`);
       }
     }
   }
 
+  /**
+   * Gets the boots of workers that tasks are bound to, by key. A VM that is
+   * created anew under the id of a gone one runs the tasks of another boot.
+   */
+  private getBoundBoots(): Map<string, BoundBoot> {
+    const boots = new Map<string, BoundBoot>();
+    for (const task of this.cache.getBoundTasks()) {
+      const {workerId = '', bootId = ''} = task.record;
+      const bootKey = `${workerId}/${bootId}`;
+      const boot = boots.get(bootKey);
+      if (boot === undefined) boots.set(bootKey, {workerId, tasks: [task]});
+      else boot.tasks.push(task);
+    }
+    return boots;
+  }
+
   private scheduleRepeating(
     name: string,
     intervalMs: number,
@@ -1305,6 +1323,14 @@
   readonly untilMs: number;
 }
 
+/** A boot of a worker, with the tasks that are bound to it. */
+interface BoundBoot {
+  readonly workerId: string;
+  readonly tasks: CachedTask[];
+}
+
+const NO_BOOT: BoundBoot = {workerId: '', tasks: []};
+
 interface EligibleTasks {
   /** Tasks that this scheduler is preferred for, service replicas and urgent tasks. */
   readonly primary: readonly PendingTask[];
--- a/packages/scheduling/test/gone_worker_tracker.test.ts
+++ b/packages/scheduling/test/gone_worker_tracker.test.ts
@@ -19,13 +19,13 @@
   /** Checks a worker for a time, and returns whether it counts as gone at the end. */
   async function checkFor(
     durationMs: number,
-    {isBound = true, isListed = false} = {},
+    {isBound = true, isListed = false, bootKey = 'w'} = {},
   ): Promise<boolean> {
     let gone: string[] = [];
     for (let ms = 0; ms < durationMs; ms += CHECK_INTERVAL_MS) {
       await clock.advance(CHECK_INTERVAL_MS);
       tracker.recordListRead();
-      gone = tracker.getGoneWorkers(isBound ? ['w'] : [], () => isListed);
+      gone = tracker.getGoneWorkers(isBound ? [bootKey] : [], () => isListed);
     }
     return gone.length > 0;
   }
@@ -57,4 +57,11 @@
     }
     expect(isGone).to.equal(true);
   });
+
+  it('counts from the first task that is bound to a new boot of a gone worker', async () => {
+    await checkFor(CONFIRMATION_MS - CHECK_INTERVAL_MS);
+    const bootKey = 'w/2';
+    expect(await checkFor(CONFIRMATION_MS, {bootKey})).to.equal(false);
+    expect(await checkFor(CHECK_INTERVAL_MS, {bootKey})).to.equal(true);
+  });
 });
