Continue the absence of removed workers across restarts of schedulers

Callers saw: tasks bound to a VM that the platform has removed wait as long as the schedulers of the domain restart more often than each 65 s.

Cause: each scheduler counted the 65 s from the first list that it read itself; what the ones before it had seen was lost with them.

Change: for how long the boot of a worker has been missing is stored in a row (absence/DOMAIN/WORKER/BOOT), each second if it has become longer; a scheduler that sees the boot missing continues the stored time. Durations are stored, not times, since there is no common clock: each was measured by one monotonic clock after the one that it continues, so the sum is a lower bound of the real time. The first scheduler deletes rows that no task needs.

Why no task runs twice: nothing is released before the boot has been missing for 65 s of observed time, the same bound as before; only who observed it no longer matters. Test: a worker that runs on although it is off the list, against the platform's promise, a scheduler that renews its lease from a stale list for 5 s, one that is paused for 40 s, and one that is killed each 7 s: no duplicate, and all tasks are released.

Not covered: lives shorter than the interval of a second between two writes.

--- a/packages/experiments/src/scheduler_harness.ts
+++ b/packages/experiments/src/scheduler_harness.ts
@@ -184,6 +184,12 @@
     this.publishMembership();
   }
 
+  /** Removes a worker from the VM list although it has not stopped, against the promise of the platform. */
+  unlistWorker(workerId: string): void {
+    this.vms = this.vms.filter(vm => vm.id !== workerId);
+    this.publishMembership();
+  }
+
   /** Crashes a worker, which stays on the VM list and boots again. */
   crashWorker(workerId: string): void {
     const model = this.models.get(workerId);
@@ -407,7 +413,8 @@
     return [...this.removedModels, ...this.models.values()];
   }
 
-  private publishMembership(): void {
+  /** Gives the current VM list to all schedulers. */
+  publishMembership(): void {
     const liveNodeIds = this.nodes
       .filter(node => !node.isDead)
       .map(node => node.id);
--- a/packages/experiments/test/waiting_tasks.test.ts
+++ b/packages/experiments/test/waiting_tasks.test.ts
@@ -320,4 +320,47 @@
       expectDone(harness, 'reports');
     }
   });
+
+  it('of a worker off the list does not run twice beside stale, paused and restarting schedulers', async () => {
+    for (const seed of SEEDS) {
+      const harness = SchedulerHarness.create({
+        seed,
+        schedulers: 3,
+        workers: 3,
+        document: createDocument({}),
+      });
+      await harness.clock.advance(10_000);
+      harness.submitJob(createJob(24, {expectedRunMs: 300_000}));
+      await harness.clock.advance(5_000);
+      const stale = harness.vms;
+      const [restarting, paused, behind] = harness.nodes;
+      for (const node of [restarting, paused])
+        node.workerClient.faults.unreachableWorkers.add('worker-1');
+      paused.clock.suspend();
+      harness.unlistWorker('worker-1');
+      const schedulers = harness.nodes.map(({id}) => id);
+      behind.scheduler.setVms(stale, schedulers);
+      behind.leases.setWorkers(
+        stale.map(({id, host, port}) => ({workerId: id, host, port})),
+      );
+      let node = restarting;
+      for (let ms = 0; ms < RELEASE_LIMIT_MS; ms += 1_000) {
+        await harness.clock.advance(1_000);
+        expect(harness.getDuplicateRuns(), `${ms} ms`).to.deep.equal([]);
+        if (ms === 4_000) harness.publishMembership();
+        if (ms === 40_000) paused.clock.resume();
+        if (ms > 4_000 && ms % 7_000 === 0) {
+          harness.killNode(node);
+          node = harness.addNode();
+        }
+      }
+      const bound = harness
+        .getTasks()
+        .filter(
+          ({state, workerId}) => state === 'bound' && workerId === 'worker-1',
+        );
+      expect(bound).to.deep.equal([]);
+      expect(harness.getRepeatedStarts()).to.deep.equal([]);
+    }
+  });
 });
--- a/packages/scheduling/src/gone_worker_tracker.ts
+++ b/packages/scheduling/src/gone_worker_tracker.ts
@@ -55,6 +55,35 @@
     );
   }
 
+  /** Gets the boots that the latest list misses, among those that were asked for last. */
+  getMissingBoots(): string[] {
+    return [...this.unlistedSinceMs.keys()];
+  }
+
+  /**
+   * Gets the time from the first list that missed a boot to the latest one.
+   * @param bootKey - Boot of a worker.
+   * @returns `undefined` if the boot is not missing.
+   */
+  getAbsentMs(bootKey: string): number | undefined {
+    const sinceMs = this.unlistedSinceMs.get(bootKey);
+    if (sinceMs === undefined) return undefined;
+    return Math.max(0, this.lastReadMs - sinceMs);
+  }
+
+  /**
+   * Continues the absence of a boot that another process has seen missing, if
+   * the boot is missing now.
+   * @param bootKey - Boot of a worker.
+   * @param absentMs - Time for which it was missing.
+   */
+  continueAbsence(bootKey: string, absentMs: number): void {
+    const sinceMs = this.unlistedSinceMs.get(bootKey);
+    if (sinceMs === undefined) return;
+    const earlierMs = this.clock.getMonotonicMs() - absentMs;
+    this.unlistedSinceMs.set(bootKey, Math.min(sinceMs, earlierMs));
+  }
+
   /** A boot without bound tasks is not checked, so that it may be listed again meanwhile. */
   private forgetBootsExcept(bootKeys: ReadonlySet<string>): void {
     for (const bootKey of this.unlistedSinceMs.keys()) {
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -24,6 +24,7 @@
   WorkerClient,
   WorkerCommand,
 } from '@mustardlug/platform/worker_client';
+import {ABSENCE_STORE_INTERVAL_MS, AbsenceRecords} from './absence_records.js';
 import {
   createAttemptStart,
   isBoundTo,
@@ -156,6 +157,7 @@
   private readonly fleet: Fleet;
   private readonly jobReconciler: JobReconciler;
   private readonly goneWorkers: GoneWorkerTracker;
+  private readonly absences: AbsenceRecords;
   private readonly purger: TaskPurger;
   private readonly interferenceMonitor: InterferenceMonitor;
   private readonly starts: StartTracker;
@@ -194,6 +196,7 @@
     const {schedulerId, failureDomain, clock, listLagMs} = options;
     this.fleet = Fleet.create(schedulerId, failureDomain);
     this.goneWorkers = GoneWorkerTracker.create(clock, listLagMs);
+    this.absences = AbsenceRecords.create(options, this.goneWorkers);
     this.interferenceMonitor = InterferenceMonitor.create(clock);
     this.starts = StartTracker.create(clock);
     this.crashes = CrashAttributor.create(clock, this.starts, taskId => {
@@ -228,6 +231,9 @@
       this.jobReconciler.refresh(),
     );
     this.scheduleRepeating('purge', PURGE_INTERVAL_MS, () => this.purge());
+    this.scheduleRepeating('absences', ABSENCE_STORE_INTERVAL_MS, () =>
+      this.absences.exchange(),
+    );
     this.scheduleRepeating('steal', STEAL_INTERVAL_MS, () => this.stealTasks());
   }
 
@@ -1251,15 +1257,32 @@
 
   /**
    * Drops old ended tasks from the cache; only the first scheduler of the
-   * domain removes their rows.
+   * domain removes their rows and those of absences.
    */
   private async purge(): Promise<void> {
-    if (this.fleet.isFirstScheduler()) await this.purger.purge();
+    if (this.fleet.isFirstScheduler()) {
+      await this.purger.purge();
+      await this.purgeAbsences();
+    }
     this.cache.removeEndedBefore(
       this.options.clock.getWallMs() - 2 * ENDED_TASK_RETENTION_MS,
     );
   }
 
+  private async purgeAbsences(): Promise<void> {
+    const refreshed = await this.cache.refresh();
+    if (refreshed.isErr()) return;
+    const boots = this.getBoundBoots();
+    await this.absences.purge(bootKey => {
+      const boot = boots.get(bootKey);
+      return boot !== undefined && this.isUnlisted(boot.workerId);
+    });
+  }
+
+  private isUnlisted(workerId: string): boolean {
+    return this.fleet.getVm(workerId) === undefined;
+  }
+
   private async stealTasks(): Promise<void> {
     if (this.cache.getPendingTasks().length > 0) return;
     const usable = this.getUsableViews();
@@ -1273,8 +1296,7 @@
     const boots = this.getBoundBoots();
     const gone = this.goneWorkers.getGoneWorkers(
       [...boots.keys()],
-      bootKey =>
-        this.fleet.getVm(boots.get(bootKey)?.workerId ?? '') !== undefined,
+      bootKey => !this.isUnlisted(boots.get(bootKey)?.workerId ?? ''),
     );
     for (const bootKey of gone) {
       const {workerId, tasks} = boots.get(bootKey) ?? NO_BOOT;
