Bind no task in advance where services leave it no room

Callers saw: tasks that are bound for good and never start, while most workers are free.

Cause: a task that finds no room is bound in advance to a worker that could hold it if it were empty. Services do not end, so beside a service of 7 of 8 cores a task of 4 waits for ever, and nothing moves it.

Change: what counts is the room that services leave. A task that is bound already, by this scheduler or one before it, is released once services leave it no room; the worker is told first not to start the attempt, as with every release, so a late start command has no effect.

--- a/packages/scheduling/src/attempt_records.ts
+++ b/packages/scheduling/src/attempt_records.ts
@@ -22,23 +22,6 @@
   );
 }
 
-/**
- * Checks whether a task fits within the total capacity of a worker.
- * @param record - Record of the task.
- * @param view - Worker to check.
- */
-export function fitsOnEmptyWorker(
-  record: TaskRecord,
-  view: WorkerView,
-): boolean {
-  const {cores, memoryMb, accelerators} = view.capacity;
-  return (
-    record.cores <= cores &&
-    record.memoryMb <= memoryMb &&
-    record.accelerators <= accelerators
-  );
-}
-
 /**
  * Creates the start command of a bound task.
  * @param record - Record of the task.
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -25,11 +25,7 @@
   WorkerCommand,
 } from '@mustardlug/platform/worker_client';
 import {ABSENCE_STORE_INTERVAL_MS, AbsenceRecords} from './absence_records.js';
-import {
-  createAttemptStart,
-  isBoundTo,
-  fitsOnEmptyWorker,
-} from './attempt_records.js';
+import {createAttemptStart, isBoundTo} from './attempt_records.js';
 import {CommandBatcher} from './command_batcher.js';
 import {CrashAttributor, CrashEvidence} from './crash_attributor.js';
 import {InterferenceMonitor} from './interference_monitor.js';
@@ -656,6 +652,10 @@
     if (!this.mayStart(record, view)) return;
     const placed = this.createPlacedTaskFromRecord(record);
     if (!view.isPlaced(taskId)) {
+      if (!view.fitsBesideServices(placed.charged)) {
+        await this.releaseBoundTask(view, task, 'services leave no room');
+        return;
+      }
       // Resources freed for an urgent task must not go to attempts from the backlog.
       if (this.isUrgentTaskUnplaced && !record.isUrgent) return;
       if (!view.fits(placed.charged)) return;
@@ -1028,7 +1028,7 @@
     let bestCores = -Infinity;
     for (const view of usable) {
       if (this.isAvoided(record, view)) continue;
-      if (!fitsOnEmptyWorker(record, view)) continue;
+      if (!view.fitsBesideServices(request.charged)) continue;
       if (!this.placement?.isCompatible(request, view)) continue;
       const {cores} = view.getFreeResources();
       if (cores <= bestCores) continue;
@@ -1213,7 +1213,7 @@
       const backlog =
         this.backlogByWorker.get(view.workerId) ?? new Set<string>();
       if (backlog.size >= MAX_BACKLOG_PER_WORKER) continue;
-      if (!fitsOnEmptyWorker(task.record, view)) continue;
+      if (!view.fitsBesideServices(request.charged)) continue;
       backlog.add(task.record.taskId);
       this.backlogByWorker.set(view.workerId, backlog);
       void this.bind(view, task, false);
--- a/packages/scheduling/src/worker_view.ts
+++ b/packages/scheduling/src/worker_view.ts
@@ -34,6 +34,7 @@
   /** Attempts in the latest status of the worker. */
   attemptReports: readonly AttemptReport[] = [];
   private readonly placed = new Map<string, PlacedTask>();
+  private readonly services = new Map<string, PlacedTask>();
   private readonly batchCores = new Map<string, number>();
   private readonly replicaCounts = new Map<string, number>();
   private usedCores = 0;
@@ -127,6 +128,25 @@
     );
   }
 
+  /**
+   * Checks whether a task fits once all batch tasks have ended; services stay.
+   * @param amount - Resources charged to the task.
+   */
+  fitsBesideServices(amount: ResourceAmount): boolean {
+    return isWithin(amount, this.getRoomBesideServices());
+  }
+
+  /** Gets the resources that are not charged to services. */
+  getRoomBesideServices(): ResourceAmount {
+    let {cores, memoryMb, accelerators} = this.capacity;
+    for (const {charged} of this.services.values()) {
+      cores -= charged.cores;
+      memoryMb -= charged.memoryMb;
+      accelerators -= charged.accelerators;
+    }
+    return {cores, memoryMb, accelerators};
+  }
+
   /**
    * Adds a task; has no effect if the task is already placed.
    * @param task - Task to place.
@@ -134,6 +154,7 @@
   addTask(task: PlacedTask): void {
     if (this.placed.has(task.taskId)) return;
     this.placed.set(task.taskId, task);
+    if (task.kind === 'service') this.services.set(task.taskId, task);
     this.usedCores += task.charged.cores;
     this.usedMemoryMb += task.charged.memoryMb;
     this.usedAccelerators += task.charged.accelerators;
@@ -148,6 +169,7 @@
     const task = this.placed.get(taskId);
     if (task === undefined) return;
     this.placed.delete(taskId);
+    this.services.delete(taskId);
     this.usedCores -= task.charged.cores;
     this.usedMemoryMb -= task.charged.memoryMb;
     this.usedAccelerators -= task.charged.accelerators;
@@ -161,6 +183,14 @@
   }
 }
 
+function isWithin(amount: ResourceAmount, limit: ResourceAmount): boolean {
+  return (
+    amount.cores <= limit.cores + CORE_EPSILON &&
+    amount.memoryMb <= limit.memoryMb &&
+    amount.accelerators <= limit.accelerators
+  );
+}
+
 function addToSum(
   sums: Map<string, number>,
   name: string,
