Charge a task no more than the room that services leave

Callers saw: tasks of a job that uses more than it declares stay bound or pending although what they declare would fit.

Cause: a task is charged the peak that was seen of its job, up to the size of the largest worker. Where every worker has a service, nothing of that size ever becomes free. The worker taken as the largest may also lack the memory or accelerators that the task needs.

Change: the peak is limited by the largest room beside services on a worker that can hold the declared size.

--- a/packages/scheduling/src/size_estimator.ts
+++ b/packages/scheduling/src/size_estimator.ts
@@ -65,7 +65,7 @@
    * Gets the size to charge: the larger of the declared size and the observed peak, per resource.
    * @param name - Name of the job or service.
    * @param declared - Declared size.
-   * @param limit - Size of the largest worker; caps the observed peak.
+   * @param limit - Largest size that a worker can provide; caps the observed peak.
    */
   getChargedSize(
     name: string,
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -1115,11 +1115,26 @@
     const charged = this.sizeEstimator.getChargedSize(
       name,
       record,
-      this.getLargestWorker(),
+      this.getLargestRoom(record),
     );
     return {taskId, kind, name, isUrgent, charged};
   }
 
+  /**
+   * Gets the largest room beside services on any worker that can run a task. A
+   * task that is charged more would find a worker as little as one that
+   * declares more.
+   */
+  private getLargestRoom(declared: ResourceAmount): ResourceAmount {
+    let largest: ResourceAmount = {cores: 0, memoryMb: 0, accelerators: 0};
+    for (const view of this.views.values()) {
+      if (!view.fitsBesideServices(declared)) continue;
+      const room = view.getRoomBesideServices();
+      if (room.cores > largest.cores) largest = room;
+    }
+    return largest;
+  }
+
   private getLargestWorker(): ResourceAmount {
     let largest: ResourceAmount = {cores: 0, memoryMb: 0, accelerators: 0};
     for (const {capacity} of this.views.values()) {
