Hold the backlog back only where room is freed for an urgent task

Callers saw: tasks bound in advance do not start while workers are nearly free.

Cause: as long as one urgent task or replica finds no worker, attempts from the backlog did not start on any worker, so as not to take the room that evictions free. A replica that no worker may run, for example a third one on two workers, keeps them all back for good.

Change: they are kept back only on the workers on which the latest round has planned evictions for an urgent task.

--- a/packages/scheduling/src/eviction_planner.ts
+++ b/packages/scheduling/src/eviction_planner.ts
@@ -24,6 +24,15 @@
     this.reservedByWorker.clear();
   }
 
+  /**
+   * Checks whether resources of a worker are being freed for an urgent task,
+   * as of the latest round.
+   * @param view - Worker to check.
+   */
+  isPlanned({workerId}: WorkerView): boolean {
+    return this.reservedByWorker.has(workerId);
+  }
+
   /**
    * Plans the evictions that let a task fit on a worker.
    * @param view - Worker on which to evict.
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -172,7 +172,6 @@
   private placement: PlacementPolicy | undefined;
   private document: EnvironmentDocument | undefined;
   private timers = new Map<string, Timer>();
-  private isUrgentTaskUnplaced = false;
   private reservation: WorkerReservation | undefined;
   private isStopped = false;
 
@@ -657,7 +656,7 @@
         return;
       }
       // Resources freed for an urgent task must not go to attempts from the backlog.
-      if (this.isUrgentTaskUnplaced && !record.isUrgent) return;
+      if (!record.isUrgent && this.evictionPlanner.isPlanned(view)) return;
       if (!view.fits(placed.charged)) return;
       view.addTask(placed);
     }
@@ -841,7 +840,6 @@
   private runSchedulingRound(): void {
     if (this.document === undefined || this.placement === undefined) return;
     this.unbindFromGoneWorkers();
-    this.isUrgentTaskUnplaced = false;
     this.evictionPlanner.startRound();
     const {primary, secondary} = this.getEligiblePending();
     const usable = this.getUsableViews();
@@ -901,7 +899,6 @@
     if (record.kind === 'batch' && !record.isUrgent) {
       return this.bindToBacklog(task, startable);
     }
-    this.isUrgentTaskUnplaced = true;
     this.evictForUrgentTask(record, startable);
     return false;
   }
