Evict nothing for an urgent task that the services of the worker rule out

Callers saw: batch tasks that are evicted within a second of each start, as long as an urgent task waits that slows down the services of all workers.

Cause: evictions for an urgent task were planned on every worker without a replica of it; whether the task may run beside the services there was only checked when it was placed. So the room was freed, the task not placed, the room filled again, and so on.

Change: evictions are planned only on workers whose services allow the task.

--- a/packages/scheduling/src/placement_policy.ts
+++ b/packages/scheduling/src/placement_policy.ts
@@ -32,6 +32,19 @@
   isCompatible(request: PlacementRequest, worker: WorkerView): boolean {
     return !hasReplica(request, worker);
   }
+
+  /**
+   * Checks whether a task may run alongside the services on a worker once
+   * batch tasks there have ended or been evicted.
+   * @param request - Task to place.
+   * @param worker - Worker to check.
+   */
+  isAllowedBesideServices(
+    request: PlacementRequest,
+    worker: WorkerView,
+  ): boolean {
+    return !hasReplica(request, worker);
+  }
 }
 
 /** Chooses the first suitable worker; baseline for comparisons. */
--- a/packages/scheduling/src/scored_placement.ts
+++ b/packages/scheduling/src/scored_placement.ts
@@ -114,6 +114,21 @@
     return true;
   }
 
+  override isAllowedBesideServices(
+    request: PlacementRequest,
+    worker: WorkerView,
+  ): boolean {
+    if (request.kind === 'service') {
+      return super.isAllowedBesideServices(request, worker);
+    }
+    const {model, slowdownLimit} = this.options;
+    for (const serviceName of worker.getReplicaCounts().keys()) {
+      const perCore = model.getEffect(serviceName, request.name);
+      if (1 + perCore * request.charged.cores > slowdownLimit) return false;
+    }
+    return true;
+  }
+
   private getExpectedSlowdown(
     serviceName: string,
     request: PlacementRequest,
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -36,11 +36,7 @@
 import {InterferenceModel} from './interference_model.js';
 import {getInfeasibleReason} from './job_feasibility.js';
 import {JobReconciler} from './job_reconciler.js';
-import {
-  hasReplica,
-  PlacementPolicy,
-  PlacementRequest,
-} from './placement_policy.js';
+import {PlacementPolicy, PlacementRequest} from './placement_policy.js';
 import {ScoredPlacement} from './scored_placement.js';
 import {SizeEstimator} from './size_estimator.js';
 import {
@@ -1244,7 +1240,7 @@
   ): void {
     const request = this.createPlacementRequest(record);
     for (const view of usable) {
-      if (hasReplica(request, view)) continue;
+      if (!this.placement?.isAllowedBesideServices(request, view)) continue;
       const victims = this.evictionPlanner.planEvictions(
         view,
         request.charged,
