Return a task to the worker that it crashed if no other is large enough

Callers saw: a task that needs accelerators is never started again after the one worker that has them crashed while starting it, even by a loss of power.

Cause: a task is kept off workers that it may have crashed as long as the domain has more workers than that, of whatever size.

Change: it is kept off only while another worker that stays is large enough.

--- a/packages/experiments/test/crashing_attempts.test.ts
+++ b/packages/experiments/test/crashing_attempts.test.ts
@@ -208,6 +208,29 @@
       expectStates(harness, 'class-desk', 'bound');
     }
   });
+
+  it('a task that crashes the only worker of its size again and again is given up', async () => {
+    for (const seed of SEEDS) {
+      const harness = createHarness(seed, [createJob(60)]);
+      const accelerators = 1;
+      harness.addWorker('big', 'rack-0', {
+        cores: 8,
+        memoryMb: 8_000,
+        accelerators,
+      });
+      harness.crashDelayMsByName.set('crashing', 10);
+      await harness.clock.advance(10_000);
+      const resources = {cores: 1, memoryMb: 500, accelerators};
+      harness.submitJob(createJob(1, {name: 'crashing', resources}));
+      await harness.clock.advance(RUN_MS);
+      expect(harness.countStarts(CRASHING_TASK), `seed ${seed}`).to.be.within(
+        3,
+        MAX_STARTS,
+      );
+      expectStates(harness, 'crashing', 'failed');
+      expectStates(harness, 'reports', 'done');
+    }
+  });
 });
 
 /** Advances until workers have crashed a number of times, at most for a while. */
--- a/packages/scheduling/src/fleet.ts
+++ b/packages/scheduling/src/fleet.ts
@@ -52,6 +52,18 @@
     return this.vms.get(id);
   }
 
+  /**
+   * Checks whether this scheduler's domain has a worker that stays and matches a filter.
+   * @param isMatch - Filter.
+   */
+  hasWorker(isMatch: (vm: Vm) => boolean): boolean {
+    for (const vm of this.vms.values()) {
+      if (vm.role !== 'worker' || vm.state !== 'live') continue;
+      if (vm.failureDomain === this.failureDomain && isMatch(vm)) return true;
+    }
+    return false;
+  }
+
   /** Gets the number of workers of each failure domain. */
   getWorkersByDomain(): ReadonlyMap<string, number> {
     return this.workersByDomain;
--- a/packages/scheduling/src/job_feasibility.ts
+++ b/packages/scheduling/src/job_feasibility.ts
@@ -21,11 +21,20 @@
   }
   if (workers.length === 0) return undefined;
   for (const worker of workers) {
-    const fits =
-      amount.cores <= worker.cores &&
-      amount.memoryMb <= worker.memoryMb &&
-      amount.accelerators <= worker.accelerators;
-    if (fits) return undefined;
+    if (fits(amount, worker)) return undefined;
   }
   return `no worker has ${amount.cores} cores, ${amount.memoryMb} MB and ${amount.accelerators} accelerators together; lower the declared size`;
 }
+
+/**
+ * Checks whether a task fits on a worker without other tasks.
+ * @param amount - Declared size of the task.
+ * @param worker - Size of the worker.
+ */
+export function fits(amount: ResourceAmount, worker: ResourceAmount): boolean {
+  return (
+    amount.cores <= worker.cores &&
+    amount.memoryMb <= worker.memoryMb &&
+    amount.accelerators <= worker.accelerators
+  );
+}
--- a/packages/scheduling/src/start_crashes.ts
+++ b/packages/scheduling/src/start_crashes.ts
@@ -5,6 +5,9 @@
 /** Number of crashed workers after which a task is not started again. */
 export const MAX_CRASHED_WORKERS = 3;
 
+/** Number of crashes, of whichever workers, after which a task is not started again. */
+const MAX_CRASHES = 5;
+
 /** Fields of a record after an attempt has run without crashing its worker. */
 export const NO_START_CRASHES = {
   crashedWorkerIds: undefined,
@@ -38,7 +41,7 @@
 
 /**
  * Counts the crash of the worker that a task is bound to. Repeated crashes of
- * one worker count once, since it may fail by itself.
+ * one worker, which may fail by itself, count less than those of several.
  * @param record - Record of the bound task.
  * @param workerId - Worker that crashed.
  * @param writeToken - Token of the write.
@@ -50,12 +53,14 @@
   writeToken: string,
 ): TaskRecord {
   const {attempt, crashedWorkerIds = []} = record;
-  const workerIds = [...new Set([...crashedWorkerIds, workerId])];
-  const isOutOfWorkers = workerIds.length >= MAX_CRASHED_WORKERS;
+  const crashes = [...crashedWorkerIds, workerId];
+  const workerIds = [...new Set(crashes)];
+  const isOutOfWorkers =
+    workerIds.length >= MAX_CRASHED_WORKERS || crashes.length >= MAX_CRASHES;
   return {
     ...record,
     writeToken,
-    crashedWorkerIds: workerIds,
+    crashedWorkerIds: crashes,
     startingAttempt: undefined,
     state: isOutOfWorkers ? 'failed' : 'pending',
     reason: isOutOfWorkers
--- a/packages/scheduling/src/task_record.ts
+++ b/packages/scheduling/src/task_record.ts
@@ -41,7 +41,7 @@
   bootId: z.string().optional(),
   /** Wall time at which the latest attempt was bound. */
   boundAtMs: z.number().optional(),
-  /** Workers that crashed when they started the latest attempts; empty if one may have. */
+  /** Workers that crashed when they started the latest attempts, one entry a crash; empty if one may have. */
   crashedWorkerIds: z.array(z.string()).optional(),
   /** After such crashes: attempt that is being started and is not proven yet. */
   startingAttempt: z.number().int().optional(),
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -34,7 +34,7 @@
 import {Fleet} from './fleet.js';
 import {GoneWorkerTracker} from './gone_worker_tracker.js';
 import {InterferenceModel} from './interference_model.js';
-import {getInfeasibleReason} from './job_feasibility.js';
+import {fits, getInfeasibleReason} from './job_feasibility.js';
 import {JobReconciler} from './job_reconciler.js';
 import {PlacementPolicy, PlacementRequest} from './placement_policy.js';
 import {ScoredPlacement} from './scored_placement.js';
@@ -995,16 +995,15 @@
 
   /**
    * Checks whether a task is kept off a worker that it may have crashed; only
-   * crashes of different workers show that the task is the cause.
+   * crashes of different workers show that the task is the cause. It may return
+   * if no other worker is large enough.
    */
-  private isAvoided(
-    {crashedWorkerIds = []}: TaskRecord,
-    {workerId}: WorkerView,
-  ): boolean {
+  private isAvoided(record: TaskRecord, {workerId}: WorkerView): boolean {
+    const {crashedWorkerIds = []} = record;
     if (!crashedWorkerIds.includes(workerId)) return false;
-    const workers = this.fleet.getWorkersByDomain();
-    const count = workers.get(this.options.failureDomain) ?? 0;
-    return count > crashedWorkerIds.length;
+    return this.fleet.hasWorker(
+      vm => fits(record, vm) && !crashedWorkerIds.includes(vm.id),
+    );
   }
 
   /**
