Release tasks that were bound in advance to a worker that stays busy

Callers saw: tasks that are bound and not started while another worker is free, for as long as the attempts on their own worker run.

Cause: a task that is bound in advance waits for that worker alone.

Change: it is released after 10 s, by the time at which it was bound, which is stored with it, so that a takeover does not start the wait anew. Nothing is released while the table fails, since the attempt could then neither be bound again nor start.

Why no task runs twice: the release is the one of a leaving worker: a stop command first, whose refusal shows that the attempt is not there and never starts by a late command, under the epoch of the lease, then a conditional write. The random sequences of faults and the fault matrix pass.

Tried first: without a look at the table; the test of an outage of an hour then started nothing in the outage, as the backlog had been stopped.

--- a/packages/experiments/test/waiting_tasks.test.ts
+++ b/packages/experiments/test/waiting_tasks.test.ts
@@ -49,7 +49,7 @@
     for (const seed of SEEDS) {
       const harness = SchedulerHarness.create({
         seed,
-        schedulers: 1,
+        schedulers: 1 + (seed % 2),
         workers: 2,
         document: createDocument({}),
       });
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -121,6 +121,13 @@
  * table service is unavailable.
  */
 const MAX_BACKLOG_PER_WORKER = 2;
+/**
+ * Time after which an attempt that was bound in advance is released; workers
+ * that became free meanwhile can run it.
+ */
+const MAX_BACKLOG_WAIT_MS = 10_000;
+/** Age of the latest read of the table up to which the table counts as available. */
+const MAX_TABLE_READ_AGE_MS = 2 * CACHE_REFRESH_INTERVAL_MS;
 /** Largest fraction of the workers that may be quarantined as outliers. */
 const MAX_QUARANTINED_FRACTION = 0.2;
 /**
@@ -644,7 +651,10 @@
   ): Promise<void> {
     const {record} = task;
     const {taskId} = record;
-    if (!this.mayStart(record, view)) return;
+    if (!this.mayStart(record, view)) {
+      if (!view.isPlaced(taskId)) await this.releaseIfOverdue(view, task);
+      return;
+    }
     const placed = this.createPlacedTaskFromRecord(record);
     if (!view.isPlaced(taskId)) {
       if (!view.fitsBesideServices(placed.charged)) {
@@ -652,8 +662,12 @@
         return;
       }
       // Resources freed for an urgent task must not go to attempts from the backlog.
-      if (!record.isUrgent && this.evictionPlanner.isPlanned(view)) return;
-      if (!view.fits(placed.charged)) return;
+      const isKeptFree =
+        !record.isUrgent && this.evictionPlanner.isPlanned(view);
+      if (isKeptFree || !view.fits(placed.charged)) {
+        await this.releaseIfOverdue(view, task);
+        return;
+      }
       view.addTask(placed);
     }
     if (!view.lease.isValid()) return;
@@ -690,6 +704,26 @@
     await this.commitStartingAttempt(task, record.attempt);
   }
 
+  /**
+   * Releases a task that has waited too long for resources of the worker that
+   * it was bound to in advance. It waits a little before it is placed again, so
+   * that schedulers with room on other workers come first. The time counts from
+   * the binding, under whichever scheduler.
+   */
+  private async releaseIfOverdue(
+    view: WorkerView,
+    task: CachedTask,
+  ): Promise<void> {
+    const {taskId, boundAtMs = -Infinity} = task.record;
+    const waitedMs = this.options.clock.getWallMs() - boundAtMs;
+    if (waitedMs < MAX_BACKLOG_WAIT_MS) return;
+    // Without the table the attempt could neither be released nor bound again.
+    const isTableUp = this.writer.hasRefreshedWithin(MAX_TABLE_READ_AGE_MS);
+    if (!isTableUp || this.options.committer.isUnavailable()) return;
+    this.setRetryTime(taskId, 0);
+    await this.releaseBoundTask(view, task, 'the worker stays busy');
+  }
+
   private async commitStartingAttempt(
     task: CachedTask,
     startingAttempt: number | undefined,
--- a/packages/scheduling/src/task_writer.ts
+++ b/packages/scheduling/src/task_writer.ts
@@ -19,6 +19,7 @@
 /** Refreshes the cache and writes records, one write per row at a time. */
 export class TaskWriter {
   private waiters: Array<() => void> = [];
+  private refreshedAtMs = -Infinity;
 
   private constructor(private readonly options: TaskWriterOptions) {}
 
@@ -36,9 +37,18 @@
       this.options.onTableFailure(refreshed.error.message);
       return;
     }
+    this.refreshedAtMs = this.options.clock.getMonotonicMs();
     for (const resume of waiters) resume();
   }
 
+  /**
+   * Checks whether the cache was refreshed recently.
+   * @param ageMs - Greatest age of the refresh.
+   */
+  hasRefreshedWithin(ageMs: number): boolean {
+    return this.options.clock.getMonotonicMs() - this.refreshedAtMs <= ageMs;
+  }
+
   /**
    * Writes a record; if the write fails, resolves only once the state of the row is known again.
    * @param task - Task whose row is written.
