Give jobs their turn that stand behind many without a worker

Callers saw: a small task is not started while workers have room, as long as 40 older jobs wait that find no worker.

Cause: a round ends after 40 jobs without a suitable worker, to bound its duration, and the next round tries the same 40 first.

Change: jobs that found no worker in a round that ended early are passed over in the next ones until all others have had their turn.

--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -176,6 +176,10 @@
   private document: EnvironmentDocument | undefined;
   private timers = new Map<string, Timer>();
   private reservation: WorkerReservation | undefined;
+  private readonly passedOver = {
+    primary: new Set<string>(),
+    secondary: new Set<string>(),
+  };
   private isStopped = false;
 
   private constructor(private readonly options: TaskSchedulerOptions) {
@@ -873,18 +877,33 @@
     this.evictionPlanner.startRound();
     const {primary, secondary} = this.getEligiblePending();
     const usable = this.getUsableViews();
-    const isCapacityLeft = this.scheduleTasks(primary, usable);
+    const {passedOver} = this;
+    const isCapacityLeft = this.scheduleTasks(
+      primary,
+      usable,
+      passedOver.primary,
+    );
     // Each scheduler first places the tasks that it is preferred for; otherwise
     // all schedulers would compete for the oldest tasks.
-    if (isCapacityLeft) this.scheduleTasks(secondary, usable);
+    if (isCapacityLeft) {
+      this.scheduleTasks(secondary, usable, passedOver.secondary);
+    }
   }
 
-  /** Places tasks in fair-share order; returns false if any batch job had no suitable worker. */
+  /**
+   * Places tasks in fair-share order; returns false if any batch job had no suitable worker.
+   * @param pending - Tasks to place.
+   * @param usable - Workers.
+   * @param passedOver - Jobs without a suitable worker in earlier rounds that
+   *     ended before all jobs had their turn; the other jobs come first.
+   */
   private scheduleTasks(
     pending: readonly PendingTask[],
     usable: readonly WorkerView[],
+    passedOver: Set<string>,
   ): boolean {
     if (pending.length === 0) return true;
+    let isComplete = true;
     const queue = FairShareQueue.create(
       this.getTeamsWithDomainQuota(this.document?.teams ?? []),
       this.getUsedCoresByTeam(),
@@ -896,7 +915,8 @@
       if (next === undefined) break;
       const task = this.cache.getTask(next.taskId);
       if (task === undefined || task.isWriting) continue;
-      if (blockedNames.has(task.record.name)) continue;
+      const {name} = task.record;
+      if (blockedNames.has(name) || passedOver.has(name)) continue;
       if (this.scheduleTask(task, usable)) {
         binds++;
         queue.recordPlacement(next);
@@ -905,10 +925,15 @@
       if (next.kind === 'service' || next.isUrgent) continue;
       // Its placement is limited, unlike that of other tasks of the job.
       if (hasStartCrashes(task.record)) continue;
-      blockedNames.add(task.record.name);
-      if (blockedNames.size >= MAX_BLOCKED_JOBS) break;
+      blockedNames.add(name);
+      if (blockedNames.size < MAX_BLOCKED_JOBS) continue;
+      isComplete = false;
+      break;
     }
-    return blockedNames.size === 0;
+    const isCapacityLeft = blockedNames.size + passedOver.size === 0;
+    if (isComplete) passedOver.clear();
+    else for (const name of blockedNames) passedOver.add(name);
+    return isCapacityLeft;
   }
 
   private scheduleTask(
