Place tasks that their preferred scheduler neglects like own ones

Callers saw: half of the tasks of a job are not started for minutes while younger tasks run, if one of two schedulers is dead or cannot reach workers but its VM is still listed.

Cause: a scheduler takes over tasks that another one is preferred for only in rounds in which all its own tasks found a worker. With more work than room there are none, so these tasks are never reached.

Change: a task that has waited for more than twice the usual wait of the scheduler's own tasks and 10 s, times its rank, is ordered among the own tasks. Schedulers that are equally loaded keep to their own tasks, so that they do not compete for the oldest ones.

--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -112,6 +112,14 @@
  */
 const TAKEOVER_DELAY_MS = 1_500;
 const STEAL_INTERVAL_MS = 2_000;
+/**
+ * A task counts as neglected by its preferred scheduler once it has waited for
+ * this multiple of the usual wait and `MIN_NEGLECT_MS`.
+ */
+const NEGLECT_FACTOR = 2;
+const MIN_NEGLECT_MS = 10_000;
+/** Weight of the latest placement in the usual wait. */
+const OWN_WAIT_WEIGHT = 0.1;
 const PURGE_INTERVAL_MS = 10_000;
 const MAX_BINDS_PER_ROUND = 400;
 /** Number of jobs without a suitable worker after which a scheduling round ends. */
@@ -176,6 +184,8 @@
   private document: EnvironmentDocument | undefined;
   private timers = new Map<string, Timer>();
   private reservation: WorkerReservation | undefined;
+  /** Moving average of the time from the submission to the placement. */
+  private ownWaitMs = 0;
   private readonly passedOver = {
     primary: new Set<string>(),
     secondary: new Set<string>(),
@@ -920,6 +930,7 @@
       if (this.scheduleTask(task, usable)) {
         binds++;
         queue.recordPlacement(next);
+        this.recordOwnWait(task.record);
         continue;
       }
       if (next.kind === 'service' || next.isUrgent) continue;
@@ -988,14 +999,37 @@
       }
       if (this.rejectIfInfeasible(task)) continue;
       const isHighPriority = record.kind === 'service' || record.isUrgent;
-      if (rank === 0 || isHighPriority) primary.push(record);
+      const isOwn = rank === 0 || this.isNeglected(record, rank);
+      if (isOwn || isHighPriority) primary.push(record);
       else secondary.push(record);
     }
     return {primary, secondary};
   }
 
+  /**
+   * Checks whether a task has waited so much longer than those that this
+   * scheduler is preferred for that its preferred scheduler seems to be unable
+   * to place it.
+   */
+  private isNeglected(record: TaskRecord, rank: number): boolean {
+    const usualMs = NEGLECT_FACTOR * this.ownWaitMs + MIN_NEGLECT_MS;
+    return this.getAgeMs(record) > rank * usualMs;
+  }
+
+  private getAgeMs({submittedAtMs}: TaskRecord): number {
+    return this.options.clock.getWallMs() - submittedAtMs;
+  }
+
+  /** Updates the usual wait of the batch tasks that this scheduler is preferred for. */
+  private recordOwnWait(record: TaskRecord): void {
+    if (record.kind === 'service' || record.isUrgent) return;
+    if (this.fleet.getRank(record.taskId) > 0) return;
+    const differenceMs = this.getAgeMs(record) - this.ownWaitMs;
+    this.ownWaitMs += OWN_WAIT_WEIGHT * differenceMs;
+  }
+
   private isTakeoverDue(record: TaskRecord, rank: number): boolean {
-    const ageMs = this.options.clock.getWallMs() - record.submittedAtMs;
+    const ageMs = this.getAgeMs(record);
     const delayMs = record.isUrgent ? TAKEOVER_DELAY_MS / 4 : TAKEOVER_DELAY_MS;
     return ageMs > delayMs * rank;
   }
@@ -1420,7 +1454,7 @@
 const NO_BOOT: BoundBoot = {workerId: '', tasks: []};
 
 interface EligibleTasks {
-  /** Tasks that this scheduler is preferred for, service replicas and urgent tasks. */
+  /** Tasks that this scheduler is preferred for, neglected ones, service replicas and urgent tasks. */
   readonly primary: readonly PendingTask[];
   /** Other batch tasks, taken over from their preferred schedulers. */
   readonly secondary: readonly PendingTask[];
