Report a service of the worker model that is not slowed down any more

Callers saw: batch attempts that were throttled for a service stay throttled for good after the service has become calm.

Cause: in the worker model. A worker reports the attempts that have changed; the model compared state, share and usage, and always sent services that are slowed down, but not the change from slowed down to calm. The scheduler kept the last figure of the slowed service and waited for a newer one.

Change: being slowed down is part of what is compared. The interface already asks for it ('those changed since the known report').

--- a/packages/experiments/test/waiting_tasks.test.ts
+++ b/packages/experiments/test/waiting_tasks.test.ts
@@ -104,6 +104,33 @@
     }
   });
 
+  it('runs at full speed again once the service that it slowed down is calm', async () => {
+    for (const seed of SEEDS) {
+      const harness = SchedulerHarness.create({
+        seed,
+        schedulers: 1,
+        workers: 1,
+        document: createDocument({services: [createService(1)]}),
+      });
+      let effect = 0.15;
+      for (const model of harness.models.values()) {
+        model.behavior.getInterference = () => effect;
+      }
+      await harness.clock.advance(10_000);
+      const resources = {cores: 4, memoryMb: 100};
+      harness.submitJob(createJob(1, {resources, expectedRunMs: 120_000}));
+      await harness.clock.advance(10_000);
+      const throttled = harness.events.some(
+        ({name}) => name === 'task-throttled',
+      );
+      expect(throttled, `seed ${seed}`).to.equal(true);
+      effect = 0;
+      // At half of its share it would run until 220 s.
+      await harness.clock.advance(150_000);
+      expectDone(harness, 'reports');
+    }
+  });
+
   it('returns to the worker that it crashed if no other one has the resources', async () => {
     for (const seed of SEEDS) {
       const harness = SchedulerHarness.create({
--- a/packages/standins/src/worker_model.ts
+++ b/packages/standins/src/worker_model.ts
@@ -602,7 +602,7 @@
 /** Gets the fields of a report that cause it to be sent again when they change, as a string. */
 function getReportSignature(report: AttemptReport): string {
   const {state, cpuShare, usedCores} = report;
-  return `${state}/${cpuShare}/${usedCores.toFixed(1)}`;
+  return `${state}/${cpuShare}/${usedCores.toFixed(1)}/${isSlowedDown(report)}`;
 }
 
 /**
