Try jobs again beside services that they were seen to slow down

Callers saw: tasks of a job are pending for good once its effect was learned to be above the limit for a service that runs on every worker.

Cause: the task is then placed on no worker with the service, so there are no measurements of the pair any more, and the effect stays as it was learned, whether it was too high or the load has changed.

Change: 60 s after a job was ruled out, and each 60 s from then on, one of its tasks is placed beside the service on a worker that only its own effect rules out. The control of interference protects the service as from any task: it throttles, then evicts, and the checkpoint keeps the progress, so that a job that does disturb comes forward, too. Where a trial leaves a service as it was, the worker reports nothing, as nothing has changed; the monitor then learns from the figure that still holds, 3 s late.

--- a/packages/scheduling/src/interference_monitor.ts
+++ b/packages/scheduling/src/interference_monitor.ts
@@ -13,6 +13,7 @@
   InterferenceController,
 } from './interference_controller.js';
 import {InterferenceModel, Neighbor} from './interference_model.js';
+import {InterferenceTrials} from './interference_trials.js';
 import {PlacementHistory} from './placement_history.js';
 import {WorkerView} from './worker_view.js';
 
@@ -23,13 +24,21 @@
   readonly service: AttemptReport;
 }
 
+/** Time within which a worker reports that the slowdown of a service has changed. */
+const MAX_MEASUREMENT_DELAY_MS = 3_000;
+
 /** Monitors the slowdown of services on all leased workers. */
 export class InterferenceMonitor {
   private readonly model = InterferenceModel.create();
   private readonly histories = new Map<string, PlacementHistory>();
   private controller: InterferenceController | undefined;
 
-  private constructor(private readonly clock: Clock) {}
+  /** Trials of jobs beside services that they are kept off. */
+  readonly trials: InterferenceTrials;
+
+  private constructor(private readonly clock: Clock) {
+    this.trials = InterferenceTrials.create(clock);
+  }
 
   static create(clock: Clock): InterferenceMonitor {
     return new InterferenceMonitor(clock);
@@ -62,7 +71,27 @@
       if (neighbors === undefined) continue;
       const {name: serviceName, slowdown} = report;
       this.model.addSample({serviceName, slowdown, neighbors});
+      this.addTrialSample(report, status.reportedAtMs, history);
+    }
+  }
+
+  /**
+   * Learns from a trial that leaves a service as it was: a worker reports only
+   * changes, so that there is no new measurement.
+   */
+  private addTrialSample(
+    report: AttemptReport,
+    reportedAtMs: number,
+    history: PlacementHistory,
+  ): void {
+    const unchangedAtMs = reportedAtMs - MAX_MEASUREMENT_DELAY_MS;
+    if (report.measuredAtMs >= unchangedAtMs) return;
+    const neighbors = history.getNeighborsAt(unchangedAtMs) ?? [];
+    const {name: serviceName, slowdown} = report;
+    if (!neighbors.some(({name}) => this.trials.isTried(serviceName, name))) {
+      return;
     }
+    this.model.addSample({serviceName, slowdown, neighbors});
   }
 
   /**
--- a/packages/scheduling/src/scored_placement.ts
+++ b/packages/scheduling/src/scored_placement.ts
@@ -10,6 +10,7 @@
 import {RandomSource} from '@mustardlug/base/random_source';
 import {Objective} from '@mustardlug/document/environment_document';
 import {InterferenceModel} from './interference_model.js';
+import {InterferenceTrials} from './interference_trials.js';
 import {PlacementPolicy, PlacementRequest} from './placement_policy.js';
 import {WorkerView} from './worker_view.js';
 
@@ -19,6 +20,8 @@
   readonly random: RandomSource;
   /** Expected slowdown of a service above which no batch task is colocated with it. */
   readonly slowdownLimit: number;
+  /** Trials beside services that a job is kept off; if absent, there are none. */
+  readonly trials?: InterferenceTrials;
 }
 
 const BATCH_SAMPLE_SIZE = 24;
@@ -47,13 +50,48 @@
   ): WorkerView | undefined {
     const sampleSize =
       request.kind === 'service' ? SERVICE_SAMPLE_SIZE : BATCH_SAMPLE_SIZE;
-    if (workers.length <= sampleSize) return this.chooseBest(request, workers);
+    if (workers.length <= sampleSize) {
+      return (
+        this.chooseBest(request, workers) ??
+        this.chooseForTrial(request, workers)
+      );
+    }
     const sample = this.getSample(workers, sampleSize);
     return (
-      this.chooseBest(request, sample) ?? this.chooseFirstFit(request, workers)
+      this.chooseBest(request, sample) ??
+      this.chooseFirstFit(request, workers) ??
+      this.chooseForTrial(request, workers)
     );
   }
 
+  /**
+   * Chooses a worker on which only the effect of the job itself on services
+   * rules the task out, if a trial beside each of them is due.
+   */
+  private chooseForTrial(
+    request: PlacementRequest,
+    workers: readonly WorkerView[],
+  ): WorkerView | undefined {
+    if (request.kind === 'service') return undefined;
+    for (const worker of workers) {
+      if (!worker.fits(request.charged)) continue;
+      if (!this.isAllowedBesideServices(request, worker)) continue;
+      const ruledOutBy = this.getServicesThatRuleOut(request, worker);
+      const isTriable = ruledOutBy.every(
+        serviceName =>
+          this.getSlowdownByNeighbors(serviceName, worker) <=
+            this.options.slowdownLimit &&
+          this.options.trials?.isDue(serviceName, request.name),
+      );
+      if (!isTriable) continue;
+      for (const serviceName of ruledOutBy) {
+        this.options.trials?.recordTrial(serviceName, request.name);
+      }
+      return worker;
+    }
+    return undefined;
+  }
+
   private getSample(
     workers: readonly WorkerView[],
     size: number,
@@ -107,11 +145,23 @@
     worker: WorkerView,
   ): boolean {
     if (request.kind === 'service') return super.isCompatible(request, worker);
+    return this.getServicesThatRuleOut(request, worker).length === 0;
+  }
+
+  /** Gets the services on a worker that a batch task would slow down beyond the limit. */
+  private getServicesThatRuleOut(
+    request: PlacementRequest,
+    worker: WorkerView,
+  ): string[] {
+    const names: string[] = [];
     for (const serviceName of worker.getReplicaCounts().keys()) {
-      const expected = this.getExpectedSlowdown(serviceName, request, worker);
-      if (expected > this.options.slowdownLimit) return false;
+      const perCore = this.options.model.getEffect(serviceName, request.name);
+      const expected =
+        this.getSlowdownByNeighbors(serviceName, worker) +
+        perCore * request.charged.cores;
+      if (expected > this.options.slowdownLimit) names.push(serviceName);
     }
-    return true;
+    return names;
   }
 
   override isAllowedBesideServices(
@@ -121,24 +171,23 @@
     if (request.kind === 'service') {
       return super.isAllowedBesideServices(request, worker);
     }
-    const {model, slowdownLimit} = this.options;
+    const {model, slowdownLimit, trials} = this.options;
     for (const serviceName of worker.getReplicaCounts().keys()) {
       const perCore = model.getEffect(serviceName, request.name);
-      if (1 + perCore * request.charged.cores > slowdownLimit) return false;
+      if (1 + perCore * request.charged.cores <= slowdownLimit) continue;
+      if (!trials?.isDue(serviceName, request.name)) return false;
     }
     return true;
   }
 
-  private getExpectedSlowdown(
+  /** Gets the expected slowdown of a service by the batch tasks on a worker. */
+  private getSlowdownByNeighbors(
     serviceName: string,
-    request: PlacementRequest,
     worker: WorkerView,
   ): number {
-    const {model} = this.options;
-    const perCore = model.getEffect(serviceName, request.name);
-    let slowdown = 1 + perCore * request.charged.cores;
+    let slowdown = 1;
     for (const [name, cores] of worker.getBatchCores()) {
-      slowdown += model.getEffect(serviceName, name) * cores;
+      slowdown += this.options.model.getEffect(serviceName, name) * cores;
     }
     return slowdown;
   }
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -268,7 +268,13 @@
     const model = this.interferenceMonitor.getModel();
     this.placement =
       this.options.placement ??
-      ScoredPlacement.create({objective, model, random, slowdownLimit});
+      ScoredPlacement.create({
+        objective,
+        model,
+        random,
+        slowdownLimit,
+        trials: this.interferenceMonitor.trials,
+      });
   }
 
   /**
