Reserve a worker for old batch tasks that find no room

Callers saw: a task as large as a worker is not started as long as smaller tasks keep arriving, although those are younger.

Cause: what an attempt frees goes to whichever task fits at once. All of a worker never becomes free while tasks wait that fit into less.

Change: for a batch task that was submitted 30 s ago and finds no room each scheduler reserves a worker, as it does for tasks that may have crashed workers; one worker a kind. The age counts from the submission, which the row holds, so that a takeover does not start it anew. The worker with the most free cores is taken, so that a successor goes on with the one that is being emptied.

Not covered: a reservation lasts 30 s and is then made again; where all attempts are longer, tasks that come earlier in the order may take what became free in that moment.

--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -153,6 +153,8 @@
  * free enough resources.
  */
 const MAX_RESERVATION_MS = 30_000;
+/** Age from which a worker is reserved for a batch task that finds no room. */
+const MIN_RESERVATION_AGE_MS = 30_000;
 const RETRY_BACKOFF_MS = 200;
 const MAX_RETRY_BACKOFF_MS = 10_000;
 
@@ -183,7 +185,7 @@
   private placement: PlacementPolicy | undefined;
   private document: EnvironmentDocument | undefined;
   private timers = new Map<string, Timer>();
-  private reservation: WorkerReservation | undefined;
+  private readonly reservations = new Map<ReservationKind, WorkerReservation>();
   /** Moving average of the time from the submission to the placement. */
   private ownWaitMs = 0;
   private readonly passedOver = {
@@ -942,6 +944,7 @@
       if (next.kind === 'service' || next.isUrgent) continue;
       // Its placement is limited, unlike that of other tasks of the job.
       if (hasStartCrashes(task.record)) continue;
+      if (this.hasReservation(task.record)) continue;
       blockedNames.add(name);
       if (blockedNames.size < MAX_BLOCKED_JOBS) continue;
       isComplete = false;
@@ -965,10 +968,14 @@
       return true;
     }
     if (hasStartCrashes(record)) {
-      this.reserveWorker(record, usable);
+      this.reserveWorker('suspect', record, usable);
       return false;
     }
     if (record.kind === 'batch' && !record.isUrgent) {
+      if (this.getAgeMs(record) >= MIN_RESERVATION_AGE_MS) {
+        this.reserveWorker('old', record, usable);
+      }
+      if (this.hasReservation(record)) return false;
       return this.bindToBacklog(task, startable);
     }
     this.evictForUrgentTask(record, startable);
@@ -1106,21 +1113,24 @@
   }
 
   /**
-   * Reserves a worker for a task that must start alone; otherwise the task
-   * would wait as long as each worker keeps starting other tasks.
+   * Reserves a worker for a task that would otherwise wait as long as each
+   * worker keeps starting other tasks: it must start alone, or needs more than
+   * one attempt frees.
    */
   private reserveWorker(
+    kind: ReservationKind,
     record: TaskRecord,
     usable: readonly WorkerView[],
   ): void {
-    if (this.getReservation() !== undefined) return;
+    if (this.getReservation(kind) !== undefined) return;
     const request = this.createPlacementRequest(record);
     let best: WorkerView | undefined;
     let bestCores = -Infinity;
     for (const view of usable) {
       if (this.isAvoided(record, view)) continue;
+      if (this.isReservedForOther(record, view)) continue;
       if (!view.fitsBesideServices(request.charged)) continue;
-      if (!this.placement?.isCompatible(request, view)) continue;
+      if (!this.placement?.isAllowedBesideServices(request, view)) continue;
       const {cores} = view.getFreeResources();
       if (cores <= bestCores) continue;
       best = view;
@@ -1128,30 +1138,40 @@
     }
     if (best === undefined) return;
     const nowMs = this.options.clock.getMonotonicMs();
-    this.reservation = {
+    this.reservations.set(kind, {
       workerId: best.workerId,
       taskId: record.taskId,
       untilMs: nowMs + MAX_RESERVATION_MS,
-    };
+    });
   }
 
   private isReservedForOther(
     {taskId}: TaskRecord,
     {workerId}: WorkerView,
   ): boolean {
-    const reservation = this.getReservation();
-    if (reservation?.workerId !== workerId) return false;
-    return reservation.taskId !== taskId;
+    for (const kind of RESERVATION_KINDS) {
+      const reservation = this.getReservation(kind);
+      if (reservation?.workerId !== workerId) continue;
+      if (reservation.taskId !== taskId) return true;
+    }
+    return false;
+  }
+
+  private hasReservation({taskId}: TaskRecord): boolean {
+    return RESERVATION_KINDS.some(
+      kind => this.getReservation(kind)?.taskId === taskId,
+    );
   }
 
-  private getReservation(): WorkerReservation | undefined {
-    const {reservation} = this;
+  private getReservation(kind: ReservationKind): WorkerReservation | undefined {
+    const reservation = this.reservations.get(kind);
     if (reservation === undefined) return undefined;
     const {taskId, untilMs} = reservation;
     const isPending = this.cache.getTask(taskId)?.record.state === 'pending';
     const isExpired = this.options.clock.getMonotonicMs() > untilMs;
-    if (!isPending || isExpired) this.reservation = undefined;
-    return this.reservation;
+    if (isPending && !isExpired) return reservation;
+    this.reservations.delete(kind);
+    return undefined;
   }
 
   /**
@@ -1444,6 +1464,11 @@
   }
 }
 
+/** What a worker is reserved for; each kind has one worker at most. */
+type ReservationKind = 'suspect' | 'old';
+
+const RESERVATION_KINDS: readonly ReservationKind[] = ['suspect', 'old'];
+
 /** A worker on which only one task may start. */
 interface WorkerReservation {
   readonly workerId: string;
