--- a/packages/experiments/src/scheduler_harness.ts
+++ b/packages/experiments/src/scheduler_harness.ts
@@ -313,9 +313,11 @@
 
   /**
    * Submits a job to the table.
+   * @param job - Declaration of the job.
+   * @param failureDomain - Domain that its tasks belong to.
    * @returns Wall time of the submission.
    */
-  submitJob(job: object): number {
+  submitJob(job: object, failureDomain = DOMAIN): number {
     const declaration = batchJobSchema.parse(job);
     const nowMs = this.clock.getWallMs();
     const operations = createJobOperations(
@@ -324,7 +326,7 @@
         jobKey: JOB_PREFIX + declaration.name,
         revision: ABSENT_REVISION,
         createdTasks: 0,
-        failureDomains: [DOMAIN],
+        failureDomains: [failureDomain],
       },
       CountingTokenSource.create('submitter'),
       nowMs,
--- a/packages/experiments/test/waiting_tasks.test.ts
+++ b/packages/experiments/test/waiting_tasks.test.ts
@@ -390,4 +390,29 @@
       expect(harness.getRepeatedStarts()).to.deep.equal([]);
     }
   });
+
+  it('of another domain is taken over although an own task fits on no worker of the domain', async () => {
+    for (const seed of SEEDS) {
+      const harness = SchedulerHarness.create({
+        seed,
+        schedulers: 1,
+        workers: 2,
+        document: createDocument({}),
+      });
+      harness.vms.push({
+        ...harness.vms[0],
+        id: 'remote',
+        failureDomain: 'domain-b',
+        accelerators: 1,
+      });
+      harness.publishMembership();
+      await harness.clock.advance(10_000);
+      const resources = {cores: 1, memoryMb: 100, accelerators: 1};
+      harness.submitJob(createJob(1, {name: 'learning', resources}));
+      await harness.clock.advance(1_000);
+      harness.submitJob(createJob(4), 'domain-b');
+      await harness.clock.advance(60_000);
+      expectDone(harness, 'reports');
+    }
+  });
 });
