Take tasks of other domains over beside own ones that nothing can run

Callers saw: tasks of a domain without room stay pending although another domain is idle; two domains whose pending tasks each fit only in the other one wait for ever.

Cause: tasks are taken over only by a domain without pending tasks. A task that fits on no worker of its domain, but on one of another, is not infeasible and stays pending, and so blocks this for good.

Change: own pending tasks that no usable worker could run beside its services do not count.

Not covered: own tasks that only a quota holds back still block it.

--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -1123,14 +1123,12 @@
     usable: readonly WorkerView[],
   ): void {
     if (this.getReservation(kind) !== undefined) return;
-    const request = this.createPlacementRequest(record);
     let best: WorkerView | undefined;
     let bestCores = -Infinity;
     for (const view of usable) {
       if (this.isAvoided(record, view)) continue;
       if (this.isReservedForOther(record, view)) continue;
-      if (!view.fitsBesideServices(request.charged)) continue;
-      if (!this.placement?.isAllowedBesideServices(request, view)) continue;
+      if (!this.canEverRun(record, [view])) continue;
       const {cores} = view.getFreeResources();
       if (cores <= bestCores) continue;
       best = view;
@@ -1395,6 +1393,19 @@
     );
   }
 
+  /** Checks whether a task could run on a worker without other batch tasks. */
+  private canEverRun(
+    record: TaskRecord,
+    usable: readonly WorkerView[],
+  ): boolean {
+    const request = this.createPlacementRequest(record);
+    return usable.some(
+      view =>
+        view.fitsBesideServices(request.charged) &&
+        this.placement?.isAllowedBesideServices(request, view),
+    );
+  }
+
   private async purgeAbsences(): Promise<void> {
     const refreshed = await this.cache.refresh();
     if (refreshed.isErr()) return;
@@ -1410,9 +1421,12 @@
   }
 
   private async stealTasks(): Promise<void> {
-    if (this.cache.getPendingTasks().length > 0) return;
     const usable = this.getUsableViews();
     if (!usable.some(view => view.getFreeResources().cores >= 1)) return;
+    // Tasks that no worker here can run must not keep room from those of others.
+    for (const {record} of this.cache.getPendingTasks()) {
+      if (this.canEverRun(record, usable)) return;
+    }
     await this.jobReconciler.stealTasks(record =>
       usable.some(view => view.fits(record)),
     );
