Look only at unlisted workers for removed ones

Cause: grouping all bound tasks by the boot of their worker, ten times a second, is work for nothing while every worker is listed.

--- a/packages/scheduling/src/task_cache.ts
+++ b/packages/scheduling/src/task_cache.ts
@@ -137,6 +137,11 @@
     return bound;
   }
 
+  /** Gets the workers that tasks are bound to. */
+  getBoundWorkerIds(): string[] {
+    return [...this.idsByWorker.keys()];
+  }
+
   /**
    * Applies a row that was read; invalid rows are ignored.
    * @param row - Row of a task.
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -1409,11 +1409,8 @@
   private async purgeAbsences(): Promise<void> {
     const refreshed = await this.cache.refresh();
     if (refreshed.isErr()) return;
-    const boots = this.getBoundBoots();
-    await this.absences.purge(bootKey => {
-      const boot = boots.get(bootKey);
-      return boot !== undefined && this.isUnlisted(boot.workerId);
-    });
+    const boots = this.getUnlistedBoots();
+    await this.absences.purge(bootKey => boots.has(bootKey));
   }
 
   private isUnlisted(workerId: string): boolean {
@@ -1433,10 +1430,10 @@
   }
 
   private unbindFromGoneWorkers(): void {
-    const boots = this.getBoundBoots();
+    const boots = this.getUnlistedBoots();
     const gone = this.goneWorkers.getGoneWorkers(
       [...boots.keys()],
-      bootKey => !this.isUnlisted(boots.get(bootKey)?.workerId ?? ''),
+      () => false,
     );
     for (const bootKey of gone) {
       const {workerId, tasks} = boots.get(bootKey) ?? NO_BOOT;
@@ -1448,17 +1445,22 @@
   }
 
   /**
-   * Gets the boots of workers that tasks are bound to, by key. A VM that is
-   * created anew under the id of a gone one runs the tasks of another boot.
+   * Gets the boots of unlisted workers that tasks are bound to, by key. A VM
+   * that is created anew under the id of a gone one runs the tasks of another
+   * boot.
    */
-  private getBoundBoots(): Map<string, BoundBoot> {
+  private getUnlistedBoots(): Map<string, BoundBoot> {
     const boots = new Map<string, BoundBoot>();
-    for (const task of this.cache.getBoundTasks()) {
-      const {workerId = '', bootId = ''} = task.record;
-      const bootKey = `${workerId}/${bootId}`;
-      const boot = boots.get(bootKey);
-      if (boot === undefined) boots.set(bootKey, {workerId, tasks: [task]});
-      else boot.tasks.push(task);
+    for (const workerId of this.cache.getBoundWorkerIds()) {
+      if (!this.isUnlisted(workerId)) continue;
+      for (const taskId of this.cache.getBoundTaskIds(workerId)) {
+        const task = this.cache.getTask(taskId);
+        if (task === undefined) continue;
+        const bootKey = `${workerId}/${task.record.bootId ?? ''}`;
+        const boot = boots.get(bootKey);
+        if (boot === undefined) boots.set(bootKey, {workerId, tasks: [task]});
+        else boot.tasks.push(task);
+      }
     }
     return boots;
   }
