--- a/packages/experiments/src/scheduler_harness.ts
+++ b/packages/experiments/src/scheduler_harness.ts
@@ -141,9 +141,12 @@
     this.stepHook = hook;
   }
 
-  /** Adds a worker that has just booted. */
-  addWorker(workerId: string, rack: string): WorkerModel {
-    const size = this.options.size ?? DEFAULT_SIZE;
+  /** Adds a worker that has just booted; it has the size of the others by default. */
+  addWorker(
+    workerId: string,
+    rack: string,
+    size: WorkerCapacity = this.options.size ?? DEFAULT_SIZE,
+  ): WorkerModel {
     const bootId = `boot-${++this.startedCount}`;
     const previous = this.models.get(workerId);
     if (previous !== undefined) this.removedModels.push(previous);
@@ -162,7 +165,9 @@
         state: 'live',
         host: 'none',
         port: 1,
-        ...size,
+        cores: size.cores,
+        memoryMb: size.memoryMb,
+        accelerators: size.accelerators,
       },
     ];
     this.publishMembership();
@@ -179,6 +184,12 @@
     this.publishMembership();
   }
 
+  /** Removes a worker from the VM list although it has not stopped, against the promise of the platform. */
+  unlistWorker(workerId: string): void {
+    this.vms = this.vms.filter(vm => vm.id !== workerId);
+    this.publishMembership();
+  }
+
   /** Crashes a worker, which stays on the VM list and boots again. */
   crashWorker(workerId: string): void {
     const model = this.models.get(workerId);
@@ -190,7 +201,7 @@
     this.models.delete(workerId);
     this.clock.setTimer(REBOOT_MS, () => {
       const isRemoved = !this.vms.some(({id}) => id === workerId);
-      if (!isRemoved) this.addWorker(workerId, vm.rack);
+      if (!isRemoved) this.addWorker(workerId, vm.rack, vm);
     });
   }
 
@@ -302,9 +313,11 @@
 
   /**
    * Submits a job to the table.
+   * @param job - Declaration of the job.
+   * @param failureDomain - Domain that its tasks belong to.
    * @returns Wall time of the submission.
    */
-  submitJob(job: object): number {
+  submitJob(job: object, failureDomain = DOMAIN): number {
     const declaration = batchJobSchema.parse(job);
     const nowMs = this.clock.getWallMs();
     const operations = createJobOperations(
@@ -313,7 +326,7 @@
         jobKey: JOB_PREFIX + declaration.name,
         revision: ABSENT_REVISION,
         createdTasks: 0,
-        failureDomains: [DOMAIN],
+        failureDomains: [failureDomain],
       },
       CountingTokenSource.create('submitter'),
       nowMs,
@@ -402,7 +415,8 @@
     return [...this.removedModels, ...this.models.values()];
   }
 
-  private publishMembership(): void {
+  /** Gives the current VM list to all schedulers. */
+  publishMembership(): void {
     const liveNodeIds = this.nodes
       .filter(node => !node.isDead)
       .map(node => node.id);
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -24,11 +24,8 @@
   WorkerClient,
   WorkerCommand,
 } from '@mustardlug/platform/worker_client';
-import {
-  createAttemptStart,
-  isBoundTo,
-  fitsOnEmptyWorker,
-} from './attempt_records.js';
+import {ABSENCE_STORE_INTERVAL_MS, AbsenceRecords} from './absence_records.js';
+import {createAttemptStart, isBoundTo} from './attempt_records.js';
 import {CommandBatcher} from './command_batcher.js';
 import {CrashAttributor, CrashEvidence} from './crash_attributor.js';
 import {InterferenceMonitor} from './interference_monitor.js';
@@ -37,13 +34,9 @@
 import {Fleet} from './fleet.js';
 import {GoneWorkerTracker} from './gone_worker_tracker.js';
 import {InterferenceModel} from './interference_model.js';
-import {getInfeasibleReason} from './job_feasibility.js';
+import {fits, getInfeasibleReason} from './job_feasibility.js';
 import {JobReconciler} from './job_reconciler.js';
-import {
-  hasReplica,
-  PlacementPolicy,
-  PlacementRequest,
-} from './placement_policy.js';
+import {PlacementPolicy, PlacementRequest} from './placement_policy.js';
 import {ScoredPlacement} from './scored_placement.js';
 import {SizeEstimator} from './size_estimator.js';
 import {
@@ -119,6 +112,14 @@
  */
 const TAKEOVER_DELAY_MS = 1_500;
 const STEAL_INTERVAL_MS = 2_000;
+/**
+ * A task counts as neglected by its preferred scheduler once it has waited for
+ * this multiple of the usual wait and `MIN_NEGLECT_MS`.
+ */
+const NEGLECT_FACTOR = 2;
+const MIN_NEGLECT_MS = 10_000;
+/** Weight of the latest placement in the usual wait. */
+const OWN_WAIT_WEIGHT = 0.1;
 const PURGE_INTERVAL_MS = 10_000;
 const MAX_BINDS_PER_ROUND = 400;
 /** Number of jobs without a suitable worker after which a scheduling round ends. */
@@ -128,6 +129,13 @@
  * table service is unavailable.
  */
 const MAX_BACKLOG_PER_WORKER = 2;
+/**
+ * Time after which an attempt that was bound in advance is released; workers
+ * that became free meanwhile can run it.
+ */
+const MAX_BACKLOG_WAIT_MS = 10_000;
+/** Age of the latest read of the table up to which the table counts as available. */
+const MAX_TABLE_READ_AGE_MS = 2 * CACHE_REFRESH_INTERVAL_MS;
 /** Largest fraction of the workers that may be quarantined as outliers. */
 const MAX_QUARANTINED_FRACTION = 0.2;
 /**
@@ -145,6 +153,8 @@
  * free enough resources.
  */
 const MAX_RESERVATION_MS = 30_000;
+/** Age from which a worker is reserved for a batch task that finds no room. */
+const MIN_RESERVATION_AGE_MS = 30_000;
 const RETRY_BACKOFF_MS = 200;
 const MAX_RETRY_BACKOFF_MS = 10_000;
 
@@ -156,6 +166,7 @@
   private readonly fleet: Fleet;
   private readonly jobReconciler: JobReconciler;
   private readonly goneWorkers: GoneWorkerTracker;
+  private readonly absences: AbsenceRecords;
   private readonly purger: TaskPurger;
   private readonly interferenceMonitor: InterferenceMonitor;
   private readonly starts: StartTracker;
@@ -174,8 +185,13 @@
   private placement: PlacementPolicy | undefined;
   private document: EnvironmentDocument | undefined;
   private timers = new Map<string, Timer>();
-  private isUrgentTaskUnplaced = false;
-  private reservation: WorkerReservation | undefined;
+  private readonly reservations = new Map<ReservationKind, WorkerReservation>();
+  /** Moving average of the time from the submission to the placement. */
+  private ownWaitMs = 0;
+  private readonly passedOver = {
+    primary: new Set<string>(),
+    secondary: new Set<string>(),
+  };
   private isStopped = false;
 
   private constructor(private readonly options: TaskSchedulerOptions) {
@@ -194,6 +210,7 @@
     const {schedulerId, failureDomain, clock, listLagMs} = options;
     this.fleet = Fleet.create(schedulerId, failureDomain);
     this.goneWorkers = GoneWorkerTracker.create(clock, listLagMs);
+    this.absences = AbsenceRecords.create(options, this.goneWorkers);
     this.interferenceMonitor = InterferenceMonitor.create(clock);
     this.starts = StartTracker.create(clock);
     this.crashes = CrashAttributor.create(clock, this.starts, taskId => {
@@ -228,6 +245,9 @@
       this.jobReconciler.refresh(),
     );
     this.scheduleRepeating('purge', PURGE_INTERVAL_MS, () => this.purge());
+    this.scheduleRepeating('absences', ABSENCE_STORE_INTERVAL_MS, () =>
+      this.absences.exchange(),
+    );
     this.scheduleRepeating('steal', STEAL_INTERVAL_MS, () => this.stealTasks());
   }
 
@@ -250,7 +270,13 @@
     const model = this.interferenceMonitor.getModel();
     this.placement =
       this.options.placement ??
-      ScoredPlacement.create({objective, model, random, slowdownLimit});
+      ScoredPlacement.create({
+        objective,
+        model,
+        random,
+        slowdownLimit,
+        trials: this.interferenceMonitor.trials,
+      });
   }
 
   /**
@@ -647,12 +673,23 @@
   ): Promise<void> {
     const {record} = task;
     const {taskId} = record;
-    if (!this.mayStart(record, view)) return;
+    if (!this.mayStart(record, view)) {
+      if (!view.isPlaced(taskId)) await this.releaseIfOverdue(view, task);
+      return;
+    }
     const placed = this.createPlacedTaskFromRecord(record);
     if (!view.isPlaced(taskId)) {
+      if (!view.fitsBesideServices(placed.charged)) {
+        await this.releaseBoundTask(view, task, 'services leave no room');
+        return;
+      }
       // Resources freed for an urgent task must not go to attempts from the backlog.
-      if (this.isUrgentTaskUnplaced && !record.isUrgent) return;
-      if (!view.fits(placed.charged)) return;
+      const isKeptFree =
+        !record.isUrgent && this.evictionPlanner.isPlanned(view);
+      if (isKeptFree || !view.fits(placed.charged)) {
+        await this.releaseIfOverdue(view, task);
+        return;
+      }
       view.addTask(placed);
     }
     if (!view.lease.isValid()) return;
@@ -689,6 +726,26 @@
     await this.commitStartingAttempt(task, record.attempt);
   }
 
+  /**
+   * Releases a task that has waited too long for resources of the worker that
+   * it was bound to in advance. It waits a little before it is placed again, so
+   * that schedulers with room on other workers come first. The time counts from
+   * the binding, under whichever scheduler.
+   */
+  private async releaseIfOverdue(
+    view: WorkerView,
+    task: CachedTask,
+  ): Promise<void> {
+    const {taskId, boundAtMs = -Infinity} = task.record;
+    const waitedMs = this.options.clock.getWallMs() - boundAtMs;
+    if (waitedMs < MAX_BACKLOG_WAIT_MS) return;
+    // Without the table the attempt could neither be released nor bound again.
+    const isTableUp = this.writer.hasRefreshedWithin(MAX_TABLE_READ_AGE_MS);
+    if (!isTableUp || this.options.committer.isUnavailable()) return;
+    this.setRetryTime(taskId, 0);
+    await this.releaseBoundTask(view, task, 'the worker stays busy');
+  }
+
   private async commitStartingAttempt(
     task: CachedTask,
     startingAttempt: number | undefined,
@@ -835,22 +892,36 @@
   private runSchedulingRound(): void {
     if (this.document === undefined || this.placement === undefined) return;
     this.unbindFromGoneWorkers();
-    this.isUrgentTaskUnplaced = false;
     this.evictionPlanner.startRound();
     const {primary, secondary} = this.getEligiblePending();
     const usable = this.getUsableViews();
-    const isCapacityLeft = this.scheduleTasks(primary, usable);
+    const {passedOver} = this;
+    const isCapacityLeft = this.scheduleTasks(
+      primary,
+      usable,
+      passedOver.primary,
+    );
     // Each scheduler first places the tasks that it is preferred for; otherwise
     // all schedulers would compete for the oldest tasks.
-    if (isCapacityLeft) this.scheduleTasks(secondary, usable);
+    if (isCapacityLeft) {
+      this.scheduleTasks(secondary, usable, passedOver.secondary);
+    }
   }
 
-  /** Places tasks in fair-share order; returns false if any batch job had no suitable worker. */
+  /**
+   * Places tasks in fair-share order; returns false if any batch job had no suitable worker.
+   * @param pending - Tasks to place.
+   * @param usable - Workers.
+   * @param passedOver - Jobs without a suitable worker in earlier rounds that
+   *     ended before all jobs had their turn; the other jobs come first.
+   */
   private scheduleTasks(
     pending: readonly PendingTask[],
     usable: readonly WorkerView[],
+    passedOver: Set<string>,
   ): boolean {
     if (pending.length === 0) return true;
+    let isComplete = true;
     const queue = FairShareQueue.create(
       this.getTeamsWithDomainQuota(this.document?.teams ?? []),
       this.getUsedCoresByTeam(),
@@ -862,19 +933,27 @@
       if (next === undefined) break;
       const task = this.cache.getTask(next.taskId);
       if (task === undefined || task.isWriting) continue;
-      if (blockedNames.has(task.record.name)) continue;
+      const {name} = task.record;
+      if (blockedNames.has(name) || passedOver.has(name)) continue;
       if (this.scheduleTask(task, usable)) {
         binds++;
         queue.recordPlacement(next);
+        this.recordOwnWait(task.record);
         continue;
       }
       if (next.kind === 'service' || next.isUrgent) continue;
       // Its placement is limited, unlike that of other tasks of the job.
       if (hasStartCrashes(task.record)) continue;
-      blockedNames.add(task.record.name);
-      if (blockedNames.size >= MAX_BLOCKED_JOBS) break;
+      if (this.hasReservation(task.record)) continue;
+      blockedNames.add(name);
+      if (blockedNames.size < MAX_BLOCKED_JOBS) continue;
+      isComplete = false;
+      break;
     }
-    return blockedNames.size === 0;
+    const isCapacityLeft = blockedNames.size + passedOver.size === 0;
+    if (isComplete) passedOver.clear();
+    else for (const name of blockedNames) passedOver.add(name);
+    return isCapacityLeft;
   }
 
   private scheduleTask(
@@ -889,13 +968,16 @@
       return true;
     }
     if (hasStartCrashes(record)) {
-      this.reserveWorker(record, usable);
+      this.reserveWorker('suspect', record, usable);
       return false;
     }
     if (record.kind === 'batch' && !record.isUrgent) {
+      if (this.getAgeMs(record) >= MIN_RESERVATION_AGE_MS) {
+        this.reserveWorker('old', record, usable);
+      }
+      if (this.hasReservation(record)) return false;
       return this.bindToBacklog(task, startable);
     }
-    this.isUrgentTaskUnplaced = true;
     this.evictForUrgentTask(record, startable);
     return false;
   }
@@ -930,14 +1012,37 @@
       }
       if (this.rejectIfInfeasible(task)) continue;
       const isHighPriority = record.kind === 'service' || record.isUrgent;
-      if (rank === 0 || isHighPriority) primary.push(record);
+      const isOwn = rank === 0 || this.isNeglected(record, rank);
+      if (isOwn || isHighPriority) primary.push(record);
       else secondary.push(record);
     }
     return {primary, secondary};
   }
 
+  /**
+   * Checks whether a task has waited so much longer than those that this
+   * scheduler is preferred for that its preferred scheduler seems to be unable
+   * to place it.
+   */
+  private isNeglected(record: TaskRecord, rank: number): boolean {
+    const usualMs = NEGLECT_FACTOR * this.ownWaitMs + MIN_NEGLECT_MS;
+    return this.getAgeMs(record) > rank * usualMs;
+  }
+
+  private getAgeMs({submittedAtMs}: TaskRecord): number {
+    return this.options.clock.getWallMs() - submittedAtMs;
+  }
+
+  /** Updates the usual wait of the batch tasks that this scheduler is preferred for. */
+  private recordOwnWait(record: TaskRecord): void {
+    if (record.kind === 'service' || record.isUrgent) return;
+    if (this.fleet.getRank(record.taskId) > 0) return;
+    const differenceMs = this.getAgeMs(record) - this.ownWaitMs;
+    this.ownWaitMs += OWN_WAIT_WEIGHT * differenceMs;
+  }
+
   private isTakeoverDue(record: TaskRecord, rank: number): boolean {
-    const ageMs = this.options.clock.getWallMs() - record.submittedAtMs;
+    const ageMs = this.getAgeMs(record);
     const delayMs = record.isUrgent ? TAKEOVER_DELAY_MS / 4 : TAKEOVER_DELAY_MS;
     return ageMs > delayMs * rank;
   }
@@ -996,34 +1101,34 @@
 
   /**
    * Checks whether a task is kept off a worker that it may have crashed; only
-   * crashes of different workers show that the task is the cause.
+   * crashes of different workers show that the task is the cause. It may return
+   * if no other worker is large enough.
    */
-  private isAvoided(
-    {crashedWorkerIds = []}: TaskRecord,
-    {workerId}: WorkerView,
-  ): boolean {
+  private isAvoided(record: TaskRecord, {workerId}: WorkerView): boolean {
+    const {crashedWorkerIds = []} = record;
     if (!crashedWorkerIds.includes(workerId)) return false;
-    const workers = this.fleet.getWorkersByDomain();
-    const count = workers.get(this.options.failureDomain) ?? 0;
-    return count > crashedWorkerIds.length;
+    return this.fleet.hasWorker(
+      vm => fits(record, vm) && !crashedWorkerIds.includes(vm.id),
+    );
   }
 
   /**
-   * Reserves a worker for a task that must start alone; otherwise the task
-   * would wait as long as each worker keeps starting other tasks.
+   * Reserves a worker for a task that would otherwise wait as long as each
+   * worker keeps starting other tasks: it must start alone, or needs more than
+   * one attempt frees.
    */
   private reserveWorker(
+    kind: ReservationKind,
     record: TaskRecord,
     usable: readonly WorkerView[],
   ): void {
-    if (this.getReservation() !== undefined) return;
-    const request = this.createPlacementRequest(record);
+    if (this.getReservation(kind) !== undefined) return;
     let best: WorkerView | undefined;
     let bestCores = -Infinity;
     for (const view of usable) {
       if (this.isAvoided(record, view)) continue;
-      if (!fitsOnEmptyWorker(record, view)) continue;
-      if (!this.placement?.isCompatible(request, view)) continue;
+      if (this.isReservedForOther(record, view)) continue;
+      if (!this.canEverRun(record, [view])) continue;
       const {cores} = view.getFreeResources();
       if (cores <= bestCores) continue;
       best = view;
@@ -1031,30 +1136,40 @@
     }
     if (best === undefined) return;
     const nowMs = this.options.clock.getMonotonicMs();
-    this.reservation = {
+    this.reservations.set(kind, {
       workerId: best.workerId,
       taskId: record.taskId,
       untilMs: nowMs + MAX_RESERVATION_MS,
-    };
+    });
   }
 
   private isReservedForOther(
     {taskId}: TaskRecord,
     {workerId}: WorkerView,
   ): boolean {
-    const reservation = this.getReservation();
-    if (reservation?.workerId !== workerId) return false;
-    return reservation.taskId !== taskId;
+    for (const kind of RESERVATION_KINDS) {
+      const reservation = this.getReservation(kind);
+      if (reservation?.workerId !== workerId) continue;
+      if (reservation.taskId !== taskId) return true;
+    }
+    return false;
+  }
+
+  private hasReservation({taskId}: TaskRecord): boolean {
+    return RESERVATION_KINDS.some(
+      kind => this.getReservation(kind)?.taskId === taskId,
+    );
   }
 
-  private getReservation(): WorkerReservation | undefined {
-    const {reservation} = this;
+  private getReservation(kind: ReservationKind): WorkerReservation | undefined {
+    const reservation = this.reservations.get(kind);
     if (reservation === undefined) return undefined;
     const {taskId, untilMs} = reservation;
     const isPending = this.cache.getTask(taskId)?.record.state === 'pending';
     const isExpired = this.options.clock.getMonotonicMs() > untilMs;
-    if (!isPending || isExpired) this.reservation = undefined;
-    return this.reservation;
+    if (isPending && !isExpired) return reservation;
+    this.reservations.delete(kind);
+    return undefined;
   }
 
   /**
@@ -1109,11 +1224,26 @@
     const charged = this.sizeEstimator.getChargedSize(
       name,
       record,
-      this.getLargestWorker(),
+      this.getLargestRoom(record),
     );
     return {taskId, kind, name, isUrgent, charged};
   }
 
+  /**
+   * Gets the largest room beside services on any worker that can run a task. A
+   * task that is charged more would find a worker as little as one that
+   * declares more.
+   */
+  private getLargestRoom(declared: ResourceAmount): ResourceAmount {
+    let largest: ResourceAmount = {cores: 0, memoryMb: 0, accelerators: 0};
+    for (const view of this.views.values()) {
+      if (!view.fitsBesideServices(declared)) continue;
+      const room = view.getRoomBesideServices();
+      if (room.cores > largest.cores) largest = room;
+    }
+    return largest;
+  }
+
   private getLargestWorker(): ResourceAmount {
     let largest: ResourceAmount = {cores: 0, memoryMb: 0, accelerators: 0};
     for (const {capacity} of this.views.values()) {
@@ -1207,7 +1337,7 @@
       const backlog =
         this.backlogByWorker.get(view.workerId) ?? new Set<string>();
       if (backlog.size >= MAX_BACKLOG_PER_WORKER) continue;
-      if (!fitsOnEmptyWorker(task.record, view)) continue;
+      if (!view.fitsBesideServices(request.charged)) continue;
       backlog.add(task.record.taskId);
       this.backlogByWorker.set(view.workerId, backlog);
       void this.bind(view, task, false);
@@ -1226,7 +1356,7 @@
   ): void {
     const request = this.createPlacementRequest(record);
     for (const view of usable) {
-      if (hasReplica(request, view)) continue;
+      if (!this.placement?.isAllowedBesideServices(request, view)) continue;
       const victims = this.evictionPlanner.planEvictions(
         view,
         request.charged,
@@ -1251,36 +1381,88 @@
 
   /**
    * Drops old ended tasks from the cache; only the first scheduler of the
-   * domain removes their rows.
+   * domain removes their rows and those of absences.
    */
   private async purge(): Promise<void> {
-    if (this.fleet.isFirstScheduler()) await this.purger.purge();
+    if (this.fleet.isFirstScheduler()) {
+      await this.purger.purge();
+      await this.purgeAbsences();
+    }
     this.cache.removeEndedBefore(
       this.options.clock.getWallMs() - 2 * ENDED_TASK_RETENTION_MS,
     );
   }
 
+  /** Checks whether a task could run on a worker without other batch tasks. */
+  private canEverRun(
+    record: TaskRecord,
+    usable: readonly WorkerView[],
+  ): boolean {
+    const request = this.createPlacementRequest(record);
+    return usable.some(
+      view =>
+        view.fitsBesideServices(request.charged) &&
+        this.placement?.isAllowedBesideServices(request, view),
+    );
+  }
+
+  private async purgeAbsences(): Promise<void> {
+    const refreshed = await this.cache.refresh();
+    if (refreshed.isErr()) return;
+    const boots = this.getUnlistedBoots();
+    await this.absences.purge(bootKey => boots.has(bootKey));
+  }
+
+  private isUnlisted(workerId: string): boolean {
+    return this.fleet.getVm(workerId) === undefined;
+  }
+
   private async stealTasks(): Promise<void> {
-    if (this.cache.getPendingTasks().length > 0) return;
     const usable = this.getUsableViews();
     if (!usable.some(view => view.getFreeResources().cores >= 1)) return;
+    // Tasks that no worker here can run must not keep room from those of others.
+    for (const {record} of this.cache.getPendingTasks()) {
+      if (this.canEverRun(record, usable)) return;
+    }
     await this.jobReconciler.stealTasks(record =>
       usable.some(view => view.fits(record)),
     );
   }
 
   private unbindFromGoneWorkers(): void {
+    const boots = this.getUnlistedBoots();
     const gone = this.goneWorkers.getGoneWorkers(
-      this.cache.getBoundWorkerIds(),
-      workerId => this.fleet.getVm(workerId) !== undefined,
+      [...boots.keys()],
+      () => false,
     );
-    for (const workerId of gone) {
+    for (const bootKey of gone) {
+      const {workerId, tasks} = boots.get(bootKey) ?? NO_BOOT;
+      for (const task of tasks) {
+        if (task.isWriting) continue;
+        void this.commitUnbind(task, `worker ${workerId} is gone`);
+      }
+    }
+  }
+
+  /**
+   * Gets the boots of unlisted workers that tasks are bound to, by key. A VM
+   * that is created anew under the id of a gone one runs the tasks of another
+   * boot.
+   */
+  private getUnlistedBoots(): Map<string, BoundBoot> {
+    const boots = new Map<string, BoundBoot>();
+    for (const workerId of this.cache.getBoundWorkerIds()) {
+      if (!this.isUnlisted(workerId)) continue;
       for (const taskId of this.cache.getBoundTaskIds(workerId)) {
         const task = this.cache.getTask(taskId);
-        if (task === undefined || task.isWriting) continue;
-        void this.commitUnbind(task, `worker ${workerId} is gone`);
+        if (task === undefined) continue;
+        const bootKey = `${workerId}/${task.record.bootId ?? ''}`;
+        const boot = boots.get(bootKey);
+        if (boot === undefined) boots.set(bootKey, {workerId, tasks: [task]});
+        else boot.tasks.push(task);
       }
     }
+    return boots;
   }
 
   private scheduleRepeating(
@@ -1298,6 +1480,11 @@
   }
 }
 
+/** What a worker is reserved for; each kind has one worker at most. */
+type ReservationKind = 'suspect' | 'old';
+
+const RESERVATION_KINDS: readonly ReservationKind[] = ['suspect', 'old'];
+
 /** A worker on which only one task may start. */
 interface WorkerReservation {
   readonly workerId: string;
@@ -1305,8 +1492,16 @@
   readonly untilMs: number;
 }
 
+/** A boot of a worker, with the tasks that are bound to it. */
+interface BoundBoot {
+  readonly workerId: string;
+  readonly tasks: CachedTask[];
+}
+
+const NO_BOOT: BoundBoot = {workerId: '', tasks: []};
+
 interface EligibleTasks {
-  /** Tasks that this scheduler is preferred for, service replicas and urgent tasks. */
+  /** Tasks that this scheduler is preferred for, neglected ones, service replicas and urgent tasks. */
   readonly primary: readonly PendingTask[];
   /** Other batch tasks, taken over from their preferred schedulers. */
   readonly secondary: readonly PendingTask[];
