Store bounds of leases sooner after a takeover and after a silence

Cause: raised the time without a first response after which leases are suspended from 0.3 to 1 s, so that a bound was stored only at the second failed renewal, 1.2 s after an election. Silences within a term were noticed only when a renewal failed.

Change: back to 0.3 s for the suspension; runs are given up by an inherited bound from 1 s on, as before this commit. Silences are checked in each tick as well. As that comes sooner, the store counts as not responding after 0.7 s without a confirmed write.

Evidence: lease_suspension.test.ts "keeps its run if the store stops responding" failed with the tick alone and passes with 0.7 s; the other tests of leases pass.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -122,9 +122,9 @@
 
 /**
  * Time without a confirmed write after which no leases are suspended, as they
- * could be resumed only when the store responds again.
+ * could be resumed only when the store responds again. Covers two heartbeats.
  */
-const STORE_RESPONSE_TIMEOUT_MS = 1_000;
+const STORE_RESPONSE_TIMEOUT_MS = 700;
 
 /** Interval of the `fleet-load` event. */
 const LOAD_LOG_INTERVAL_MS = 2_000;
@@ -754,6 +754,8 @@
     }
     if (nowMs - this.lastLoadLogMs >= LOAD_LOG_INTERVAL_MS) this.logLoad(nowMs);
     if (this.isLoaded) {
+      for (const session of this.workerPool.getSessions())
+        session.suspendLeasesIfSilent();
       this.removeObsoleteLeaseBounds();
       this.reportWaits(nowMs);
       void this.retention.purge();
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -152,11 +152,16 @@
 const UNRESPONSIVE_TIMEOUT_MS = 1_500;
 
 /**
- * Time without a first response after which leases are suspended, and runs given
- * up by a stored bound. Exceeds the time limit of one renewal, so that a single
- * lost call is no silence; short, as the term may be short as well.
+ * Time without a first response after which leases are suspended. Below the time
+ * limit of a renewal, as none has been granted in this term, which may be short.
  */
-const FIRST_RESPONSE_TIMEOUT_MS = 1_000;
+const FIRST_RESPONSE_TIMEOUT_MS = 300;
+
+/**
+ * Age of a session from which runs are given up by a stored bound. Above the time
+ * limit of a renewal, so that other lost workers are known to be silent by then.
+ */
+const MIN_GIVE_UP_AGE_MS = 1_000;
 
 /**
  * Start commands without confirmation after which the run is stopped, so that a
@@ -364,7 +369,7 @@
       const isRenewed = await this.renew();
       if (this.isStopped) return;
       this.dropExpiredRuns();
-      this.suspendLeases();
+      this.suspendLeasesIfSilent();
       this.notifyRenewalWaiters();
       await this.waitForNextRenewal(isRenewed);
     }
@@ -378,6 +383,24 @@
     return this.areLeasesSuspended ? this.suspensionCount : undefined;
   }
 
+  /**
+   * Grants no more leases to a worker that does not respond, so that the expiry of
+   * the last one can be stored for a successor.
+   */
+  suspendLeasesIfSilent(): void {
+    if (this.isStopped || this.areLeasesSuspended) return;
+    if (!this.hasLastRenewalFailed) return;
+    if (this.load.getRunCount() === 0) return;
+    if (!this.options.isStoreResponding()) return;
+    const timeoutMs = this.hasResponded
+      ? UNRESPONSIVE_TIMEOUT_MS
+      : FIRST_RESPONSE_TIMEOUT_MS;
+    if (this.getSilenceMs() < timeoutMs) return;
+    this.areLeasesSuspended = true;
+    this.suspensionCount++;
+    this.options.listener.onLeasesSuspended(this, this.leaseEndMs);
+  }
+
   /**
    * Grants leases again, unless they were suspended anew.
    * @param suspension - Suspension to end, as `getLeaseSuspension` returned it.
@@ -703,8 +726,7 @@
   private dropExpiredRuns(): void {
     if (this.options.clock.getMonotonicMs() < this.leaseEndMs) return;
     if (!this.hasLastRenewalFailed || this.load.getRunCount() === 0) return;
-    // By then the other workers have responded, or are known to be silent as well.
-    if (this.getSilenceMs() < FIRST_RESPONSE_TIMEOUT_MS) return;
+    if (this.getSilenceMs() < MIN_GIVE_UP_AGE_MS) return;
     this.reportLoss();
     for (const assigned of [...this.load.getRuns()])
       this.dropRun(assigned, 'its lease expired');
@@ -716,23 +738,6 @@
     return this.options.clock.getMonotonicMs() - sinceMs;
   }
 
-  /**
-   * Grants no more leases to a worker that does not respond, so that the expiry of
-   * the last one can be stored for a successor.
-   */
-  private suspendLeases(): void {
-    if (this.areLeasesSuspended || !this.hasLastRenewalFailed) return;
-    if (this.load.getRunCount() === 0) return;
-    if (!this.options.isStoreResponding()) return;
-    const timeoutMs = this.hasResponded
-      ? UNRESPONSIVE_TIMEOUT_MS
-      : FIRST_RESPONSE_TIMEOUT_MS;
-    if (this.getSilenceMs() < timeoutMs) return;
-    this.areLeasesSuspended = true;
-    this.suspensionCount++;
-    this.options.listener.onLeasesSuspended(this, this.leaseEndMs);
-  }
-
   /**
    * Checks whether the worker was restarted, in this term or since an earlier one
    * assigned runs to it.
