Refuse jobs that cannot be started in time

What callers saw: under more load than could be started, each job was accepted, waited behind a growing backlog and ended late or not at all.

Cause: nothing was ever refused for load; the delay that the coordinator publishes for a queue was always 0.

Change: the coordinator compares the time for which a queue's unplaced work lasts, at the rate of its recent placements, with the time that its jobs can wait and still meet their objective, and publishes the excess. A status older than 2 s refuses nothing.

Evidence: admission.test.ts.

--- /dev/null
+++ b/packages/coordination/src/admission_control.ts
@@ -0,0 +1,243 @@
+/**
+ * Decides whether the queues accept further jobs.
+ *
+ * Load pattern: jobs arrive faster than their tasks can be started, because the
+ * workers are full or the coordinator is short of processor time. Without a limit
+ * the backlog grows until every job is late, and outlasts the load that caused it.
+ */
+
+import {Clock} from '@mustardlug/base/clock';
+import {PlacedStep, isWaitingTask} from './placement_pass.js';
+import {
+  getCriticalPathMs,
+  getDeadlineStatus,
+  getExpectedTaskMs,
+  getObjectiveDurationMs,
+  WaitingStep,
+} from './task_order.js';
+
+/** Time over which placements are measured. */
+const WINDOW_MS = 2_000;
+
+/**
+ * Fraction of the placed jobs, those that waited least, that may have waited for
+ * other reasons than load, such as an image that no worker is acceptable for.
+ */
+const WAIT_QUANTILE = 0.25;
+
+/** Measured wait, as a fraction of the tolerable one, from which a queue counts as loaded. */
+const MIN_MEASURED_FRACTION = 0.25;
+
+/** Expected wait, as a fraction of the tolerable one, from which jobs are accepted again. */
+const RESUME_FRACTION = 0.5;
+
+/** Lower limit of the tolerable wait; covers the delay until a decision reaches the nodes. */
+const MIN_TOLERABLE_WAIT_MS = 1_000;
+
+/** Upper limit of the delay after which refused callers are told to try again. */
+const MAX_RETRY_AFTER_MS = 10_000;
+
+const MS_PER_SECOND = 1_000;
+
+/** Tasks of one step that were placed at the same time. */
+interface RecordedPlacement {
+  readonly placedMs: number;
+  /** CPU time that the tasks are expected to use, in thousandths of a millisecond. */
+  readonly work: number;
+  /** Time from the acceptance of the job, if its first task was placed. */
+  readonly firstWaitMs: number | undefined;
+}
+
+/** Why a queue refuses jobs, and for how long. */
+export interface QueueRefusal {
+  /** Time after which the queue is expected to accept jobs again. */
+  readonly retryAfterMs: number;
+  /** Rate at which jobs were started lately. */
+  readonly startsPerSecond: number;
+}
+
+/** Unplaced work of one queue. */
+interface Backlog {
+  work: number;
+  /** Age of the oldest job of which nothing has been placed. */
+  oldestWaitMs: number;
+  stepCount: number;
+  /** Sum over the steps of the time that their jobs can wait without missing the objective. */
+  slackMs: number;
+}
+
+/** Measures how long the jobs of each queue wait, and refuses those that would miss their objective. */
+export class AdmissionControl {
+  private readonly placements = new Map<string, RecordedPlacement[]>();
+  /** Queues that refuse jobs, by name. */
+  private refusals: ReadonlyMap<string, QueueRefusal> = new Map();
+  /** Steps with waiting tasks before the last pass. */
+  private waiting: readonly WaitingStep[] = [];
+  private readonly createdMs: number;
+
+  private constructor(private readonly clock: Clock) {
+    this.createdMs = clock.getMonotonicMs();
+  }
+
+  /**
+   * Creates a control that accepts all jobs.
+   * @param clock - Clock of the measurements.
+   */
+  static create(clock: Clock): AdmissionControl {
+    return new AdmissionControl(clock);
+  }
+
+  /**
+   * Records a placement pass.
+   * @param waiting - Steps that had waiting tasks before it.
+   * @param placedSteps - Steps of which tasks were placed.
+   * @param wallMs - Wall-clock time of the pass.
+   */
+  recordPass(
+    waiting: readonly WaitingStep[],
+    placedSteps: readonly PlacedStep[],
+    wallMs: number,
+  ): void {
+    this.waiting = waiting;
+    const placedMs = this.clock.getMonotonicMs();
+    for (const placed of placedSteps) {
+      const {step, job, occurrence, queue} = placed.waiting;
+      if (step.spec.isLongRunning) continue;
+      const firstWaitMs =
+        job.phase === 'pending' ? wallMs - job.getDueMs(occurrence) : undefined;
+      const work = placed.workerIds.length * getTaskWork(placed.waiting);
+      const placements = this.placements.get(queue.name) ?? [];
+      placements.push({placedMs, work, firstWaitMs});
+      this.placements.set(queue.name, placements);
+    }
+  }
+
+  /**
+   * Decides anew which queues accept jobs.
+   * @param wallMs - Wall-clock time.
+   * @returns The queues that refuse jobs, by name.
+   */
+  update(wallMs: number): ReadonlyMap<string, QueueRefusal> {
+    this.removeOldPlacements();
+    const refusals = new Map<string, QueueRefusal>();
+    for (const [queueName, backlog] of getBacklogs(this.waiting, wallMs)) {
+      const retryAfterMs = this.getRetryAfterMs(queueName, backlog);
+      if (retryAfterMs === 0) continue;
+      const startsPerSecond = this.getStartsPerSecond(queueName);
+      refusals.set(queueName, {retryAfterMs, startsPerSecond});
+    }
+    this.refusals = refusals;
+    return refusals;
+  }
+
+  /** Gets the last decision, as `update` returned it. */
+  getRefusals(): ReadonlyMap<string, QueueRefusal> {
+    return this.refusals;
+  }
+
+  private getRetryAfterMs(queueName: string, backlog: Backlog): number {
+    const tolerableMs = Math.max(
+      MIN_TOLERABLE_WAIT_MS,
+      backlog.slackMs / backlog.stepCount,
+    );
+    const placements = this.placements.get(queueName) ?? [];
+    const measuredMs = getMeasuredWaitMs(placements, backlog);
+    if (measuredMs < tolerableMs * MIN_MEASURED_FRACTION) return 0;
+    const expectedMs = this.getExpectedWaitMs(placements, backlog);
+    const isRefusing = this.refusals.has(queueName);
+    const limitMs = isRefusing ? tolerableMs * RESUME_FRACTION : tolerableMs;
+    if (expectedMs <= limitMs) return 0;
+    const excessMs = expectedMs - tolerableMs * RESUME_FRACTION;
+    return Math.min(MAX_RETRY_AFTER_MS, excessMs);
+  }
+
+  /** Gets the time after which the backlog is placed at the rate of the recent placements. */
+  private getExpectedWaitMs(
+    placements: readonly RecordedPlacement[],
+    backlog: Backlog,
+  ): number {
+    const elapsedMs = this.clock.getMonotonicMs() - this.createdMs;
+    // Without measurements of a whole window the rate is not known.
+    if (elapsedMs < WINDOW_MS) return 0;
+    let placedWork = 0;
+    for (const {work} of placements) placedWork += work;
+    return (backlog.work / placedWork) * WINDOW_MS;
+  }
+
+  private getStartsPerSecond(queueName: string): number {
+    let count = 0;
+    for (const {firstWaitMs} of this.placements.get(queueName) ?? []) {
+      if (firstWaitMs !== undefined) count++;
+    }
+    return (count * MS_PER_SECOND) / WINDOW_MS;
+  }
+
+  private removeOldPlacements(): void {
+    const oldestMs = this.clock.getMonotonicMs() - WINDOW_MS;
+    for (const [queueName, placements] of this.placements) {
+      const recent = placements.filter(({placedMs}) => placedMs >= oldestMs);
+      if (recent.length > 0) this.placements.set(queueName, recent);
+      else this.placements.delete(queueName);
+    }
+  }
+}
+
+/**
+ * Gets how long jobs wait for their first placement: those that were placed lately
+ * or, if there were none, the oldest one that waits.
+ */
+function getMeasuredWaitMs(
+  placements: readonly RecordedPlacement[],
+  backlog: Backlog,
+): number {
+  const waitsMs: number[] = [];
+  for (const {firstWaitMs} of placements) {
+    if (firstWaitMs !== undefined) waitsMs.push(firstWaitMs);
+  }
+  if (waitsMs.length === 0) return backlog.oldestWaitMs;
+  waitsMs.sort((left, right) => left - right);
+  return waitsMs[Math.floor(waitsMs.length * WAIT_QUANTILE)];
+}
+
+/**
+ * Sums up the unplaced work by queue. Work that has expired is left out, as it is
+ * placed after all other work of its priority.
+ */
+function getBacklogs(
+  waiting: readonly WaitingStep[],
+  wallMs: number,
+): Map<string, Backlog> {
+  const backlogs = new Map<string, Backlog>();
+  for (const each of waiting) {
+    const {step, job, queue} = each;
+    if (step.spec.isLongRunning || job.isEnded()) continue;
+    if (getDeadlineStatus(each, wallMs) === 'expired') continue;
+    const taskCount = step.tasks.filter(isWaitingTask).length;
+    if (taskCount === 0) continue;
+    const backlog = backlogs.get(queue.name) ?? {
+      work: 0,
+      oldestWaitMs: 0,
+      stepCount: 0,
+      slackMs: 0,
+    };
+    backlog.work += taskCount * getTaskWork(each);
+    backlog.stepCount++;
+    backlog.slackMs += getSlackMs(each);
+    if (!job.hasRuns() && !job.hasStarted) {
+      const waitMs = wallMs - job.getDueMs(each.occurrence);
+      backlog.oldestWaitMs = Math.max(backlog.oldestWaitMs, waitMs);
+    }
+    backlogs.set(queue.name, backlog);
+  }
+  return backlogs;
+}
+
+function getTaskWork({step}: WaitingStep): number {
+  return Math.max(1, step.spec.needs.cpuMillis) * getExpectedTaskMs(step.spec);
+}
+
+/** Gets how long a new job like that of a step can wait and still meet its objective. */
+function getSlackMs({job, queue}: WaitingStep): number {
+  const {spec} = job.accepted;
+  return getObjectiveDurationMs(spec, queue) - getCriticalPathMs(spec);
+}
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -17,6 +17,7 @@
   StoredRow,
 } from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {AdmissionControl} from './admission_control.js';
 import {CommitLog, CommitOutcome} from './commit_log.js';
 import {CoordinatorHeartbeat, STATUS_ADDRESS} from './coordinator_heartbeat.js';
 import {QueueLoad} from './coordinator_status.js';
@@ -163,6 +164,7 @@
   private readonly retention: JobRetention;
   private readonly startWindow: StartWindow;
   private readonly leaseBounds: LeaseBounds;
+  private readonly admissionControl: AdmissionControl;
   private readonly crashAttributor = CrashAttributor.create();
   private readonly waitReporter: WaitReporter;
   private readonly silenceReporter: SilenceReporter;
@@ -197,6 +199,7 @@
     });
     this.silenceReporter = SilenceReporter.create(clock, events);
     this.leaseBounds = LeaseBounds.create(clock, commitLog);
+    this.admissionControl = AdmissionControl.create(clock);
     this.workerPool = WorkerPool.create({
       clock,
       events,
@@ -645,7 +648,9 @@
       place: placement => this.placeTask(placement),
       undo: (assigned, {session}) => this.undoPlacement(assigned, session),
     });
-    pass.run(this.getWaitingSteps(wallMs), wallMs);
+    const waiting = this.getWaitingSteps(wallMs);
+    pass.run(waiting, wallMs);
+    this.admissionControl.recordPass(waiting, pass.getPlacedSteps(), wallMs);
     this.isStartLimited = pass.isLimitReached();
     this.lastPass = pass;
     for (const step of pass.getPlacedSteps()) {
@@ -660,7 +665,8 @@
   private getQueueLoads(): Record<string, QueueLoad> | undefined {
     const jobsAgeMs = this.jobFollower?.getMaxAgeMs() ?? Infinity;
     if (!this.isLoaded || jobsAgeMs > MAX_JOBS_AGE_MS) return undefined;
-    return this.jobTracker.getQueueLoads();
+    const wallMs = this.options.clock.getWallMs();
+    return this.jobTracker.getQueueLoads(this.admissionControl.update(wallMs));
   }
 
   private getWaitingSteps(wallMs: number): WaitingStep[] {
@@ -788,7 +794,9 @@
     const waiting = this.getWaitingSteps(this.options.clock.getWallMs());
     const detail = [
       formatFleetLoad(this.workerPool.getSessions(), waiting),
-      formatQueueLoads(this.jobTracker.getQueueLoads()),
+      formatQueueLoads(
+        this.jobTracker.getQueueLoads(this.admissionControl.getRefusals()),
+      ),
       `timers ${Math.round(this.startWindow.getDelayMs())} ms late, ${Math.round(this.startWindow.getLimit())} start commands at a time`,
       `job feed ${Math.round(this.jobFollower?.getMaxAgeMs() ?? Infinity)} ms old`,
     ].join(', ');
--- a/packages/coordination/src/coordinator_status.ts
+++ b/packages/coordination/src/coordinator_status.ts
@@ -5,6 +5,8 @@
   readonly waitingJobs: number;
   /** Time after which a refused caller should try again; 0 while jobs are accepted. */
   readonly retryAfterMs: number;
+  /** Rate at which jobs are started lately; absent while jobs are accepted, and in statuses of earlier versions. */
+  readonly startsPerSecond?: number;
 }
 
 /** Row that the coordinator rewrites at a fixed interval as its heartbeat. */
@@ -23,3 +25,24 @@
   /** Load by name of the queue; absent while the holder may not know all accepted jobs. */
   readonly queues?: Readonly<Record<string, QueueLoad>>;
 }
+
+/** Status of the coordinator, as a node received it. */
+export interface ReceivedStatus {
+  readonly status: CoordinatorStatus;
+  readonly ageMs: number;
+}
+
+/** Maximum age of a status whose loads of the queues are used. */
+export const MAX_STATUS_AGE_MS = 2_000;
+
+/**
+ * Gets the load by name of the queue, or `undefined` while it is not known.
+ * @param received - Last status that the node received, if any.
+ */
+export function getCurrentQueueLoads(
+  received: ReceivedStatus | undefined,
+): Readonly<Record<string, QueueLoad>> | undefined {
+  if (received === undefined || received.ageMs > MAX_STATUS_AGE_MS)
+    return undefined;
+  return received.status.queues;
+}
--- a/packages/coordination/src/fleet_report.ts
+++ b/packages/coordination/src/fleet_report.ts
@@ -62,7 +62,10 @@
   loads: Readonly<Record<string, QueueLoad>>,
 ): string {
   const parts = Object.entries(loads).map(
-    ([name, {waitingJobs}]) => `${name} ${waitingJobs}`,
+    ([name, {waitingJobs, retryAfterMs}]) =>
+      retryAfterMs > 0
+        ? `${name} ${waitingJobs} (refusing for ${Math.round(retryAfterMs)} ms)`
+        : `${name} ${waitingJobs}`,
   );
   return `jobs not started ${parts.length === 0 ? 'none' : parts.join(' ')}`;
 }
--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -13,6 +13,7 @@
 import {EndedRun, RunningRun} from '@mustardlug/platform/job_worker_client';
 import {StoredRow} from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {QueueRefusal} from './admission_control.js';
 import {QueueLoad} from './coordinator_status.js';
 import {SuspectedRun} from './crash_attributor.js';
 import {JobIndex} from './job_index.js';
@@ -103,17 +104,24 @@
     return config?.queues.find(each => each.name === queue.name) ?? queue;
   }
 
-  /** Gets the load of the queues with jobs that have not started, by name of the queue. */
-  getQueueLoads(): Record<string, QueueLoad> {
-    const waiting: Record<string, number> = {};
+  /**
+   * Gets the load of the queues that refuse jobs or have jobs that have not
+   * started, by name of the queue.
+   * @param refusals - Queues that refuse jobs, by name.
+   */
+  getQueueLoads(
+    refusals: ReadonlyMap<string, QueueRefusal>,
+  ): Record<string, QueueLoad> {
+    const waiting = new Map<string, number>();
+    for (const name of refusals.keys()) waiting.set(name, 0);
     for (const job of this.jobIndex.getActiveJobs()) {
       if (job.hasStarted || job.isEnded()) continue;
       const {name} = job.accepted.queue;
-      waiting[name] = (waiting[name] ?? 0) + 1;
+      waiting.set(name, (waiting.get(name) ?? 0) + 1);
     }
     const loads: Record<string, QueueLoad> = {};
-    for (const [name, waitingJobs] of Object.entries(waiting))
-      loads[name] = {waitingJobs, retryAfterMs: 0};
+    for (const [name, waitingJobs] of waiting)
+      loads[name] = {waitingJobs, retryAfterMs: 0, ...refusals.get(name)};
     return loads;
   }
 
--- a/packages/experiments/src/job_harness.ts
+++ b/packages/experiments/src/job_harness.ts
@@ -3,6 +3,7 @@
 import {RandomSource} from '@mustardlug/base/random_source';
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
 import {Coordinator} from '@mustardlug/coordination/coordinator';
+import {getCurrentQueueLoads} from '@mustardlug/coordination/coordinator_status';
 import {JobStore} from '@mustardlug/coordination/job_store';
 import {
   JobSpec,
@@ -12,6 +13,7 @@
 import {JobPhase} from '@mustardlug/jobs/job_state';
 import {DeploymentConfig, QueueConfig} from '@mustardlug/jobs/queue_config';
 import {CoordinatorRole} from '@mustardlug/node/coordinator_role';
+import {ReturnSchedule} from '@mustardlug/node/return_schedule';
 import {WorkerRecord} from '@mustardlug/platform/job_worker_client';
 import {
   JobWorkerModel,
@@ -121,6 +123,7 @@
   readonly jobStore: JobStore;
   readonly role: CoordinatorRole;
   readonly events: EventRecorder;
+  readonly returns: ReturnSchedule;
 }
 
 /** Runs real nodes against simulated workers and a simulated row store. */
@@ -218,6 +221,10 @@
       jobStore,
       role,
       events,
+      returns: ReturnSchedule.create({
+        clock,
+        getNodeCount: () => role.getNodeCount(),
+      }),
     };
     this.nodes.push(node);
     void role.run();
@@ -339,6 +346,27 @@
     return jobId;
   }
 
+  /**
+   * Submits a job through one of the nodes in turn, which refuses it if the
+   * coordinator has told so.
+   * @param steps - Steps of the job.
+   * @returns The delay after which to try again; 0 if the job was accepted.
+   */
+  async submitIfAdmitted(
+    steps: readonly StepSpec[],
+  ): Promise<{jobId: string; retryAfterMs: number}> {
+    const jobId = this.addJob(steps, this.queue);
+    const node = this.nodes[this.specs.size % this.nodes.length];
+    const loads = getCurrentQueueLoads(node.role.getCoordinatorStatus());
+    const load = loads?.[this.queue.name];
+    const retryAfterMs =
+      load !== undefined && load.retryAfterMs > 0
+        ? node.returns.assignRetryAfterMs(this.queue.name, load)
+        : 0;
+    await this.trySubmit(jobId, node, this.queue, retryAfterMs);
+    return {jobId, retryAfterMs};
+  }
+
   private addJob(steps: readonly StepSpec[], queue: QueueConfig): string {
     const jobId = (this.nextJobNumber++).toString(16).padStart(16, '0');
     const spec: JobSpec = {specification: jobId, steps};
@@ -352,8 +380,14 @@
    * @param jobId - Identifier of a job from an earlier submission.
    * @param node - Node that receives the submission.
    * @param queue - Queue of the job.
+   * @param retryAfterMs - Delay for refusing the job; 0 to accept it.
    */
-  trySubmit(jobId: string, node: HarnessNode, queue = this.queue) {
+  trySubmit(
+    jobId: string,
+    node: HarnessNode,
+    queue = this.queue,
+    retryAfterMs = 0,
+  ) {
     const spec = this.specs.get(jobId);
     if (spec === undefined) throw new Error(`unknown job ${jobId}`);
     return node.jobStore.submit({
@@ -361,7 +395,7 @@
       spec,
       queue,
       deadlineMs: this.clock.getMonotonicMs() + RESPONSE_TIMEOUT_MS,
-      retryAfterMs: 0,
+      retryAfterMs,
     });
   }
 
--- /dev/null
+++ b/packages/experiments/test/admission.test.ts
@@ -0,0 +1,99 @@
+import {expect} from 'chai';
+import {createSampleStep, SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
+import {JobHarness} from '../src/job_harness.js';
+
+/** Time in which the first coordinator is elected, loads all state and fences the workers. */
+const START_MS = 2_500;
+
+/** Four workers of 8 cores run 16 tasks of 2 cores and 800 ms at a time: 20 a second. */
+const WORKERS = 4;
+
+const STEPS = [createSampleStep(4)];
+
+const TASK_MS = STEPS[0].estimatedMs;
+
+/** Time from the acceptance of a job after which it has no value to its caller. */
+const LATE_LIMIT_MS =
+  (TASK_MS * SAMPLE_QUEUE.stretch + SAMPLE_QUEUE.targetDurationMs) * 3;
+
+/** Interval of jobs that makes 60 tasks a second. */
+const OVERLOAD_INTERVAL_MS = 66;
+
+interface Attempt {
+  readonly jobId: string;
+  readonly retryAfterMs: number;
+  readonly sentMs: number;
+}
+
+/** Submits jobs at an interval. */
+async function submitFor(
+  harness: JobHarness,
+  durationMs: number,
+  intervalMs: number,
+): Promise<Attempt[]> {
+  const attempts: Attempt[] = [];
+  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += intervalMs) {
+    const sentMs = harness.clock.getMonotonicMs();
+    void harness
+      .submitIfAdmitted(STEPS)
+      .then(attempt => attempts.push({...attempt, sentMs}));
+    await harness.advance(intervalMs);
+  }
+  return attempts;
+}
+
+async function countIncomplete(
+  harness: JobHarness,
+  attempts: readonly Attempt[],
+): Promise<number> {
+  let count = 0;
+  for (const {jobId, retryAfterMs} of attempts) {
+    if (retryAfterMs > 0) continue;
+    if ((await harness.getPhase(jobId)) !== 'completed') count++;
+  }
+  return count;
+}
+
+describe('a queue whose jobs arrive at three times the rate at which workers run them', () => {
+  it('refuses jobs, so that the accepted ones end within their late limit', async () => {
+    const harness = JobHarness.create({workers: WORKERS});
+    await harness.advance(START_MS);
+    const attempts = await submitFor(harness, 30_000, OVERLOAD_INTERVAL_MS);
+    await harness.advance(LATE_LIMIT_MS);
+    expect(await countIncomplete(harness, attempts)).to.equal(0);
+    expect(harness.checker.violations).to.deep.equal([]);
+  });
+
+  it('accepts nine of ten callers who try again after the delay that they were given', async () => {
+    const harness = JobHarness.create({workers: WORKERS});
+    await harness.advance(START_MS);
+    const attempts = await submitFor(harness, 6_000, OVERLOAD_INTERVAL_MS);
+    const refused = attempts.filter(({retryAfterMs}) => retryAfterMs > 0);
+    const startMs = harness.clock.getMonotonicMs();
+    const returns: Attempt[] = [];
+    for (const {sentMs, retryAfterMs} of refused) {
+      const delayMs = Math.max(0, sentMs + retryAfterMs - startMs);
+      harness.clock.setTimer(delayMs, () => {
+        void harness
+          .submitIfAdmitted(STEPS)
+          .then(attempt => returns.push({...attempt, sentMs: 0}));
+      });
+    }
+    await harness.advance(30_000);
+    expect(refused.length).to.be.greaterThan(0);
+    const accepted = returns.filter(({retryAfterMs}) => retryAfterMs === 0);
+    expect(accepted.length / refused.length).to.be.at.least(0.9);
+  });
+});
+
+describe('a queue whose jobs start at once', () => {
+  it('accepts all jobs beside one that no worker has room for', async () => {
+    const harness = JobHarness.create({workers: WORKERS});
+    await harness.advance(START_MS);
+    const needs = {cpuMillis: 9_000, memoryMb: 1_000, accelerators: 0};
+    await harness.submit([createSampleStep(4, {needs})]);
+    const attempts = await submitFor(harness, 20_000, 400);
+    const refused = attempts.filter(({retryAfterMs}) => retryAfterMs > 0);
+    expect(refused).to.deep.equal([]);
+  });
+});
--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -2,7 +2,10 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {AppError} from '@mustardlug/base/errors';
-import {CoordinatorStatus} from '@mustardlug/coordination/coordinator_status';
+import {
+  getCurrentQueueLoads,
+  ReceivedStatus,
+} from '@mustardlug/coordination/coordinator_status';
 import {
   JobStatus,
   JobStore,
@@ -17,6 +20,7 @@
 import {Context, Hono} from 'hono';
 import {ContentfulStatusCode} from 'hono/utils/http-status';
 import {Result} from 'neverthrow';
+import {ReturnSchedule} from './return_schedule.js';
 
 /** Platform-specific format of callers' requests and responses. */
 export interface CallerFormat {
@@ -34,11 +38,11 @@
 export interface CallerApiOptions {
   readonly clock: Clock;
   readonly jobs: JobStore;
+  readonly returns: ReturnSchedule;
   readonly format: CallerFormat;
   readonly getConfig: () => DeploymentConfig | undefined;
   /** Gets the last status published by the coordinator, and its age; undefined before the first one. */
-  readonly getCoordinatorStatus: () =>
-    {status: CoordinatorStatus; ageMs: number} | undefined;
+  readonly getCoordinatorStatus: () => ReceivedStatus | undefined;
   /** Gets how long the store has been unavailable to this node; undefined while it responds. */
   readonly getStoreOutageMs: () => number | undefined;
   /** Called after each response. */
@@ -49,9 +53,6 @@
   ) => void;
 }
 
-/** Maximum age of the coordinator's status for showing the number of waiting jobs. */
-const MAX_STATUS_AGE_MS = 2_000;
-
 /** Caller timeout that is assumed when the deadline header is missing or invalid. */
 const DEFAULT_TIMEOUT_MS = 3_000;
 
@@ -156,20 +157,24 @@
     const spec = this.options.format.decodeJob(body);
     if (spec.isErr())
       return context.json({error: {reason: spec.error.message}}, 400);
-    const queueLoad =
-      this.options.getCoordinatorStatus()?.status.queues?.[queue.name];
+    const received = this.options.getCoordinatorStatus();
+    const queueLoad = getCurrentQueueLoads(received)?.[queue.name];
+    const isRefusing = queueLoad !== undefined && queueLoad.retryAfterMs > 0;
+    const retryAfterMs = isRefusing
+      ? this.options.returns.assignRetryAfterMs(queue.name, queueLoad)
+      : 0;
     const outcome = await this.options.jobs.submit({
       jobId: rest,
       spec: spec.value,
       queue,
       deadlineMs,
-      retryAfterMs: queueLoad?.retryAfterMs ?? 0,
+      retryAfterMs,
     });
     if (outcome.isOk()) return context.json({});
     const {error} = outcome;
     if (error.kind === 'unavailable')
       return context.json({error: {reason: error.message}}, 504);
-    const status = (queueLoad?.retryAfterMs ?? 0) > 0 ? 429 : 503;
+    const status = isRefusing ? 429 : 503;
     return renderRefusal(context, status, error.message, error.retryAfterMs);
   }
 
@@ -193,11 +198,8 @@
 
   private showQueue(request: QueueRequest): Response {
     const {context, queue} = request;
-    const received = this.options.getCoordinatorStatus();
-    const queues = received?.status.queues;
-    const isCurrent =
-      received !== undefined && received.ageMs <= MAX_STATUS_AGE_MS;
-    if (queues === undefined || !isCurrent) {
+    const queues = getCurrentQueueLoads(this.options.getCoordinatorStatus());
+    if (queues === undefined) {
       const reason = 'the number of waiting jobs is not known now; try again';
       return renderRefusal(context, 503, reason, NOT_READY_RETRY_AFTER_MS);
     }
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -145,6 +145,11 @@
     return this.follower.getOutageMs();
   }
 
+  /** Gets the number of nodes, as last read. */
+  getNodeCount(): number {
+    return this.nodeCount;
+  }
+
   /** Checks whether this node holds the coordinator role. */
   isCoordinating(): boolean {
     return this.coordinator !== undefined;
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -17,6 +17,7 @@
 import {MeteredRowStore} from './metered_row_store.js';
 import {MeteredJobWorkerClient} from './metered_job_worker_client.js';
 import {NodeMetrics} from './node_metrics.js';
+import {ReturnSchedule} from './return_schedule.js';
 
 /** Listen addresses of a node. */
 export interface NodeAddresses {
@@ -159,6 +160,10 @@
     return CallerApi.createApp({
       clock,
       jobs: JobStore.create({store: this.store, clock, events}),
+      returns: ReturnSchedule.create({
+        clock,
+        getNodeCount: () => this.role.getNodeCount(),
+      }),
       onResponse: (method, status, durationMs) =>
         metrics.recordRequest(method, status, durationMs),
       format: platform.callerFormat,
--- a/packages/node/test/caller_api.test.ts
+++ b/packages/node/test/caller_api.test.ts
@@ -11,6 +11,7 @@
 import {expect} from 'chai';
 import {err, ok} from 'neverthrow';
 import {CallerApi, CallerFormat} from '../src/caller_api.js';
+import {ReturnSchedule} from '../src/return_schedule.js';
 
 const SPEC: JobSpec = {specification: '', steps: []};
 
@@ -51,6 +52,10 @@
         clock: HybridLogicalClock.create(this.clock),
       }),
     }),
+    returns: ReturnSchedule.create({
+      clock: this.clock,
+      getNodeCount: () => 1,
+    }),
     format: FORMAT,
     getConfig: () => this.config,
     getCoordinatorStatus: () => this.status,
