Fillers: predict nothing for a CPU limit that cannot rise

Cause read in the code: each report of a worker whose serving tasks meet their targets computed for each of its fillers what these tasks tolerate, also for fillers without a CPU limit. Now only for those whose limit can rise; the decisions are the same.

The new test failed before: 2 predictions instead of 0.

--- a/packages/coordination/src/filler_throttler.ts
+++ b/packages/coordination/src/filler_throttler.ts
@@ -293,6 +293,8 @@
     for (const assigned of fillers) {
       const {run} = assigned;
       const isUnknown = this.isLimitUnknown(assigned);
+      // The prediction costs time, and there is one report for each run that ends.
+      if (!isUnknown && run.cpuLimitPercent >= this.cpuLimitPercent) continue;
       const cpuLimitPercent = this.getRaisedPercent(assigned, load);
       if (!isUnknown && cpuLimitPercent <= run.cpuLimitPercent) continue;
       // The limits of the others depend on it.
--- a/packages/coordination/test/filler_throttler.test.ts
+++ b/packages/coordination/test/filler_throttler.test.ts
@@ -14,14 +14,21 @@
 class ThrottlerFixture {
   readonly load = createTestLoad();
   readonly filler: AssignedRun;
-  private readonly throttler = FillerThrottler.create(
-    InterferenceModel.create(),
-  );
+  /** Number of predictions of what the serving tasks tolerate. */
+  predictionCount = 0;
+  private readonly throttler: FillerThrottler;
   private serving: AssignedRun | undefined;
   private nowMs = 50_000;
 
   private constructor(isAdopted: boolean) {
     this.filler = addFiller(this.load, isAdopted);
+    const model = InterferenceModel.create();
+    const predict = model.getTolerableShare.bind(model);
+    model.getTolerableShare = (...args) => {
+      this.predictionCount++;
+      return predict(...args);
+    };
+    this.throttler = FillerThrottler.create(model);
   }
 
   static create({isAdopted}: {isAdopted: boolean}): ThrottlerFixture {
@@ -87,6 +94,16 @@
     expect(fixture.report(RESPONSE_MS.recovered)).to.be.empty;
   });
 
+  it('predicts nothing for a filler whose CPU limit cannot rise', () => {
+    const fixture = ThrottlerFixture.create({isAdopted: false});
+    fixture.report();
+    fixture.report(RESPONSE_MS.recovered);
+    expect(fixture.predictionCount).to.equal(0);
+    fixture.report(RESPONSE_MS.missed);
+    fixture.report(RESPONSE_MS.recovered);
+    expect(fixture.predictionCount).to.equal(1);
+  });
+
   it('sets the CPU limit again for a filler that another worker process runs', () => {
     const fixture = ThrottlerFixture.create({isAdopted: false});
     for (let report = 0; report < 4; report++)
