--- a/packages/experiments/src/mustardlug_experiment.ts
+++ b/packages/experiments/src/mustardlug_experiment.ts
@@ -10,6 +10,7 @@
   LoadPattern,
 } from './colocation_experiment.js';
 import {measureCodec} from './codec_benchmark.js';
+import {measureCoordinator} from './coordinator_benchmark.js';
 import {measureDecisions} from './decision_benchmark.js';
 import {renderMarkdownTable} from './markdown_table.js';
 import {PlacementResult, runPlacementScenario} from './placement_experiment.js';
@@ -270,6 +271,20 @@
   print(renderMarkdownTable(header, rows));
 }
 
+async function runCoordinatorBenchmark(): Promise<void> {
+  const costs = await measureCoordinator();
+  const rows = costs.map(cost => [
+    cost.workload,
+    cost.activity,
+    String(cost.count),
+    cost.totalMs.toFixed(0),
+    cost.usPerUnit.toFixed(0),
+    `${Math.round(cost.share * 100)} %`,
+  ]);
+  const header = ['workload', 'activity', 'count', 'ms', 'us each', 'share'];
+  print(renderMarkdownTable(header, rows));
+}
+
 async function runCapacityExperiment(options: {
   readonly workers: string;
 }): Promise<void> {
@@ -423,6 +438,10 @@
   .command('decisions')
   .description('measure the latency of placement decisions, in real time')
   .action(runDecisionBenchmark);
+program
+  .command('coordinator')
+  .description('measure the processor time of a coordinator by activity')
+  .action(runCoordinatorBenchmark);
 program
   .command('capacity')
   .description('measure the cost of scheduling by size of the failure domain')
