Coordinator: keep the waiting steps of a job until it changes

A pass, and each load log and wait report, computed the critical path and work of every waiting step anew, and searched each active job: the cost of a pass grew with the backlog that it should reduce. Now only jobs that changed, whose next occurrence is due, or all after a change of the configuration, are searched. The order is the same.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -44,7 +44,7 @@
 import {TableFollower} from './table_follower.js';
 import {WaitingStep} from './task_order.js';
 import {StartWindow} from './start_window.js';
-import {getWaitingSteps, Placement, PlacementPass} from './placement_pass.js';
+import {Placement, PlacementPass} from './placement_pass.js';
 import {WorkerSupervisor} from './worker_supervisor.js';
 import {SilenceReporter} from './silence_reporter.js';
 import {explainWait} from './wait_explanation.js';
@@ -645,7 +645,7 @@
       place: placement => this.placeTask(placement),
       undo: (assigned, {session}) => this.undoPlacement(assigned, session),
     });
-    pass.run(this.getWaitingSteps(wallMs), wallMs);
+    pass.run(this.jobTracker.getWaitingSteps(wallMs), wallMs);
     this.isStartLimited = pass.isLimitReached();
     this.lastPass = pass;
     for (const step of pass.getPlacedSteps()) {
@@ -663,11 +663,6 @@
     return this.jobTracker.getQueueLoads();
   }
 
-  private getWaitingSteps(wallMs: number): WaitingStep[] {
-    const jobs = this.jobTracker.getActiveJobs();
-    return getWaitingSteps(jobs, job => this.jobTracker.getQueue(job), wallMs);
-  }
-
   private placeTask(placement: Placement): AssignedRun {
     const {waiting, task, worker, cpuLimitPercent} = placement;
     const {job, occurrence, step} = waiting;
@@ -767,7 +762,7 @@
     this.silenceReporter.update(this.workerPool.getSessions());
     if (!this.waitReporter.isDue(nowMs)) return;
     const wallMs = this.options.clock.getWallMs();
-    const waiting = this.getWaitingSteps(wallMs);
+    const waiting = this.jobTracker.getWaitingSteps(wallMs);
     this.waitReporter.update(waiting, nowMs);
   }
 
@@ -785,7 +780,9 @@
 
   private logLoad(nowMs: number): void {
     this.lastLoadLogMs = nowMs;
-    const waiting = this.getWaitingSteps(this.options.clock.getWallMs());
+    const waiting = this.jobTracker.getWaitingSteps(
+      this.options.clock.getWallMs(),
+    );
     const detail = [
       formatFleetLoad(this.workerPool.getSessions(), waiting),
       formatQueueLoads(this.jobTracker.getQueueLoads()),
--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -18,6 +18,8 @@
 import {JobIndex} from './job_index.js';
 import {formatStartCrashes, isGivenUp} from './start_crashes.js';
 import {getTaskName} from './task_names.js';
+import {WaitingStep} from './task_order.js';
+import {WaitingStepCache} from './waiting_step_cache.js';
 import {AssignedRun} from './worker_load.js';
 
 export interface JobTrackerOptions {
@@ -32,8 +34,14 @@
 export class JobTracker {
   private readonly jobIndex = JobIndex.create();
   private readonly changedJobs = new Set<JobState>();
+  private readonly waitingSteps: WaitingStepCache;
 
-  private constructor(private readonly options: JobTrackerOptions) {}
+  private constructor(private readonly options: JobTrackerOptions) {
+    this.waitingSteps = WaitingStepCache.create({
+      getQueue: job => this.getQueue(job),
+      getConfigVersion: () => options.getConfig()?.version,
+    });
+  }
 
   /**
    * Creates a tracker without jobs.
@@ -69,6 +77,14 @@
     return this.jobIndex.getActiveJobs();
   }
 
+  /**
+   * Gets the steps that have waiting tasks. Creates due occurrences of the jobs first.
+   * @param wallMs - Wall-clock time.
+   */
+  getWaitingSteps(wallMs: number): WaitingStep[] {
+    return this.waitingSteps.getSteps(this.getActiveJobs(), wallMs);
+  }
+
   /**
    * Gets the jobs that ended before a time and have no active runs.
    * @param wallMs - Wall-clock time in milliseconds since the Unix epoch.
@@ -130,11 +146,12 @@
   }
 
   /**
-   * Marks a job's stored progress as out of date.
+   * Marks a job's stored progress and its known waiting steps as out of date.
    * @param job - Job that changed.
    */
   markChanged(job: JobState): void {
     this.changedJobs.add(job);
+    this.waitingSteps.invalidate(job);
   }
 
   /**
