Log and measure what a coordinator's term costs: unregistered sessions, passes, start commands

Change: `fleet-load` says how many sessions are of workers that are not registered, the start commands in progress beside their limit, the share of the time that passes took since the last line and the duration of the last one. The same as gauges. No change of behavior.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -22,8 +22,10 @@
 import {QueueLoad} from './coordinator_status.js';
 import {CrashAttributor, LostWorker} from './crash_attributor.js';
 import {
+  countUnregistered,
   formatFleetLoad,
   formatOrphanedRuns,
+  formatPassTimes,
   formatPlacedStep,
   formatQueueLoads,
   formatRestoredJobs,
@@ -45,6 +47,7 @@
 import {WaitingStep} from './task_order.js';
 import {StartWindow} from './start_window.js';
 import {getWaitingSteps, Placement, PlacementPass} from './placement_pass.js';
+import {PassTimes} from './pass_times.js';
 import {WorkerSupervisor} from './worker_supervisor.js';
 import {SilenceReporter} from './silence_reporter.js';
 import {explainWait} from './wait_explanation.js';
@@ -71,6 +74,19 @@
   readonly events: EventRecorder;
 }
 
+/** What a term's bookkeeping consists of and costs. */
+export interface CoordinatorLoad {
+  /** Workers whose leases are renewed. */
+  readonly workerSessions: number;
+  /** Those of them that are not registered. */
+  readonly unregisteredSessions: number;
+  /** Start commands in progress. */
+  readonly startCommands: number;
+  readonly maxStartCommands: number;
+  /** Time that placement passes have taken in this term. */
+  readonly passMs: number;
+}
+
 /** Reason for the end of a coordinator's term. */
 export type CoordinatorEndReason = 'superseded' | 'stopped' | 'isolated';
 
@@ -182,7 +198,7 @@
   private electedMs = 0;
   private lastPass: PlacementPass | undefined;
   private lastPassStartMs = -Infinity;
-  private lastPassDurationMs = 0;
+  private readonly passTimes: PassTimes;
   private lastLoadLogMs = -Infinity;
   private endReason: CoordinatorEndReason | undefined;
   private resolveEnd: ((end: CoordinatorEndReason) => void) | undefined;
@@ -191,6 +207,7 @@
     const {clock, events, commitLog, nodeId, store} = options;
     this.workerSupervisor = WorkerSupervisor.create({clock, events});
     this.startWindow = StartWindow.create(clock);
+    this.passTimes = PassTimes.create(clock);
     this.waitReporter = WaitReporter.create({
       events,
       explain: waiting => this.explainWait(waiting),
@@ -296,6 +313,18 @@
     return this.waitReporter.getSummary();
   }
 
+  /** Gets what the term's bookkeeping consists of and costs. */
+  getLoad(): CoordinatorLoad {
+    const sessions = this.workerPool.getSessions();
+    return {
+      workerSessions: sessions.length,
+      unregisteredSessions: countUnregistered(sessions),
+      startCommands: this.startWindow.getCommandCount(),
+      maxStartCommands: this.startWindow.getLimit(),
+      passMs: this.passTimes.getTotalMs(),
+    };
+  }
+
   onRunEnded(
     session: WorkerSession,
     ended: EndedRun,
@@ -604,7 +633,7 @@
     this.isPassScheduled = true;
     const delayMs = Math.max(
       PASS_DEBOUNCE_MS,
-      this.lastPassDurationMs * PASS_PAUSE_FACTOR,
+      this.passTimes.getLastMs() * PASS_PAUSE_FACTOR,
     );
     this.options.clock.setTimer(delayMs, () => {
       this.isPassScheduled = false;
@@ -618,10 +647,8 @@
     const {clock} = this.options;
     this.isCommitting = true;
     this.isPassPending = false;
-    const startMs = clock.getMonotonicMs();
-    this.lastPassStartMs = startMs;
-    this.placeWaitingTasks();
-    this.lastPassDurationMs = clock.getMonotonicMs() - startMs;
+    this.lastPassStartMs = clock.getMonotonicMs();
+    this.passTimes.measure(() => this.placeWaitingTasks());
     const outcome = await this.writer.commit(this.jobTracker.takeChangedJobs());
     this.isCommitting = false;
     if (outcome === 'superseded') this.finish('superseded');
@@ -789,7 +816,8 @@
     const detail = [
       formatFleetLoad(this.workerPool.getSessions(), waiting),
       formatQueueLoads(this.jobTracker.getQueueLoads()),
-      `timers ${Math.round(this.startWindow.getDelayMs())} ms late, ${Math.round(this.startWindow.getLimit())} start commands at a time`,
+      `timers ${Math.round(this.startWindow.getDelayMs())} ms late, ${this.startWindow.getCommandCount()} of ${Math.round(this.startWindow.getLimit())} start commands at a time`,
+      formatPassTimes(this.passTimes),
       `job feed ${Math.round(this.jobFollower?.getMaxAgeMs() ?? Infinity)} ms old`,
     ].join(', ');
     this.options.events.addEvent('fleet-load', {detail});
--- a/packages/coordination/src/fleet_report.ts
+++ b/packages/coordination/src/fleet_report.ts
@@ -2,6 +2,7 @@
 
 import {JobState, TaskRun} from '@mustardlug/jobs/job_state';
 import {QueueLoad} from './coordinator_status.js';
+import {PassTimes} from './pass_times.js';
 import {isWaitingTask, PlacedStep} from './placement_pass.js';
 import {WaitingStep} from './task_order.js';
 import {AssignedRun, WorkerLoad} from './worker_load.js';
@@ -44,7 +45,7 @@
   const loads = sessions.map(session => session.load);
   const usable = sessions.filter(session => session.isUsable()).length;
   return [
-    `workers ${usable} of ${sessions.length}`,
+    `workers ${usable} of ${sessions.length} (${countUnregistered(sessions)} not registered)`,
     `capacity ${sumCores(loads, load => load.getCapacity().cpuMillis)}`,
     `free ${sumCores(loads, load => load.getFreeCpuMillis())}`,
     `serving ${sumCores(loads, load => load.getServingCpuMillis())}`,
@@ -54,6 +55,23 @@
   ].join(', ');
 }
 
+/**
+ * Counts the workers that are not registered.
+ * @param sessions - All workers.
+ */
+export function countUnregistered(sessions: readonly WorkerSession[]): number {
+  return sessions.filter(session => !session.hasRegistration()).length;
+}
+
+/**
+ * Formats the cost of placement passes since the previous report.
+ * @param times - Times of the passes.
+ */
+export function formatPassTimes(times: PassTimes): string {
+  const percent = Math.round(100 * times.takeShare());
+  return `passes take ${percent} % of the time, the last one ${Math.round(times.getLastMs())} ms`;
+}
+
 /**
  * Formats the number of jobs that have not started, by name of the queue.
  * @param loads - Load by name of the queue.
--- a/packages/coordination/src/start_window.ts
+++ b/packages/coordination/src/start_window.ts
@@ -71,6 +71,11 @@
     return this.limit;
   }
 
+  /** Gets the number of start commands in progress. */
+  getCommandCount(): number {
+    return this.commandCount;
+  }
+
   /** Gets the number of start commands that may be added to those in progress. */
   getFreeCount(): number {
     return Math.max(0, Math.floor(this.limit) - this.commandCount);
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -289,6 +289,11 @@
     this.isRegistered = false;
   }
 
+  /** Checks whether the worker is registered. */
+  hasRegistration(): boolean {
+    return this.isRegistered;
+  }
+
   /**
    * Checks whether the worker has accepted this term's fencing token, and
    * therefore rejects commands of earlier coordinators.
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -3,7 +3,10 @@
 import {Clock} from '@mustardlug/base/clock';
 import {CoordinatorStatus} from '@mustardlug/coordination/coordinator_status';
 import {CommitLog} from '@mustardlug/coordination/commit_log';
-import {Coordinator} from '@mustardlug/coordination/coordinator';
+import {
+  Coordinator,
+  CoordinatorLoad,
+} from '@mustardlug/coordination/coordinator';
 import {Election} from '@mustardlug/coordination/election';
 import {TableFollower} from '@mustardlug/coordination/table_follower';
 import {WaitSummary} from '@mustardlug/coordination/wait_reporter';
@@ -155,6 +158,11 @@
     return this.coordinator?.getWaitSummary();
   }
 
+  /** Gets what the coordinator's bookkeeping costs; `undefined` without the role. */
+  getLoad(): CoordinatorLoad | undefined {
+    return this.coordinator?.getLoad();
+  }
+
   private applySnapshot(rows: readonly StoredRow[], storeMs: number): void {
     if (rows.length === 0) this.election.recordStatus(undefined);
     this.applyRows(rows, storeMs);
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -195,10 +195,40 @@
       'Number of steps that have had waiting tasks for over 10 s in this term; 0 without the coordinator role.',
       () => this.role.getWaitSummary()?.longWaitCount ?? 0,
     );
+    this.addLoadGauges();
     const app = new Hono();
     app.get(this.options.platform.metricsPath, async context =>
       context.text(await metrics.getText()),
     );
     return app;
   }
+
+  private addLoadGauges(): void {
+    const {metrics} = this.options;
+    metrics.addGauge(
+      'mustardlug_worker_sessions',
+      'Number of workers whose leases this node renews; 0 without the coordinator role.',
+      () => this.role.getLoad()?.workerSessions ?? 0,
+    );
+    metrics.addGauge(
+      'mustardlug_unregistered_worker_sessions',
+      'Number of workers whose leases this node renews that are not registered.',
+      () => this.role.getLoad()?.unregisteredSessions ?? 0,
+    );
+    metrics.addGauge(
+      'mustardlug_start_commands',
+      'Number of start commands in progress.',
+      () => this.role.getLoad()?.startCommands ?? 0,
+    );
+    metrics.addGauge(
+      'mustardlug_max_start_commands',
+      'Number of start commands that may be in progress at a time.',
+      () => this.role.getLoad()?.maxStartCommands ?? 0,
+    );
+    metrics.addGauge(
+      'mustardlug_placement_pass_seconds',
+      'Time that placement passes have taken in this term.',
+      () => (this.role.getLoad()?.passMs ?? 0) / MS_PER_SECOND,
+    );
+  }
 }
