End the sessions of lost workers, and ask silent ones less often

Cause: WorkerPool kept the session of each worker that was ever registered in a term. A worker that had crashed for good and was replaced under a new ID was asked for its lease each 150 ms plus the time limit of the call until the term ended, counted in `fleet-load`, and looked at in each pass and tick.

Change: a session ends when its worker is not registered, does not respond, has no runs, and the leases of this term and of earlier ones have expired; it is kept for 3 s longer, as the crashes of other workers are compared with its loss. What is kept by worker ID (health, CPU limits of fillers, silences) goes with it. A registration that comes back creates a new session, which knows no runs, as after a takeover: ends that are listed again are not counted. The delay before a renewal is repeated doubles up to 1 s for a worker without runs, and ends when the worker registers again or as another process. A worker with runs is asked as before, as the end of its lease has to be noticed. `fleet-load` counts the capacity of registered workers only. Times of stop commands to unknown runs are forgotten after 0.5 s.

Unit tests in worker_registration.test.ts for what keeps a session.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -612,8 +612,17 @@
     }
   }
 
+  private endObsoleteSessions(): void {
+    for (const workerId of this.workerPool.endObsoleteSessions()) {
+      this.workerSupervisor.forgetWorker(workerId);
+      this.options.events.addEvent('worker-forgotten', {workerId});
+    }
+  }
+
   private checkReady(): void {
-    const sessions = this.workerPool.getSessions();
+    const sessions = this.workerPool
+      .getSessions()
+      .filter(session => session.hasRegistration());
     const acceptedCount = sessions.filter(session =>
       session.hasAcceptedTerm(),
     ).length;
@@ -784,6 +793,7 @@
       for (const session of this.workerPool.getSessions())
         session.suspendLeasesIfSilent();
       this.removeObsoleteLeaseBounds();
+      this.endObsoleteSessions();
       this.reportWaits(nowMs);
       void this.retention.purge();
     }
--- a/packages/coordination/src/filler_controller.ts
+++ b/packages/coordination/src/filler_controller.ts
@@ -39,6 +39,14 @@
     return this.getThrottler(workerId).canAddFillers(nowMs);
   }
 
+  /**
+   * Forgets the CPU limits that were tried on a worker.
+   * @param workerId - Identifier of the worker.
+   */
+  forgetWorker(workerId: string): void {
+    this.throttlers.delete(workerId);
+  }
+
   /**
    * Updates the model from a worker's latest report, and throttles or evicts its
    * fillers where they interfere.
--- a/packages/coordination/src/fleet_report.ts
+++ b/packages/coordination/src/fleet_report.ts
@@ -44,10 +44,14 @@
 ): string {
   const loads = sessions.map(session => session.load);
   const usable = sessions.filter(session => session.isUsable()).length;
+  // The capacity of a worker that is not registered is not there to use.
+  const presentLoads = sessions
+    .filter(session => session.hasRegistration())
+    .map(session => session.load);
   return [
     `workers ${usable} of ${sessions.length} (${countUnregistered(sessions)} not registered)`,
-    `capacity ${sumCores(loads, load => load.getCapacity().cpuMillis)}`,
-    `free ${sumCores(loads, load => load.getFreeCpuMillis())}`,
+    `capacity ${sumCores(presentLoads, load => load.getCapacity().cpuMillis)}`,
+    `free ${sumCores(presentLoads, load => load.getFreeCpuMillis())}`,
     `serving ${sumCores(loads, load => load.getServingCpuMillis())}`,
     `filler ${sumCores(loads, load => load.getFillerCpuMillis())}`,
     `paused ${sumCores(loads, getThrottledCpuMillis)}`,
--- a/packages/coordination/src/silence_reporter.ts
+++ b/packages/coordination/src/silence_reporter.ts
@@ -13,13 +13,16 @@
 /** Time without a response in this term after which a wait is reported. */
 const REPORT_DELAY_MS = 1_500;
 
+/** A silence that has not ended. */
+interface Silence {
+  readonly noticedMs: number;
+  isReported: boolean;
+}
+
 /** Records one event for each silence of a worker with runs. */
 export class SilenceReporter {
   /** Workers that are silent, with the monotonic time at which this was noticed. */
-  private readonly silences = new Map<
-    string,
-    {readonly noticedMs: number; isReported: boolean}
-  >();
+  private silences = new Map<string, Silence>();
 
   private constructor(
     private readonly clock: Clock,
@@ -40,21 +43,25 @@
    * @param sessions - All workers.
    */
   update(sessions: readonly SilentSession[]): void {
+    const noticedMs = this.clock.getMonotonicMs();
+    const silences = new Map<string, Silence>();
     for (const session of sessions) {
-      if (session.isSilent()) this.recordSilence(session);
-      else this.silences.delete(session.getId());
+      if (!session.isSilent()) continue;
+      const workerId = session.getId();
+      const silence = this.silences.get(workerId) ?? {
+        noticedMs,
+        isReported: false,
+      };
+      silences.set(workerId, silence);
+      this.reportSilence(session, silence);
     }
+    this.silences = silences;
   }
 
-  private recordSilence(session: SilentSession): void {
+  private reportSilence(session: SilentSession, silence: Silence): void {
     const nowMs = this.clock.getMonotonicMs();
     const workerId = session.getId();
     const responseAgeMs = session.getResponseAgeMs();
-    let silence = this.silences.get(workerId);
-    if (silence === undefined) {
-      silence = {noticedMs: nowMs, isReported: false};
-      this.silences.set(workerId, silence);
-    }
     const runCount = session.load.getRunCount();
     if (silence.isReported || runCount === 0) return;
     // Before the first response in a term, its renewals may still be in progress.
--- a/packages/coordination/src/worker_health.ts
+++ b/packages/coordination/src/worker_health.ts
@@ -137,6 +137,14 @@
     return this.records.get(workerId)?.isQuarantined ?? false;
   }
 
+  /**
+   * Forgets the observations of a worker.
+   * @param workerId - Identifier of the worker.
+   */
+  forgetWorker(workerId: string): void {
+    this.records.delete(workerId);
+  }
+
   /**
    * Records that a run was placed. On a quarantined worker the run is a probe.
    * @param workerId - Identifier of the worker.
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -1,4 +1,4 @@
-/** Sessions of all registered workers, built from the worker table. */
+/** Sessions of all workers that are registered or may have runs, built from the worker table. */
 
 import {Clock} from '@mustardlug/base/clock';
 import {AppError} from '@mustardlug/base/errors';
@@ -49,6 +49,12 @@
   readonly leaseBounds: LeaseBounds;
 }
 
+/**
+ * Time beyond the longest lease for which the session of a lost worker is kept. The
+ * crashes of other workers are compared with losses of up to 3 s before.
+ */
+const COMPARISON_MARGIN_MS = 3_000;
+
 /** Holds the sessions of workers, and the runs whose worker is not registered. */
 export class WorkerPool {
   private readonly sessions = new Map<string, WorkerSession>();
@@ -107,6 +113,25 @@
     return this.applyRows(rows);
   }
 
+  /**
+   * Ends the sessions of lost workers of which nothing can be left.
+   * @returns Identifiers of the workers.
+   */
+  endObsoleteSessions(): string[] {
+    const retentionMs =
+      this.options.previousTermTimeoutMs +
+      MAX_LEASE_VALIDITY_MS +
+      COMPARISON_MARGIN_MS;
+    const endedIds: string[] = [];
+    for (const [workerId, session] of this.sessions) {
+      if (!session.isObsolete(retentionMs)) continue;
+      session.stop();
+      this.sessions.delete(workerId);
+      endedIds.push(workerId);
+    }
+    return endedIds;
+  }
+
   /**
    * Assigns restored runs to the sessions of their workers, which determine
    * from the workers' reports whether the runs still exist.
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -132,9 +132,15 @@
 /** Pause between two renewals while no leases are granted, and so also the delay until they are again. */
 const SUSPENDED_RENEWAL_INTERVAL_MS = 100;
 
-/** Delay before a failed renewal is repeated. */
+/** Delay before a failed renewal is repeated, as long as it may save runs or tell their end. */
 const RENEWAL_RETRY_MS = 150;
 
+/**
+ * Maximum delay before a failed renewal of a worker without runs is repeated. The
+ * delay doubles up to it. A worker that responds again is noticed well within a lease.
+ */
+const MAX_RENEWAL_RETRY_MS = 1_000;
+
 /** Maximum delay of the next renewal while the ended runs of the last report are being stored. */
 const MAX_ACKNOWLEDGE_DELAY_MS = 400;
 
@@ -227,6 +233,8 @@
   /** Start commands that wait for the next renewal, successful or not. */
   private renewalWaiters: Array<() => void> = [];
   private wakeUp: (() => void) | undefined;
+  /** Delay before the next failed renewal is repeated if the worker has no runs. */
+  private retryDelayMs = RENEWAL_RETRY_MS;
   private isOutOfCapacity = false;
   private readonly startBackoff: StartBackoff;
   /** Whether the last report listed runs of unknown tasks, whose needs cannot be counted. */
@@ -276,9 +284,12 @@
    * @param record - New registration of the same worker.
    */
   setRecord(record: WorkerRecord): void {
+    const isSignOfLife =
+      !this.isRegistered || record.startMs !== this.record.startMs;
     this.record = record;
     this.isRegistered = true;
     this.load.setCapacity(record.capacity);
+    if (isSignOfLife) this.endRetryDelay();
   }
 
   /**
@@ -294,6 +305,20 @@
     return this.isRegistered;
   }
 
+  /**
+   * Checks whether the session can end: the worker is not registered, does not
+   * respond and has no runs, and none can exist or be started there any more, as
+   * its leases of this term and of earlier ones have expired. A worker that
+   * registers again gets a new session.
+   * @param retentionMs - Time without a response for which sessions are kept.
+   */
+  isObsolete(retentionMs: number): boolean {
+    if (this.isRegistered || !this.hasLastRenewalFailed) return false;
+    if (this.load.getRunCount() > 0) return false;
+    if (this.options.clock.getMonotonicMs() < this.leaseEndMs) return false;
+    return this.getSilenceMs() >= retentionMs;
+  }
+
   /**
    * Checks whether the worker has accepted this term's fencing token, and
    * therefore rejects commands of earlier coordinators.
@@ -365,7 +390,7 @@
   acknowledge(sequence: number, processStartMs: number): void {
     if (processStartMs !== this.processStartMs) return;
     this.acknowledgedSequence = Math.max(this.acknowledgedSequence, sequence);
-    this.wakeUp?.();
+    if (!this.hasLastRenewalFailed) this.wakeUp?.();
   }
 
   /** Renews the lease until `stop` is called. */
@@ -600,6 +625,7 @@
     if (!this.hasResponded) this.limitPreviousTermLeases(receivedMs);
     this.hasResponded = true;
     this.hasLastRenewalFailed = false;
+    this.retryDelayMs = RENEWAL_RETRY_MS;
     this.isOutOfCapacity = false;
     this.hasListedEnds = report.ended.length > 0;
     this.recordProcess(report.startMs);
@@ -648,6 +674,7 @@
 
   private applyRunningRuns(report: LeaseReport): void {
     this.hasUnknownRuns = false;
+    this.forgetOldStops();
     for (const running of report.running) {
       const assigned =
         this.load.findRun(running.taskName, running.runNumber) ??
@@ -765,6 +792,15 @@
     this.options.listener.onRunLost(this, assigned, reason);
   }
 
+  /** Forgets when unknown runs were stopped that may be stopped again by now. */
+  private forgetOldStops(): void {
+    const nowMs = this.options.clock.getMonotonicMs();
+    for (const [key, stopMs] of this.unknownRunStopTimes) {
+      if (nowMs - stopMs >= UNKNOWN_RUN_STOP_INTERVAL_MS)
+        this.unknownRunStopTimes.delete(key);
+    }
+  }
+
   /** Stops a run of a task that is not known, such as one of a job whose records were deleted. */
   private async stopUnknownRun(running: RunningRun): Promise<void> {
     const {clock, client, fencingToken} = this.options;
@@ -940,13 +976,34 @@
 
   private waitForNextRenewal(isRenewed: boolean): Promise<void> {
     const {clock} = this.options;
-    if (!isRenewed) return clock.sleep(RENEWAL_RETRY_MS);
+    if (!isRenewed) return this.sleepUntilWoken(this.takeRetryDelayMs());
     if (this.areLeasesSuspended)
       return clock.sleep(SUSPENDED_RENEWAL_INTERVAL_MS);
     if (this.processedSequence <= this.acknowledgedSequence)
       return clock.sleep(this.getRenewalIntervalMs());
+    return this.sleepUntilWoken(MAX_ACKNOWLEDGE_DELAY_MS);
+  }
+
+  /** Gets the delay before a failed renewal is repeated, and doubles the next one. */
+  private takeRetryDelayMs(): number {
+    if (this.load.getRunCount() > 0) return RENEWAL_RETRY_MS;
+    const delayMs = this.retryDelayMs;
+    this.retryDelayMs = Math.min(2 * delayMs, MAX_RENEWAL_RETRY_MS);
+    return delayMs;
+  }
+
+  /** Repeats a failed renewal at once, as the worker is likely to respond by now. */
+  private endRetryDelay(): void {
+    this.retryDelayMs = RENEWAL_RETRY_MS;
+    if (this.hasLastRenewalFailed) this.wakeUp?.();
+  }
+
+  private sleepUntilWoken(delayMs: number): Promise<void> {
     return new Promise(resolve => {
-      const timer = clock.setTimer(MAX_ACKNOWLEDGE_DELAY_MS, resolve);
+      const timer = this.options.clock.setTimer(delayMs, () => {
+        this.wakeUp = undefined;
+        resolve();
+      });
       this.wakeUp = () => {
         timer.cancel();
         this.wakeUp = undefined;
--- a/packages/coordination/src/worker_supervisor.ts
+++ b/packages/coordination/src/worker_supervisor.ts
@@ -104,6 +104,15 @@
     this.recordHealthChange(assigned.run.workerId, change);
   }
 
+  /**
+   * Forgets a worker of which nothing can be left.
+   * @param workerId - Identifier of the worker.
+   */
+  forgetWorker(workerId: string): void {
+    this.health.forgetWorker(workerId);
+    this.fillerController.forgetWorker(workerId);
+  }
+
   /**
    * Gets the workers that may get new runs, by service.
    * @param sessions - All workers.
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -1,7 +1,10 @@
 import {createInvalidInputError} from '@mustardlug/base/errors';
 import {RandomSource} from '@mustardlug/base/random_source';
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
-import {WorkerRecord} from '@mustardlug/platform/job_worker_client';
+import {
+  JobWorkerClient,
+  WorkerRecord,
+} from '@mustardlug/platform/job_worker_client';
 import {JobWorkerModel} from '@mustardlug/standins/job_worker_model';
 import {
   createDefaultJobWorkerLinkFaults,
@@ -13,9 +16,13 @@
 import {expect} from 'chai';
 import {err, ok} from 'neverthrow';
 import {StartWindow} from '../src/start_window.js';
+import {AssignedRun} from '../src/worker_load.js';
 import {WorkerPool} from '../src/worker_pool.js';
+import {SessionListener} from '../src/worker_session.js';
 import {LeaseBounds} from '../src/lease_bounds.js';
+import {ScriptedJobWorkerClient} from './scripted_job_worker_client.js';
 import {createTestCommitLog} from './test_commit_logs.js';
+import {addTestRun} from './test_runs.js';
 
 const RECORD: WorkerRecord = {
   workerId: 'worker-1',
@@ -29,12 +36,19 @@
   startMs: 1,
 };
 
+/** Longer than a lease, the time for which an earlier term goes on, and the comparison of losses. */
+const LOSS_MS = 20_000;
+
+const ADDRESS = {table: 'workers', part: '', key: 'worker-1'};
+
+const NO_CHANGES = {rows: [], removed: [], version: 2, storeMs: 0};
+
 function createRow(text: string) {
   const value = Buffer.from(text);
-  return {table: 'workers', part: '', key: 'worker-1', value, version: 1};
+  return {...ADDRESS, value, version: 1};
 }
 
-function createPool(clock: VirtualClock): WorkerPool {
+function createModelClient(clock: VirtualClock): JobWorkerClient {
   const worker = JobWorkerModel.create({
     clock,
     record: RECORD,
@@ -48,6 +62,20 @@
       onEndAcknowledged: () => undefined,
     },
   });
+  return ModelJobWorkerClient.create({
+    clock,
+    nodeClock: NodeClock.create(clock),
+    workers: new Map([['worker-1', worker]]),
+    faults: createDefaultJobWorkerLinkFaults(),
+    random: RandomSource.create(1),
+  });
+}
+
+function createPool(
+  clock: VirtualClock,
+  workerClient = createModelClient(clock),
+  onRunEnded: SessionListener['onRunEnded'] = () => undefined,
+): WorkerPool {
   return WorkerPool.create({
     clock,
     events: EventRecorder.create({
@@ -55,19 +83,13 @@
       clock: HybridLogicalClock.create(clock),
       capacity: 16,
     }),
-    workerClient: ModelJobWorkerClient.create({
-      clock,
-      nodeClock: NodeClock.create(clock),
-      workers: new Map([['worker-1', worker]]),
-      faults: createDefaultJobWorkerLinkFaults(),
-      random: RandomSource.create(1),
-    }),
+    workerClient,
     decodeWorker: (_key, value) =>
       value.length === 0
         ? err(createInvalidInputError('the registration', []))
         : ok(JSON.parse(value.toString()) as WorkerRecord),
     listener: {
-      onRunEnded: () => undefined,
+      onRunEnded,
       onRunLost: () => undefined,
       onReport: () => undefined,
       onWorkerLost: () => undefined,
@@ -106,4 +128,75 @@
     expect(session.isUsable()).to.equal(true);
     pool.stop();
   });
+
+  describe('that is removed', () => {
+    function createLostWorker() {
+      const clock = VirtualClock.create();
+      const client = ScriptedJobWorkerClient.create();
+      const endedRuns: Array<AssignedRun | undefined> = [];
+      const pool = createPool(clock, client, (_session, _ended, assigned) =>
+        endedRuns.push(assigned),
+      );
+      pool.applyRows([createRow(JSON.stringify(RECORD))]);
+      return {clock, client, endedRuns, pool};
+    }
+
+    it('ends the session only when the worker is silent, without runs, and its leases have expired', async () => {
+      const {clock, client, pool} = createLostWorker();
+      client.report = {clockMs: 0, startMs: 1, running: [], ended: []};
+      await clock.advance(1_000);
+      const [session] = pool.getSessions();
+      client.report = undefined;
+      await clock.advance(LOSS_MS);
+      expect(pool.endObsoleteSessions()).to.deep.equal([]);
+      const assigned = addTestRun(session.load, {});
+      pool.applyChanges({...NO_CHANGES, removed: [ADDRESS]});
+      expect(pool.endObsoleteSessions()).to.deep.equal([]);
+      session.load.removeRun(assigned);
+      expect(pool.endObsoleteSessions()).to.deep.equal(['worker-1']);
+      const callCount = client.renewals.length;
+      await clock.advance(LOSS_MS);
+      expect(client.renewals.length).to.equal(callCount);
+      pool.stop();
+    });
+
+    it('keeps the session while leases of earlier terms may last', async () => {
+      const {clock, pool} = createLostWorker();
+      pool.applyChanges({...NO_CHANGES, removed: [ADDRESS]});
+      await clock.advance(5_000);
+      expect(pool.endObsoleteSessions()).to.deep.equal([]);
+      await clock.advance(LOSS_MS);
+      expect(pool.endObsoleteSessions()).to.deep.equal(['worker-1']);
+      pool.stop();
+    });
+
+    it('gives the worker a new session when it is back, which has no run for ends listed again', async () => {
+      const {clock, client, endedRuns, pool} = createLostWorker();
+      client.report = {clockMs: 0, startMs: 1, running: [], ended: []};
+      await clock.advance(1_000);
+      const assigned = addTestRun(pool.getSessions()[0].load, {});
+      const {taskName, run} = assigned;
+      const ended = [
+        {
+          sequence: 1,
+          taskName,
+          runNumber: run.runNumber,
+          outcome: 'failed' as const,
+          checkpoint: '',
+        },
+      ];
+      client.report = {clockMs: 1, startMs: 1, running: [], ended};
+      await clock.advance(1_000);
+      client.report = undefined;
+      pool.applyChanges({...NO_CHANGES, removed: [ADDRESS]});
+      await clock.advance(LOSS_MS);
+      expect(pool.endObsoleteSessions()).to.deep.equal(['worker-1']);
+      client.report = {clockMs: 2, startMs: 1, running: [], ended};
+      pool.applyRows([createRow(JSON.stringify(RECORD))]);
+      await clock.advance(1_000);
+      expect(endedRuns).to.deep.equal([assigned, undefined]);
+      expect(pool.getSessions()[0].findExclusion()).to.equal(undefined);
+      pool.stop();
+    });
+  });
 });
--- a/packages/experiments/src/job_harness.ts
+++ b/packages/experiments/src/job_harness.ts
@@ -118,6 +118,7 @@
   readonly clock: NodeClock;
   readonly storeFaults: RowStoreFaults;
   readonly linkFaults: JobWorkerLinkFaults;
+  readonly workerClient: ModelJobWorkerClient;
   readonly jobStore: JobStore;
   readonly role: CoordinatorRole;
   readonly events: EventRecorder;
@@ -215,6 +216,7 @@
       clock,
       storeFaults,
       linkFaults,
+      workerClient,
       jobStore,
       role,
       events,
--- a/packages/standins/src/model_job_worker_client.ts
+++ b/packages/standins/src/model_job_worker_client.ts
@@ -100,6 +100,9 @@
 
 /** Worker client that calls the models directly, in virtual time. */
 export class ModelJobWorkerClient extends JobWorkerClient {
+  /** Number of calls by worker ID. */
+  private readonly callCounts = new Map<string, number>();
+
   private constructor(private readonly options: ModelJobWorkerClientOptions) {
     super();
   }
@@ -112,11 +115,20 @@
     return new ModelJobWorkerClient(options);
   }
 
+  /**
+   * Gets the number of calls to a worker, executed or not.
+   * @param workerId - Identifier of the worker.
+   */
+  getCallCount(workerId: string): number {
+    return this.callCounts.get(workerId) ?? 0;
+  }
+
   override async renewLease(
     request: LeaseRenewal,
   ): Promise<Result<LeaseReport, JobWorkerError>> {
     const {clock, faults} = this.options;
     const {worker: address, waitMs} = request;
+    this.countCall(address);
     const timeoutMs = waitMs + RENEWAL_TIMEOUT_MARGIN_MS;
     await clock.sleep(ONE_WAY_DELAY_MS);
     if (!this.canSend(address)) return this.simulateTimeout(timeoutMs);
@@ -174,6 +186,7 @@
     ) => RunCommandOutcome | undefined,
   ): Promise<Result<void, JobWorkerError>> {
     const {clock, faults} = this.options;
+    this.countCall(address);
     await clock.sleep(ONE_WAY_DELAY_MS);
     if (!this.canSend(address)) return this.simulateTimeout(COMMAND_TIMEOUT_MS);
     if (this.consumeLateFault('applyNextLate')) {
@@ -195,6 +208,10 @@
     return outcome === 'done' ? ok(undefined) : err(createRefusal(outcome));
   }
 
+  private countCall({workerId}: JobWorkerAddress): void {
+    this.callCounts.set(workerId, this.getCallCount(workerId) + 1);
+  }
+
   /** Checks whether a call reaches a worker, or gets delayed on its way to it. */
   private canSend(address: JobWorkerAddress): boolean {
     const {faults} = this.options;
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -353,6 +353,11 @@
     level: 'warn',
     text: 'A worker with runs does not respond or is not registered; their tasks are not started again before the runs are given up.',
   },
+  'worker-forgotten': {
+    number: 849,
+    level: 'info',
+    text: 'The session of a lost worker ended: it is not registered, and its leases have expired.',
+  },
   'worker-restored': {
     number: 836,
     level: 'info',
