Keep workers for interrupted long-running tasks that fit on none

Cause: tasks that had run before were placed first in each pass, but only where a worker had room at that moment. On a full fleet small batch tasks take each gap as it appears, so that no worker ever has room for a larger task: nothing adds up the gaps.

Change: a worker is kept for each interrupted task without room (several tasks share one where they fit). It starts nothing else until the task is placed. After 0.5 s batch runs there that have a lower priority or a checkpoint are stopped, after 1.5 s any others but gangs. Suspected tasks are included within the limit of trials. The worker is the one expected to have room soonest; a reservation moves only for a gain of 0.5 s.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -45,6 +45,7 @@
 import {WaitingStep} from './task_order.js';
 import {StartWindow} from './start_window.js';
 import {getWaitingSteps, Placement, PlacementPass} from './placement_pass.js';
+import {RoomReservations} from './room_reservations.js';
 import {WorkerSupervisor} from './worker_supervisor.js';
 import {SilenceReporter} from './silence_reporter.js';
 import {explainWait} from './wait_explanation.js';
@@ -164,6 +165,7 @@
   private readonly startWindow: StartWindow;
   private readonly leaseBounds: LeaseBounds;
   private readonly crashAttributor = CrashAttributor.create();
+  private readonly reservations = RoomReservations.create();
   private readonly waitReporter: WaitReporter;
   private readonly silenceReporter: SilenceReporter;
   private readonly followers: TableFollower[] = [];
@@ -642,8 +644,11 @@
         this.workerPool.getSessions(),
       ),
       maxPlacements: this.startWindow.getFreeCount(),
+      reservations: this.reservations,
+      nowMs: this.options.clock.getMonotonicMs(),
       place: placement => this.placeTask(placement),
       undo: (assigned, {session}) => this.undoPlacement(assigned, session),
+      preempt: preemption => this.workerSupervisor.preempt(preemption),
     });
     pass.run(this.getWaitingSteps(wallMs), wallMs);
     this.isStartLimited = pass.isLimitReached();
--- a/packages/coordination/src/drain_planner.ts
+++ b/packages/coordination/src/drain_planner.ts
@@ -38,9 +38,14 @@
 
 /**
  * Estimates the remaining time of a run from its progress, or from the caller's
- * estimate until it has made enough.
+ * estimate until it has made enough. Negative if that time has passed.
+ * @param assigned - Run that is in progress.
+ * @param nowMs - Monotonic time.
  */
-function getRemainingMs({run, step}: AssignedRun, nowMs: number): number {
+export function getRemainingMs(
+  {run, step}: AssignedRun,
+  nowMs: number,
+): number {
   if (run.progressPercent >= MIN_PROGRESS_PERCENT) {
     const totalMs = (100 * run.progressAgeMs) / run.progressPercent;
     return totalMs - run.progressAgeMs;
--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -14,6 +14,11 @@
   sortWaitingSteps,
   WaitingStep,
 } from './task_order.js';
+import {
+  Preemption,
+  RoomRequest,
+  RoomReservations,
+} from './room_reservations.js';
 import {hasSuspectedTask, isSuspected} from './start_crashes.js';
 import {AssignedRun} from './worker_load.js';
 import {WorkerSession} from './worker_session.js';
@@ -39,10 +44,16 @@
   readonly workersByService: ReadonlyMap<string, readonly PlacementWorker[]>;
   /** Maximum number of tasks to place; the members of a gang may exceed it. */
   readonly maxPlacements: number;
+  /** Workers that are kept for interrupted long-running tasks, from pass to pass. */
+  readonly reservations: RoomReservations;
+  /** Monotonic time of the pass. */
+  readonly nowMs: number;
   /** Assigns the task to the worker and reserves the worker's capacity for it. */
   readonly place: (placement: Placement) => AssignedRun;
   /** Reverts a placement and releases the reserved capacity. */
   readonly undo: (assigned: AssignedRun, worker: PlacementWorker) => void;
+  /** Stops a run for a task that has waited for room for too long. */
+  readonly preempt: (preemption: Preemption) => void;
 }
 
 /** Result of a pass for one step of which at least one task was placed. */
@@ -101,6 +112,11 @@
   return !task.isDone && task.runs.length === 0;
 }
 
+/** Checks whether a task has run before and has no run. */
+function isInterruptedTask(task: TaskState): boolean {
+  return task.hasRun && isWaitingTask(task);
+}
+
 /**
  * Checks whether tasks of a step may be placed under a CPU limit. A filler that is
  * overdue waits no longer for a worker that it does not disturb.
@@ -144,6 +160,7 @@
     const sorted = sortWaitingSteps(waiting, wallMs);
     for (const each of sorted) this.placeSuspectedTasks(each);
     for (const each of sorted) this.placeInterruptedTasks(each);
+    this.reserveRoom(sorted);
     for (const each of sorted) {
       if (this.isLimitReached()) return;
       const key = this.getEquivalenceClass(each);
@@ -180,6 +197,9 @@
       );
     if (this.reservedWorkers.size > 0)
       obstacles.push(`${this.reservedWorkers.size} workers kept for trials`);
+    const roomCount = this.options.reservations.getCount();
+    if (roomCount > 0)
+      obstacles.push(`${roomCount} workers kept for interrupted tasks`);
     if (step.spec.isGang && step.hasRuns())
       obstacles.push('members of the gang still have runs');
     const tasks = step.tasks.filter(isWaitingTask);
@@ -252,12 +272,32 @@
     const {step} = waiting;
     if (!step.spec.isLongRunning || step.spec.isGang) return;
     const tasks = step.tasks.filter(
-      task => task.hasRun && isWaitingTask(task) && !isSuspected(task),
+      task => isInterruptedTask(task) && !isSuspected(task),
     );
     if (tasks.length === 0) return;
     const key = this.getEquivalenceClass(waiting);
     if (this.isKnownToFail(key, step)) return;
-    if (!this.placeEach(waiting, tasks)) this.recordFailure(key, waiting);
+    const workers = this.getServiceWorkers(waiting);
+    if (!this.placeEach(waiting, tasks, workers))
+      this.recordFailure(key, waiting);
+  }
+
+  /** Keeps workers for the interrupted tasks that have found no room. */
+  private reserveRoom(sorted: readonly WaitingStep[]): void {
+    const {reservations, nowMs, preempt} = this.options;
+    const requests: RoomRequest[] = [];
+    for (const waiting of sorted) {
+      const {spec, tasks} = waiting.step;
+      if (!spec.isLongRunning || spec.isGang) continue;
+      const workers = this.getServiceWorkers(waiting);
+      for (const task of tasks) {
+        if (!isInterruptedTask(task)) continue;
+        if (isSuspected(task) && !this.canStartTrial(waiting)) continue;
+        requests.push({waiting, task, workers});
+      }
+    }
+    const preemptions = reservations.update(requests, nowMs);
+    for (const preemption of preemptions) preempt(preemption);
   }
 
   /** Ranks workers for a suspected task, if possible those that have not crashed at its start. */
@@ -266,7 +306,10 @@
     task: TaskState,
   ): WorkerRanking<PlacementWorker> | undefined {
     if (!this.canStartTrial(waiting)) return undefined;
-    const workers = this.getWorkers(waiting);
+    const workers =
+      waiting.step.spec.isLongRunning && isInterruptedTask(task)
+        ? this.getServiceWorkers(waiting)
+        : this.getWorkers(waiting);
     const others = getUncrashedWorkers(workers, task);
     const ranking = this.rank(waiting, others, true);
     if (ranking.getBest() !== undefined) return ranking;
@@ -314,12 +357,20 @@
     return best;
   }
 
-  private getWorkers({queue}: WaitingStep): readonly PlacementWorker[] {
+  private getServiceWorkers({queue}: WaitingStep): readonly PlacementWorker[] {
     return this.options.workersByService.get(queue.serviceName) ?? [];
   }
 
+  /** Gets the workers of a step's service that are not kept for interrupted tasks. */
+  private getWorkers(waiting: WaitingStep): readonly PlacementWorker[] {
+    const {reservations} = this.options;
+    const workers = this.getServiceWorkers(waiting);
+    if (reservations.getCount() === 0) return workers;
+    return workers.filter(worker => !reservations.isReserved(worker));
+  }
+
   private canStartTrial(waiting: WaitingStep): boolean {
-    const workers = this.getWorkers(waiting);
+    const workers = this.getServiceWorkers(waiting);
     const trialCount = workers.filter(
       worker => worker.load.hasTrial() || this.reservedWorkers.has(worker),
     ).length;
@@ -332,16 +383,18 @@
       task => isWaitingTask(task) && !isSuspected(task),
     );
     const maxTasks = this.options.maxPlacements - this.placementCount;
-    return this.placeEach(waiting, tasks.slice(0, maxTasks));
+    const workers = this.getWorkers(waiting);
+    return this.placeEach(waiting, tasks.slice(0, maxTasks), workers);
   }
 
   /** Places tasks of a step one by one. Returns whether there was room for all of them. */
   private placeEach(
     waiting: WaitingStep,
     tasks: readonly TaskState[],
+    candidates: readonly PlacementWorker[],
   ): boolean {
     if (tasks.length === 0) return true;
-    const ranking = this.rank(waiting, this.getWorkers(waiting), false);
+    const ranking = this.rank(waiting, candidates, false);
     const workers: PlacementWorker[] = [];
     let hasRoom = true;
     for (const task of tasks) {
--- /dev/null
+++ b/packages/coordination/src/room_reservations.ts
@@ -0,0 +1,231 @@
+/**
+ * Keeps workers free of other new work until interrupted long-running tasks fit there.
+ *
+ * Load pattern: on a full fleet many small batch tasks wait. Each takes the gap that
+ * another one leaves, so that no worker ever has room for a larger task.
+ */
+
+import {StepState, TaskState} from '@mustardlug/jobs/job_state';
+import {getRemainingMs} from './drain_planner.js';
+import {PlacementWorker} from './placement_pass.js';
+import {WaitingStep} from './task_order.js';
+import {AssignedRun} from './worker_load.js';
+
+/** A task that fits on none of the workers that it may run on. */
+export interface RoomRequest {
+  readonly waiting: WaitingStep;
+  readonly task: TaskState;
+  /** Workers of the step's service that are usable for new runs. */
+  readonly workers: readonly PlacementWorker[];
+}
+
+/** Room on one worker that is kept for tasks. */
+interface Claim {
+  cpuMillis: number;
+  memoryMb: number;
+  accelerators: number;
+  readonly tasksByStep: Map<StepState, number>;
+}
+
+/** A batch run to stop for a task. */
+export interface Preemption {
+  readonly worker: PlacementWorker;
+  readonly assigned: AssignedRun;
+  /** Task for which the run is stopped. */
+  readonly request: RoomRequest;
+}
+
+/** How a worker gets the room for a task. */
+interface RoomPlan {
+  /** Expected time until there is room. */
+  readonly waitMs: number;
+  /** Runs that have to end for that, the first one to end first. */
+  readonly runs: readonly AssignedRun[];
+}
+
+/** Wait from which runs of a lower priority, or with a checkpoint, are stopped for a task. */
+const PREEMPTION_WAIT_MS = 500;
+
+/** Wait from which any batch run is stopped for a task; the rest of the time is for the start. */
+const MAX_WAIT_MS = 1_500;
+
+/** Time by which another worker must have room sooner than the one that is reserved. */
+const MIN_GAIN_MS = 500;
+
+/** Reservations of one coordinator term. At most one worker is reserved for each task. */
+export class RoomReservations {
+  private reservedIds: ReadonlySet<string> = new Set();
+  /** Monotonic time since which each task has been without room. */
+  private waitingSinceMs: ReadonlyMap<TaskState, number> = new Map();
+
+  private constructor() {}
+
+  static create(): RoomReservations {
+    return new RoomReservations();
+  }
+
+  /** Gets the number of reserved workers. */
+  getCount(): number {
+    return this.reservedIds.size;
+  }
+
+  /**
+   * Checks whether a worker takes no new runs but those of interrupted tasks.
+   * @param worker - Worker to check.
+   */
+  isReserved({session}: PlacementWorker): boolean {
+    return this.reservedIds.has(session.getId());
+  }
+
+  /**
+   * Replaces all reservations.
+   * @param requests - All tasks without room, in the order of their placement.
+   * @param nowMs - Monotonic time.
+   * @returns Runs to stop, as tasks have waited for too long.
+   */
+  update(requests: readonly RoomRequest[], nowMs: number): Preemption[] {
+    const claims = new Map<PlacementWorker, Claim>();
+    const waitingSinceMs = new Map<TaskState, number>();
+    const preemptions: Preemption[] = [];
+    for (const request of requests) {
+      const {task} = request;
+      const sinceMs = this.waitingSinceMs.get(task) ?? nowMs;
+      waitingSinceMs.set(task, sinceMs);
+      const selected = this.selectWorker(request, claims, nowMs);
+      if (selected === undefined) continue;
+      const {worker, plan} = selected;
+      addClaim(claims, worker, request.waiting.step);
+      for (const assigned of plan.runs) {
+        if (canPreempt(assigned, request, nowMs - sinceMs))
+          preemptions.push({worker, assigned, request});
+      }
+    }
+    this.waitingSinceMs = waitingSinceMs;
+    this.reservedIds = new Set(
+      [...claims.keys()].map(({session}) => session.getId()),
+    );
+    return preemptions;
+  }
+
+  /** Selects the worker that is expected to have room soonest. */
+  private selectWorker(
+    request: RoomRequest,
+    claims: ReadonlyMap<PlacementWorker, Claim>,
+    nowMs: number,
+  ): {worker: PlacementWorker; plan: RoomPlan} | undefined {
+    let best: {worker: PlacementWorker; plan: RoomPlan} | undefined;
+    let minMs = Infinity;
+    for (const worker of request.workers) {
+      const plan = planRoom(request, worker, claims.get(worker), nowMs);
+      if (plan === undefined) continue;
+      const waitMs = plan.waitMs + (this.isReserved(worker) ? 0 : MIN_GAIN_MS);
+      if (waitMs >= minMs) continue;
+      best = {worker, plan};
+      minMs = waitMs;
+    }
+    return best;
+  }
+}
+
+/**
+ * Plans the room for a task on a worker, besides the room that is kept for others.
+ * Returns `undefined` if the task would not fit even without any batch run.
+ */
+function planRoom(
+  {waiting: {step}}: RoomRequest,
+  worker: PlacementWorker,
+  claim: Claim | undefined,
+  nowMs: number,
+): RoomPlan | undefined {
+  const {load, labels} = worker;
+  const {needs, requiredLabel, maxPerWorker, isFiller} = step.spec;
+  if (requiredLabel !== undefined && !labels.includes(requiredLabel))
+    return undefined;
+  const stepTasks =
+    load.getStepRunCount(step) + (claim?.tasksByStep.get(step) ?? 0);
+  if (maxPerWorker > 0 && stepTasks >= maxPerWorker) return undefined;
+  const cpuMillis = isFiller ? 0 : needs.cpuMillis;
+  let missingCpu =
+    cpuMillis + (claim?.cpuMillis ?? 0) - load.getFreeCpuMillis();
+  let missingMemory =
+    needs.memoryMb + (claim?.memoryMb ?? 0) - load.getFreeMemoryMb();
+  let missingAccelerators =
+    needs.accelerators +
+    (claim?.accelerators ?? 0) -
+    load.getFreeAccelerators();
+  const runs: AssignedRun[] = [];
+  let waitMs = 0;
+  for (const {assigned, remainingMs} of getEndingRuns(worker, nowMs)) {
+    if (missingCpu <= 0 && missingMemory <= 0 && missingAccelerators <= 0)
+      break;
+    const {spec} = assigned.step;
+    const freedCpu = spec.isFiller ? 0 : spec.needs.cpuMillis;
+    const isUseful =
+      (missingCpu > 0 && freedCpu > 0) ||
+      (missingMemory > 0 && spec.needs.memoryMb > 0) ||
+      (missingAccelerators > 0 && spec.needs.accelerators > 0);
+    missingCpu -= freedCpu;
+    missingMemory -= spec.needs.memoryMb;
+    missingAccelerators -= spec.needs.accelerators;
+    if (!isUseful) continue;
+    runs.push(assigned);
+    waitMs = remainingMs;
+  }
+  if (missingCpu > 0 || missingMemory > 0 || missingAccelerators > 0)
+    return undefined;
+  const canPreemptAll = runs.every(isPreemptible);
+  return {waitMs: canPreemptAll ? Math.min(waitMs, MAX_WAIT_MS) : waitMs, runs};
+}
+
+/** Gets the batch runs and the runs that are being stopped, the first to end first. */
+function getEndingRuns({load}: PlacementWorker, nowMs: number) {
+  const ending: Array<{assigned: AssignedRun; remainingMs: number}> = [];
+  for (const assigned of load.getRuns()) {
+    const {run, step} = assigned;
+    if (run.isStopping) ending.push({assigned, remainingMs: 0});
+    else if (!step.spec.isLongRunning) {
+      // A run that is overdue may hang, and counts the more the longer it is.
+      const remainingMs = Math.abs(getRemainingMs(assigned, nowMs));
+      ending.push({assigned, remainingMs});
+    }
+  }
+  return ending.sort((left, right) => left.remainingMs - right.remainingMs);
+}
+
+function addClaim(
+  claims: Map<PlacementWorker, Claim>,
+  worker: PlacementWorker,
+  step: StepState,
+): void {
+  const claim = claims.get(worker) ?? {
+    cpuMillis: 0,
+    memoryMb: 0,
+    accelerators: 0,
+    tasksByStep: new Map<StepState, number>(),
+  };
+  const {needs, isFiller} = step.spec;
+  claim.cpuMillis += isFiller ? 0 : needs.cpuMillis;
+  claim.memoryMb += needs.memoryMb;
+  claim.accelerators += needs.accelerators;
+  claim.tasksByStep.set(step, (claim.tasksByStep.get(step) ?? 0) + 1);
+  claims.set(worker, claim);
+}
+
+/** Checks whether a run may be stopped for a task that has waited for some time. */
+function canPreempt(
+  assigned: AssignedRun,
+  {waiting}: RoomRequest,
+  waitMs: number,
+): boolean {
+  const {job, run, step} = assigned;
+  if (run.isStopping || !run.isConfirmed) return false;
+  if (!isPreemptible(assigned)) return false;
+  if (waitMs >= MAX_WAIT_MS) return true;
+  const isLower = job.accepted.queue.priority > waiting.queue.priority;
+  return waitMs >= PREEMPTION_WAIT_MS && (isLower || step.spec.isCheckpointing);
+}
+
+/** A gang is not, as all its members would be stopped, also on other workers. */
+function isPreemptible({step}: AssignedRun): boolean {
+  return !step.spec.isLongRunning && !step.spec.isGang;
+}
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -147,6 +147,11 @@
     return this.capacity.memoryMb - this.usedMemoryMb;
   }
 
+  /** Gets the number of free accelerators. */
+  getFreeAccelerators(): number {
+    return this.capacity.accelerators - this.usedAccelerators;
+  }
+
   /** Gets the CPU that is available to further fillers, in thousandths of a core. */
   getReclaimableCpuMillis(): number {
     const servingUse = this.servingCpuMillis * SERVING_CPU_UTILIZATION;
@@ -245,8 +250,7 @@
     isFiller: boolean,
   ): Shortage | undefined {
     if (needs.memoryMb > this.getFreeMemoryMb()) return 'memory';
-    const freeAccelerators = this.capacity.accelerators - this.usedAccelerators;
-    if (needs.accelerators > freeAccelerators) return 'accelerators';
+    if (needs.accelerators > this.getFreeAccelerators()) return 'accelerators';
     const cpuMillis = isFiller ? 0 : needs.cpuMillis;
     return cpuMillis <= this.getFreeCpuMillis() ? undefined : 'cpu';
   }
--- a/packages/coordination/src/worker_supervisor.ts
+++ b/packages/coordination/src/worker_supervisor.ts
@@ -9,6 +9,8 @@
 import {FillerController} from './filler_controller.js';
 import {ServingRelocator} from './serving_relocator.js';
 import {PlacementWorker} from './placement_pass.js';
+import {Preemption} from './room_reservations.js';
+import {getTaskName} from './task_names.js';
 import {HealthChange, WorkerHealth} from './worker_health.js';
 import {AssignedRun} from './worker_load.js';
 import {SessionExclusion, WorkerSession} from './worker_session.js';
@@ -144,6 +146,17 @@
     return {session, load: session.load, rack, labels, acceptsFillers};
   }
 
+  /**
+   * Stops a batch run, so that an interrupted task has room on its worker.
+   * @param preemption - Run and task.
+   */
+  preempt({worker, assigned, request}: Preemption): void {
+    const {job, occurrence, step} = request.waiting;
+    const taskName = getTaskName(job, occurrence, step, request.task);
+    const reason = `task ${taskName}, which was running before, has no room on any worker`;
+    this.moveRun(worker.session, assigned, reason);
+  }
+
   /** Stops runs whose job or task ended, such as while their worker was not registered. */
   private stopObsoleteRuns(session: WorkerSession): void {
     for (const assigned of session.load.getRuns()) {
--- a/packages/coordination/test/placement_pass.test.ts
+++ b/packages/coordination/test/placement_pass.test.ts
@@ -9,6 +9,7 @@
   PlacementPass,
   PlacementWorker,
 } from '../src/placement_pass.js';
+import {RoomReservations} from '../src/room_reservations.js';
 import {getTaskName} from '../src/task_names.js';
 import {AssignedRun} from '../src/worker_load.js';
 import {WorkerSession} from '../src/worker_session.js';
@@ -36,6 +37,9 @@
     interferenceModel: InterferenceModel.create(),
     workersByService: new Map([[serviceName, workers]]),
     maxPlacements,
+    reservations: RoomReservations.create(),
+    nowMs: 0,
+    preempt: () => undefined,
     place: ({waiting, task, worker}) => {
       const run = createTaskRun(worker.session.getId(), 1, 1, 0);
       task.runs.push(run);
--- a/packages/coordination/test/wait_explanation.test.ts
+++ b/packages/coordination/test/wait_explanation.test.ts
@@ -5,6 +5,7 @@
 import {getWaitingSteps, PlacementPass} from '../src/placement_pass.js';
 import {explainWait} from '../src/wait_explanation.js';
 import {WorkerSession} from '../src/worker_session.js';
+import {RoomReservations} from '../src/room_reservations.js';
 import {createTestJob, createTestLoad, createTestStep} from './test_runs.js';
 
 /** Runs a pass over two equal jobs that places nothing, and explains the second wait. */
@@ -35,8 +36,11 @@
     interferenceModel,
     workersByService: new Map([[serviceName, [worker]]]),
     maxPlacements,
+    reservations: RoomReservations.create(),
+    nowMs: 0,
     place: () => expect.fail('nothing fits'),
     undo: () => undefined,
+    preempt: () => undefined,
   });
   pass.run(waiting, 0);
   const supervisor = {
