Tell a successor which runs are proven

Cause: whether a run is proven was kept in memory only, so that a restored run looked just started.

Change: the stored form of a run ends with a 1 if it is proven. Earlier builds ignore the field, and rows without it are read as before. The proof of a run of a lasting or long task is stored at once; that of a short one only with the next change of its job, as it mostly ends before it would matter.

--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -20,6 +20,12 @@
 import {getTaskName} from './task_names.js';
 import {AssignedRun} from './worker_load.js';
 
+/**
+ * Estimated duration of a task from which its proven runs are stored at once.
+ * Shorter ones mostly end before a successor would need to know.
+ */
+const MIN_STORED_PROOF_MS = 5_000;
+
 export interface JobTrackerOptions {
   readonly clock: Clock;
   readonly events: EventRecorder;
@@ -199,7 +205,7 @@
    */
   recordStartCrash({assigned, isAttributed, reason}: SuspectedRun): void {
     const {job, task, run, taskName} = assigned;
-    if (job.isEnded() || task.isDone) return;
+    if (job.isEnded() || task.isDone || run.isProven) return;
     const {workerId, runNumber} = run;
     // A run whose stop was pending at a takeover may be lost once more.
     const isCounted = task.startCrashes.some(
@@ -219,11 +225,15 @@
 
   /**
    * Records that a run has not crashed the worker that started it, so that the
-   * task is not the cause of earlier crashes.
+   * task is not the cause of earlier crashes. Stores it for a successor if the run
+   * will last; other changes of the job store it as well.
    * @param assigned - Run that is in progress.
    */
-  recordRunProven({job, task}: AssignedRun): void {
+  recordRunProven({job, step, task}: AssignedRun): void {
     this.clearStartCrashes(job, task);
+    const {isLongRunning, estimatedMs} = step.spec;
+    if (isLongRunning || estimatedMs >= MIN_STORED_PROOF_MS)
+      this.markChanged(job);
   }
 
   /**
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -17,8 +17,11 @@
  */
 type StoredTask = 0 | 1 | [number, string, ...StoredRun[]];
 
-/** Worker ID, start time of the worker process, run number. */
-type StoredRun = [string, number, number];
+/**
+ * Worker ID, start time of the worker process, run number, and 1 if the run is
+ * proven. Earlier versions neither store nor read the last one.
+ */
+type StoredRun = [string, number, number, 1?];
 
 /** Step index and task index, followed by the fields of the run. */
 type StoredDoneTaskRun = [number, number, ...StoredRun];
@@ -183,7 +186,10 @@
 }
 
 function toStoredRun(run: TaskRun): StoredRun {
-  return [run.workerId, run.workerStartMs, run.runNumber];
+  const {workerId, workerStartMs, runNumber} = run;
+  return run.isProven
+    ? [workerId, workerStartMs, runNumber, 1]
+    : [workerId, workerStartMs, runNumber];
 }
 
 /** Gets the runs of done tasks, such as copies that are being stopped. */
@@ -237,11 +243,11 @@
 }
 
 function restoreRun(
-  [workerId, workerStartMs, runNumber]: StoredRun,
+  [workerId, workerStartMs, runNumber, mark]: StoredRun,
   monotonicMs: number,
 ): TaskRun {
   const run = createTaskRun(workerId, workerStartMs, runNumber, monotonicMs);
-  return {...run, isAdopted: true};
+  return {...run, isAdopted: true, isProven: mark === 1};
 }
 
 /**
--- a/packages/jobs/test/job_model.test.ts
+++ b/packages/jobs/test/job_model.test.ts
@@ -152,6 +152,28 @@
     expect(restored.nextOccurrence).to.equal(1);
   });
 
+  it('restores which runs are proven, also of done tasks; earlier versions did not store it', () => {
+    const job = createJob();
+    job.createDueOccurrences(1_000);
+    const step = job.occurrences.get(0)!.steps[0];
+    const run = {...createTaskRun('worker-1', 7, 1_001, 0), isProven: true};
+    step.tasks[0].runs = [run];
+    step.tasks[1].runs = [run];
+    step.markDone(step.tasks[1]);
+    const stored = toStoredProgress(job);
+    const restored = createJob();
+    restoreProgress(restored, stored, 0);
+    const [active, done] = restored.occurrences.get(0)!.steps[0].tasks;
+    expect(active.runs[0].isProven).to.equal(true);
+    expect(done.runs[0].isProven).to.equal(true);
+    const [{number, steps}] = stored.occurrences;
+    steps[0][0] = [0, '', ['worker-1', 7, 1_001]];
+    const earlier = createJob();
+    restoreProgress(earlier, {...stored, occurrences: [{number, steps}]}, 0);
+    const [unproven] = earlier.occurrences.get(0)!.steps[0].tasks;
+    expect(unproven.runs[0].isProven).to.equal(false);
+  });
+
   it('restores the runs of done tasks, also of an occurrence that is done', () => {
     const job = createJob();
     job.createDueOccurrences(1_000);
