Plan reserved room once a pass, and keep a task's worker for 1.5 s

Each update of the reservations sorted the runs of all workers for each waiting task. The runs are now sorted once, and a task's worker of the last pass is looked at first.

--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -137,6 +137,11 @@
   private readonly placedSteps: PlacedStep[] = [];
   /** Workers on which nothing else is started, so that a waiting trial can begin there. */
   private readonly reservedWorkers = new Set<PlacementWorker>();
+  /** Workers that are not kept for interrupted tasks, by service; filled as needed. */
+  private readonly unreservedWorkers = new Map<
+    string,
+    readonly PlacementWorker[]
+  >();
   private placementCount = 0;
   private wallMs = 0;
 
@@ -289,14 +294,17 @@
     for (const waiting of sorted) {
       const {spec, tasks} = waiting.step;
       if (!spec.isLongRunning || spec.isGang) continue;
+      const interrupted = tasks.filter(isInterruptedTask);
+      if (interrupted.length === 0) continue;
       const workers = this.getServiceWorkers(waiting);
-      for (const task of tasks) {
-        if (!isInterruptedTask(task)) continue;
-        if (isSuspected(task) && !this.canStartTrial(waiting)) continue;
+      const canStartTrial = this.canStartTrial(waiting);
+      for (const task of interrupted) {
+        if (isSuspected(task) && !canStartTrial) continue;
         requests.push({waiting, task, workers});
       }
     }
     const preemptions = reservations.update(requests, nowMs);
+    this.unreservedWorkers.clear();
     for (const preemption of preemptions) preempt(preemption);
   }
 
@@ -366,7 +374,12 @@
     const {reservations} = this.options;
     const workers = this.getServiceWorkers(waiting);
     if (reservations.getCount() === 0) return workers;
-    return workers.filter(worker => !reservations.isReserved(worker));
+    const {serviceName} = waiting.queue;
+    const known = this.unreservedWorkers.get(serviceName);
+    if (known !== undefined) return known;
+    const unreserved = workers.filter(each => !reservations.isReserved(each));
+    this.unreservedWorkers.set(serviceName, unreserved);
+    return unreserved;
   }
 
   private canStartTrial(waiting: WaitingStep): boolean {
--- a/packages/coordination/src/room_reservations.ts
+++ b/packages/coordination/src/room_reservations.ts
@@ -49,14 +49,29 @@
 /** Wait from which any batch run is stopped for a task; the rest of the time is for the start. */
 const MAX_WAIT_MS = 1_500;
 
-/** Time by which another worker must have room sooner than the one that is reserved. */
-const MIN_GAIN_MS = 500;
+interface EndingRun {
+  readonly assigned: AssignedRun;
+  readonly remainingMs: number;
+}
+
+/** A worker that is kept for a task. */
+interface Reservation {
+  /** Monotonic time since which the task has been without room. */
+  readonly sinceMs: number;
+  readonly workerId: string | undefined;
+  /** Monotonic time at which the worker was selected. */
+  readonly selectedMs: number;
+}
+
+interface SelectedWorker {
+  readonly worker: PlacementWorker;
+  readonly plan: RoomPlan;
+}
 
 /** Reservations of one coordinator term. At most one worker is reserved for each task. */
 export class RoomReservations {
+  private reservations: ReadonlyMap<TaskState, Reservation> = new Map();
   private reservedIds: ReadonlySet<string> = new Set();
-  /** Monotonic time since which each task has been without room. */
-  private waitingSinceMs: ReadonlyMap<TaskState, number> = new Map();
 
   private constructor() {}
 
@@ -84,131 +99,163 @@
    * @returns Runs to stop, as tasks have waited for too long.
    */
   update(requests: readonly RoomRequest[], nowMs: number): Preemption[] {
-    const claims = new Map<PlacementWorker, Claim>();
-    const waitingSinceMs = new Map<TaskState, number>();
+    const planner = RoomPlanner.create(nowMs);
+    const reservations = new Map<TaskState, Reservation>();
     const preemptions: Preemption[] = [];
     for (const request of requests) {
       const {task} = request;
-      const sinceMs = this.waitingSinceMs.get(task) ?? nowMs;
-      waitingSinceMs.set(task, sinceMs);
-      const selected = this.selectWorker(request, claims, nowMs);
+      const previous = this.reservations.get(task);
+      const sinceMs = previous?.sinceMs ?? nowMs;
+      const kept = this.keepWorker(request, previous, planner, nowMs);
+      const selected = kept ?? planner.selectWorker(request);
+      const workerId = selected?.worker.session.getId();
+      const selectedMs =
+        kept === undefined ? nowMs : (previous?.selectedMs ?? nowMs);
+      reservations.set(task, {sinceMs, workerId, selectedMs});
       if (selected === undefined) continue;
       const {worker, plan} = selected;
-      addClaim(claims, worker, request.waiting.step);
+      planner.addClaim(worker, request.waiting.step);
       for (const assigned of plan.runs) {
         if (canPreempt(assigned, request, nowMs - sinceMs))
           preemptions.push({worker, assigned, request});
       }
     }
-    this.waitingSinceMs = waitingSinceMs;
-    this.reservedIds = new Set(
-      [...claims.keys()].map(({session}) => session.getId()),
-    );
+    this.reservations = reservations;
+    this.reservedIds = planner.getClaimedIds();
     return preemptions;
   }
 
-  /** Selects the worker that is expected to have room soonest. */
-  private selectWorker(
+  /** Keeps the worker of a task for some time, as a change would leave the room to others again. */
+  private keepWorker(
     request: RoomRequest,
-    claims: ReadonlyMap<PlacementWorker, Claim>,
+    previous: Reservation | undefined,
+    planner: RoomPlanner,
     nowMs: number,
-  ): {worker: PlacementWorker; plan: RoomPlan} | undefined {
-    let best: {worker: PlacementWorker; plan: RoomPlan} | undefined;
-    let minMs = Infinity;
+  ): SelectedWorker | undefined {
+    if (previous?.workerId === undefined) return undefined;
+    const {workerId, selectedMs} = previous;
+    if (nowMs - selectedMs >= MAX_WAIT_MS) return undefined;
+    const worker = request.workers.find(
+      ({session}) => session.getId() === workerId,
+    );
+    const plan = worker && planner.planRoom(request, worker);
+    return worker && plan && {worker, plan};
+  }
+}
+
+/** Plans for the state of the workers at one time. */
+class RoomPlanner {
+  private readonly claims = new Map<PlacementWorker, Claim>();
+  private readonly endingRuns = new Map<PlacementWorker, EndingRun[]>();
+
+  private constructor(private readonly nowMs: number) {}
+
+  static create(nowMs: number): RoomPlanner {
+    return new RoomPlanner(nowMs);
+  }
+
+  /** Selects the worker that is expected to have room soonest. */
+  selectWorker(request: RoomRequest): SelectedWorker | undefined {
+    let best: SelectedWorker | undefined;
     for (const worker of request.workers) {
-      const plan = planRoom(request, worker, claims.get(worker), nowMs);
+      const plan = this.planRoom(request, worker);
       if (plan === undefined) continue;
-      const waitMs = plan.waitMs + (this.isReserved(worker) ? 0 : MIN_GAIN_MS);
-      if (waitMs >= minMs) continue;
+      if (best !== undefined && plan.waitMs >= best.plan.waitMs) continue;
       best = {worker, plan};
-      minMs = waitMs;
     }
     return best;
   }
-}
 
-/**
- * Plans the room for a task on a worker, besides the room that is kept for others.
- * Returns `undefined` if the task would not fit even without any batch run.
- */
-function planRoom(
-  {waiting: {step}}: RoomRequest,
-  worker: PlacementWorker,
-  claim: Claim | undefined,
-  nowMs: number,
-): RoomPlan | undefined {
-  const {load, labels} = worker;
-  const {needs, requiredLabel, maxPerWorker, isFiller} = step.spec;
-  if (requiredLabel !== undefined && !labels.includes(requiredLabel))
-    return undefined;
-  const stepTasks =
-    load.getStepRunCount(step) + (claim?.tasksByStep.get(step) ?? 0);
-  if (maxPerWorker > 0 && stepTasks >= maxPerWorker) return undefined;
-  const cpuMillis = isFiller ? 0 : needs.cpuMillis;
-  let missingCpu =
-    cpuMillis + (claim?.cpuMillis ?? 0) - load.getFreeCpuMillis();
-  let missingMemory =
-    needs.memoryMb + (claim?.memoryMb ?? 0) - load.getFreeMemoryMb();
-  let missingAccelerators =
-    needs.accelerators +
-    (claim?.accelerators ?? 0) -
-    load.getFreeAccelerators();
-  const runs: AssignedRun[] = [];
-  let waitMs = 0;
-  for (const {assigned, remainingMs} of getEndingRuns(worker, nowMs)) {
-    if (missingCpu <= 0 && missingMemory <= 0 && missingAccelerators <= 0)
-      break;
-    const {spec} = assigned.step;
-    const freedCpu = spec.isFiller ? 0 : spec.needs.cpuMillis;
-    const isUseful =
-      (missingCpu > 0 && freedCpu > 0) ||
-      (missingMemory > 0 && spec.needs.memoryMb > 0) ||
-      (missingAccelerators > 0 && spec.needs.accelerators > 0);
-    missingCpu -= freedCpu;
-    missingMemory -= spec.needs.memoryMb;
-    missingAccelerators -= spec.needs.accelerators;
-    if (!isUseful) continue;
-    runs.push(assigned);
-    waitMs = remainingMs;
+  /** Keeps room on a worker for a task of a step. */
+  addClaim(worker: PlacementWorker, step: StepState): void {
+    const claim = this.claims.get(worker) ?? {
+      cpuMillis: 0,
+      memoryMb: 0,
+      accelerators: 0,
+      tasksByStep: new Map<StepState, number>(),
+    };
+    const {needs, isFiller} = step.spec;
+    claim.cpuMillis += isFiller ? 0 : needs.cpuMillis;
+    claim.memoryMb += needs.memoryMb;
+    claim.accelerators += needs.accelerators;
+    claim.tasksByStep.set(step, (claim.tasksByStep.get(step) ?? 0) + 1);
+    this.claims.set(worker, claim);
   }
-  if (missingCpu > 0 || missingMemory > 0 || missingAccelerators > 0)
-    return undefined;
-  const canPreemptAll = runs.every(isPreemptible);
-  return {waitMs: canPreemptAll ? Math.min(waitMs, MAX_WAIT_MS) : waitMs, runs};
-}
 
-/** Gets the batch runs and the runs that are being stopped, the first to end first. */
-function getEndingRuns({load}: PlacementWorker, nowMs: number) {
-  const ending: Array<{assigned: AssignedRun; remainingMs: number}> = [];
-  for (const assigned of load.getRuns()) {
-    const {run, step} = assigned;
-    if (run.isStopping) ending.push({assigned, remainingMs: 0});
-    else if (!step.spec.isLongRunning) {
-      // A run that is overdue may hang, and counts the more the longer it is.
-      const remainingMs = Math.abs(getRemainingMs(assigned, nowMs));
-      ending.push({assigned, remainingMs});
+  getClaimedIds(): Set<string> {
+    return new Set([...this.claims.keys()].map(({session}) => session.getId()));
+  }
+
+  /**
+   * Plans the room for a task on a worker, besides the room that is kept for others.
+   * Returns `undefined` if the task would not fit even without any batch run.
+   */
+  planRoom(
+    {waiting: {step}}: RoomRequest,
+    worker: PlacementWorker,
+  ): RoomPlan | undefined {
+    const {load, labels} = worker;
+    const {needs, requiredLabel, maxPerWorker, isFiller} = step.spec;
+    if (requiredLabel !== undefined && !labels.includes(requiredLabel))
+      return undefined;
+    const claim = this.claims.get(worker);
+    const stepTasks =
+      load.getStepRunCount(step) + (claim?.tasksByStep.get(step) ?? 0);
+    if (maxPerWorker > 0 && stepTasks >= maxPerWorker) return undefined;
+    const cpuMillis = isFiller ? 0 : needs.cpuMillis;
+    let missingCpu =
+      cpuMillis + (claim?.cpuMillis ?? 0) - load.getFreeCpuMillis();
+    let missingMemory =
+      needs.memoryMb + (claim?.memoryMb ?? 0) - load.getFreeMemoryMb();
+    let missingAccelerators =
+      needs.accelerators +
+      (claim?.accelerators ?? 0) -
+      load.getFreeAccelerators();
+    const runs: AssignedRun[] = [];
+    let waitMs = 0;
+    for (const {assigned, remainingMs} of this.getEndingRuns(worker)) {
+      if (missingCpu <= 0 && missingMemory <= 0 && missingAccelerators <= 0)
+        break;
+      const {spec} = assigned.step;
+      const freedCpu = spec.isFiller ? 0 : spec.needs.cpuMillis;
+      const isUseful =
+        (missingCpu > 0 && freedCpu > 0) ||
+        (missingMemory > 0 && spec.needs.memoryMb > 0) ||
+        (missingAccelerators > 0 && spec.needs.accelerators > 0);
+      if (!isUseful) continue;
+      missingCpu -= freedCpu;
+      missingMemory -= spec.needs.memoryMb;
+      missingAccelerators -= spec.needs.accelerators;
+      runs.push(assigned);
+      waitMs = remainingMs;
     }
+    if (missingCpu > 0 || missingMemory > 0 || missingAccelerators > 0)
+      return undefined;
+    const canPreemptAll = runs.every(isPreemptible);
+    return {
+      waitMs: canPreemptAll ? Math.min(waitMs, MAX_WAIT_MS) : waitMs,
+      runs,
+    };
   }
-  return ending.sort((left, right) => left.remainingMs - right.remainingMs);
-}
 
-function addClaim(
-  claims: Map<PlacementWorker, Claim>,
-  worker: PlacementWorker,
-  step: StepState,
-): void {
-  const claim = claims.get(worker) ?? {
-    cpuMillis: 0,
-    memoryMb: 0,
-    accelerators: 0,
-    tasksByStep: new Map<StepState, number>(),
-  };
-  const {needs, isFiller} = step.spec;
-  claim.cpuMillis += isFiller ? 0 : needs.cpuMillis;
-  claim.memoryMb += needs.memoryMb;
-  claim.accelerators += needs.accelerators;
-  claim.tasksByStep.set(step, (claim.tasksByStep.get(step) ?? 0) + 1);
-  claims.set(worker, claim);
+  /** Gets the batch runs and the runs that are being stopped, the first to end first. */
+  private getEndingRuns(worker: PlacementWorker): EndingRun[] {
+    const known = this.endingRuns.get(worker);
+    if (known !== undefined) return known;
+    const ending: EndingRun[] = [];
+    for (const assigned of worker.load.getRuns()) {
+      const {run, step} = assigned;
+      if (run.isStopping) ending.push({assigned, remainingMs: 0});
+      else if (!step.spec.isLongRunning) {
+        // A run that is overdue may hang, and counts the more the longer it is.
+        const remainingMs = Math.abs(getRemainingMs(assigned, this.nowMs));
+        ending.push({assigned, remainingMs});
+      }
+    }
+    ending.sort((left, right) => left.remainingMs - right.remainingMs);
+    this.endingRuns.set(worker, ending);
+    return ending;
+  }
 }
 
 /** Checks whether a run may be stopped for a task that has waited for some time. */
