--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -49,6 +49,7 @@
 import {StartWindow} from './start_window.js';
 import {Placement, PlacementPass} from './placement_pass.js';
 import {PassTimes} from './pass_times.js';
+import {RoomReservations} from './room_reservations.js';
 import {WorkerSupervisor} from './worker_supervisor.js';
 import {SilenceReporter} from './silence_reporter.js';
 import {explainWait} from './wait_explanation.js';
@@ -182,6 +183,7 @@
   private readonly leaseBounds: LeaseBounds;
   private readonly admissionControl: AdmissionControl;
   private readonly crashAttributor = CrashAttributor.create();
+  private readonly reservations = RoomReservations.create();
   private readonly waitReporter: WaitReporter;
   private readonly silenceReporter: SilenceReporter;
   private readonly followers: TableFollower[] = [];
@@ -681,8 +683,11 @@
         this.workerPool.getSessions(),
       ),
       maxPlacements: this.startWindow.getFreeCount(),
+      reservations: this.reservations,
+      nowMs: this.options.clock.getMonotonicMs(),
       place: placement => this.placeTask(placement),
       undo: (assigned, {session}) => this.undoPlacement(assigned, session),
+      preempt: preemption => this.workerSupervisor.preempt(preemption),
     });
     const waiting = this.jobTracker.getWaitingSteps(wallMs);
     pass.run(waiting, wallMs);
