--- a/packages/standins/src/job_worker_model.ts
+++ b/packages/standins/src/job_worker_model.ts
@@ -49,6 +49,8 @@
   readonly getTaskDurationMs: (taskName: string) => number;
   /** Checks whether a run fails because of the task itself. */
   readonly isFailing: (taskName: string, runNumber: number) => boolean;
+  /** Gets the work after which a failing run ends; `FAILURE_DELAY_MS` if absent. */
+  readonly getFailureDelayMs?: (taskName: string) => number;
   /**
    * Gets the time after which a running task crashes the worker; undefined if it
    * does not. At 0, the worker crashes before it responds to the start command.
@@ -321,7 +323,8 @@
     };
   }
 
-  private getClockMs(): number {
+  /** Gets the time of the worker's own clock, which starts with its process. */
+  getClockMs(): number {
     const elapsedMs = this.options.clock.getMonotonicMs() - this.clockStartMs;
     return elapsedMs * this.getClockRate();
   }
@@ -373,6 +376,7 @@
     delayMs: number,
   ): void {
     const {clock, getTaskDurationMs, isFailing, observer} = this.options;
+    const {getFailureDelayMs = () => FAILURE_DELAY_MS} = this.options;
     const previous = this.runs.get(taskName);
     if (previous !== undefined) this.endRun(previous, 'stopped');
     const {failsAll, hangs} = this.behavior;
@@ -381,7 +385,7 @@
     const run: ModelRun = {
       taskName,
       runNumber,
-      workMs: fails ? FAILURE_DELAY_MS : getTaskDurationMs(taskName),
+      workMs: fails ? getFailureDelayMs(taskName) : getTaskDurationMs(taskName),
       end: fails ? 'failed' : 'done',
       isHanging: hangs && !fails,
       completedWorkMs: modelsInterference ? getRestoredWorkMs(checkpoint) : 0,
--- a/packages/standins/src/memory_row_store.ts
+++ b/packages/standins/src/memory_row_store.ts
@@ -214,12 +214,15 @@
       return err({kind: 'history-gone', message});
     }
     const latest = new Map<string, HistoryEntry>();
-    for (const entry of this.history) {
-      if (entry.version <= afterVersion || entry.address.table !== table)
-        continue;
-      latest.set(getRowKey(entry.address), entry);
+    // Versions only rise, so that the changes that are asked for are the last ones.
+    for (let index = this.history.length - 1; index >= 0; index--) {
+      const entry = this.history[index];
+      if (entry.version <= afterVersion) break;
+      const key = getRowKey(entry.address);
+      if (entry.address.table === table && !latest.has(key))
+        latest.set(key, entry);
     }
-    const entries = [...latest.values()];
+    const entries = [...latest.values()].reverse();
     return ok({
       rows: entries.map(entry => entry.row).filter(row => row !== undefined),
       removed: entries
