Trials of interrupted long-running tasks come before those of batch tasks

Cause: a task whose run was younger than 500 ms when its worker was lost is suspected of having crashed it, and waits for a trial. At most a fifth of the workers try suspected tasks at the same time. On a full fleet a lost worker was starting many batch tasks, all of which become suspects too, and the trials followed the order of waiting steps, in which long-running steps come last.

Change: suspected tasks of long-running steps that have run before are tried first.

The test of the pass failed before: the trial went to a batch task.

--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -142,6 +142,11 @@
   run(waiting: readonly WaitingStep[], wallMs: number): void {
     this.wallMs = wallMs;
     const sorted = sortWaitingSteps(waiting, wallMs);
+    // Trials are few at a time, and batch work must not take them from users that wait.
+    for (const each of sorted) {
+      if (each.step.spec.isLongRunning)
+        this.placeSuspectedTasks(each, task => task.hasRun);
+    }
     for (const each of sorted) this.placeSuspectedTasks(each);
     for (const each of sorted) this.placeInterruptedTasks(each);
     for (const each of sorted) {
@@ -215,15 +220,20 @@
   /**
    * Places suspected tasks, each on a worker that starts nothing else. They come
    * first, as other tasks could keep all workers from being free for them.
+   * @param waiting - Step with waiting tasks.
+   * @param canTry - Selects among the tasks; a gang is tried as a whole.
    */
-  private placeSuspectedTasks(waiting: WaitingStep): void {
+  private placeSuspectedTasks(
+    waiting: WaitingStep,
+    canTry: (task: TaskState) => boolean = () => true,
+  ): void {
     const {step} = waiting;
     if (step.spec.isGang) {
       if (hasSuspectedTask(step)) this.placeGang(waiting);
       return;
     }
     const tasks = step.tasks.filter(
-      task => isWaitingTask(task) && isSuspected(task),
+      task => isWaitingTask(task) && isSuspected(task) && canTry(task),
     );
     if (tasks.length === 0) return;
     const key = this.getEquivalenceClass(waiting, true);
--- a/packages/coordination/test/placement_pass.test.ts
+++ b/packages/coordination/test/placement_pass.test.ts
@@ -174,4 +174,18 @@
     );
     expect(runPass(job, workers)).to.have.length(2);
   });
+
+  it('tries a suspected long-running task that was interrupted before batch tasks', () => {
+    const job = createTestJob([
+      createTestStep({taskCount: 3}),
+      createTestStep({isLongRunning: true}),
+    ]);
+    const {steps} = job.occurrences.get(0)!;
+    for (const {tasks} of steps)
+      for (const task of tasks) task.startCrashes = CRASHES;
+    const [interrupted] = steps[1].tasks;
+    interrupted.hasRun = true;
+    const placed = runPass(job, [createWorker('worker-1')]);
+    expect(placed.map(({step}) => step.index)).to.deep.equal([1]);
+  });
 });
