--- a/packages/base/src/errors.ts
+++ b/packages/base/src/errors.ts
@@ -58,6 +58,28 @@
   | RefusedError
   | UnauthorizedError;
 
+/**
+ * Maximum length of the message about invalid input, in characters. Another
+ * writer determines the number of problems, and the names of fields.
+ */
+export const MAX_ERROR_MESSAGE_LENGTH = 2_000;
+
+/** Appended to a message that was shortened. */
+const TRUNCATION_MARK = ' ... (shortened)';
+
+/**
+ * Shortens a text from another writer for an error message or an event.
+ * @param text - Text of any length.
+ * @param maxLength - Maximum length of the result, in characters.
+ */
+export function truncateMessage(
+  text: string,
+  maxLength = MAX_ERROR_MESSAGE_LENGTH,
+): string {
+  if (text.length <= maxLength) return text;
+  return text.slice(0, maxLength - TRUNCATION_MARK.length) + TRUNCATION_MARK;
+}
+
 /**
  * Creates an error for input that failed schema validation.
  * @param subject - Name of the validated file or message, for the error message.
@@ -70,7 +92,9 @@
   const lines = problems.map(
     problem => `  ${problem.path}: ${problem.expected}; ${problem.remedy}`,
   );
-  const message = `${subject} is not valid:\n${lines.join('\n')}`;
+  const message = truncateMessage(
+    `${subject} is not valid:\n${lines.join('\n')}`,
+  );
   return {kind: 'invalid-input', message, problems};
 }
 
--- a/packages/base/src/json_reader.ts
+++ b/packages/base/src/json_reader.ts
@@ -1,5 +1,6 @@
 /** Reads JSON files and validates them against a schema. */
 
+import {isUtf8} from 'node:buffer';
 import {readFileSync} from 'node:fs';
 import {err, ok, Result} from 'neverthrow';
 import {z} from 'zod';
@@ -7,8 +8,28 @@
   createInvalidInputError,
   FieldProblem,
   InvalidInputError,
+  truncateMessage,
 } from './errors.js';
 
+/** Maximum number of problems that one error lists. */
+const MAX_PROBLEMS = 20;
+
+/** Maximum length of each part of a problem, in characters. */
+const MAX_PROBLEM_PART_LENGTH = 300;
+
+/**
+ * Creates a schema of an array whose length is checked before its elements, so
+ * that the cost of a rejection and the number of problems are bounded.
+ * @param element - Schema of the elements.
+ * @param maxLength - Maximum number of elements.
+ */
+export function createBoundedArraySchema<T>(
+  element: z.ZodType<T>,
+  maxLength: number,
+) {
+  return z.array(z.unknown()).max(maxLength).pipe(z.array(element));
+}
+
 /**
  * Validates a value against a schema.
  * @param subject - Name of the value in error messages.
@@ -22,7 +43,9 @@
 ): Result<T, InvalidInputError> {
   const parsed = schema.safeParse(value);
   if (parsed.success) return ok(parsed.data);
-  const problems = parsed.error.issues.map(toFieldProblem);
+  const problems = parsed.error.issues
+    .slice(0, MAX_PROBLEMS)
+    .map(toFieldProblem);
   return err(createInvalidInputError(subject, problems));
 }
 
@@ -51,6 +74,38 @@
   return parseWithSchema(subject, schema, value);
 }
 
+/**
+ * Parses bytes of another writer as JSON and validates them against a schema.
+ * @param subject - Name of the bytes in error messages.
+ * @param schema - Schema to apply.
+ * @param bytes - JSON text in UTF-8.
+ * @param maxBytes - Size above which the bytes are rejected unread.
+ */
+export function parseJsonBytes<T>(
+  subject: string,
+  schema: z.ZodType<T>,
+  bytes: Buffer,
+  maxBytes: number,
+): Result<T, InvalidInputError> {
+  const problem = findByteProblem(bytes, maxBytes);
+  if (problem !== undefined)
+    return err(createInvalidInputError(subject, [problem]));
+  return parseJson(subject, schema, bytes.toString());
+}
+
+function findByteProblem(
+  bytes: Buffer,
+  maxBytes: number,
+): FieldProblem | undefined {
+  const path = '(whole value)';
+  if (bytes.length > maxBytes) {
+    const expected = `expected at most ${maxBytes} bytes, got ${bytes.length}`;
+    return {path, expected, remedy: 'shorten the value'};
+  }
+  if (isUtf8(bytes)) return undefined;
+  return {path, expected: 'expected UTF-8 text', remedy: 'encode it as UTF-8'};
+}
+
 /** Reads a JSON file and validates it against a schema. */
 export function readJsonFile<T>(
   path: string,
@@ -75,7 +130,11 @@
 
 function toFieldProblem(issue: z.core.$ZodIssue): FieldProblem {
   const path = issue.path.map(String).join('.') || '(top level)';
-  return {path, expected: issue.message, remedy: getRemedy(issue)};
+  return {
+    path: truncateMessage(path, MAX_PROBLEM_PART_LENGTH),
+    expected: truncateMessage(issue.message, MAX_PROBLEM_PART_LENGTH),
+    remedy: truncateMessage(getRemedy(issue), MAX_PROBLEM_PART_LENGTH),
+  };
 }
 
 function getRemedy(issue: z.core.$ZodIssue): string {
