--- a/packages/coordination/src/commit_log.ts
+++ b/packages/coordination/src/commit_log.ts
@@ -4,6 +4,7 @@
  */
 
 import {Clock} from '@mustardlug/base/clock';
+import {InvalidInputError} from '@mustardlug/base/errors';
 import {decodeRowValue, encodeRowValue} from '@mustardlug/jobs/job_codec';
 import {
   ABSENT_VERSION,
@@ -15,7 +16,8 @@
   RowWrite,
   StoredRow,
 } from '@mustardlug/platform/row_store';
-import {Result} from 'neverthrow';
+import {ok, Result} from 'neverthrow';
+import {z} from 'zod';
 import {COORDINATOR_PART, SINGLE_ROW_KEY, TERM_TABLE} from './tables.js';
 
 /** Stored term of the coordinator. */
@@ -28,6 +30,16 @@
   readonly keepsLeaseBounds?: boolean;
 }
 
+/** Limit of the term, so that its run numbers remain exact. */
+const MAX_TERM = 1_000_000_000;
+
+const termSchema: z.ZodType<TermRow> = z.object({
+  term: z.number().int().nonnegative().max(MAX_TERM),
+  holder: z.string(),
+  commitNumber: z.number().int().nonnegative(),
+  keepsLeaseBounds: z.boolean().optional(),
+});
+
 export type CommitOutcome = 'committed' | 'superseded';
 
 /** Changes of one commit, besides the term row. */
@@ -84,10 +96,16 @@
    * Creates the log of a new term. The term begins with its first commit.
    * @param options - Store, clock and holder.
    * @param snapshot - Term row as `readTerm` returned it.
+   * @param minPreviousTerm - Term that is known from elsewhere, in case the row
+   *     cannot be read.
    */
-  static create(options: CommitLogOptions, snapshot: RowSnapshot): CommitLog {
-    const predecessor = CommitLog.getTermRow(snapshot);
-    const term = (predecessor?.term ?? 0) + 1;
+  static create(
+    options: CommitLogOptions,
+    snapshot: RowSnapshot,
+    minPreviousTerm = 0,
+  ): CommitLog {
+    const predecessor = CommitLog.readTermRow(snapshot).unwrapOr(undefined);
+    const term = Math.max(predecessor?.term ?? 0, minPreviousTerm) + 1;
     const version = snapshot.rows.at(0)?.version ?? ABSENT_VERSION;
     const log = new CommitLog(options, term, version, predecessor);
     log.recordStoreTime(snapshot.storeMs);
@@ -111,13 +129,16 @@
    * Gets the current term; 0 before the first one.
    * @param snapshot - Term row as `readTerm` returned it.
    */
-  static getTerm(snapshot: RowSnapshot): number {
-    return CommitLog.getTermRow(snapshot)?.term ?? 0;
+  static getTerm(snapshot: RowSnapshot): Result<number, InvalidInputError> {
+    return CommitLog.readTermRow(snapshot).map(row => row?.term ?? 0);
   }
 
-  private static getTermRow(snapshot: RowSnapshot): TermRow | undefined {
-    const row = snapshot.rows.at(0);
-    return row && decodeRowValue<TermRow>(row.value);
+  private static readTermRow({
+    rows,
+  }: RowSnapshot): Result<TermRow | undefined, InvalidInputError> {
+    const row = rows.at(0);
+    if (row === undefined) return ok(undefined);
+    return decodeTermRow(row.value);
   }
 
   /**
@@ -247,15 +268,21 @@
 
   /**
    * Checks whether a conflicting term row was written by an earlier attempt
-   * whose response was lost.
+   * whose response was lost. A row that cannot be read is not: the term ends, as
+   * another coordinator may have written before it was replaced.
    */
   private isOwnCommit(row: StoredRow): boolean {
     if (row.table !== TERM_TABLE) return false;
-    const stored = decodeRowValue<TermRow>(row.value);
+    const stored = decodeTermRow(row.value);
     return (
-      stored.term === this.term &&
-      stored.holder === this.options.holder &&
-      stored.commitNumber === this.commitNumber
+      stored.isOk() &&
+      stored.value.term === this.term &&
+      stored.value.holder === this.options.holder &&
+      stored.value.commitNumber === this.commitNumber
     );
   }
 }
+
+function decodeTermRow(value: Buffer): Result<TermRow, InvalidInputError> {
+  return decodeRowValue('term row', termSchema, value);
+}
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -29,6 +29,7 @@
   formatRestoredJobs,
   formatRun,
 } from './fleet_report.js';
+import {InvalidRowReporter} from './invalid_row_reporter.js';
 import {JobTracker} from './job_tracker.js';
 import {LeaseBounds} from './lease_bounds.js';
 import {JobRetention} from './job_retention.js';
@@ -126,6 +127,9 @@
  */
 const STORE_RESPONSE_TIMEOUT_MS = 700;
 
+/** Interval at which the progress of held jobs, of which there are normally none, is read again. */
+const HELD_JOB_INTERVAL_MS = 5_000;
+
 /** Interval of the `fleet-load` event. */
 const LOAD_LOG_INTERVAL_MS = 2_000;
 
@@ -162,6 +166,7 @@
   private readonly heartbeat: CoordinatorHeartbeat;
   private readonly retention: JobRetention;
   private readonly startWindow: StartWindow;
+  private readonly invalidRows: InvalidRowReporter;
   private readonly leaseBounds: LeaseBounds;
   private readonly crashAttributor = CrashAttributor.create();
   private readonly waitReporter: WaitReporter;
@@ -196,7 +201,8 @@
       explain: waiting => this.explainWait(waiting),
     });
     this.silenceReporter = SilenceReporter.create(clock, events);
-    this.leaseBounds = LeaseBounds.create(clock, commitLog);
+    this.invalidRows = InvalidRowReporter.create(events);
+    this.leaseBounds = LeaseBounds.create(clock, commitLog, this.invalidRows);
     this.workerPool = WorkerPool.create({
       clock,
       events,
@@ -217,6 +223,7 @@
       events,
       getConfig: options.getConfig,
       stopTaskRuns: (name, task) => this.workerPool.stopTaskRuns(name, task),
+      invalidRows: this.invalidRows,
     });
     this.writer = ProgressWriter.create({
       clock,
@@ -478,7 +485,7 @@
       if (effects.isOk())
         this.workerSupervisor
           .getInterferenceModel()
-          .restore(effects.value.rows);
+          .restore(effects.value.rows, this.invalidRows);
       this.leaseBounds.restore(bounds.value.rows);
       this.writer.deferUntilStored(() =>
         this.options.commitLog.declareLeaseBoundsKept(),
@@ -487,6 +494,7 @@
     }
     if (this.endReason !== undefined) return;
     for (const follower of this.followers) void follower.run();
+    void this.releaseHeldJobs();
     this.schedulePass();
   }
 
@@ -524,6 +532,7 @@
       clock,
       table,
       part,
+      events,
       waitMs: CHANGE_POLL_TIMEOUT_MS,
       listener: {
         ...handlers,
@@ -545,10 +554,33 @@
 
   private handleJobChanges(rows: readonly StoredRow[]): void {
     if (rows.length === 0) return;
-    this.jobTracker.applyRows(rows);
+    this.workerPool.adoptRuns(this.jobTracker.applyRows(rows));
     this.schedulePass();
   }
 
+  /** Reads the progress of held jobs again from time to time. */
+  private async releaseHeldJobs(): Promise<void> {
+    const {store, clock} = this.options;
+    while (this.endReason === undefined) {
+      for (const job of [...this.jobTracker.getHeldJobs()]) {
+        const rows = await store.getRows({
+          table: PROGRESS_TABLE,
+          part: COORDINATOR_PART,
+          fromKey: job.getId(),
+          limit: 1,
+        });
+        if (this.endReason !== undefined) return;
+        const row = rows.isOk() ? rows.value.rows.at(0) : undefined;
+        if (row?.key !== job.getId()) continue;
+        if (!this.jobTracker.getHeldJobs().has(job)) continue;
+        if (!this.jobTracker.tryRelease(job, row)) continue;
+        this.workerPool.adoptRuns([job]);
+        this.schedulePass();
+      }
+      await clock.sleep(HELD_JOB_INTERVAL_MS);
+    }
+  }
+
   private releaseRun(assigned: AssignedRun): void {
     this.jobTracker.releaseRun(assigned);
     this.schedulePass();
--- a/packages/coordination/src/coordinator_heartbeat.ts
+++ b/packages/coordination/src/coordinator_heartbeat.ts
@@ -4,10 +4,14 @@
  */
 
 import {Clock} from '@mustardlug/base/clock';
-import {decodeRowValue, encodeRowValue} from '@mustardlug/jobs/job_codec';
+import {encodeRowValue} from '@mustardlug/jobs/job_codec';
 import {RowAddress, RowStore, StoredRow} from '@mustardlug/platform/row_store';
 import {CommitLog} from './commit_log.js';
-import {CoordinatorStatus, QueueLoad} from './coordinator_status.js';
+import {
+  CoordinatorStatus,
+  decodeCoordinatorStatus,
+  QueueLoad,
+} from './coordinator_status.js';
 import {
   COORDINATOR_PART,
   COORDINATOR_STATUS_TABLE,
@@ -126,13 +130,16 @@
     return false;
   }
 
-  /** Continues after an earlier heartbeat whose response was lost. */
+  /**
+   * Continues after an earlier heartbeat whose response was lost. Ends the term if
+   * the row cannot be read, as a successor may have written before it was replaced.
+   */
   private handleConflict(rows: readonly StoredRow[]): boolean {
     const row = rows.find(({table}) => table === COORDINATOR_STATUS_TABLE);
     const {commitLog, nodeId, onSuperseded} = this.options;
     if (row !== undefined) {
-      const {term, holder} = decodeRowValue<CoordinatorStatus>(row.value);
-      if (term === commitLog.term && holder === nodeId) {
+      const status = decodeCoordinatorStatus(row.value).unwrapOr(undefined);
+      if (status?.term === commitLog.term && status.holder === nodeId) {
         this.version = row.version;
         return false;
       }
--- a/packages/coordination/src/coordinator_status.ts
+++ b/packages/coordination/src/coordinator_status.ts
@@ -1,5 +1,10 @@
 /** Status that the coordinator publishes to all nodes. */
 
+import {InvalidInputError} from '@mustardlug/base/errors';
+import {decodeRowValue} from '@mustardlug/jobs/job_codec';
+import {Result} from 'neverthrow';
+import {z} from 'zod';
+
 export interface QueueLoad {
   /** Number of accepted jobs without a started task. */
   readonly waitingJobs: number;
@@ -23,3 +28,29 @@
   /** Load by name of the queue; absent while the holder may not know all accepted jobs. */
   readonly queues?: Readonly<Record<string, QueueLoad>>;
 }
+
+const statusSchema: z.ZodType<CoordinatorStatus> = z.object({
+  term: z.number().int().nonnegative(),
+  holder: z.string(),
+  writtenStoreMs: z.number(),
+  intervalMs: z.number().nonnegative().optional(),
+  queues: z
+    .record(
+      z.string(),
+      z.object({
+        waitingJobs: z.number().nonnegative(),
+        retryAfterMs: z.number().nonnegative(),
+      }),
+    )
+    .optional(),
+});
+
+/**
+ * Decodes the status row.
+ * @param value - Stored bytes.
+ */
+export function decodeCoordinatorStatus(
+  value: Buffer,
+): Result<CoordinatorStatus, InvalidInputError> {
+  return decodeRowValue('coordinator status', statusSchema, value);
+}
--- a/packages/coordination/src/election.ts
+++ b/packages/coordination/src/election.ts
@@ -27,6 +27,7 @@
 export class Election {
   private status: CoordinatorStatus | undefined;
   private hasReadStatus = false;
+  private isStatusUnreadable = false;
   private hadStoreOutage = false;
   private lastResponseMs: number | undefined;
   /** Time for which the status was observed unchanged while the store responded. */
@@ -62,10 +63,29 @@
    */
   recordStatus(status: CoordinatorStatus | undefined): void {
     this.status = status;
+    this.isStatusUnreadable = false;
     this.hasReadStatus = true;
     this.observedUnchangedMs = 0;
   }
 
+  /**
+   * Records that the status row cannot be read. Its holder ends its term when it
+   * finds the row replaced; it counts as lost after the longest timeout.
+   */
+  recordUnreadableStatus(): void {
+    this.isStatusUnreadable = true;
+    this.hasReadStatus = true;
+    this.observedUnchangedMs = 0;
+  }
+
+  /**
+   * Checks whether the status has been observed unchanged for so long that the
+   * status of a newer term would have been received.
+   */
+  isStatusSettled(): boolean {
+    return this.observedUnchangedMs > MAX_STATUS_TIMEOUT_MS;
+  }
+
   /**
    * Records a response of the store.
    * @param nowMs - Monotonic time of the response.
@@ -93,6 +113,7 @@
    */
   isTakeoverDue(storeMs: number): boolean {
     if (!this.hasReadStatus) return false;
+    if (this.isStatusUnreadable) return this.isStatusSettled();
     if (this.status === undefined) return true;
     if (this.status.holder === '') return true;
     const timeoutMs =
--- a/packages/coordination/src/interference_model.ts
+++ b/packages/coordination/src/interference_model.ts
@@ -10,6 +10,7 @@
 
 import {decodeRowValue} from '@mustardlug/jobs/job_codec';
 import {StoredRow} from '@mustardlug/platform/row_store';
+import {z} from 'zod';
 import {
   EffectEstimator,
   EffectInput,
@@ -17,6 +18,7 @@
 } from './effect_estimator.js';
 import {FillerUsageAverages} from './filler_usage_averages.js';
 import {BaselineLoad, StoredBaselineLoad} from './baseline_load.js';
+import {InvalidRowReporter} from './invalid_row_reporter.js';
 import {HighPassFilter} from './high_pass_filter.js';
 import {AssignedRun, WorkerLoad} from './worker_load.js';
 
@@ -78,6 +80,24 @@
 /** Format version of the stored rows; rows of another version are ignored and relearned. */
 export const STORED_FORMAT_VERSION = 2;
 
+const storedSchema = z.union([
+  z.object({
+    form: z.literal(STORED_FORMAT_VERSION),
+    effects: z
+      .object({
+        names: z.array(z.string()),
+        effects: z.array(z.number()),
+        covariance: z.array(z.array(z.number())),
+      })
+      .refine(isSquare, 'expected as many effects and variances as names'),
+    ownLoad: z.object({mean: z.number()}),
+  }),
+  z
+    .object({form: z.number().optional()})
+    .refine(({form}) => form !== STORED_FORMAT_VERSION, 'expected its effects')
+    .transform(() => ({form: undefined})),
+]);
+
 /** Why a filler may not be added to a worker. */
 export type FillerIntolerance =
   'filler-unknown-share' | 'filler-explored-elsewhere' | 'filler-effect';
@@ -126,12 +146,19 @@
   /**
    * Restores the state that an earlier coordinator learned.
    * @param rows - Rows of the effects table, keyed by serving image.
+   * @param invalidRows - Receives the rows that cannot be read; their images are
+   *     learned again.
    */
-  restore(rows: readonly StoredRow[]): void {
-    for (const {key, value} of rows) {
-      const stored = decodeRowValue<Partial<StoredServingImage>>(value);
-      const {form, effects, ownLoad} = stored;
-      if (form !== STORED_FORMAT_VERSION || !effects || !ownLoad) continue;
+  restore(rows: readonly StoredRow[], invalidRows: InvalidRowReporter): void {
+    for (const row of rows) {
+      const {key, value} = row;
+      const stored = decodeRowValue(`effects of ${key}`, storedSchema, value);
+      if (stored.isErr()) {
+        invalidRows.report(row, stored.error);
+        continue;
+      }
+      if (stored.value.form !== STORED_FORMAT_VERSION) continue;
+      const {effects, ownLoad} = stored.value;
       this.servingImageModels.set(key, {
         effects: EffectEstimator.restore(effects),
         baselineLoad: BaselineLoad.restore(ownLoad),
@@ -550,3 +577,10 @@
   }
   return indexes;
 }
+
+function isSquare({names, effects, covariance}: StoredEffects): boolean {
+  const size = names.length;
+  if (new Set(names).size !== size || effects.length !== size) return false;
+  if (covariance.length !== size) return false;
+  return covariance.every(row => row.length === size);
+}
--- a/packages/coordination/src/job_index.ts
+++ b/packages/coordination/src/job_index.ts
@@ -1,30 +1,47 @@
 /** In-memory index of all jobs, built from the rows of the shared tables. */
 
-import {
-  decodeRowValue,
-  restoreProgress,
-  StoredJob,
-  StoredProgress,
-} from '@mustardlug/jobs/job_codec';
+import {restoreProgress} from '@mustardlug/jobs/job_codec';
 import {JobState} from '@mustardlug/jobs/job_state';
+import {
+  decodeStoredJob,
+  decodeStoredProgress,
+  validateProgress,
+} from '@mustardlug/jobs/stored_schemas';
 import {StoredRow} from '@mustardlug/platform/row_store';
+import {InvalidRowReporter} from './invalid_row_reporter.js';
 import {CANCEL_SUFFIX} from './tables.js';
 
 /** Change of a job by a row of the job table. */
 export type JobChange =
   | {readonly kind: 'accepted'; readonly job: JobState}
+  /** Its progress was restored, as its row could not be read before. */
+  | {readonly kind: 'restored'; readonly job: JobState}
+  /** Its progress cannot be read. */
+  | {readonly kind: 'held'; readonly job: JobState}
   | {readonly kind: 'cancelled'; readonly job: JobState};
 
-/** Indexes jobs by identifier, and the active ones among them. */
+/**
+ * Indexes jobs by identifier, and the active ones among them.
+ *
+ * A job whose progress cannot be read is held: it is known, but not active, so
+ * that no task that is done runs again.
+ */
 export class JobIndex {
   private readonly jobs = new Map<string, JobState>();
   private readonly activeJobs = new Set<JobState>();
   private readonly cancelledJobIds = new Set<string>();
+  private readonly heldJobs = new Set<JobState>();
+  /** Restored progress of jobs whose own row could not be read. */
+  private readonly keptProgress = new Map<string, StoredRow>();
 
-  private constructor() {}
+  private constructor(private readonly invalidRows: InvalidRowReporter) {}
 
-  static create(): JobIndex {
-    return new JobIndex();
+  /**
+   * Creates an index without jobs.
+   * @param invalidRows - Receives the rows that cannot be read.
+   */
+  static create(invalidRows: InvalidRowReporter): JobIndex {
+    return new JobIndex(invalidRows);
   }
 
   findJob(jobId: string): JobState | undefined {
@@ -42,9 +59,26 @@
   removeJob(job: JobState): void {
     this.jobs.delete(job.getId());
     this.activeJobs.delete(job);
+    this.heldJobs.delete(job);
     this.cancelledJobIds.delete(job.getId());
   }
 
+  /** Gets the jobs whose progress cannot be read. */
+  getHeldJobs(): ReadonlySet<JobState> {
+    return this.heldJobs;
+  }
+
+  /**
+   * Checks whether tasks of a job may be done that are not known to be: its row or
+   * its progress cannot be read.
+   * @param jobId - Identifier of the job.
+   */
+  isHeld(jobId: string): boolean {
+    const job = this.jobs.get(jobId);
+    if (job === undefined) return this.keptProgress.has(jobId);
+    return this.heldJobs.has(job);
+  }
+
   /** Gets the jobs that have not ended or that may still have active runs. */
   getActiveJobs(): ReadonlySet<JobState> {
     return this.activeJobs;
@@ -61,24 +95,51 @@
     progressRows: readonly StoredRow[],
     nowMs: number,
   ): void {
-    const progress = new Map<string, StoredProgress>();
-    for (const row of progressRows)
-      progress.set(row.key, decodeRowValue<StoredProgress>(row.value));
+    for (const row of progressRows) this.keptProgress.set(row.key, row);
+    const unreadableJobIds = new Set<string>();
     for (const row of jobRows) {
-      const change = this.applyRow(row);
-      if (change?.kind !== 'accepted') continue;
-      const stored = progress.get(change.job.getId());
-      if (stored !== undefined) restoreProgress(change.job, stored, nowMs);
+      if (this.applyRow(row, nowMs) === 'unreadable')
+        unreadableJobIds.add(row.key);
+    }
+    for (const jobId of [...this.keptProgress.keys()]) {
+      if (!unreadableJobIds.has(jobId)) this.keptProgress.delete(jobId);
     }
     for (const job of this.jobs.values()) this.updateActiveJobs(job);
   }
 
+  /**
+   * Restores the progress of a job that is held.
+   * @param job - Held job.
+   * @param row - Current row of its progress.
+   * @param nowMs - Monotonic time that counts as the placement of restored runs.
+   * @returns Whether the row could be read.
+   */
+  release(job: JobState, row: StoredRow, nowMs: number): boolean {
+    if (!this.restoreJobProgress(job, row, nowMs)) return false;
+    this.heldJobs.delete(job);
+    this.updateActiveJobs(job);
+    return true;
+  }
+
+  /**
+   * Ends the hold of a job that has ended, whose progress no longer matters.
+   * @param job - Job that was cancelled.
+   */
+  endHold(job: JobState): void {
+    this.heldJobs.delete(job);
+    this.updateActiveJobs(job);
+  }
+
   /**
    * Applies a row of the job table.
    * @param row - New or repeated row.
-   * @returns The change, or `undefined` if the row changes nothing.
+   * @param nowMs - Monotonic time that counts as the placement of restored runs.
+   * @returns The change, `unreadable`, or `undefined` if the row changes nothing.
    */
-  applyRow(row: StoredRow): JobChange | undefined {
+  applyRow(
+    row: StoredRow,
+    nowMs: number,
+  ): JobChange | 'unreadable' | undefined {
     if (row.key.endsWith(CANCEL_SUFFIX)) {
       const jobId = row.key.slice(0, -CANCEL_SUFFIX.length);
       this.cancelledJobIds.add(jobId);
@@ -86,12 +147,48 @@
       return job && {kind: 'cancelled', job};
     }
     if (this.jobs.has(row.key)) return undefined;
-    const stored = decodeRowValue<StoredJob>(row.value);
-    if (stored.kind === 'refused') return undefined;
-    const job = JobState.create({...stored.job, jobId: row.key});
+    const stored = decodeStoredJob(row.key, row.value);
+    if (stored.isErr()) {
+      this.invalidRows.report(row, stored.error);
+      return 'unreadable';
+    }
+    if (stored.value.kind === 'refused') return undefined;
+    const job = JobState.create({...stored.value.job, jobId: row.key});
     this.jobs.set(row.key, job);
-    this.activeJobs.add(job);
-    return {kind: 'accepted', job};
+    return this.addJob(job, nowMs);
+  }
+
+  private addJob(job: JobState, nowMs: number): JobChange {
+    const jobId = job.getId();
+    const progressRow = this.keptProgress.get(jobId);
+    this.keptProgress.delete(jobId);
+    if (progressRow === undefined) {
+      this.activeJobs.add(job);
+      return {kind: 'accepted', job};
+    }
+    if (!this.restoreJobProgress(job, progressRow, nowMs)) {
+      this.heldJobs.add(job);
+      return {kind: 'held', job};
+    }
+    this.updateActiveJobs(job);
+    return {kind: 'restored', job};
+  }
+
+  private restoreJobProgress(
+    job: JobState,
+    row: StoredRow,
+    nowMs: number,
+  ): boolean {
+    const {accepted} = job;
+    const progress = decodeStoredProgress(row.key, row.value).andThen(stored =>
+      validateProgress(row.key, stored, accepted.spec),
+    );
+    if (progress.isErr()) {
+      this.invalidRows.report(row, progress.error);
+      return false;
+    }
+    restoreProgress(job, progress.value, nowMs);
+    return true;
   }
 
   /**
@@ -107,7 +204,8 @@
    * @param job - Job that changed.
    */
   updateActiveJobs(job: JobState): void {
-    if (job.isEnded() && !job.hasRuns()) this.activeJobs.delete(job);
+    const isOver = job.isEnded() && !job.hasRuns();
+    if (isOver || this.heldJobs.has(job)) this.activeJobs.delete(job);
     else this.activeJobs.add(job);
   }
 }
--- a/packages/coordination/src/job_store.ts
+++ b/packages/coordination/src/job_store.ts
@@ -8,15 +8,14 @@
   RefusedError,
   UnavailableError,
 } from '@mustardlug/base/errors';
-import {
-  decodeRowValue,
-  encodeRowValue,
-  StoredJob,
-  StoredProgress,
-} from '@mustardlug/jobs/job_codec';
+import {encodeRowValue, StoredJob} from '@mustardlug/jobs/job_codec';
 import {JobSpec} from '@mustardlug/jobs/job_spec';
 import {JobPhase} from '@mustardlug/jobs/job_state';
 import {QueueConfig} from '@mustardlug/jobs/queue_config';
+import {
+  decodeStoredJob,
+  decodeStoredProgress,
+} from '@mustardlug/jobs/stored_schemas';
 import {
   ABSENT_VERSION,
   RowAddress,
@@ -26,6 +25,7 @@
 } from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {err, ok, Result} from 'neverthrow';
+import {InvalidRowReporter} from './invalid_row_reporter.js';
 import {
   CANCEL_SUFFIX,
   COORDINATOR_PART,
@@ -75,9 +75,18 @@
 /** Retry delay for callers after the store refused a write. Usual outages last seconds. */
 export const STORE_RETRY_AFTER_MS = 2_000;
 
+const UNREADABLE_ROW = createUnavailableError(
+  'the stored row of the job cannot be read; another writer may have replaced it; restore it, or cancel the job',
+  true,
+);
+
 /** Submits and cancels jobs and reports their phases. */
 export class JobStore {
-  private constructor(private readonly options: JobStoreOptions) {}
+  private readonly invalidRows: InvalidRowReporter;
+
+  private constructor(private readonly options: JobStoreOptions) {
+    this.invalidRows = InvalidRowReporter.create(options.events);
+  }
 
   static create(options: JobStoreOptions): JobStore {
     return new JobStore(options);
@@ -107,8 +116,12 @@
       const {error} = outcome;
       if (error.kind === 'row-conflict') {
         const row = error.rows.find(each => each.key === address.key);
-        if (row !== undefined && isAcceptedRow(row))
+        const stored = this.findJobRow(row === undefined ? [] : [row]);
+        if (stored === 'accepted')
           return this.reportAccepted(submission, 'repeated');
+        // The row may have been an accepted job, so that no refusal is true.
+        if (stored === 'unreadable')
+          return err(this.reportUncertain(submission, UNREADABLE_ROW));
         if (isRefusal && row !== undefined)
           return this.reportStored(submission);
         version = row?.version ?? ABSENT_VERSION;
@@ -153,7 +166,8 @@
     }
     const rows = await this.getJobRows(jobId);
     if (rows.isErr()) return err(rows.error);
-    const isKnown = rows.value.some(isAcceptedRow);
+    // A job whose row cannot be read may have been accepted, and is cancelled.
+    const isKnown = this.findJobRow(rows.value) !== undefined;
     events.addEvent('job-cancelled', {
       requestId: jobId,
       detail: isKnown ? 'accepted' : 'unknown job',
@@ -180,17 +194,40 @@
     if (progress.isErr()) return err(progress.error);
     const row = progress.value.rows.at(0);
     if (row !== undefined) {
-      const {phase, failureReason} = decodeRowValue<StoredProgress>(row.value);
+      const progress = decodeStoredProgress(jobId, row.value);
+      if (progress.isErr()) {
+        this.invalidRows.report(row, progress.error);
+        return err(createUnavailableError(UNREADABLE_ROW.message, false));
+      }
+      const {phase, failureReason} = progress.value;
       return ok({phase, failureReason});
     }
     const rows = await this.getJobRows(jobId);
     if (rows.isErr()) return err(rows.error);
-    if (!rows.value.some(isAcceptedRow))
-      return err(createUnknownJobError(jobId));
+    const stored = this.findJobRow(rows.value);
+    if (stored === undefined) return err(createUnknownJobError(jobId));
+    if (stored === 'unreadable')
+      return err(createUnavailableError(UNREADABLE_ROW.message, false));
     const isCancelled = rows.value.some(isCancelRow);
     return ok({phase: isCancelled ? 'cancelled' : 'pending'});
   }
 
+  /** Finds the row of an accepted job, or one that may be that of an accepted job. */
+  private findJobRow(
+    rows: readonly StoredRow[],
+  ): 'accepted' | 'unreadable' | undefined {
+    for (const row of rows) {
+      if (isCancelRow(row)) continue;
+      const stored = decodeStoredJob(row.key, row.value);
+      if (stored.isErr()) {
+        this.invalidRows.report(row, stored.error);
+        return 'unreadable';
+      }
+      if (stored.value.kind === 'accepted') return 'accepted';
+    }
+    return undefined;
+  }
+
   private async getJobRows(
     jobId: string,
   ): Promise<Result<readonly StoredRow[], UnavailableError>> {
@@ -283,11 +320,6 @@
   return row.key.endsWith(CANCEL_SUFFIX);
 }
 
-function isAcceptedRow(row: StoredRow): boolean {
-  if (isCancelRow(row)) return false;
-  return decodeRowValue<StoredJob>(row.value).kind === 'accepted';
-}
-
 function createUnknownJobError(jobId: string): NotFoundError {
   return createNotFoundError(
     `no job ${jobId} was accepted; check the identifier`,
--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -15,6 +15,7 @@
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {QueueLoad} from './coordinator_status.js';
 import {SuspectedRun} from './crash_attributor.js';
+import {InvalidRowReporter} from './invalid_row_reporter.js';
 import {JobIndex} from './job_index.js';
 import {formatStartCrashes, isGivenUp} from './start_crashes.js';
 import {getTaskName} from './task_names.js';
@@ -26,14 +27,20 @@
   /** Returns the current configuration, or `undefined` if none has been received yet. */
   readonly getConfig: () => DeploymentConfig | undefined;
   readonly stopTaskRuns: (taskName: string, task: TaskState) => void;
+  /** Receives the rows that cannot be read. */
+  readonly invalidRows: InvalidRowReporter;
 }
 
 /** Holds all jobs, and the set of those whose stored progress is out of date. */
 export class JobTracker {
-  private readonly jobIndex = JobIndex.create();
+  private readonly jobIndex: JobIndex;
   private readonly changedJobs = new Set<JobState>();
+  /** Tasks of held jobs that were done since, by job ID. */
+  private readonly heldEnds = new Map<string, EndedRun[]>();
 
-  private constructor(private readonly options: JobTrackerOptions) {}
+  private constructor(private readonly options: JobTrackerOptions) {
+    this.jobIndex = JobIndex.create(options.invalidRows);
+  }
 
   /**
    * Creates a tracker without jobs.
@@ -55,11 +62,34 @@
     nowMs: number,
   ): void {
     this.jobIndex.restore(jobRows, progressRows, nowMs);
+    for (const job of this.jobIndex.getHeldJobs()) this.recordHold(job);
+  }
+
+  /** Gets the jobs whose progress cannot be read. None of their tasks is started. */
+  getHeldJobs(): ReadonlySet<JobState> {
+    return this.jobIndex.getHeldJobs();
+  }
+
+  /**
+   * Releases a held job if its progress can be read by now.
+   * @param job - Held job.
+   * @param row - Current row of its progress.
+   * @returns Whether it was released, so that its runs have to be adopted.
+   */
+  tryRelease(job: JobState, row: StoredRow): boolean {
+    const nowMs = this.options.clock.getMonotonicMs();
+    if (!this.jobIndex.release(job, row, nowMs)) return false;
+    this.recordRelease(job);
+    return true;
   }
 
   /** Cancels the restored jobs whose cancellation an earlier coordinator had not processed. */
   cancelRestoredJobs(): void {
-    for (const job of this.jobIndex.getActiveJobs()) {
+    const {activeJobs, heldJobs} = {
+      activeJobs: this.jobIndex.getActiveJobs(),
+      heldJobs: this.jobIndex.getHeldJobs(),
+    };
+    for (const job of [...activeJobs, ...heldJobs]) {
       if (this.jobIndex.isCancelled(job.getId())) this.cancelJob(job);
     }
   }
@@ -140,15 +170,24 @@
   /**
    * Applies rows of the job table.
    * @param rows - New or repeated rows.
+   * @returns Jobs whose progress was restored, so that their runs have to be adopted.
    */
-  applyRows(rows: readonly StoredRow[]): void {
+  applyRows(rows: readonly StoredRow[]): JobState[] {
+    const nowMs = this.options.clock.getMonotonicMs();
+    const restoredJobs: JobState[] = [];
     for (const row of rows) {
-      const change = this.jobIndex.applyRow(row);
-      if (change === undefined) continue;
+      const change = this.jobIndex.applyRow(row, nowMs);
+      if (change === undefined || change === 'unreadable') continue;
       const {job} = change;
+      if (change.kind === 'restored') {
+        this.recordRelease(job);
+        restoredJobs.push(job);
+      }
       if (this.jobIndex.isCancelled(job.getId())) this.cancelJob(job);
       else if (change.kind === 'accepted') this.recordJobAccepted(job);
+      else if (change.kind === 'held') this.recordHold(job);
     }
+    return restoredJobs;
   }
 
   /**
@@ -181,8 +220,13 @@
    */
   recordUnassignedRunEnd(ended: EndedRun): void {
     const name = parseTaskName(ended.taskName);
-    const job = name && this.jobIndex.findJob(name.jobId);
-    if (name === undefined || job === undefined || job.isEnded()) return;
+    if (name === undefined) return;
+    if (this.jobIndex.isHeld(name.jobId)) {
+      this.keepEnd(name.jobId, ended);
+      return;
+    }
+    const job = this.jobIndex.findJob(name.jobId);
+    if (job === undefined || job.isEnded()) return;
     const found = job.findTask(name.occurrence, name.stepIndex, name.taskIndex);
     if (found === undefined || found.task.isDone) return;
     this.clearStartCrashes(job, found.task);
@@ -279,6 +323,32 @@
     this.markChanged(job);
   }
 
+  private recordHold(job: JobState): void {
+    this.options.events.addEvent('job-held', {
+      requestId: job.getId(),
+      detail: job.accepted.queue.name,
+    });
+  }
+
+  private recordRelease(job: JobState): void {
+    const requestId = job.getId();
+    const ends = this.heldEnds.get(requestId) ?? [];
+    this.heldEnds.delete(requestId);
+    for (const ended of ends) this.recordUnassignedRunEnd(ended);
+    this.options.events.addEvent('job-released', {
+      requestId,
+      detail: `${ends.length} tasks done in the meantime`,
+    });
+  }
+
+  /** Keeps the end of a task that is done, which the worker forgets once it is acknowledged. */
+  private keepEnd(jobId: string, ended: EndedRun): void {
+    if (ended.outcome !== 'done') return;
+    const ends = this.heldEnds.get(jobId) ?? [];
+    ends.push(ended);
+    this.heldEnds.set(jobId, ends);
+  }
+
   private recordJobAccepted(job: JobState): void {
     this.options.events.addEvent('job-noticed', {
       requestId: job.getId(),
@@ -290,6 +360,7 @@
     if (job.isEnded()) return;
     job.phase = 'cancelled';
     this.recordJobEnd(job, 'cancelled');
+    this.jobIndex.endHold(job);
     this.markChanged(job);
     this.stopRuns(job);
   }
--- a/packages/coordination/src/lease_bounds.ts
+++ b/packages/coordination/src/lease_bounds.ts
@@ -9,7 +9,9 @@
 import {Clock} from '@mustardlug/base/clock';
 import {decodeRowValue, encodeRowValue} from '@mustardlug/jobs/job_codec';
 import {RowAddress, RowWrite, StoredRow} from '@mustardlug/platform/row_store';
+import {z} from 'zod';
 import {CommitLog} from './commit_log.js';
+import {InvalidRowReporter} from './invalid_row_reporter.js';
 import {COORDINATOR_PART, LEASE_BOUND_TABLE} from './tables.js';
 
 /** Stored bound of one worker, keyed by its identifier. */
@@ -18,6 +20,10 @@
   readonly leaseEndStoreMs: number;
 }
 
+const boundSchema: z.ZodType<StoredLeaseBound> = z.object({
+  leaseEndStoreMs: z.number().nonnegative(),
+});
+
 /** Changes of the stored bounds since the last commit. */
 export interface LeaseBoundChanges {
   readonly writes: RowWrite[];
@@ -35,27 +41,36 @@
   private constructor(
     private readonly clock: Clock,
     private readonly commitLog: CommitLog,
+    private readonly invalidRows: InvalidRowReporter,
   ) {}
 
   /**
    * Creates an empty set of bounds.
    * @param clock - Clock of this node.
    * @param commitLog - Log of the term, which knows the time of the store.
+   * @param invalidRows - Receives the rows that cannot be read.
    */
-  static create(clock: Clock, commitLog: CommitLog): LeaseBounds {
-    return new LeaseBounds(clock, commitLog);
+  static create(
+    clock: Clock,
+    commitLog: CommitLog,
+    invalidRows: InvalidRowReporter,
+  ): LeaseBounds {
+    return new LeaseBounds(clock, commitLog, invalidRows);
   }
 
   /**
    * Restores the bounds of earlier terms. Removes them if the previous coordinator
-   * ran an earlier build, which grants leases regardless of them.
+   * ran an earlier build, which grants leases regardless of them. A bound that
+   * cannot be read is removed as well: the full wait applies to its worker.
    * @param rows - Rows of the table of bounds.
    */
   restore(rows: readonly StoredRow[]): void {
-    for (const {key, value} of rows) {
-      const {leaseEndStoreMs} = decodeRowValue<StoredLeaseBound>(value);
-      if (this.commitLog.hasPredecessorKeptLeaseBounds())
-        this.leaseEndsStoreMs.set(key, leaseEndStoreMs);
+    for (const row of rows) {
+      const {key} = row;
+      const bound = decodeRowValue('lease bound', boundSchema, row.value);
+      if (bound.isErr()) this.invalidRows.report(row, bound.error);
+      if (bound.isOk() && this.commitLog.hasPredecessorKeptLeaseBounds())
+        this.leaseEndsStoreMs.set(key, bound.value.leaseEndStoreMs);
       else this.changedWorkerIds.add(key);
     }
   }
--- a/packages/coordination/src/table_follower.ts
+++ b/packages/coordination/src/table_follower.ts
@@ -1,6 +1,8 @@
 /** Passes the contents of a table to a listener: first a snapshot, then its changes. */
 
 import {Clock} from '@mustardlug/base/clock';
+import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {runGuarded} from '@mustardlug/telemetry/guarded_call';
 import {
   getPartRows,
   getTableRows,
@@ -37,6 +39,7 @@
   /** The only part to read for a snapshot; all parts if absent. */
   readonly part?: string;
   readonly listener: TableListener;
+  readonly events: EventRecorder;
   /**
    * Maximum time that one call waits for changes. Bounds the time until a dead
    * connection is detected.
@@ -117,7 +120,25 @@
   private applySnapshot(snapshot: TableSnapshot, sentMs: number): void {
     this.recordResponse(sentMs);
     this.version = snapshot.version;
-    this.options.listener.onSnapshot(snapshot.rows, snapshot.storeMs);
+    const {rows, storeMs} = snapshot;
+    this.notify(() => this.options.listener.onSnapshot(rows, storeMs));
+  }
+
+  /** Drops the changes of other parts, which a snapshot does not contain either. */
+  private selectPart(changes: RowChanges): RowChanges {
+    const {part} = this.options;
+    if (part === undefined) return changes;
+    return {
+      ...changes,
+      rows: changes.rows.filter(row => row.part === part),
+      removed: changes.removed.filter(address => address.part === part),
+    };
+  }
+
+  /** Calls the listener. An error must not end the loop that follows the table. */
+  private notify(call: () => void): void {
+    const {events, table} = this.options;
+    runGuarded(events, `a change of ${table}`, call);
   }
 
   private async readChanges(afterVersion: number): Promise<void> {
@@ -128,7 +149,8 @@
     if (changes.isOk()) {
       this.recordResponse(sentMs);
       this.version = Math.max(afterVersion, changes.value.version);
-      listener.onChanges(changes.value);
+      const own = this.selectPart(changes.value);
+      this.notify(() => listener.onChanges(own));
       await this.pauseBetweenCalls();
       return;
     }
--- a/packages/coordination/test/job_tracker.test.ts
+++ b/packages/coordination/test/job_tracker.test.ts
@@ -13,7 +13,9 @@
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {HybridLogicalClock} from '@mustardlug/telemetry/hybrid_logical_clock';
 import {expect} from 'chai';
+import {InvalidRowReporter} from '../src/invalid_row_reporter.js';
 import {JobTracker} from '../src/job_tracker.js';
+import {createTestEvents} from './test_events.js';
 import {getTaskName} from '../src/task_names.js';
 import {AssignedRun} from '../src/worker_load.js';
 import {createTestStep} from './test_runs.js';
@@ -38,6 +40,7 @@
     }),
     getConfig: () => config,
     stopTaskRuns: taskName => void stoppedTasks.push(taskName),
+    invalidRows: InvalidRowReporter.create(createTestEvents(clock)),
   });
   return {tracker, stoppedTasks};
 }
--- a/packages/coordination/test/lease_bounds.test.ts
+++ b/packages/coordination/test/lease_bounds.test.ts
@@ -1,7 +1,9 @@
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
 import {expect} from 'chai';
 import {TermRow} from '../src/commit_log.js';
+import {InvalidRowReporter} from '../src/invalid_row_reporter.js';
 import {LeaseBoundChanges, LeaseBounds} from '../src/lease_bounds.js';
+import {createTestEvents} from './test_events.js';
 import {createTestCommitLog, TEST_STORE_MS} from './test_commit_logs.js';
 
 /** Time from sending a commit to its response. */
@@ -32,7 +34,11 @@
   await clock.advance(ROUND_TRIP_MS);
   const elapsedMs = sentMs + executionDelayMs - CLOCK_START_MS;
   commitLog.confirmTerm(sentMs, TEST_STORE_MS + elapsedMs);
-  return LeaseBounds.create(clock, commitLog);
+  return LeaseBounds.create(
+    clock,
+    commitLog,
+    InvalidRowReporter.create(createTestEvents(clock)),
+  );
 }
 
 function toStoredRows({writes}: LeaseBoundChanges) {
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -15,6 +15,8 @@
 import {StartWindow} from '../src/start_window.js';
 import {WorkerPool} from '../src/worker_pool.js';
 import {LeaseBounds} from '../src/lease_bounds.js';
+import {InvalidRowReporter} from '../src/invalid_row_reporter.js';
+import {createTestEvents} from './test_events.js';
 import {createTestCommitLog} from './test_commit_logs.js';
 
 const RECORD: WorkerRecord = {
@@ -87,7 +89,11 @@
     isStoreResponding: () => true,
     previousTermTimeoutMs: 0,
     startWindow: StartWindow.create(clock),
-    leaseBounds: LeaseBounds.create(clock, createTestCommitLog(clock)),
+    leaseBounds: LeaseBounds.create(
+      clock,
+      createTestCommitLog(clock),
+      InvalidRowReporter.create(createTestEvents(clock)),
+    ),
   });
 }
 
--- a/packages/experiments/src/job_harness.ts
+++ b/packages/experiments/src/job_harness.ts
@@ -1,5 +1,7 @@
 /** Simulates a deployment in virtual time: nodes, workers, the row store and callers. */
 
+import {AppError} from '@mustardlug/base/errors';
+import {parseJson} from '@mustardlug/base/json_reader';
 import {RandomSource} from '@mustardlug/base/random_source';
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
 import {Coordinator} from '@mustardlug/coordination/coordinator';
@@ -32,11 +34,12 @@
 import {RunPerformanceModel} from '@mustardlug/standins/run_performance_model';
 import {EventRecorder, EventSink} from '@mustardlug/telemetry/event_recorder';
 import {HybridLogicalClock} from '@mustardlug/telemetry/hybrid_logical_clock';
-import {ok} from 'neverthrow';
+import {Result} from 'neverthrow';
+import {z} from 'zod';
 import {InvariantChecker} from './invariant_checker.js';
 
 /** Table in which the harness registers workers. */
-const WORKER_TABLE = 'workers';
+export const WORKER_TABLE = 'workers';
 
 /** Maximum lease duration that workers grant. */
 const MAX_LEASE_MS = 10_000;
@@ -59,6 +62,8 @@
 /** Capacity of the event buffer of each node. */
 const EVENT_CAPACITY = 4_096;
 
+const registrationSchema = z.looseObject({address: z.string()});
+
 /** Options of a harness. */
 export interface JobHarnessOptions {
   readonly nodes?: number;
@@ -201,8 +206,7 @@
           commitLog,
           nodeId,
           workerTable: WORKER_TABLE,
-          decodeWorker: (_key, value) =>
-            ok(JSON.parse(value.toString()) as WorkerRecord),
+          decodeWorker: decodeRegistration,
           getConfig: () => this.getConfig(),
           maxLeaseMs: MAX_LEASE_MS,
           keepEndedMs: ENDED_JOB_RETENTION_MS,
@@ -533,6 +537,17 @@
   }
 }
 
+/** Decodes a registration of the harness; those of other writers lack an address. */
+function decodeRegistration(
+  workerId: string,
+  value: Buffer,
+): Result<WorkerRecord, AppError> {
+  const subject = `registration ${workerId}`;
+  return parseJson(subject, registrationSchema, value.toString()).map(
+    record => record as unknown as WorkerRecord,
+  );
+}
+
 function getWorkerAddress(workerId: string) {
   return {table: WORKER_TABLE, part: '', key: workerId};
 }
--- a/packages/experiments/test/job_queue_length.test.ts
+++ b/packages/experiments/test/job_queue_length.test.ts
@@ -1,6 +1,5 @@
-import {CoordinatorStatus} from '@mustardlug/coordination/coordinator_status';
+import {decodeCoordinatorStatus} from '@mustardlug/coordination/coordinator_status';
 import {JOB_TABLE} from '@mustardlug/coordination/tables';
-import {decodeRowValue} from '@mustardlug/jobs/job_codec';
 import {createSampleStep, SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {expect} from 'chai';
 import {JobHarness} from '../src/job_harness.js';
@@ -29,7 +28,7 @@
 
 function getQueues(harness: JobHarness) {
   const [row] = harness.store.getTableRows(STATUS_TABLE);
-  return decodeRowValue<CoordinatorStatus>(row.value).queues;
+  return decodeCoordinatorStatus(row.value)._unsafeUnwrap().queues;
 }
 
 function getWaitingJobs(harness: JobHarness): number {
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -1,6 +1,14 @@
 /** Serialization of accepted jobs and of their progress for the row store. */
 
 import {constants, deflateRawSync, inflateRawSync} from 'node:zlib';
+import {
+  createInvalidInputError,
+  FieldProblem,
+  InvalidInputError,
+} from '@mustardlug/base/errors';
+import {parseJsonBytes} from '@mustardlug/base/json_reader';
+import {err, ok, Result} from 'neverthrow';
+import {z} from 'zod';
 import {
   AcceptedJob,
   JobPhase,
@@ -15,21 +23,21 @@
  * Stored form of a task: 0 if it has not started, 1 if it is done, otherwise
  * its failure count, its checkpoint and its runs.
  */
-type StoredTask = 0 | 1 | [number, string, ...StoredRun[]];
+export type StoredTask = 0 | 1 | [number, string, ...StoredRun[]];
 
 /** Worker ID, start time of the worker process, run number. */
-type StoredRun = [string, number, number];
+export type StoredRun = [string, number, number];
 
 /** Step index and task index, followed by the fields of the run. */
-type StoredDoneTaskRun = [number, number, ...StoredRun];
+export type StoredDoneTaskRun = [number, number, ...StoredRun];
 
 /** Worker ID, run number, and 1 if the crash is attributed to the start or 0 if not. */
-type StoredStartCrash = [string, number, 0 | 1];
+export type StoredStartCrash = [string, number, 0 | 1];
 
 /** Step index and task index, followed by the crashes. */
-type StoredTaskCrashes = [number, number, ...StoredStartCrash[]];
+export type StoredTaskCrashes = [number, number, ...StoredStartCrash[]];
 
-interface StoredOccurrence {
+export interface StoredOccurrence {
   readonly number: number;
   readonly steps: StoredTask[][];
   /**
@@ -68,6 +76,12 @@
 /** First byte of a compressed value; JSON texts never begin with it. */
 const COMPRESSED_MARK = 1;
 
+/**
+ * Maximum size of an uncompressed value: well above the progress of the largest
+ * job, and far below what a compressed row of another writer could expand to.
+ */
+const MAX_JSON_BYTES = 8_000_000;
+
 /** Size of a JSON text above which it is compressed; on a small VM a short one costs more time than it saves. */
 const COMPRESSION_THRESHOLD_BYTES = 2_048;
 
@@ -84,14 +98,38 @@
 }
 
 /**
- * Deserializes a row value written by `encodeRowValue`. The result is not
- * validated.
+ * Deserializes a row value written by `encodeRowValue` and validates it. Never
+ * throws: another writer may have written the row.
+ * @param subject - Name of the row in error messages.
+ * @param schema - Schema of the value.
  * @param bytes - Stored bytes.
  */
-export function decodeRowValue<T>(bytes: Buffer): T {
-  const json =
-    bytes[0] === COMPRESSED_MARK ? inflateRawSync(bytes.subarray(1)) : bytes;
-  return JSON.parse(json.toString()) as T;
+export function decodeRowValue<T>(
+  subject: string,
+  schema: z.ZodType<T>,
+  bytes: Buffer,
+): Result<T, InvalidInputError> {
+  return inflate(subject, bytes).andThen(json =>
+    parseJsonBytes(subject, schema, json, MAX_JSON_BYTES),
+  );
+}
+
+function inflate(
+  subject: string,
+  bytes: Buffer,
+): Result<Buffer, InvalidInputError> {
+  if (bytes[0] !== COMPRESSED_MARK) return ok(bytes);
+  try {
+    const limit = {maxOutputLength: MAX_JSON_BYTES};
+    return ok(inflateRawSync(bytes.subarray(1), limit));
+  } catch (error) {
+    const problem: FieldProblem = {
+      path: '(whole value)',
+      expected: `expected a compressed value of at most ${MAX_JSON_BYTES} bytes (${(error as Error).message})`,
+      remedy: 'restore the row or remove it',
+    };
+    return err(createInvalidInputError(subject, [problem]));
+  }
 }
 
 /**
--- a/packages/jobs/test/job_model.test.ts
+++ b/packages/jobs/test/job_model.test.ts
@@ -2,7 +2,6 @@
 import {expect} from 'chai';
 import {
   createTaskRun,
-  decodeRowValue,
   encodeRowValue,
   restoreProgress,
   StoredProgress,
@@ -16,6 +15,7 @@
 } from '../src/job_spec.js';
 import {JobState} from '../src/job_state.js';
 import {findQueue, QueueConfig} from '../src/queue_config.js';
+import {decodeStoredProgress} from '../src/stored_schemas.js';
 import {formatTaskName, parseTaskName} from '../src/task_name.js';
 
 /** Maximum size of a row's value that the platform's store accepts, in bytes. */
@@ -141,9 +141,10 @@
     step.tasks[2].hasRun = true;
     const run = createTaskRun('worker-1', 7, 1_001, 0);
     step.tasks[1].runs = [run];
-    const stored = decodeRowValue<StoredProgress>(
+    const stored = decodeStoredProgress(
+      'job-1',
       encodeRowValue(toStoredProgress(job)),
-    );
+    )._unsafeUnwrap();
     const restored = createJob();
     restoreProgress(restored, stored, 0);
     step.tasks[1].runs = [{...run, isAdopted: true}];
@@ -199,7 +200,9 @@
     const stored = {phase: 'running', nextOccurrence: 1, occurrences};
     const bytes = encodeRowValue(stored);
     expect(bytes.length).to.be.below(JSON.stringify(stored).length / 2);
-    expect(decodeRowValue<object>(bytes)).to.deep.equal(stored);
+    expect(decodeStoredProgress('job-1', bytes)._unsafeUnwrap()).to.deep.equal(
+      stored,
+    );
   });
 
   it('keeps the progress of the largest job within a row of the store', () => {
@@ -283,7 +286,8 @@
     job.failureReason = 'reason';
     const bytes = encodeRowValue(toStoredProgress(job));
     const restored = createJob();
-    restoreProgress(restored, decodeRowValue<StoredProgress>(bytes), 0);
+    const progress = decodeStoredProgress('job-1', bytes)._unsafeUnwrap();
+    restoreProgress(restored, progress, 0);
     const restoredTasks = restored.occurrences.get(0)!.steps[0].tasks;
     expect(restoredTasks[0].startCrashes).to.deep.equal([]);
     expect(restoredTasks[1].startCrashes).to.deep.equal(startCrashes);
--- a/packages/node/src/config_follower.ts
+++ b/packages/node/src/config_follower.ts
@@ -37,6 +37,7 @@
     this.follower = TableFollower.create({
       store,
       clock,
+      events,
       table,
       part: '',
       waitMs: FEED_WAIT_MS,
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -1,10 +1,15 @@
 /** Leader election: runs the coordinator on this node while it holds the coordinator role. */
 
 import {Clock} from '@mustardlug/base/clock';
-import {CoordinatorStatus} from '@mustardlug/coordination/coordinator_status';
+import {createInvalidInputError, FieldProblem} from '@mustardlug/base/errors';
+import {
+  CoordinatorStatus,
+  decodeCoordinatorStatus,
+} from '@mustardlug/coordination/coordinator_status';
 import {CommitLog} from '@mustardlug/coordination/commit_log';
 import {Coordinator} from '@mustardlug/coordination/coordinator';
 import {Election} from '@mustardlug/coordination/election';
+import {InvalidRowReporter} from '@mustardlug/coordination/invalid_row_reporter';
 import {TableFollower} from '@mustardlug/coordination/table_follower';
 import {WaitSummary} from '@mustardlug/coordination/wait_reporter';
 import {
@@ -15,8 +20,14 @@
   SINGLE_ROW_KEY,
 } from '@mustardlug/coordination/tables';
 import {decodeRowValue, encodeRowValue} from '@mustardlug/jobs/job_codec';
-import {getPartRows, RowStore, StoredRow} from '@mustardlug/platform/row_store';
+import {
+  getPartRows,
+  RowSnapshot,
+  RowStore,
+  StoredRow,
+} from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {z} from 'zod';
 
 /** Options of `CoordinatorRole`. */
 export interface CoordinatorRoleOptions {
@@ -55,6 +66,9 @@
 /** Upper limit of the delay between reads: the caller API accepts a status of up to 2 s of age. */
 const MAX_POLL_DELAY_MS = 1_000;
 
+/** Maximum time by which the time of a status may be ahead of the store's, which steps back by no more. */
+const MAX_STORE_CLOCK_ERROR_MS = 5_000;
+
 /** Minimum interval between reads of the number of nodes. */
 const NODE_COUNT_INTERVAL_MS = 10_000;
 
@@ -64,6 +78,13 @@
   readonly processorShare: number;
 }
 
+/** Limit of a VM's CPU capacity, above any machine. */
+const MAX_CPU_CORES = 10_000;
+
+const nodeSchema: z.ZodType<NodeRow> = z.object({
+  processorShare: z.number().positive().max(MAX_CPU_CORES),
+});
+
 /** Coordinator status with the earliest monotonic time at which it may have been written. */
 interface ReceivedStatus {
   readonly status: CoordinatorStatus;
@@ -73,6 +94,7 @@
 /** Follows the coordinator's status, and takes over the role when its holder has failed. */
 export class CoordinatorRole {
   private readonly election = Election.create();
+  private readonly invalidRows: InvalidRowReporter;
   private readonly follower: TableFollower;
   private coordinator: Coordinator | undefined;
   private received: ReceivedStatus | undefined;
@@ -85,9 +107,11 @@
 
   private constructor(private readonly options: CoordinatorRoleOptions) {
     const {store, clock, events} = options;
+    this.invalidRows = InvalidRowReporter.create(events);
     this.follower = TableFollower.create({
       store,
       clock,
+      events,
       table: COORDINATOR_STATUS_TABLE,
       part: COORDINATOR_PART,
       waitMs: FEED_WAIT_MS,
@@ -164,7 +188,11 @@
   private applyRows(rows: readonly StoredRow[], storeMs: number): void {
     for (const row of rows) {
       if (row.key !== SINGLE_ROW_KEY) continue;
-      const status = decodeRowValue<CoordinatorStatus>(row.value);
+      const status = this.decodeStatus(row, storeMs);
+      if (status === undefined) {
+        this.election.recordUnreadableStatus();
+        continue;
+      }
       this.election.recordStatus(status);
       // The store read the row after the call was sent, at its time `storeMs`.
       const sentMs =
@@ -174,6 +202,29 @@
     }
   }
 
+  /** Decodes the status row; one from the future would make its holder seem alive for ever. */
+  private decodeStatus(
+    row: StoredRow,
+    storeMs: number,
+  ): CoordinatorStatus | undefined {
+    const status = decodeCoordinatorStatus(row.value);
+    if (status.isErr()) {
+      this.invalidRows.report(row, status.error);
+      return undefined;
+    }
+    const {writtenStoreMs} = status.value;
+    if (writtenStoreMs <= storeMs + MAX_STORE_CLOCK_ERROR_MS)
+      return status.value;
+    const problem: FieldProblem = {
+      path: 'writtenStoreMs',
+      expected: `expected a time of the store of at most ${storeMs}, got ${writtenStoreMs}`,
+      remedy: 'remove the row',
+    };
+    const error = createInvalidInputError('coordinator status', [problem]);
+    this.invalidRows.report(row, error);
+    return undefined;
+  }
+
   private getPollDelayMs(): number {
     return Math.min(MAX_POLL_DELAY_MS, this.nodeCount * POLL_DELAY_PER_NODE_MS);
   }
@@ -189,7 +240,12 @@
   private async readNodes(): Promise<NodeRow[] | undefined> {
     const nodes = await getPartRows(this.options.store, NODE_TABLE, NODE_PART);
     if (nodes.isErr()) return undefined;
-    return nodes.value.rows.map(row => decodeRowValue<NodeRow>(row.value));
+    return nodes.value.rows.flatMap(row => {
+      const node = decodeRowValue(`node ${row.key}`, nodeSchema, row.value);
+      if (node.isOk()) return [node.value];
+      this.invalidRows.report(row, node.error);
+      return [];
+    });
   }
 
   private handleStoreResponse(): void {
@@ -237,6 +293,19 @@
       await clock.sleep(SMALL_VM_DELAY_MS);
   }
 
+  /**
+   * Gets the current term. Each term begins with a transaction that writes both the
+   * term row and the status, so that the status names it if the term row cannot be
+   * read. Without either, the term is unknown and must not be taken.
+   */
+  private getStoredTerm(snapshot: RowSnapshot): number | undefined {
+    const term = CommitLog.getTerm(snapshot);
+    if (term.isOk()) return term.value;
+    const row = snapshot.rows.at(0);
+    if (row !== undefined) this.invalidRows.report(row, term.error);
+    return this.election.getStatus()?.term;
+  }
+
   private async attemptTerm(): Promise<void> {
     const {store, clock, nodeId} = this.options;
     const sentMs = clock.getMonotonicMs();
@@ -245,14 +314,17 @@
     this.election.recordRoundTrip(clock.getMonotonicMs() - sentMs);
     this.storeMs = snapshot.value.storeMs;
     if (!this.election.isTakeoverDue(this.storeMs)) return;
-    const term = CommitLog.getTerm(snapshot.value);
+    const term = this.getStoredTerm(snapshot.value);
+    if (term === undefined) return;
     await this.yieldToLargerVms();
     if (!this.election.isTakeoverDue(this.storeMs) || this.isStopped) return;
     // Another node has taken a term whose status has not been received yet.
-    if (term !== (this.election.getStatus()?.term ?? 0)) return;
+    const statusTerm = this.election.getStatus()?.term ?? 0;
+    if (term !== statusTerm && !this.election.isStatusSettled()) return;
     const commitLog = CommitLog.create(
       {store, clock, holder: nodeId},
       snapshot.value,
+      term,
     );
     this.coordinator = this.options.createCoordinator(commitLog);
     await this.coordinator.run();
--- a/packages/node/test/caller_api.test.ts
+++ b/packages/node/test/caller_api.test.ts
@@ -4,7 +4,7 @@
 import {DeploymentConfig} from '@mustardlug/jobs/queue_config';
 import {JobSpec} from '@mustardlug/jobs/job_spec';
 import {MemoryRowStore} from '@mustardlug/standins/memory_row_store';
-import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
+import {createSampleStep, SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {HybridLogicalClock} from '@mustardlug/telemetry/hybrid_logical_clock';
 import {createInvalidInputError} from '@mustardlug/base/errors';
@@ -12,7 +12,7 @@
 import {err, ok} from 'neverthrow';
 import {CallerApi, CallerFormat} from '../src/caller_api.js';
 
-const SPEC: JobSpec = {specification: '', steps: []};
+const SPEC: JobSpec = {specification: '', steps: [createSampleStep(1)]};
 
 const FORMAT: CallerFormat = {
   decodeJob: body =>
--- a/packages/standins/src/memory_row_store.ts
+++ b/packages/standins/src/memory_row_store.ts
@@ -128,7 +128,9 @@
    * @param value - Value that can be serialized as JSON.
    */
   put(address: RowAddress, value: unknown): void {
-    const bytes = Buffer.from(JSON.stringify(value));
+    const bytes = Buffer.isBuffer(value)
+      ? value
+      : Buffer.from(JSON.stringify(value));
     this.apply({
       conditions: [],
       writes: [{...address, value: bytes}],
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -33,6 +33,11 @@
     level: 'warn',
     text: 'The process was suspended for at least the validity period of a lease.',
   },
+  'internal-error': {
+    number: 104,
+    level: 'error',
+    text: 'Handling one input failed unexpectedly; the process continues with the others.',
+  },
   'peer-connected': {
     number: 200,
     level: 'info',
@@ -223,6 +228,21 @@
     level: 'warn',
     text: 'The registration of a worker could not be decoded and is ignored.',
   },
+  'row-invalid': {
+    number: 816,
+    level: 'error',
+    text: "A row of the system's own tables could not be read; another writer may have written it. It is reported once.",
+  },
+  'job-held': {
+    number: 817,
+    level: 'error',
+    text: 'The progress of a job could not be read; none of its tasks is started until it can be, or until the job is cancelled.',
+  },
+  'job-released': {
+    number: 818,
+    level: 'info',
+    text: 'The rows of a job that had been held could be read; its tasks are started again.',
+  },
   'settings-reloaded': {
     number: 815,
     level: 'info',
