--- a/packages/coordination/src/coordinator_status.ts
+++ b/packages/coordination/src/coordinator_status.ts
@@ -1,5 +1,10 @@
 /** Status that the coordinator publishes to all nodes. */
 
+import {InvalidInputError} from '@mustardlug/base/errors';
+import {decodeRowValue} from '@mustardlug/jobs/job_codec';
+import {Result} from 'neverthrow';
+import {z} from 'zod';
+
 export interface QueueLoad {
   /** Number of accepted jobs without a started task. */
   readonly waitingJobs: number;
@@ -46,3 +51,30 @@
     return undefined;
   return received.status.queues;
 }
+
+const statusSchema: z.ZodType<CoordinatorStatus> = z.object({
+  term: z.number().int().nonnegative(),
+  holder: z.string(),
+  writtenStoreMs: z.number(),
+  intervalMs: z.number().nonnegative().optional(),
+  queues: z
+    .record(
+      z.string(),
+      z.object({
+        waitingJobs: z.number().nonnegative(),
+        retryAfterMs: z.number().nonnegative(),
+        startsPerSecond: z.number().nonnegative().optional(),
+      }),
+    )
+    .optional(),
+});
+
+/**
+ * Decodes the status row.
+ * @param value - Stored bytes.
+ */
+export function decodeCoordinatorStatus(
+  value: Buffer,
+): Result<CoordinatorStatus, InvalidInputError> {
+  return decodeRowValue('coordinator status', statusSchema, value);
+}
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -21,6 +21,8 @@
 import {SessionListener} from '../src/worker_session.js';
 import {LeaseBounds} from '../src/lease_bounds.js';
 import {ScriptedJobWorkerClient} from './scripted_job_worker_client.js';
+import {InvalidRowReporter} from '../src/invalid_row_reporter.js';
+import {createTestEvents} from './test_events.js';
 import {createTestCommitLog} from './test_commit_logs.js';
 import {addTestRun} from './test_runs.js';
 
@@ -109,7 +111,11 @@
     isStoreResponding: () => true,
     previousTermTimeoutMs: 0,
     startWindow: StartWindow.create(clock),
-    leaseBounds: LeaseBounds.create(clock, createTestCommitLog(clock)),
+    leaseBounds: LeaseBounds.create(
+      clock,
+      createTestCommitLog(clock),
+      InvalidRowReporter.create(createTestEvents(clock)),
+    ),
   });
 }
 
