--- a/packages/coordination/src/admission_control.ts
+++ b/packages/coordination/src/admission_control.ts
@@ -175,7 +175,7 @@
   private removeOldPlacements(): void {
     const oldestMs = this.clock.getMonotonicMs() - WINDOW_MS;
     for (const [queueName, placements] of this.placements) {
-      const recent = placements.filter(({placedMs}) => placedMs >= oldestMs);
+      const recent = placements.filter(({placedMs}) => placedMs > oldestMs);
       if (recent.length > 0) this.placements.set(queueName, recent);
       else this.placements.delete(queueName);
     }
--- /dev/null
+++ b/packages/coordination/test/admission_control.test.ts
@@ -0,0 +1,81 @@
+import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
+import {expect} from 'chai';
+import {AdmissionControl} from '../src/admission_control.js';
+import {createWaitingStep, WaitingStep} from '../src/task_order.js';
+import {createTestJob, createTestStep} from './test_runs.js';
+
+const TASK_MS = 1_000;
+
+/** Time that a job of one task can wait without missing its objective. */
+const SLACK_MS =
+  TASK_MS * (SAMPLE_QUEUE.stretch - 1) + SAMPLE_QUEUE.targetDurationMs;
+
+const {name: QUEUE_NAME} = SAMPLE_QUEUE;
+
+function createWaiting(acceptedMs: number, isLongRunning = false): WaitingStep {
+  const job = createTestJob(
+    [createTestStep({estimatedMs: TASK_MS, isLongRunning})],
+    SAMPLE_QUEUE,
+    acceptedMs,
+  );
+  const step = job.occurrences.get(0)!.steps[0];
+  return createWaitingStep(job, 0, step, SAMPLE_QUEUE);
+}
+
+/** Runs passes for three seconds, each of which places one job that has waited, and leaves others waiting. */
+async function runPasses(
+  waitMs: number,
+  getWaiting: (wallMs: number) => WaitingStep[],
+) {
+  const clock = VirtualClock.create();
+  const control = AdmissionControl.create(clock);
+  for (let pass = 0; pass < 30; pass++) {
+    await clock.advance(100);
+    const wallMs = clock.getWallMs();
+    const waiting = createWaiting(wallMs - waitMs);
+    const placed = {waiting, workerIds: ['worker-1'], waitingCount: 0};
+    control.recordPass(getWaiting(wallMs), [placed], wallMs);
+    control.update(wallMs);
+  }
+  return {clock, control};
+}
+
+function createMany(count: number, isLongRunning = false) {
+  return (wallMs: number) =>
+    Array.from({length: count}, () => createWaiting(wallMs, isLongRunning));
+}
+
+describe(AdmissionControl.name, () => {
+  it('refuses jobs while the waiting ones take longer than they can wait', async () => {
+    const {control} = await runPasses(SLACK_MS, createMany(30));
+    const refusal = control.getRefusals().get(QUEUE_NAME);
+    expect(refusal?.startsPerSecond).to.equal(10);
+    expect(refusal?.retryAfterMs).to.be.greaterThan(SLACK_MS);
+  });
+
+  it('accepts jobs while the waiting ones can be placed in time', async () => {
+    const {control} = await runPasses(SLACK_MS, createMany(3));
+    expect(control.getRefusals().size).to.equal(0);
+  });
+
+  it('accepts jobs while others are placed at once, whatever waits beside them', async () => {
+    const {control} = await runPasses(0, createMany(30));
+    expect(control.getRefusals().size).to.equal(0);
+  });
+
+  it('counts neither expired nor long-running work', async () => {
+    const expired = (wallMs: number) => createMany(30)(wallMs - 60_000);
+    for (const getWaiting of [expired, createMany(30, true)]) {
+      const {control} = await runPasses(SLACK_MS, getWaiting);
+      expect(control.getRefusals().size).to.equal(0);
+    }
+  });
+
+  it('accepts jobs again once nothing waits', async () => {
+    const {clock, control} = await runPasses(SLACK_MS, createMany(30));
+    expect(control.getRefusals().size).to.equal(1);
+    control.recordPass([], [], clock.getWallMs());
+    expect(control.update(clock.getWallMs()).size).to.equal(0);
+  });
+});
--- /dev/null
+++ b/packages/node/test/return_schedule.test.ts
@@ -0,0 +1,31 @@
+import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {expect} from 'chai';
+import {ReturnSchedule} from '../src/return_schedule.js';
+
+const LOAD = {waitingJobs: 10, retryAfterMs: 2_000, startsPerSecond: 8};
+
+/** Upper limit of the delays. */
+const MAX_DELAY_MS = 30_000;
+
+describe(ReturnSchedule.name, () => {
+  it('gives callers times that follow each other at half the share of a node in the starts', () => {
+    const clock = VirtualClock.create();
+    const schedule = ReturnSchedule.create({clock, getNodeCount: () => 2});
+    const delays = [1, 2, 3].map(() =>
+      schedule.assignRetryAfterMs('bookings', LOAD),
+    );
+    expect(delays).to.deep.equal([2_000, 2_500, 3_000]);
+    expect(schedule.assignRetryAfterMs('reports', LOAD)).to.equal(2_000);
+  });
+
+  it('limits the delays, and begins anew when they have passed', async () => {
+    const clock = VirtualClock.create();
+    const schedule = ReturnSchedule.create({clock, getNodeCount: () => 100});
+    for (let caller = 0; caller < 10; caller++) {
+      const delayMs = schedule.assignRetryAfterMs('bookings', LOAD);
+      expect(delayMs).to.be.at.most(MAX_DELAY_MS);
+    }
+    await clock.advance(2 * MAX_DELAY_MS);
+    expect(schedule.assignRetryAfterMs('bookings', LOAD)).to.equal(2_000);
+  });
+});
