--- a/packages/coordination/test/placement_pass.test.ts
+++ b/packages/coordination/test/placement_pass.test.ts
@@ -13,7 +13,12 @@
 import {getTaskName} from '../src/task_names.js';
 import {AssignedRun} from '../src/worker_load.js';
 import {WorkerSession} from '../src/worker_session.js';
-import {createTestJob, createTestLoad, createTestStep} from './test_runs.js';
+import {
+  addTestRuns,
+  createTestJob,
+  createTestLoad,
+  createTestStep,
+} from './test_runs.js';
 
 function createWorker(
   workerId: string,
@@ -178,4 +183,27 @@
     );
     expect(runPass(job, workers)).to.have.length(2);
   });
+
+  it('places a long-running task that has run before also beyond the limit', () => {
+    const job = createJob({taskCount: 2, isLongRunning: true});
+    const {tasks} = job.occurrences.get(0)!.steps[0];
+    tasks[1].hasRun = true;
+    const {serviceName} = SAMPLE_QUEUE;
+    const placed = runPass(job, [createWorker('worker-1')], serviceName, 0);
+    expect(placed.map(({task}) => task)).to.deep.equal([tasks[1]]);
+  });
+
+  it('starts no batch task where room is being made for an interrupted one', () => {
+    const needs = {cpuMillis: 20_000, memoryMb: 1_000, accelerators: 0};
+    const serving = createTestStep({isLongRunning: true, needs});
+    const job = createTestJob([serving, createTestStep({taskCount: 100})]);
+    const [interrupted] = job.occurrences.get(0)!.steps[0].tasks;
+    interrupted.hasRun = true;
+    const workers = ['worker-1', 'worker-2'].map(id => createWorker(id));
+    for (const {load} of workers) addTestRuns(load, 8);
+    const placed = runPass(job, workers);
+    const workerIds = new Set(placed.map(({run}) => run.workerId));
+    expect(workerIds.size).to.equal(1);
+    expect(interrupted.runs).to.deep.equal([]);
+  });
 });
--- a/packages/experiments/test/interrupted_tasks.test.ts
+++ b/packages/experiments/test/interrupted_tasks.test.ts
@@ -241,4 +241,15 @@
     }
     expect(countServingTasks(harness, jobId)).to.equal(3);
   });
+
+  it('of a worker that is lost with the coordinator run again within the time limit', async () => {
+    const harness = createFleet(BATCH_TASK_MS);
+    const jobId = await fillFleet(harness);
+    const [lost] = getServingWorkers(harness, jobId);
+    harness.crashWorkers([lost], {delayMs: 60_000, workerId: 'new'});
+    const coordinator = harness.getCoordinator();
+    if (coordinator !== undefined) harness.killNode(coordinator);
+    const absenceMs = await getLongestAbsenceMs(harness, jobId, 3, 20_000);
+    expect(absenceMs).to.be.below(LOSS_DETECTION_MS + RESTART_TIMEOUT_MS);
+  });
 });
