--- a/packages/coordination/src/room_reservations.ts
+++ b/packages/coordination/src/room_reservations.ts
@@ -147,6 +147,11 @@
 class RoomPlanner {
   private readonly claims = new Map<PlacementWorker, Claim>();
   private readonly endingRuns = new Map<PlacementWorker, EndingRun[]>();
+  /** Plans by step, which hold until more room of the worker is claimed. */
+  private readonly plans = new Map<
+    StepState,
+    Map<PlacementWorker, RoomPlan | undefined>
+  >();
 
   private constructor(private readonly nowMs: number) {}
 
@@ -180,10 +185,7 @@
     claim.accelerators += needs.accelerators;
     claim.tasksByStep.set(step, (claim.tasksByStep.get(step) ?? 0) + 1);
     this.claims.set(worker, claim);
-  }
-
-  getClaimedIds(): Set<string> {
-    return new Set([...this.claims.keys()].map(({session}) => session.getId()));
+    for (const plans of this.plans.values()) plans.delete(worker);
   }
 
   /**
@@ -193,6 +195,21 @@
   planRoom(
     {waiting: {step}}: RoomRequest,
     worker: PlacementWorker,
+  ): RoomPlan | undefined {
+    const plans =
+      this.plans.get(step) ?? new Map<PlacementWorker, RoomPlan | undefined>();
+    this.plans.set(step, plans);
+    if (!plans.has(worker)) plans.set(worker, this.createPlan(step, worker));
+    return plans.get(worker);
+  }
+
+  getClaimedIds(): Set<string> {
+    return new Set([...this.claims.keys()].map(({session}) => session.getId()));
+  }
+
+  private createPlan(
+    step: StepState,
+    worker: PlacementWorker,
   ): RoomPlan | undefined {
     const {load, labels} = worker;
     const {needs, requiredLabel, maxPerWorker, isFiller} = step.spec;
