Admit a start command for each usable worker while timers are late for other causes

Cause: StartWindow cut the commands in progress whenever timers were late. The commands were not the cause; the backlog that they left made passes and ticks longer, so that timers stayed late.

Change: however late timers are, one command for each usable worker is admitted. The limit falls below that, to 8 as before, only while most of the last responses to start commands took over 300 ms, the time limit of a command on a client without congestion.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -46,7 +46,12 @@
 import {TableFollower} from './table_follower.js';
 import {WaitingStep} from './task_order.js';
 import {StartWindow} from './start_window.js';
-import {getWaitingSteps, Placement, PlacementPass} from './placement_pass.js';
+import {
+  getWaitingSteps,
+  Placement,
+  PlacementPass,
+  PlacementWorker,
+} from './placement_pass.js';
 import {PassTimes} from './pass_times.js';
 import {WorkerSupervisor} from './worker_supervisor.js';
 import {SilenceReporter} from './silence_reporter.js';
@@ -672,11 +677,13 @@
 
   private placeWaitingTasks(): void {
     const wallMs = this.options.clock.getWallMs();
+    const workersByService = this.workerSupervisor.getUsableWorkers(
+      this.workerPool.getSessions(),
+    );
+    this.startWindow.setUsableWorkerCount(countWorkers(workersByService));
     const pass = PlacementPass.create({
       interferenceModel: this.workerSupervisor.getInterferenceModel(),
-      workersByService: this.workerSupervisor.getUsableWorkers(
-        this.workerPool.getSessions(),
-      ),
+      workersByService,
       maxPlacements: this.startWindow.getFreeCount(),
       place: placement => this.placeTask(placement),
       undo: (assigned, {session}) => this.undoPlacement(assigned, session),
@@ -864,6 +871,14 @@
   }
 }
 
+function countWorkers(
+  workersByService: ReadonlyMap<string, readonly PlacementWorker[]>,
+): number {
+  let count = 0;
+  for (const workers of workersByService.values()) count += workers.length;
+  return count;
+}
+
 function toLostWorker(session: WorkerSession): LostWorker {
   return {
     workerId: session.getId(),
--- a/packages/coordination/src/start_window.ts
+++ b/packages/coordination/src/start_window.ts
@@ -5,6 +5,11 @@
  * processor time. Commands that are sent all at once wait for each other, time out
  * although they are executed, and are repeated, so that the process falls behind
  * further. Tasks that are held back wait in the order of their priority instead.
+ *
+ * Timers are late whatever keeps the process busy. Holding starts back does not help
+ * if they are not the cause: the work that waits grows, and with it its cost, so that
+ * the process falls behind further. One command for each worker that can take it is
+ * therefore admitted, unless the commands themselves are answered late.
  */
 
 import {Clock, Timer} from '@mustardlug/base/clock';
@@ -26,6 +31,15 @@
 
 const DECREASE_FACTOR = 0.7;
 
+/** Response time of a command that counts as late: the time limit of a command without congestion. */
+const LATE_RESPONSE_MS = 300;
+
+/** Weight of one response in the fraction of late ones. */
+const RESPONSE_WEIGHT = 1 / 16;
+
+/** Fraction of late responses above which start commands count as a cause of late timers. */
+const MAX_LATE_FRACTION = 0.5;
+
 const INCREASE_FACTOR = 1.1;
 
 /** Tracks start commands in progress, and limits them by the delay of this process's timers. */
@@ -33,6 +47,9 @@
   private commandCount = 0;
   private limit = INITIAL_LIMIT;
   private delayMs = 0;
+  private usableWorkerCount = 0;
+  /** Fraction of responses that were late, the recent ones weighted most. */
+  private lateFraction = 0;
   private isStopped = false;
   private timer: Timer | undefined;
 
@@ -68,7 +85,7 @@
 
   /** Gets the number of start commands that may be in progress. */
   getLimit(): number {
-    return this.limit;
+    return Math.max(this.limit, this.getMinLimit());
   }
 
   /** Gets the number of start commands in progress. */
@@ -78,7 +95,7 @@
 
   /** Gets the number of start commands that may be added to those in progress. */
   getFreeCount(): number {
-    return Math.max(0, Math.floor(this.limit) - this.commandCount);
+    return Math.max(0, Math.floor(this.getLimit()) - this.commandCount);
   }
 
   /** Records that a start command is sent. */
@@ -86,9 +103,30 @@
     this.commandCount++;
   }
 
-  /** Records that a start command was answered or has timed out. */
-  removeCommand(): void {
+  /**
+   * Records that a start command was answered or has timed out.
+   * @param responseMs - Time until the response; undefined if there was none, as from
+   *     a worker that has crashed.
+   */
+  removeCommand(responseMs?: number): void {
     this.commandCount--;
+    if (responseMs === undefined) return;
+    const isLate = responseMs > LATE_RESPONSE_MS ? 1 : 0;
+    this.lateFraction += RESPONSE_WEIGHT * (isLate - this.lateFraction);
+  }
+
+  /**
+   * Sets the number of workers that can be sent start commands.
+   * @param count - Number of workers.
+   */
+  setUsableWorkerCount(count: number): void {
+    this.usableWorkerCount = count;
+  }
+
+  /** Gets the number of commands that are admitted however late timers are. */
+  private getMinLimit(): number {
+    if (this.lateFraction > MAX_LATE_FRACTION) return MIN_LIMIT;
+    return Math.max(MIN_LIMIT, this.usableWorkerCount);
   }
 
   private recordDelay(delayMs: number): void {
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -867,7 +867,8 @@
       leaseUntilMs,
     );
     run.openStarts++;
-    const {startWindow} = this.options;
+    const {clock, startWindow} = this.options;
+    const sentMs = clock.getMonotonicMs();
     startWindow.addCommand();
     const outcome = await this.options.client.startRun({
       ...this.createRunCommand(assigned),
@@ -875,11 +876,15 @@
       checkpoint: task.checkpoint,
       leaseUntilMs,
     });
-    startWindow.removeCommand();
+    const isAnswered =
+      outcome.isOk() || outcome.error.kind === 'worker-refusal';
+    startWindow.removeCommand(
+      isAnswered ? clock.getMonotonicMs() - sentMs : undefined,
+    );
     const isSettled =
-      outcome.isOk() ||
-      outcome.error.kind === 'worker-refusal' ||
-      !outcome.error.mayHaveTakenEffect;
+      isAnswered ||
+      (outcome.error.kind === 'unavailable' &&
+        !outcome.error.mayHaveTakenEffect);
     if (isSettled) run.openStarts--;
     return outcome;
   }
