Keep run numbers with their steps, so that they go with ended jobs

Cause: Coordinator kept a counter by task name, and by step for gangs, for each task that was ever placed in a term; a step holds its job. Nothing removed them. At 260 starts a second that is a million entries an hour.

Change: RunNumbers keeps the counters with the step, which ends with its occurrence or job. A job that is submitted again under its ID after it was purged begins with number 1 again, where a worker that still knows the earlier run refuses the number and the next one is used.

Evidence: unit tests; run_numbers, job_gang and job_retention of experiments, and coordination: 179 passing. That the memory is freed is not tested.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -54,6 +54,7 @@
 } from './placement_pass.js';
 import {PassTimes} from './pass_times.js';
 import {WorkerSupervisor} from './worker_supervisor.js';
+import {RunNumbers} from './run_numbers.js';
 import {SilenceReporter} from './silence_reporter.js';
 import {explainWait} from './wait_explanation.js';
 import {WaitReporter, WaitSummary} from './wait_reporter.js';
@@ -156,12 +157,6 @@
  */
 const READY_FRACTION = 0.9;
 
-/**
- * Size of the range of run numbers of one term. Each range lies above those of
- * all earlier terms.
- */
-const RUNS_PER_TERM = 1_000_000;
-
 /** Interval at which a planned hand-over checks whether the commit in progress has finished. */
 const HANDOVER_POLL_MS = 5;
 
@@ -190,8 +185,7 @@
   private readonly followers: TableFollower[] = [];
   private jobFollower: TableFollower | undefined;
   private registrationFollower: TableFollower | undefined;
-  /** Number of runs in this term, by step for gangs and by task name for other tasks. */
-  private readonly runCounters = new Map<StepState | string, number>();
+  private readonly runNumbers: RunNumbers;
   private isPassScheduled = false;
   private isCommitting = false;
   private isPassPending = false;
@@ -213,6 +207,7 @@
     this.workerSupervisor = WorkerSupervisor.create({clock, events});
     this.startWindow = StartWindow.create(clock);
     this.passTimes = PassTimes.create(clock);
+    this.runNumbers = RunNumbers.create(commitLog.term);
     this.waitReporter = WaitReporter.create({
       events,
       explain: waiting => this.explainWait(waiting),
@@ -759,11 +754,7 @@
    */
   private allocateRunNumber(step: StepState, taskName: string): number {
     const gangRunNumber = step.spec.isGang ? getGangRunNumber(step) : undefined;
-    if (gangRunNumber !== undefined) return gangRunNumber;
-    const owner = getRunCounterOwner(step, taskName);
-    const count = (this.runCounters.get(owner) ?? 0) + 1;
-    this.runCounters.set(owner, count);
-    return (this.options.commitLog.term - 1) * RUNS_PER_TERM + count;
+    return gangRunNumber ?? this.runNumbers.allocate(step, taskName);
   }
 
   /**
@@ -775,8 +766,7 @@
     task.runs = task.runs.filter(each => each !== run);
     session.load.removeRun(assigned);
     if (step.spec.isGang && step.hasRuns()) return;
-    const owner = getRunCounterOwner(step, taskName);
-    this.runCounters.set(owner, (this.runCounters.get(owner) ?? 1) - 1);
+    this.runNumbers.release(step, taskName);
   }
 
   private scheduleTick(): void {
@@ -893,11 +883,3 @@
   }
   return undefined;
 }
-
-/** Gets the key of the counter of run numbers; the members of a gang share one. */
-function getRunCounterOwner(
-  step: StepState,
-  taskName: string,
-): StepState | string {
-  return step.spec.isGang ? step : taskName;
-}
