--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -48,10 +48,11 @@
 import {TableFollower} from './table_follower.js';
 import {WaitingStep} from './task_order.js';
 import {StartWindow} from './start_window.js';
-import {Placement, PlacementPass} from './placement_pass.js';
+import {Placement, PlacementPass, PlacementWorker} from './placement_pass.js';
 import {PassTimes} from './pass_times.js';
 import {RoomReservations} from './room_reservations.js';
 import {WorkerSupervisor} from './worker_supervisor.js';
+import {RunNumbers} from './run_numbers.js';
 import {SilenceReporter} from './silence_reporter.js';
 import {explainWait} from './wait_explanation.js';
 import {WaitReporter, WaitSummary} from './wait_reporter.js';
@@ -157,12 +158,6 @@
  */
 const READY_FRACTION = 0.9;
 
-/**
- * Size of the range of run numbers of one term. Each range lies above those of
- * all earlier terms.
- */
-const RUNS_PER_TERM = 1_000_000;
-
 /** Interval at which a planned hand-over checks whether the commit in progress has finished. */
 const HANDOVER_POLL_MS = 5;
 
@@ -194,8 +189,7 @@
   private readonly followers: TableFollower[] = [];
   private jobFollower: TableFollower | undefined;
   private registrationFollower: TableFollower | undefined;
-  /** Number of runs in this term, by step for gangs and by task name for other tasks. */
-  private readonly runCounters = new Map<StepState | string, number>();
+  private readonly runNumbers: RunNumbers;
   private isPassScheduled = false;
   private isCommitting = false;
   private isPassPending = false;
@@ -217,6 +211,7 @@
     this.workerSupervisor = WorkerSupervisor.create({clock, events});
     this.startWindow = StartWindow.create(clock);
     this.passTimes = PassTimes.create(clock);
+    this.runNumbers = RunNumbers.create(commitLog.term);
     this.waitReporter = WaitReporter.create({
       events,
       explain: waiting => this.explainWait(waiting),
@@ -709,11 +704,13 @@
 
   private placeWaitingTasks(): void {
     const wallMs = this.options.clock.getWallMs();
+    const workersByService = this.workerSupervisor.getUsableWorkers(
+      this.workerPool.getSessions(),
+    );
+    this.startWindow.setUsableWorkerCount(countWorkers(workersByService));
     const pass = PlacementPass.create({
       interferenceModel: this.workerSupervisor.getInterferenceModel(),
-      workersByService: this.workerSupervisor.getUsableWorkers(
-        this.workerPool.getSessions(),
-      ),
+      workersByService,
       maxPlacements: this.startWindow.getFreeCount(),
       reservations: this.reservations,
       nowMs: this.options.clock.getMonotonicMs(),
@@ -790,11 +787,7 @@
    */
   private allocateRunNumber(step: StepState, taskName: string): number {
     const gangRunNumber = step.spec.isGang ? getGangRunNumber(step) : undefined;
-    if (gangRunNumber !== undefined) return gangRunNumber;
-    const owner = getRunCounterOwner(step, taskName);
-    const count = (this.runCounters.get(owner) ?? 0) + 1;
-    this.runCounters.set(owner, count);
-    return (this.options.commitLog.term - 1) * RUNS_PER_TERM + count;
+    return gangRunNumber ?? this.runNumbers.allocate(step, taskName);
   }
 
   /**
@@ -806,8 +799,7 @@
     task.runs = task.runs.filter(each => each !== run);
     session.load.removeRun(assigned);
     if (step.spec.isGang && step.hasRuns()) return;
-    const owner = getRunCounterOwner(step, taskName);
-    this.runCounters.set(owner, (this.runCounters.get(owner) ?? 1) - 1);
+    this.runNumbers.release(step, taskName);
   }
 
   private scheduleTick(): void {
@@ -906,6 +898,14 @@
   }
 }
 
+function countWorkers(
+  workersByService: ReadonlyMap<string, readonly PlacementWorker[]>,
+): number {
+  let count = 0;
+  for (const workers of workersByService.values()) count += workers.length;
+  return count;
+}
+
 function toLostWorker(session: WorkerSession): LostWorker {
   return {
     workerId: session.getId(),
@@ -920,11 +920,3 @@
   }
   return undefined;
 }
-
-/** Gets the key of the counter of run numbers; the members of a gang share one. */
-function getRunCounterOwner(
-  step: StepState,
-  taskName: string,
-): StepState | string {
-  return step.spec.isGang ? step : taskName;
-}
