Placement pass: rank workers once for overdue fillers that fit nowhere; order no steps at the limit

In a backlog a pass ranked all workers anew for each overdue filler that no worker could take, and ordered all waiting steps also when no start command could be sent. Now equal or larger needs of the same image fail with the first, as for other steps, and without room for start commands only suspected and interrupted tasks are looked at. Equal decisions: what fails a filler of smaller needs (memory, another filler that may disturb) fails a larger one, and during a pass no worker gets more room.

--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -141,9 +141,12 @@
    */
   run(waiting: readonly WaitingStep[], wallMs: number): void {
     this.wallMs = wallMs;
+    const preceding = waiting.filter(each => each.hasPrecedingTask);
+    const sortedPreceding = sortWaitingSteps(preceding, wallMs);
+    for (const each of sortedPreceding) this.placeSuspectedTasks(each);
+    for (const each of sortedPreceding) this.placeInterruptedTasks(each);
+    if (this.isLimitReached()) return;
     const sorted = sortWaitingSteps(waiting, wallMs);
-    for (const each of sorted) this.placeSuspectedTasks(each);
-    for (const each of sorted) this.placeInterruptedTasks(each);
     for (const each of sorted) {
       if (this.isLimitReached()) return;
       const key = this.getEquivalenceClass(each);
@@ -369,10 +372,15 @@
       each => isWaitingTask(each) && !isSuspected(each),
     );
     if (task === undefined) return;
+    const key = this.getEquivalenceClass(waiting, false, true);
+    if (this.isKnownToFail(key, step)) return;
     const workers = this.getWorkers(waiting);
     const ranking = this.rank(waiting, workers, false, true);
     const worker = ranking.getBest(isAvoidedBy(task));
-    if (worker === undefined) return;
+    if (worker === undefined) {
+      this.recordFailure(key, waiting);
+      return;
+    }
     this.placeOnWorker(waiting, task, ranking, worker);
     this.recordPlacedStep(waiting, [worker]);
   }
@@ -441,6 +449,7 @@
   private getEquivalenceClass(
     waiting: WaitingStep,
     isTrial = false,
+    canOvercommitFillers = false,
   ): string | undefined {
     const {spec} = waiting.step;
     const isConstrained =
@@ -452,7 +461,8 @@
     const kind = spec.isFiller ? `filler ${spec.image ?? ''}` : 'plain';
     const limit = canLimitFillers(waiting, this.wallMs) ? ' limited' : '';
     const trial = isTrial ? ' trial' : '';
-    return `${waiting.queue.serviceName} ${kind}${limit}${trial}`;
+    const overcommitted = canOvercommitFillers ? ' overcommitted' : '';
+    return `${waiting.queue.serviceName} ${kind}${limit}${trial}${overcommitted}`;
   }
 
   private isKnownToFail(key: string | undefined, step: StepState): boolean {
--- a/packages/coordination/src/task_order.ts
+++ b/packages/coordination/src/task_order.ts
@@ -1,8 +1,9 @@
 /** Determines the order in which waiting steps are placed. */
 
-import {JobState, StepState} from '@mustardlug/jobs/job_state';
+import {JobState, StepState, TaskState} from '@mustardlug/jobs/job_state';
 import {JobSpec, StepSpec} from '@mustardlug/jobs/job_spec';
 import {QueueConfig} from '@mustardlug/jobs/queue_config';
+import {isSuspected} from './start_crashes.js';
 
 /** A step with waiting tasks, and the values by which it is ordered. */
 export interface WaitingStep {
@@ -18,6 +19,8 @@
   readonly remainingCriticalPathMs: number;
   /** Expected CPU time of the job's unfinished tasks, in microseconds. */
   readonly remainingWork: number;
+  /** Whether a waiting task is placed before others: a suspected or an interrupted one. */
+  readonly hasPrecedingTask: boolean;
 }
 
 /** Multiple of its objective after which a job has no value to the caller. */
@@ -111,9 +114,14 @@
     lateLimitMs: dueMs + objectiveDurationMs * LATE_LIMIT_FACTOR,
     remainingCriticalPathMs: getCriticalPathMs(spec, isDone),
     remainingWork,
+    hasPrecedingTask: step.tasks.some(task => isPreceding(task, step.spec)),
   };
 }
 
+function isPreceding(task: TaskState, {isLongRunning}: StepSpec): boolean {
+  return isSuspected(task) || (isLongRunning && task.hasRun);
+}
+
 /**
  * Sorts waiting steps by queue priority; then batch steps before long-running
  * steps; then by deadline status; then steps of running jobs before those of
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -207,6 +207,7 @@
    * @param isTrialOfStep - Whether the run is a trial.
    */
   canStartBeside(step: StepState, isTrialOfStep: boolean): boolean {
+    if (this.unprovenRuns.size === 0) return true;
     for (const assigned of this.unprovenRuns) {
       // The members of a gang start together, and a crash is held against all of them.
       if (step.spec.isGang && assigned.step === step) continue;
--- a/packages/coordination/test/placement_pass.test.ts
+++ b/packages/coordination/test/placement_pass.test.ts
@@ -30,6 +30,7 @@
   workers: readonly PlacementWorker[],
   serviceName = SAMPLE_QUEUE.serviceName,
   maxPlacements = Infinity,
+  wallMs = 0,
 ): AssignedRun[] {
   const placed = new Set<AssignedRun>();
   const pass = PlacementPass.create({
@@ -61,8 +62,8 @@
     },
   });
   pass.run(
-    getWaitingSteps([job], () => SAMPLE_QUEUE, 0),
-    0,
+    getWaitingSteps([job], () => SAMPLE_QUEUE, wallMs),
+    wallMs,
   );
   return [...placed];
 }
@@ -174,4 +175,43 @@
     );
     expect(runPass(job, workers)).to.have.length(2);
   });
+
+  it('looks at each worker as often for many overdue fillers that fit nowhere as for one', () => {
+    const needs = {cpuMillis: 1_000, memoryMb: 1_000_000, accelerators: 0};
+    const countLooks = (stepCount: number) => {
+      const step = createTestStep({isFiller: true, image: 'filler', needs});
+      const job = createTestJob(Array.from({length: stepCount}, () => step));
+      const worker = createWorker('worker-1');
+      let looks = 0;
+      worker.load.canStartBeside = () => {
+        looks++;
+        return true;
+      };
+      const overdueMs = 1_000_000;
+      runPass(job, [worker], SAMPLE_QUEUE.serviceName, Infinity, overdueMs);
+      return looks;
+    };
+    expect(countLooks(50)).to.equal(countLooks(1));
+  });
+
+  it('orders no steps while no run may be started', () => {
+    const job = createTestJob(Array(50).fill(createTestStep()));
+    let uses = 0;
+    const waiting = getWaitingSteps([job], () => SAMPLE_QUEUE, 0).map(step => ({
+      ...step,
+      get queue() {
+        uses++;
+        return step.queue;
+      },
+    }));
+    const pass = PlacementPass.create({
+      interferenceModel: InterferenceModel.create(),
+      workersByService: new Map(),
+      maxPlacements: 0,
+      place: () => expect.fail('placed'),
+      undo: () => expect.fail('undone'),
+    });
+    pass.run(waiting, 0);
+    expect(uses).to.equal(0);
+  });
 });
