--- a/packages/coordination/src/effect_estimator.ts
+++ b/packages/coordination/src/effect_estimator.ts
@@ -110,28 +110,31 @@
    * @param value - Observed value, or its change.
    */
   addSample(inputs: readonly EffectInput[], value: number): void {
+    // Indexed loops: with many inputs, iterators would cost more than the arithmetic.
     const vector = this.createVector(inputs);
-    const product = this.covariance.map(row => getDotProduct(row, vector));
+    const size = vector.length;
+    const product = new Float64Array(size);
+    for (let row = 0; row < size; row++)
+      product[row] = getDotProduct(this.covariance[row], vector);
     const gainDivisor = FORGETTING_FACTOR + getDotProduct(vector, product);
     const error = value - getDotProduct(this.effects, vector);
-    for (const [row, rowProduct] of product.entries()) {
-      const gain = rowProduct / gainDivisor;
+    for (let row = 0; row < size; row++) {
+      const gain = product[row] / gainDivisor;
       this.effects[row] += gain * error;
       const cells = this.covariance[row];
-      for (const [column, columnProduct] of product.entries()) {
+      for (let column = 0; column < size; column++)
         cells[column] =
-          (cells[column] - gain * columnProduct) / FORGETTING_FACTOR;
-      }
+          (cells[column] - gain * product[column]) / FORGETTING_FACTOR;
       // Without this limit, forgetting would make the variance of rare inputs grow without bound.
       cells[row] = Math.min(cells[row], PRIOR_VARIANCE);
     }
   }
 
-  private createVector(inputs: readonly EffectInput[]): number[] {
+  private createVector(inputs: readonly EffectInput[]): Float64Array {
     for (const {name} of inputs) {
       if (!this.positions.has(name)) this.addInput(name);
     }
-    const vector = this.effects.map(() => 0);
+    const vector = new Float64Array(this.effects.length);
     for (const {name, amount} of inputs)
       vector[this.positions.get(name) ?? 0] += amount;
     return vector;
@@ -153,10 +156,11 @@
 }
 
 function getDotProduct(
-  left: readonly number[],
-  right: readonly number[],
+  left: ArrayLike<number>,
+  right: ArrayLike<number>,
 ): number {
   let sum = 0;
-  for (const [index, value] of left.entries()) sum += value * right[index];
+  for (let index = 0; index < left.length; index++)
+    sum += left[index] * right[index];
   return sum;
 }
