--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -366,14 +366,14 @@
    */
   private placeNeglectedFiller(waiting: WaitingStep): void {
     const {job, step} = waiting;
-    if (this.isLimitReached() || step.spec.isGang || job.hasRuns()) return;
+    if (this.isLimitReached() || step.spec.isGang) return;
     if (!canLimitFillers(waiting, this.wallMs)) return;
+    const key = this.getEquivalenceClass(waiting, false, true);
+    if (this.isKnownToFail(key, step) || job.hasRuns()) return;
     const task = step.tasks.find(
       each => isWaitingTask(each) && !isSuspected(each),
     );
     if (task === undefined) return;
-    const key = this.getEquivalenceClass(waiting, false, true);
-    if (this.isKnownToFail(key, step)) return;
     const workers = this.getWorkers(waiting);
     const ranking = this.rank(waiting, workers, false, true);
     const worker = ranking.getBest(isAvoidedBy(task));
--- a/packages/coordination/src/worker_ranking.ts
+++ b/packages/coordination/src/worker_ranking.ts
@@ -100,6 +100,8 @@
   ): WorkerRanking<T> {
     const ranking = new WorkerRanking<T>(request);
     for (const worker of workers) {
+      // On a full fleet most workers have no room, which costs least to check.
+      if (findRoomObstacle(request.step, worker) !== undefined) continue;
       const suitability = assessWorker(request, worker);
       if (typeof suitability !== 'string')
         ranking.ranked.push({worker, ...suitability});
--- a/packages/coordination/test/worker_ranking.test.ts
+++ b/packages/coordination/test/worker_ranking.test.ts
@@ -103,6 +103,19 @@
     ).to.equal(undefined);
   });
 
+  it('looks for trials only on workers with room', () => {
+    const loads = [createTestLoad(1), createTestLoad()];
+    const looks: WorkerLoad[] = [];
+    for (const load of loads)
+      load.canStartBeside = () => {
+        looks.push(load);
+        return true;
+      };
+    const workers = loads.map(load => createWorker(load));
+    expect(selectWorker({}, workers)).to.equal(workers[1]);
+    expect(looks).to.deep.equal([loads[1]]);
+  });
+
   it('selects only workers with the required label', () => {
     const plain = createWorker(createTestLoad());
     const labelled = createWorker(createTestLoad(), {labels: ['fast']});
