--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -162,15 +162,18 @@
    */
   run(waiting: readonly WaitingStep[], wallMs: number): void {
     this.wallMs = wallMs;
-    const sorted = sortWaitingSteps(waiting, wallMs);
+    const preceding = waiting.filter(each => each.hasPrecedingTask);
+    const sortedPreceding = sortWaitingSteps(preceding, wallMs);
     // Trials are few at a time, and batch work must not take them from users that wait.
-    for (const each of sorted) {
+    for (const each of sortedPreceding) {
       if (each.step.spec.isLongRunning)
         this.placeSuspectedTasks(each, task => task.hasRun);
     }
-    for (const each of sorted) this.placeSuspectedTasks(each);
-    for (const each of sorted) this.placeInterruptedTasks(each);
-    this.reserveRoom(sorted);
+    for (const each of sortedPreceding) this.placeSuspectedTasks(each);
+    for (const each of sortedPreceding) this.placeInterruptedTasks(each);
+    this.reserveRoom(sortedPreceding);
+    if (this.isLimitReached()) return;
+    const sorted = sortWaitingSteps(waiting, wallMs);
     for (const each of sorted) {
       if (this.isLimitReached()) return;
       const key = this.getEquivalenceClass(each);
@@ -439,8 +442,10 @@
    */
   private placeNeglectedFiller(waiting: WaitingStep): void {
     const {job, step} = waiting;
-    if (this.isLimitReached() || step.spec.isGang || job.hasRuns()) return;
+    if (this.isLimitReached() || step.spec.isGang) return;
     if (!canLimitFillers(waiting, this.wallMs)) return;
+    const key = this.getEquivalenceClass(waiting, false, true);
+    if (this.isKnownToFail(key, step) || job.hasRuns()) return;
     const task = step.tasks.find(
       each => isWaitingTask(each) && !isSuspected(each),
     );
@@ -448,7 +453,10 @@
     const workers = this.getWorkers(waiting);
     const ranking = this.rank(waiting, workers, false, true);
     const worker = ranking.getBest(isAvoidedBy(task));
-    if (worker === undefined) return;
+    if (worker === undefined) {
+      this.recordFailure(key, waiting);
+      return;
+    }
     this.placeOnWorker(waiting, task, ranking, worker);
     this.recordPlacedStep(waiting, [worker]);
   }
@@ -517,6 +525,7 @@
   private getEquivalenceClass(
     waiting: WaitingStep,
     isTrial = false,
+    canOvercommitFillers = false,
   ): string | undefined {
     const {spec} = waiting.step;
     const isConstrained =
@@ -528,7 +537,8 @@
     const kind = spec.isFiller ? `filler ${spec.image ?? ''}` : 'plain';
     const limit = canLimitFillers(waiting, this.wallMs) ? ' limited' : '';
     const trial = isTrial ? ' trial' : '';
-    return `${waiting.queue.serviceName} ${kind}${limit}${trial}`;
+    const overcommitted = canOvercommitFillers ? ' overcommitted' : '';
+    return `${waiting.queue.serviceName} ${kind}${limit}${trial}${overcommitted}`;
   }
 
   private isKnownToFail(key: string | undefined, step: StepState): boolean {
