Guard passes, periodic checks, reports and terms against unexpected errors

What callers saw: an exception in a placement pass, in a periodic check, in the handling of a report or while the state is restored ended the process, or left the coordinator without passes or without a session to one worker.

Cause: these boundaries had no handler.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -17,6 +17,10 @@
   StoredRow,
 } from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {
+  recordInternalError,
+  runGuarded,
+} from '@mustardlug/telemetry/guarded_call';
 import {CommitLog, CommitOutcome} from './commit_log.js';
 import {CoordinatorHeartbeat, STATUS_ADDRESS} from './coordinator_heartbeat.js';
 import {QueueLoad} from './coordinator_status.js';
@@ -73,7 +77,12 @@
 }
 
 /** Reason for the end of a coordinator's term. */
-export type CoordinatorEndReason = 'superseded' | 'stopped' | 'isolated';
+export type CoordinatorEndReason =
+  | 'superseded'
+  | 'stopped'
+  | 'isolated'
+  /** An unexpected error left the state of the term incomplete. */
+  | 'failed';
 
 /**
  * Delay between a change and the placement pass that it triggers, so that a
@@ -266,13 +275,14 @@
     const outcome = await this.commitStatus(nodeId, 1);
     if (outcome === 'superseded') return 'superseded';
     this.startWindow.start();
-    void this.heartbeat.run(commitLog.getVersion());
+    const heartbeat = this.heartbeat.run(commitLog.getVersion());
+    void this.endOnError('the coordinator status', heartbeat);
     this.electedMs = clock.getMonotonicMs();
     events.addEvent('coordinator-elected', {detail: `term ${commitLog.term}`});
     const ended = new Promise<CoordinatorEndReason>(resolve => {
       this.resolveEnd = resolve;
     });
-    void this.loadState();
+    void this.endOnError('the stored state', this.loadState());
     this.scheduleTick();
     const end = await ended;
     this.heartbeat.stop();
@@ -396,9 +406,7 @@
     this.workerSupervisor.applyReport(session);
     const sequence = session.getProcessedSequence();
     const processStartMs = session.getProcessStartMs();
-    this.writer.deferUntilStored(() =>
-      session.acknowledge(sequence, processStartMs),
-    );
+    this.deferUntilStored(() => session.acknowledge(sequence, processStartMs));
     this.releaseLeaseBound(session);
     if (!this.hasUnstoredChanges() && !this.isCommitting)
       this.writer.runDeferredActions();
@@ -445,6 +453,29 @@
     this.resolveEnd?.(end);
   }
 
+  /** Defers an action until all current changes are stored; its failure does not prevent the others. */
+  private deferUntilStored(action: () => void): void {
+    this.writer.deferUntilStored(() => this.guard('a stored change', action));
+  }
+
+  /** Calls a function whose failure leaves the state of the term usable. */
+  private guard(subject: string, call: () => void): void {
+    runGuarded(this.options.events, subject, call);
+  }
+
+  /** Ends the term if an operation fails without which it cannot go on. */
+  private async endOnError(
+    subject: string,
+    operation: Promise<void>,
+  ): Promise<void> {
+    try {
+      await operation;
+    } catch (error) {
+      recordInternalError(this.options.events, subject, error);
+      this.finish('failed');
+    }
+  }
+
   /** Restores the shared state, then starts to follow its changes. */
   private async loadState(): Promise<void> {
     const {store, clock, workerTable} = this.options;
@@ -487,14 +518,14 @@
           .getInterferenceModel()
           .restore(effects.value.rows, this.invalidRows);
       this.leaseBounds.restore(bounds.value.rows);
-      this.writer.deferUntilStored(() =>
+      this.deferUntilStored(() =>
         this.options.commitLog.declareLeaseBoundsKept(),
       );
       this.restore(workerRows, jobRows, progress.value.rows);
     }
     if (this.endReason !== undefined) return;
     for (const follower of this.followers) void follower.run();
-    void this.releaseHeldJobs();
+    void this.endOnError('a held job', this.releaseHeldJobs());
     this.schedulePass();
   }
 
@@ -591,15 +622,13 @@
     const suspension = session.getLeaseSuspension();
     if (suspension === undefined) return;
     this.removeLeaseBound(session.getId());
-    this.writer.deferUntilStored(() => session.resumeLeases(suspension));
+    this.deferUntilStored(() => session.resumeLeases(suspension));
     this.schedulePass();
   }
 
   private removeLeaseBound(workerId: string): void {
     this.leaseBounds.remove(workerId);
-    this.writer.deferUntilStored(() =>
-      this.leaseBounds.forgetRemoved(workerId),
-    );
+    this.deferUntilStored(() => this.leaseBounds.forgetRemoved(workerId));
   }
 
   /** Removes the bounds of workers that have no more runs. */
@@ -642,7 +671,7 @@
       this.isPassScheduled = false;
       if (this.endReason !== undefined) return;
       if (this.isCommitting) this.isPassPending = true;
-      else void this.runPassAndCommit();
+      else void this.endOnError('a commit', this.runPassAndCommit());
     });
   }
 
@@ -652,7 +681,7 @@
     this.isPassPending = false;
     const startMs = clock.getMonotonicMs();
     this.lastPassStartMs = startMs;
-    this.placeWaitingTasks();
+    this.guard('a placement pass', () => this.placeWaitingTasks());
     this.lastPassDurationMs = clock.getMonotonicMs() - startMs;
     const outcome = await this.writer.commit(this.jobTracker.takeChangedJobs());
     this.isCommitting = false;
@@ -725,7 +754,7 @@
     session.load.addRun(assigned);
     this.workerSupervisor.recordPlacement(session, assigned);
     this.jobTracker.markChanged(job);
-    this.writer.deferUntilStored(() => this.startRun(session, assigned));
+    this.deferUntilStored(() => this.startRun(session, assigned));
     return assigned;
   }
 
@@ -771,7 +800,7 @@
   private scheduleTick(): void {
     this.options.clock.setTimer(TICK_MS, () => {
       if (this.endReason !== undefined) return;
-      this.tick();
+      this.guard('a periodic check', () => this.tick());
       this.scheduleTick();
     });
   }
@@ -784,15 +813,18 @@
       this.jobTracker.recordStartCrash({assigned, isAttributed: false, reason});
       this.releaseRun(assigned);
     }
-    if (nowMs - this.lastLoadLogMs >= LOAD_LOG_INTERVAL_MS) this.logLoad(nowMs);
+    this.schedulePass();
     if (this.isLoaded) {
       for (const session of this.workerPool.getSessions())
         session.suspendLeasesIfSilent();
       this.removeObsoleteLeaseBounds();
-      this.reportWaits(nowMs);
-      void this.retention.purge();
+      void this.endOnError('ended jobs', this.retention.purge());
     }
-    this.schedulePass();
+    this.guard('a report of waits', () => {
+      if (nowMs - this.lastLoadLogMs >= LOAD_LOG_INTERVAL_MS)
+        this.logLoad(nowMs);
+      if (this.isLoaded) this.reportWaits(nowMs);
+    });
   }
 
   private reportWaits(nowMs: number): void {
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -9,6 +9,7 @@
 } from '@mustardlug/platform/job_worker_client';
 import {RowChanges, StoredRow} from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {recordInternalError} from '@mustardlug/telemetry/guarded_call';
 import {Result} from 'neverthrow';
 import {LeaseBounds} from './lease_bounds.js';
 import {getTaskName} from './task_names.js';
@@ -49,6 +50,9 @@
   readonly leaseBounds: LeaseBounds;
 }
 
+/** Delay after an unexpected error of a session, which its lease covers many times. */
+const SESSION_RETRY_MS = 200;
+
 /** Holds the sessions of workers, and the runs whose worker is not registered. */
 export class WorkerPool {
   private readonly sessions = new Map<string, WorkerSession>();
@@ -211,7 +215,22 @@
     });
     this.sessions.set(record.workerId, session);
     this.adoptOrphans(session);
-    void session.run();
+    void this.runSession(session);
+  }
+
+  /** Runs a session until it is stopped. An error while a report is handled must not end it. */
+  private async runSession(session: WorkerSession): Promise<void> {
+    const {clock, events} = this.options;
+    for (;;) {
+      try {
+        await session.run();
+        return;
+      } catch (error) {
+        const subject = `a report of worker ${session.getId()}`;
+        recordInternalError(events, subject, error);
+        await clock.sleep(SESSION_RETRY_MS);
+      }
+    }
   }
 
   private adoptStepRuns(
--- a/packages/experiments/test/odd_rows.test.ts
+++ b/packages/experiments/test/odd_rows.test.ts
@@ -1,4 +1,8 @@
+import {JobTracker} from '@mustardlug/coordination/job_tracker';
+import {PlacementPass} from '@mustardlug/coordination/placement_pass';
+import {SilenceReporter} from '@mustardlug/coordination/silence_reporter';
 import {getJobPart} from '@mustardlug/coordination/tables';
+import {WorkerSupervisor} from '@mustardlug/coordination/worker_supervisor';
 import {RowAddress} from '@mustardlug/platform/row_store';
 import {createSampleStep} from '@mustardlug/standins/sample_jobs';
 import {RecordedEvent} from '@mustardlug/telemetry/event_recorder';
@@ -89,6 +93,68 @@
   return status.isErr() ? status.error.kind : undefined;
 }
 
+describe('an unexpected error', () => {
+  const {run} = PlacementPass.prototype;
+  const {update} = SilenceReporter.prototype;
+  const {applyReport} = WorkerSupervisor.prototype;
+  const {restore} = JobTracker.prototype;
+
+  afterEach(() => {
+    Object.assign(PlacementPass.prototype, {run});
+    Object.assign(SilenceReporter.prototype, {update});
+    Object.assign(WorkerSupervisor.prototype, {applyReport});
+    Object.assign(JobTracker.prototype, {restore});
+  });
+
+  /** Checks that a job completes and that the error was recorded. */
+  async function expectCompletion(inject: () => void): Promise<void> {
+    const events: RecordedEvent[] = [];
+    const sink = (event: RecordedEvent) => void events.push(event);
+    const harness = JobHarness.create({nodes: 4, sink});
+    const jobId = await startJob(harness);
+    inject();
+    await harness.advance(1_000);
+    killCoordinator(harness);
+    await harness.advance(SETTLE_MS);
+    expect(await harness.getPhase(jobId)).to.equal('completed');
+    expect(harness.checker.violations).to.deep.equal([]);
+    expect(events.map(event => event.name)).to.include('internal-error');
+  }
+
+  /** Creates a function that fails at its first calls and then does as the original. */
+  function failFirst<T extends unknown[], R>(
+    count: number,
+    original: (...args: T) => R,
+  ) {
+    let calls = 0;
+    return function (this: unknown, ...args: T): R {
+      if (calls++ < count) throw new Error('injected');
+      return original.apply(this, args);
+    };
+  }
+
+  it('in a placement pass ends neither the process nor the term', () =>
+    expectCompletion(() => {
+      Object.assign(PlacementPass.prototype, {run: failFirst(3, run)});
+    }));
+
+  it('in a periodic check ends neither the process nor the term', () =>
+    expectCompletion(() => {
+      Object.assign(SilenceReporter.prototype, {update: failFirst(3, update)});
+    }));
+
+  it('while the state is restored leaves the role to another attempt', () =>
+    expectCompletion(() => {
+      Object.assign(JobTracker.prototype, {restore: failFirst(2, restore)});
+    }));
+
+  it('while a report is handled does not end the session', () =>
+    expectCompletion(() => {
+      const failing = failFirst(20, applyReport);
+      Object.assign(WorkerSupervisor.prototype, {applyReport: failing});
+    }));
+});
+
 describe('rows of another writer', () => {
   for (const [name, value] of ODD_VALUES) {
     for (const address of TABLES) {
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -27,6 +27,7 @@
   StoredRow,
 } from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {recordInternalError} from '@mustardlug/telemetry/guarded_call';
 import {z} from 'zod';
 
 /** Options of `CoordinatorRole`. */
@@ -258,7 +259,13 @@
     if (this.isCandidate || this.isStopped) return;
     if (!this.election.isTakeoverDue(this.storeMs)) return;
     this.isCandidate = true;
-    await this.attemptTerm();
+    try {
+      await this.attemptTerm();
+    } catch (error) {
+      // Another attempt follows, on this node or on another one.
+      recordInternalError(this.options.events, 'a term', error);
+      this.coordinator = undefined;
+    }
     await this.options.clock.sleep(ELECTION_RETRY_MS);
     this.isCandidate = false;
   }
