--- a/packages/jobs/src/job_spec.ts
+++ b/packages/jobs/src/job_spec.ts
@@ -71,7 +71,8 @@
  */
 export const MAX_JOB_TASKS = 2_000;
 
-const MAX_STEPS = 100;
+/** Maximum number of steps of a job. */
+export const MAX_STEPS = 100;
 
 /** Measured in UTF-8. */
 const MAX_SPECIFICATION_BYTES = 4_000;
