Judge waits by one clock, and refuse nothing while nothing is placed

What callers saw: nothing yet.

Cause: without placements in the window the wait counted as infinite, and waits were taken from the accepting node's clock.

Change: a wait counts from when the coordinator learned of the job; the window is as long as the tolerable wait, 2 to 10 s; without a placement in it nothing is refused.

--- a/packages/coordination/src/admission_control.ts
+++ b/packages/coordination/src/admission_control.ts
@@ -7,6 +7,7 @@
  */
 
 import {Clock} from '@mustardlug/base/clock';
+import {JobState} from '@mustardlug/jobs/job_state';
 import {PlacedStep, isWaitingTask} from './placement_pass.js';
 import {
   getCriticalPathMs,
@@ -16,8 +17,9 @@
   WaitingStep,
 } from './task_order.js';
 
-/** Time over which placements are measured. */
-const WINDOW_MS = 2_000;
+/** Shortest and longest time over which placements are measured; the tolerable wait in between. */
+const MIN_WINDOW_MS = 2_000;
+const MAX_WINDOW_MS = 10_000;
 
 /**
  * Fraction of the placed jobs, those that waited least, that may have waited for
@@ -44,7 +46,7 @@
   readonly placedMs: number;
   /** CPU time that the tasks are expected to use, in thousandths of a millisecond. */
   readonly work: number;
-  /** Time from the acceptance of the job, if its first task was placed. */
+  /** Time for which the job has waited, if its first task was placed. */
   readonly firstWaitMs: number | undefined;
 }
 
@@ -59,7 +61,7 @@
 /** Unplaced work of one queue. */
 interface Backlog {
   work: number;
-  /** Age of the oldest job of which nothing has been placed. */
+  /** Longest time for which a job has waited of which nothing has been placed. */
   oldestWaitMs: number;
   stepCount: number;
   /** Sum over the steps of the time that their jobs can wait without missing the objective. */
@@ -73,11 +75,8 @@
   private refusals: ReadonlyMap<string, QueueRefusal> = new Map();
   /** Steps with waiting tasks before the last pass. */
   private waiting: readonly WaitingStep[] = [];
-  private readonly createdMs: number;
 
-  private constructor(private readonly clock: Clock) {
-    this.createdMs = clock.getMonotonicMs();
-  }
+  private constructor(private readonly clock: Clock) {}
 
   /**
    * Creates a control that accepts all jobs.
@@ -91,20 +90,17 @@
    * Records a placement pass.
    * @param waiting - Steps that had waiting tasks before it.
    * @param placedSteps - Steps of which tasks were placed.
-   * @param wallMs - Wall-clock time of the pass.
    */
   recordPass(
     waiting: readonly WaitingStep[],
     placedSteps: readonly PlacedStep[],
-    wallMs: number,
   ): void {
     this.waiting = waiting;
     const placedMs = this.clock.getMonotonicMs();
     for (const placed of placedSteps) {
-      const {step, job, occurrence, queue} = placed.waiting;
+      const {step, job, queue} = placed.waiting;
       if (step.spec.isLongRunning) continue;
-      const firstWaitMs =
-        job.phase === 'pending' ? wallMs - job.getDueMs(occurrence) : undefined;
+      const firstWaitMs = isNewJob(job) ? placedMs - job.noticedMs : undefined;
       const work = placed.workerIds.length * getTaskWork(placed.waiting);
       const placements = this.placements.get(queue.name) ?? [];
       placements.push({placedMs, work, firstWaitMs});
@@ -120,10 +116,12 @@
   update(wallMs: number): ReadonlyMap<string, QueueRefusal> {
     this.removeOldPlacements();
     const refusals = new Map<string, QueueRefusal>();
-    for (const [queueName, backlog] of getBacklogs(this.waiting, wallMs)) {
+    const nowMs = this.clock.getMonotonicMs();
+    const backlogs = getBacklogs(this.waiting, nowMs, wallMs);
+    for (const [queueName, backlog] of backlogs) {
       const retryAfterMs = this.getRetryAfterMs(queueName, backlog);
       if (retryAfterMs === 0) continue;
-      const startsPerSecond = this.getStartsPerSecond(queueName);
+      const startsPerSecond = this.getStartsPerSecond(queueName, backlog);
       refusals.set(queueName, {retryAfterMs, startsPerSecond});
     }
     this.refusals = refusals;
@@ -136,14 +134,15 @@
   }
 
   private getRetryAfterMs(queueName: string, backlog: Backlog): number {
-    const tolerableMs = Math.max(
-      MIN_TOLERABLE_WAIT_MS,
-      backlog.slackMs / backlog.stepCount,
-    );
-    const placements = this.placements.get(queueName) ?? [];
+    const tolerableMs = getTolerableWaitMs(backlog);
+    const placements = this.getPlacements(queueName, backlog);
+    // Whether jobs wait because of load is not known while none are placed.
+    if (placements.length === 0) return 0;
     const measuredMs = getMeasuredWaitMs(placements, backlog);
     if (measuredMs < tolerableMs * MIN_MEASURED_FRACTION) return 0;
-    const expectedMs = this.getExpectedWaitMs(placements, backlog);
+    let placedWork = 0;
+    for (const {work} of placements) placedWork += work;
+    const expectedMs = (backlog.work / placedWork) * getWindowMs(backlog);
     const isRefusing = this.refusals.has(queueName);
     const limitMs = isRefusing ? tolerableMs * RESUME_FRACTION : tolerableMs;
     if (expectedMs <= limitMs) return 0;
@@ -151,29 +150,26 @@
     return Math.min(MAX_RETRY_AFTER_MS, excessMs);
   }
 
-  /** Gets the time after which the backlog is placed at the rate of the recent placements. */
-  private getExpectedWaitMs(
-    placements: readonly RecordedPlacement[],
-    backlog: Backlog,
-  ): number {
-    const elapsedMs = this.clock.getMonotonicMs() - this.createdMs;
-    // Without measurements of a whole window the rate is not known.
-    if (elapsedMs < WINDOW_MS) return 0;
-    let placedWork = 0;
-    for (const {work} of placements) placedWork += work;
-    return (backlog.work / placedWork) * WINDOW_MS;
-  }
-
-  private getStartsPerSecond(queueName: string): number {
+  private getStartsPerSecond(queueName: string, backlog: Backlog): number {
     let count = 0;
-    for (const {firstWaitMs} of this.placements.get(queueName) ?? []) {
+    for (const {firstWaitMs} of this.getPlacements(queueName, backlog)) {
       if (firstWaitMs !== undefined) count++;
     }
-    return (count * MS_PER_SECOND) / WINDOW_MS;
+    return (count * MS_PER_SECOND) / getWindowMs(backlog);
+  }
+
+  /** Gets the placements of a queue within its window. */
+  private getPlacements(
+    queueName: string,
+    backlog: Backlog,
+  ): readonly RecordedPlacement[] {
+    const placements = this.placements.get(queueName) ?? [];
+    const oldestMs = this.clock.getMonotonicMs() - getWindowMs(backlog);
+    return placements.filter(({placedMs}) => placedMs > oldestMs);
   }
 
   private removeOldPlacements(): void {
-    const oldestMs = this.clock.getMonotonicMs() - WINDOW_MS;
+    const oldestMs = this.clock.getMonotonicMs() - MAX_WINDOW_MS;
     for (const [queueName, placements] of this.placements) {
       const recent = placements.filter(({placedMs}) => placedMs > oldestMs);
       if (recent.length > 0) this.placements.set(queueName, recent);
@@ -182,6 +178,21 @@
   }
 }
 
+/** Gets how long the waiting jobs can wait, on average, and still meet their objectives. */
+function getTolerableWaitMs({slackMs, stepCount}: Backlog): number {
+  return Math.max(MIN_TOLERABLE_WAIT_MS, slackMs / stepCount);
+}
+
+function getWindowMs(backlog: Backlog): number {
+  const windowMs = Math.max(MIN_WINDOW_MS, getTolerableWaitMs(backlog));
+  return Math.min(MAX_WINDOW_MS, windowMs);
+}
+
+/** Checks whether nothing of a job without a schedule has been placed before. */
+function isNewJob(job: JobState): boolean {
+  return job.phase === 'pending' && job.accepted.spec.schedule === undefined;
+}
+
 /**
  * Gets how long jobs wait for their first placement: those that were placed lately
  * or, if there were none, the oldest one that waits.
@@ -205,6 +216,7 @@
  */
 function getBacklogs(
   waiting: readonly WaitingStep[],
+  nowMs: number,
   wallMs: number,
 ): Map<string, Backlog> {
   const backlogs = new Map<string, Backlog>();
@@ -223,8 +235,8 @@
     backlog.work += taskCount * getTaskWork(each);
     backlog.stepCount++;
     backlog.slackMs += getSlackMs(each);
-    if (!job.hasRuns() && !job.hasStarted) {
-      const waitMs = wallMs - job.getDueMs(each.occurrence);
+    if (isNewJob(job)) {
+      const waitMs = nowMs - job.noticedMs;
       backlog.oldestWaitMs = Math.max(backlog.oldestWaitMs, waitMs);
     }
     backlogs.set(queue.name, backlog);
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -751,7 +751,7 @@
     });
     const waiting = this.jobTracker.getWaitingSteps(wallMs);
     pass.run(waiting, wallMs);
-    this.admissionControl.recordPass(waiting, pass.getPlacedSteps(), wallMs);
+    this.admissionControl.recordPass(waiting, pass.getPlacedSteps());
     this.isStartLimited = pass.isLimitReached();
     this.lastPass = pass;
     for (const step of pass.getPlacedSteps()) {
--- a/packages/coordination/src/job_index.ts
+++ b/packages/coordination/src/job_index.ts
@@ -154,6 +154,7 @@
     }
     if (stored.value.kind === 'refused') return undefined;
     const job = JobState.create({...stored.value.job, jobId: row.key});
+    job.noticedMs = nowMs;
     this.jobs.set(row.key, job);
     return this.addJob(job, nowMs);
   }
--- a/packages/coordination/test/admission_control.test.ts
+++ b/packages/coordination/test/admission_control.test.ts
@@ -13,12 +13,17 @@
 
 const {name: QUEUE_NAME} = SAMPLE_QUEUE;
 
-function createWaiting(acceptedMs: number, isLongRunning = false): WaitingStep {
+function createWaiting(
+  acceptedMs: number,
+  noticedMs: number,
+  isLongRunning = false,
+): WaitingStep {
   const job = createTestJob(
     [createTestStep({estimatedMs: TASK_MS, isLongRunning})],
     SAMPLE_QUEUE,
     acceptedMs,
   );
+  job.noticedMs = noticedMs;
   const step = job.occurrences.get(0)!.steps[0];
   return createWaitingStep(job, 0, step, SAMPLE_QUEUE);
 }
@@ -27,15 +32,17 @@
 async function runPasses(
   waitMs: number,
   getWaiting: (wallMs: number) => WaitingStep[],
+  {clockErrorMs = 0, isPlacing = true} = {},
 ) {
   const clock = VirtualClock.create();
   const control = AdmissionControl.create(clock);
   for (let pass = 0; pass < 30; pass++) {
     await clock.advance(100);
-    const wallMs = clock.getWallMs();
-    const waiting = createWaiting(wallMs - waitMs);
+    const wallMs = clock.getWallMs() + clockErrorMs;
+    const noticedMs = clock.getMonotonicMs() - waitMs;
+    const waiting = createWaiting(clock.getWallMs() - waitMs, noticedMs);
     const placed = {waiting, workerIds: ['worker-1'], waitingCount: 0};
-    control.recordPass(getWaiting(wallMs), [placed], wallMs);
+    control.recordPass(getWaiting(wallMs), isPlacing ? [placed] : []);
     control.update(wallMs);
   }
   return {clock, control};
@@ -43,7 +50,7 @@
 
 function createMany(count: number, isLongRunning = false) {
   return (wallMs: number) =>
-    Array.from({length: count}, () => createWaiting(wallMs, isLongRunning));
+    Array.from({length: count}, () => createWaiting(wallMs, 0, isLongRunning));
 }
 
 describe(AdmissionControl.name, () => {
@@ -64,6 +71,18 @@
     expect(control.getRefusals().size).to.equal(0);
   });
 
+  it('accepts jobs that are placed at once although the wall clocks of the nodes differ', async () => {
+    const {control} = await runPasses(0, createMany(30), {
+      clockErrorMs: 10_000,
+    });
+    expect(control.getRefusals().size).to.equal(0);
+  });
+
+  it('accepts jobs while none are placed, as it is not known why others wait', async () => {
+    const {control} = await runPasses(0, createMany(30), {isPlacing: false});
+    expect(control.getRefusals().size).to.equal(0);
+  });
+
   it('counts neither expired nor long-running work', async () => {
     const expired = (wallMs: number) => createMany(30)(wallMs - 60_000);
     for (const getWaiting of [expired, createMany(30, true)]) {
@@ -75,7 +94,7 @@
   it('accepts jobs again once nothing waits', async () => {
     const {clock, control} = await runPasses(SLACK_MS, createMany(30));
     expect(control.getRefusals().size).to.equal(1);
-    control.recordPass([], [], clock.getWallMs());
+    control.recordPass([], []);
     expect(control.update(clock.getWallMs()).size).to.equal(0);
   });
 });
--- a/packages/experiments/test/admission.test.ts
+++ b/packages/experiments/test/admission.test.ts
@@ -87,13 +87,17 @@
 });
 
 describe('a queue whose jobs start at once', () => {
-  it('accepts all jobs beside one that no worker has room for', async () => {
-    const harness = JobHarness.create({workers: WORKERS});
-    await harness.advance(START_MS);
-    const needs = {cpuMillis: 9_000, memoryMb: 1_000, accelerators: 0};
-    await harness.submit([createSampleStep(4, {needs})]);
-    const attempts = await submitFor(harness, 20_000, 400);
-    const refused = attempts.filter(({retryAfterMs}) => retryAfterMs > 0);
-    expect(refused).to.deep.equal([]);
-  });
+  for (const [intervalMs, estimatedMs] of [
+    [400, 800],
+    [3_000, 10_000],
+  ])
+    it(`accepts all jobs, one each ${intervalMs} ms, beside one that no worker has room for`, async () => {
+      const harness = JobHarness.create({workers: WORKERS});
+      await harness.advance(START_MS);
+      const needs = {cpuMillis: 9_000, memoryMb: 1_000, accelerators: 0};
+      await harness.submit([createSampleStep(4, {needs, estimatedMs})]);
+      const attempts = await submitFor(harness, 60_000, intervalMs);
+      const refused = attempts.filter(({retryAfterMs}) => retryAfterMs > 0);
+      expect(refused).to.deep.equal([]);
+    });
 });
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -188,6 +188,12 @@
   /** Why the job failed, for its caller; undefined unless it did. */
   failureReason: string | undefined;
 
+  /**
+   * Monotonic time at which this process learned of the job. Unlike the time of
+   * acceptance, it does not depend on the wall clock of another node.
+   */
+  noticedMs = 0;
+
   private constructor(readonly accepted: AcceptedJob) {}
 
   /**
