--- a/packages/scheduling/src/interference_controller.ts
+++ b/packages/scheduling/src/interference_controller.ts
@@ -107,6 +107,14 @@
     return this.restoreCpuShare(state, measurement);
   }
 
+  /**
+   * Forgets the actions on a worker.
+   * @param workerId - Id of the worker.
+   */
+  removeWorker(workerId: string): void {
+    this.workers.delete(workerId);
+  }
+
   private throttleOrEvict(
     state: WorkerState,
     measurement: WorkerMeasurement,
--- a/packages/scheduling/src/interference_monitor.ts
+++ b/packages/scheduling/src/interference_monitor.ts
@@ -75,6 +75,20 @@
     }
   }
 
+  /**
+   * Forgets a worker. What was learned from it is kept.
+   * @param workerId - Id of the worker.
+   */
+  removeWorker(workerId: string): void {
+    this.histories.delete(workerId);
+    this.controller?.removeWorker(workerId);
+  }
+
+  /** Gets the number of workers whose neighbors are remembered. */
+  getWorkerCount(): number {
+    return this.histories.size;
+  }
+
   /**
    * Learns from a trial that leaves a service as it was: a worker reports only
    * changes, so that there is no new measurement.
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -334,6 +334,7 @@
     this.crashes.recordLeaseLoss(workerId);
     this.views.delete(workerId);
     this.outlierTracker.removeMember(workerId);
+    this.interferenceMonitor.removeWorker(workerId);
     this.backlogByWorker.delete(workerId);
   }
 
@@ -1006,6 +1007,7 @@
       const rank = this.fleet.getRank(record.taskId);
       if (rank > 0 && !this.isTakeoverDue(record, rank)) continue;
       if ((this.retryAtMs.get(record.taskId) ?? 0) > nowMs) continue;
+      this.retryAtMs.delete(record.taskId);
       if (this.jobReconciler.isCancelledOrUndeclared(record)) {
         void this.commitCancelled(task);
         continue;
