Admit start commands that a late process has shown to handle, one for each usable worker at most

Tests: start_window_causes.test.ts. The others ask for the same numbers; the one for crashed workers has two prompt responses in five, formerly one in three. start_window, late_timers and coordinator_overload pass.

--- a/packages/coordination/src/start_window.ts
+++ b/packages/coordination/src/start_window.ts
@@ -8,8 +8,9 @@
  *
  * Timers are late whatever keeps the process busy. Holding starts back does not help
  * if they are not the cause: the work that waits grows, and with it its cost, so that
- * the process falls behind further. One command for each worker that can take it is
- * therefore admitted, unless the commands themselves are answered late.
+ * the process falls behind further. The commands themselves tell: each prompt response
+ * admits one more command however late timers are, up to one for each worker that can
+ * take it, and late responses take them back.
  */
 
 import {Clock, Timer} from '@mustardlug/base/clock';
@@ -31,16 +32,13 @@
 
 const DECREASE_FACTOR = 0.7;
 
+const INCREASE_FACTOR = 1.1;
+
 /** Response time of a command that counts as late: the time limit of a command without congestion. */
 const LATE_RESPONSE_MS = 300;
 
-/** Weight of one response in the fraction of late ones. */
-const RESPONSE_WEIGHT = 1 / 16;
-
-/** Fraction of late responses above which start commands count as a cause of late timers. */
-const MAX_LATE_FRACTION = 0.5;
-
-const INCREASE_FACTOR = 1.1;
+/** Factor by which a late response lowers the number of commands that are always admitted. */
+const LATE_DECREASE_FACTOR = 0.9;
 
 /** Tracks start commands in progress, and limits them by the delay of this process's timers. */
 export class StartWindow {
@@ -48,8 +46,8 @@
   private limit = INITIAL_LIMIT;
   private delayMs = 0;
   private usableWorkerCount = 0;
-  /** Fraction of responses that were late, the recent ones weighted most. */
-  private lateFraction = 0;
+  /** Number of commands that the process has shown to handle, up to one for each usable worker. */
+  private provenLimit = MIN_LIMIT;
   private isStopped = false;
   private timer: Timer | undefined;
 
@@ -111,8 +109,12 @@
   removeCommand(responseMs?: number): void {
     this.commandCount--;
     if (responseMs === undefined) return;
-    const isLate = responseMs > LATE_RESPONSE_MS ? 1 : 0;
-    this.lateFraction += RESPONSE_WEIGHT * (isLate - this.lateFraction);
+    if (responseMs > LATE_RESPONSE_MS)
+      this.provenLimit = Math.max(
+        MIN_LIMIT,
+        this.provenLimit * LATE_DECREASE_FACTOR,
+      );
+    else if (this.provenLimit < this.usableWorkerCount) this.provenLimit++;
   }
 
   /**
@@ -125,8 +127,10 @@
 
   /** Gets the number of commands that are admitted however late timers are. */
   private getMinLimit(): number {
-    if (this.lateFraction > MAX_LATE_FRACTION) return MIN_LIMIT;
-    return Math.max(MIN_LIMIT, this.usableWorkerCount);
+    return Math.max(
+      MIN_LIMIT,
+      Math.min(this.provenLimit, this.usableWorkerCount),
+    );
   }
 
   private recordDelay(delayMs: number): void {
--- a/packages/coordination/test/start_window_causes.test.ts
+++ b/packages/coordination/test/start_window_causes.test.ts
@@ -60,12 +60,16 @@
     window.stop();
   });
 
-  it('leaves a start command for each usable worker if none is sent', async () => {
+  it('admits more with each prompt response after none was sent', async () => {
     const {window, block} = createWindow();
     await block([]);
+    for (let round = 0; round < 3; round++) {
+      const count = window.getFreeCount();
+      sendCommands(window, new Array<number>(count).fill(PROMPT_MS));
+    }
     expect(window.getFreeCount()).to.equal(WORKERS);
-    window.setUsableWorkerCount(2 * WORKERS);
-    expect(window.getFreeCount()).to.equal(2 * WORKERS);
+    window.setUsableWorkerCount(WORKERS / 2);
+    expect(window.getFreeCount()).to.equal(WORKERS / 2);
     window.stop();
   });
 
@@ -82,7 +86,7 @@
 
   it('does not count commands to workers that have crashed', async () => {
     const {window, block} = createWindow();
-    await block([undefined, undefined, PROMPT_MS]);
+    await block([undefined, undefined, undefined, PROMPT_MS, PROMPT_MS]);
     expect(window.getFreeCount()).to.equal(WORKERS);
     window.stop();
   });
