--- a/packages/protocol/src/message_codec.ts
+++ b/packages/protocol/src/message_codec.ts
@@ -2,7 +2,11 @@
 
 import {Packr} from 'msgpackr';
 import {err, ok, Result} from 'neverthrow';
-import {createRefusedError, RefusedError} from '@mustardlug/base/errors';
+import {
+  createRefusedError,
+  RefusedError,
+  truncateMessage,
+} from '@mustardlug/base/errors';
 import {PeerMessage, messageSchema} from './messages.js';
 
 /** Field order of the predefined records. A change requires a new `PROTOCOL_VERSION`. */
@@ -59,6 +63,9 @@
   ['type', 'workerIds'],
 ];
 
+/** Maximum length of the cause in an error message; it may quote a field of the message. */
+const MAX_CAUSE_LENGTH = 500;
+
 /** Encodes and decodes the messages of one link. */
 export class MessageCodec {
   private constructor(private readonly packr: Packr) {}
@@ -101,7 +108,8 @@
 }
 
 function createMalformedMessageError(cause: string): RefusedError {
+  const text = truncateMessage(cause, MAX_CAUSE_LENGTH);
   return createRefusedError(
-    `malformed peer message (${cause}); run the same version on all entry VMs`,
+    `malformed peer message (${text}); run the same version on all entry VMs`,
   );
 }
--- a/packages/protocol/test/message_codec.test.ts
+++ b/packages/protocol/test/message_codec.test.ts
@@ -66,6 +66,21 @@
       );
     });
 
+    it('rejects nested values and lengths beyond the message in a short message', () => {
+      const frames: Record<string, Buffer> = {
+        'nested lists': Buffer.alloc(100_000, 0x91),
+        'nested maps': Buffer.alloc(100_000, 0x81),
+        'a list of 30 million': Buffer.from([0xdd, 0x01, 0xc9, 0xc3, 0x80]),
+        'a map of 4 billion': Buffer.from([0xdf, 0xff, 0xff, 0xff, 0xff]),
+        'a text of 4 GB': Buffer.from([0xdb, 0xff, 0xff, 0xff, 0xff]),
+      };
+      const codec = MessageCodec.create();
+      for (const [name, frame] of Object.entries(frames)) {
+        const {message} = codec.decode(frame)._unsafeUnwrapErr();
+        expect(message.length, name).to.be.below(1_000);
+      }
+    });
+
     it('does not throw on corrupted messages', () => {
       fc.assert(
         fc.property(
