Handle each row of a batch on its own

An unexpected error while one job or registration is applied lost the others of the same batch, which the feed does not send again. Each row is guarded now. Found by reading; covered by the existing guards' tests only.

--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -13,6 +13,7 @@
 import {EndedRun, RunningRun} from '@mustardlug/platform/job_worker_client';
 import {StoredRow} from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
+import {runGuarded} from '@mustardlug/telemetry/guarded_call';
 import {QueueLoad} from './coordinator_status.js';
 import {SuspectedRun} from './crash_attributor.js';
 import {InvalidRowReporter} from './invalid_row_reporter.js';
@@ -173,23 +174,28 @@
    * @returns Jobs whose progress was restored, so that their runs have to be adopted.
    */
   applyRows(rows: readonly StoredRow[]): JobState[] {
-    const nowMs = this.options.clock.getMonotonicMs();
     const restoredJobs: JobState[] = [];
     for (const row of rows) {
-      const change = this.jobIndex.applyRow(row, nowMs);
-      if (change === undefined || change === 'unreadable') continue;
-      const {job} = change;
-      if (change.kind === 'restored') {
-        this.recordRelease(job);
-        restoredJobs.push(job);
-      }
-      if (this.jobIndex.isCancelled(job.getId())) this.cancelJob(job);
-      else if (change.kind === 'accepted') this.recordJobAccepted(job);
-      else if (change.kind === 'held') this.recordHold(job);
+      // An error of one row must not lose the others, which are not sent again.
+      runGuarded(this.options.events, `the row of job ${row.key}`, () => {
+        restoredJobs.push(...this.applyRow(row));
+      });
     }
     return restoredJobs;
   }
 
+  private applyRow(row: StoredRow): JobState[] {
+    const nowMs = this.options.clock.getMonotonicMs();
+    const change = this.jobIndex.applyRow(row, nowMs);
+    if (change === undefined || change === 'unreadable') return [];
+    const {job, kind} = change;
+    if (kind === 'restored') this.recordRelease(job);
+    if (this.jobIndex.isCancelled(job.getId())) this.cancelJob(job);
+    else if (kind === 'accepted') this.recordJobAccepted(job);
+    else if (kind === 'held') this.recordHold(job);
+    return kind === 'restored' ? [job] : [];
+  }
+
   /**
    * Records the end of a run that is assigned to a worker.
    * @param assigned - Run that ended.
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -9,7 +9,10 @@
 } from '@mustardlug/platform/job_worker_client';
 import {RowChanges, StoredRow} from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
-import {recordInternalError} from '@mustardlug/telemetry/guarded_call';
+import {
+  recordInternalError,
+  runGuarded,
+} from '@mustardlug/telemetry/guarded_call';
 import {Result} from 'neverthrow';
 import {LeaseBounds} from './lease_bounds.js';
 import {getTaskName} from './task_names.js';
@@ -81,8 +84,11 @@
   applyRows(rows: readonly StoredRow[]): WorkerSession[] {
     const knownSessions: WorkerSession[] = [];
     for (const row of rows) {
-      const session = this.applyRow(row);
-      if (session !== undefined) knownSessions.push(session);
+      const subject = `the registration of worker ${row.key}`;
+      runGuarded(this.options.events, subject, () => {
+        const session = this.applyRow(row);
+        if (session !== undefined) knownSessions.push(session);
+      });
     }
     return knownSessions;
   }
