--- a/packages/coordination/test/job_tracker.test.ts
+++ b/packages/coordination/test/job_tracker.test.ts
@@ -118,6 +118,20 @@
 }
 
 describe(JobTracker.name, () => {
+  it('accepts the other jobs of a batch if one row fails unexpectedly', () => {
+    const {tracker} = createTracker();
+    const row = createJobRow([createTestStep()]);
+    const failing = {
+      ...row,
+      key: 'failing',
+      get value(): Buffer {
+        throw new Error('injected');
+      },
+    };
+    tracker.applyRows([failing, row]);
+    expect(getOnlyJob(tracker)?.getId()).to.equal(JOB_ID);
+  });
+
   it('keeps the run of a task that an earlier run completed, across a takeover', () => {
     const steps = [createTestStep({taskCount: 2, maxPerWorker: 1})];
     const fixture = createTracker();
--- a/packages/experiments/test/odd_rows.test.ts
+++ b/packages/experiments/test/odd_rows.test.ts
@@ -175,6 +175,72 @@
     }
   }
 
+  const statusAddress = {
+    table: 'mustardlug-board',
+    part: COORDINATOR_PART,
+    key: SINGLE_KEY,
+  };
+  const termAddress = {...statusAddress, table: 'mustardlug-term'};
+  const wrongRows: ReadonlyArray<[string, RowAddress, object]> = [
+    [
+      'a status from the future',
+      statusAddress,
+      {term: 1, holder: 'node-9', writtenStoreMs: 1e15},
+    ],
+    [
+      'a status of an earlier term',
+      statusAddress,
+      {term: 0, holder: 'node-0', writtenStoreMs: 0},
+    ],
+    [
+      'a status of a later term',
+      statusAddress,
+      {term: 99, holder: 'node-9', writtenStoreMs: 0},
+    ],
+    [
+      'a later term',
+      termAddress,
+      {term: 99, holder: 'node-9', commitNumber: 1},
+    ],
+    [
+      'a term out of range',
+      termAddress,
+      {term: 1e300, holder: 'node-9', commitNumber: 1},
+    ],
+  ];
+  for (const [name, address, value] of wrongRows) {
+    it(`with ${name} do not prevent a takeover`, async () => {
+      const harness = JobHarness.create({nodes: 4});
+      const jobId = await startJob(harness);
+      harness.store.put(address, value);
+      await harness.advance(SETTLE_MS);
+      killCoordinator(harness);
+      await harness.advance(SETTLE_MS);
+      const next = await harness.submit([createSampleStep(2)]);
+      await harness.advance(SETTLE_MS);
+      for (const each of [jobId, next.jobId])
+        expect(await harness.getPhase(each)).to.equal('completed');
+      expect(harness.checker.violations).to.deep.equal([]);
+    });
+  }
+
+  it('in another part of the table of workers are ignored', async () => {
+    const harness = JobHarness.create({workers: 1});
+    await harness.advance(START_MS);
+    const address = {table: WORKER_TABLE, part: 'other', key: 'worker-0'};
+    const record = harness.workers.get('worker-0')?.getRecord();
+    harness.store.put(address, {...record, isDraining: true});
+    await harness.advance(1_000);
+    const first = await harness.submit([createSampleStep(1)]);
+    await harness.advance(TASK_MS);
+    expect(await harness.getPhase(first.jobId)).to.equal('completed');
+    harness.store.remove(address);
+    await harness.advance(1_000);
+    const second = await harness.submit([createSampleStep(1)]);
+    await harness.advance(TASK_MS);
+    expect(await harness.getPhase(second.jobId)).to.equal('completed');
+  });
+
   it('under the ID of a worker leave its runs alone, and it is used after its next registration', async () => {
     const harness = JobHarness.create({workers: 1});
     const jobId = await startJob(harness);
