--- a/packages/standins/src/memory_row_store.ts
+++ b/packages/standins/src/memory_row_store.ts
@@ -128,12 +128,16 @@
    * @param value - Value that can be serialized as JSON.
    */
   put(address: RowAddress, value: unknown): void {
-    const bytes = Buffer.from(JSON.stringify(value));
-    this.apply({
-      conditions: [],
-      writes: [{...address, value: bytes}],
-      removals: [],
-    });
+    this.putBytes(address, Buffer.from(JSON.stringify(value)));
+  }
+
+  /**
+   * Writes a row immediately, as another client of the platform would.
+   * @param address - Row to write.
+   * @param value - Bytes, which need not be JSON.
+   */
+  putBytes(address: RowAddress, value: Buffer): void {
+    this.apply({conditions: [], writes: [{...address, value}], removals: []});
   }
 
   /**
