Do not give room that is being made for an interrupted task to smaller ones

Change: a kept worker takes only the tasks that it is kept for, in their order, each beside the waiting tasks that come first there. The needs that failed in the pass are tried again when workers may have been released.

Evidence: the new test of PlacementPass fails if the room of the earlier tasks is not counted.

--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -276,17 +276,41 @@
   private placeInterruptedTasks(waiting: WaitingStep): void {
     const {step} = waiting;
     if (!step.spec.isLongRunning || step.spec.isGang) return;
-    const tasks = step.tasks.filter(
+    const interrupted = step.tasks.filter(
       task => isInterruptedTask(task) && !isSuspected(task),
     );
+    for (const task of interrupted) this.placeOnKeptWorker(waiting, task);
+    const tasks = interrupted.filter(isWaitingTask);
     if (tasks.length === 0) return;
     const key = this.getEquivalenceClass(waiting);
     if (this.isKnownToFail(key, step)) return;
-    const workers = this.getServiceWorkers(waiting);
-    if (!this.placeEach(waiting, tasks, workers))
+    if (!this.placeEach(waiting, tasks, this.getWorkers(waiting)))
       this.recordFailure(key, waiting);
   }
 
+  /** Places an interrupted task on the worker that is kept for it, if it has room by now. */
+  private placeOnKeptWorker(waiting: WaitingStep, task: TaskState): void {
+    const worker = this.findKeptWorker(waiting, task);
+    if (worker === undefined) return;
+    const {reservations} = this.options;
+    if (!reservations.hasRoom(task, waiting.step, worker)) return;
+    const ranking = this.rank(waiting, [worker], false);
+    if (ranking.getBest() === undefined) return;
+    this.placeOnWorker(waiting, task, ranking, worker);
+    this.recordPlacedStep(waiting, [worker]);
+  }
+
+  private findKeptWorker(
+    waiting: WaitingStep,
+    task: TaskState,
+  ): PlacementWorker | undefined {
+    const workerId = this.options.reservations.getWorkerId(task);
+    if (workerId === undefined) return undefined;
+    return this.getServiceWorkers(waiting).find(
+      ({session}) => session.getId() === workerId,
+    );
+  }
+
   /** Keeps workers for the interrupted tasks that have found no room. */
   private reserveRoom(sorted: readonly WaitingStep[]): void {
     const {reservations, nowMs, preempt} = this.options;
@@ -303,8 +327,11 @@
         requests.push({waiting, task, workers});
       }
     }
+    const hadReservations = reservations.getCount() > 0;
     const preemptions = reservations.update(requests, nowMs);
     this.unreservedWorkers.clear();
+    // Needs that failed may fit on workers that are released.
+    if (hadReservations) this.unplaceableNeeds.clear();
     for (const preemption of preemptions) preempt(preemption);
   }
 
@@ -314,10 +341,9 @@
     task: TaskState,
   ): WorkerRanking<PlacementWorker> | undefined {
     if (!this.canStartTrial(waiting)) return undefined;
-    const workers =
-      waiting.step.spec.isLongRunning && isInterruptedTask(task)
-        ? this.getServiceWorkers(waiting)
-        : this.getWorkers(waiting);
+    const kept = this.findKeptWorker(waiting, task);
+    const unreserved = this.getWorkers(waiting);
+    const workers = kept === undefined ? unreserved : [kept, ...unreserved];
     const others = getUncrashedWorkers(workers, task);
     const ranking = this.rank(waiting, others, true);
     if (ranking.getBest() !== undefined) return ranking;
--- a/packages/coordination/src/room_reservations.ts
+++ b/packages/coordination/src/room_reservations.ts
@@ -7,7 +7,7 @@
 
 import {StepState, TaskState} from '@mustardlug/jobs/job_state';
 import {getRemainingMs} from './drain_planner.js';
-import {PlacementWorker} from './placement_pass.js';
+import {isWaitingTask, PlacementWorker} from './placement_pass.js';
 import {WaitingStep} from './task_order.js';
 import {AssignedRun} from './worker_load.js';
 
@@ -19,12 +19,16 @@
   readonly workers: readonly PlacementWorker[];
 }
 
-/** Room on one worker that is kept for tasks. */
-interface Claim {
+/** Sum of the needs of tasks. */
+interface TotalNeeds {
   cpuMillis: number;
   memoryMb: number;
   accelerators: number;
-  readonly tasksByStep: Map<StepState, number>;
+}
+
+/** Room on one worker that is kept for tasks. */
+interface Claim extends TotalNeeds {
+  readonly requests: RoomRequest[];
 }
 
 /** A batch run to stop for a task. */
@@ -61,6 +65,8 @@
   readonly workerId: string | undefined;
   /** Monotonic time at which the worker was selected. */
   readonly selectedMs: number;
+  /** Tasks that come first on the worker. */
+  readonly preceding: readonly RoomRequest[];
 }
 
 interface SelectedWorker {
@@ -92,6 +98,29 @@
     return this.reservedIds.has(session.getId());
   }
 
+  /**
+   * Gets the identifier of the worker that is kept for a task, if there is one.
+   * @param task - Interrupted task.
+   */
+  getWorkerId(task: TaskState): string | undefined {
+    return this.reservations.get(task)?.workerId;
+  }
+
+  /**
+   * Checks whether a task fits on its worker beside the waiting tasks that come first there.
+   * @param task - Interrupted task.
+   * @param step - Step of the task.
+   * @param worker - Worker that is kept for the task.
+   */
+  hasRoom(task: TaskState, step: StepState, {load}: PlacementWorker): boolean {
+    const total = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+    addNeeds(total, step);
+    for (const each of this.reservations.get(task)?.preceding ?? []) {
+      if (isWaitingTask(each.task)) addNeeds(total, each.waiting.step);
+    }
+    return load.hasRoom(total, false);
+  }
+
   /**
    * Replaces all reservations.
    * @param requests - All tasks without room, in the order of their placement.
@@ -111,10 +140,11 @@
       const workerId = selected?.worker.session.getId();
       const selectedMs =
         kept === undefined ? nowMs : (previous?.selectedMs ?? nowMs);
-      reservations.set(task, {sinceMs, workerId, selectedMs});
+      const preceding = planner.getClaimants(selected?.worker);
+      reservations.set(task, {sinceMs, workerId, selectedMs, preceding});
       if (selected === undefined) continue;
       const {worker, plan} = selected;
-      planner.addClaim(worker, request.waiting.step);
+      planner.addClaim(worker, request);
       for (const assigned of plan.runs) {
         if (canPreempt(assigned, request, nowMs - sinceMs))
           preemptions.push({worker, assigned, request});
@@ -171,19 +201,22 @@
     return best;
   }
 
-  /** Keeps room on a worker for a task of a step. */
-  addClaim(worker: PlacementWorker, step: StepState): void {
+  /** Gets the tasks for which room on a worker is kept. */
+  getClaimants(worker: PlacementWorker | undefined): RoomRequest[] {
+    const claim = worker && this.claims.get(worker);
+    return [...(claim?.requests ?? [])];
+  }
+
+  /** Keeps room on a worker for a task. */
+  addClaim(worker: PlacementWorker, request: RoomRequest): void {
     const claim = this.claims.get(worker) ?? {
       cpuMillis: 0,
       memoryMb: 0,
       accelerators: 0,
-      tasksByStep: new Map<StepState, number>(),
+      requests: [],
     };
-    const {needs, isFiller} = step.spec;
-    claim.cpuMillis += isFiller ? 0 : needs.cpuMillis;
-    claim.memoryMb += needs.memoryMb;
-    claim.accelerators += needs.accelerators;
-    claim.tasksByStep.set(step, (claim.tasksByStep.get(step) ?? 0) + 1);
+    addNeeds(claim, request.waiting.step);
+    claim.requests.push(request);
     this.claims.set(worker, claim);
     for (const plans of this.plans.values()) plans.delete(worker);
   }
@@ -216,8 +249,10 @@
     if (requiredLabel !== undefined && !labels.includes(requiredLabel))
       return undefined;
     const claim = this.claims.get(worker);
+    const claimants = claim?.requests ?? [];
     const stepTasks =
-      load.getStepRunCount(step) + (claim?.tasksByStep.get(step) ?? 0);
+      load.getStepRunCount(step) +
+      claimants.filter(each => each.waiting.step === step).length;
     if (maxPerWorker > 0 && stepTasks >= maxPerWorker) return undefined;
     const cpuMillis = isFiller ? 0 : needs.cpuMillis;
     let missingCpu =
@@ -293,3 +328,10 @@
 function isPreemptible({step}: AssignedRun): boolean {
   return !step.spec.isLongRunning && !step.spec.isGang;
 }
+
+function addNeeds(total: TotalNeeds, {spec}: StepState): void {
+  const {needs, isFiller} = spec;
+  total.cpuMillis += isFiller ? 0 : needs.cpuMillis;
+  total.memoryMb += needs.memoryMb;
+  total.accelerators += needs.accelerators;
+}
--- a/packages/coordination/test/placement_pass.test.ts
+++ b/packages/coordination/test/placement_pass.test.ts
@@ -36,13 +36,14 @@
   workers: readonly PlacementWorker[],
   serviceName = SAMPLE_QUEUE.serviceName,
   maxPlacements = Infinity,
+  reservations = RoomReservations.create(),
 ): AssignedRun[] {
   const placed = new Set<AssignedRun>();
   const pass = PlacementPass.create({
     interferenceModel: InterferenceModel.create(),
     workersByService: new Map([[serviceName, workers]]),
     maxPlacements,
-    reservations: RoomReservations.create(),
+    reservations,
     nowMs: 0,
     preempt: () => undefined,
     place: ({waiting, task, worker}) => {
@@ -206,4 +207,33 @@
     expect(workerIds.size).to.equal(1);
     expect(interrupted.runs).to.deep.equal([]);
   });
+
+  it('does not give room that is being made for an interrupted task to smaller ones', () => {
+    const spec = (cores: number) =>
+      createTestStep({
+        isLongRunning: true,
+        needs: {cpuMillis: 1_000 * cores, memoryMb: 1_000, accelerators: 0},
+      });
+    const job = createTestJob([spec(20), spec(6)]);
+    const [large, small] = job.occurrences
+      .get(0)!
+      .steps.map(({tasks}) => tasks[0]);
+    large.hasRun = true;
+    const worker = createWorker('worker-1');
+    const batchRuns = addTestRuns(worker.load, 8);
+    const {serviceName} = SAMPLE_QUEUE;
+    const reservations = RoomReservations.create();
+    const pass = () =>
+      runPass(job, [worker], serviceName, Infinity, reservations);
+    expect(pass()).to.deep.equal([]);
+    small.hasRun = true;
+    for (const ended of batchRuns) {
+      expect(large.runs.length).to.be.at.least(small.runs.length);
+      worker.load.removeRun(ended);
+      pass();
+      pass();
+    }
+    expect(large.runs).to.have.length(1);
+    expect(small.runs).to.have.length(1);
+  });
 });
