--- a/packages/coordination/src/task_order.ts
+++ b/packages/coordination/src/task_order.ts
@@ -34,13 +34,10 @@
 
 const DEADLINE_STATUS_RANK: Record<DeadlineStatus, number> = {
   'in-time': 0,
-  late: 2,
-  expired: 3,
+  late: 1,
+  expired: 2,
 };
 
-/** Work that is late earns little or nothing, and a long-running task earns while it runs. */
-const LONG_RUNNING_RANK = 1;
-
 /**
  * Gets the expected duration of one task of a step.
  * @param step - Step of a job.
@@ -118,9 +115,9 @@
 }
 
 /**
- * Sorts waiting steps by queue priority; then by deadline status, with long-running
- * steps after the batch steps that are in time and before all others; then steps of
- * running jobs before those of jobs that have not started; then by earliest objective.
+ * Sorts waiting steps by queue priority; then batch steps before long-running
+ * steps; then by deadline status; then steps of running jobs before those of
+ * jobs that have not started; then by earliest objective.
  * @param steps - Steps with waiting tasks.
  * @param wallMs - Wall-clock time.
  */
@@ -130,14 +127,15 @@
 ): WaitingStep[] {
   const ranked = steps.map(step => ({
     step,
-    rank: step.step.spec.isLongRunning
-      ? LONG_RUNNING_RANK
-      : DEADLINE_STATUS_RANK[getDeadlineStatus(step, wallMs)],
+    rank: DEADLINE_STATUS_RANK[getDeadlineStatus(step, wallMs)],
     isStarted: step.job.phase === 'running',
   }));
   ranked.sort((left, right) => {
     const byPriority = left.step.queue.priority - right.step.queue.priority;
     if (byPriority !== 0) return byPriority;
+    const {isLongRunning} = left.step.step.spec;
+    if (isLongRunning !== right.step.step.spec.isLongRunning)
+      return isLongRunning ? 1 : -1;
     if (left.rank !== right.rank) return left.rank - right.rank;
     if (left.isStarted !== right.isStarted) return left.isStarted ? -1 : 1;
     return left.step.objectiveMs - right.step.objectiveMs;
