Stop no batch run for room that does not come, and keep no worker for fillers

What callers saw: nothing yet; found by a reviewer. Batch runs were stopped for an interrupted task although it still had no room for as long as a gang ran beside them, and a worker was kept for a long-running filler that the ranking refuses for other reasons than room.

Cause: a plan of room may need the end of a run that is not stopped; room alone does not tell whether a filler is acceptable.

Change: runs of a plan are stopped only if all of them can be; fillers make no request.

Evidence: both tests failed before (4 runs stopped; 1 worker kept).

--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -330,7 +330,8 @@
     const requests: RoomRequest[] = [];
     for (const waiting of sorted) {
       const {spec, tasks} = waiting.step;
-      if (!spec.isLongRunning || spec.isGang) continue;
+      // Whether a worker takes a filler depends on more than its room.
+      if (!spec.isLongRunning || spec.isGang || spec.isFiller) continue;
       const interrupted = tasks.filter(isInterruptedTask);
       if (interrupted.length === 0) continue;
       const workers = this.getServiceWorkers(waiting);
--- a/packages/coordination/src/room_reservations.ts
+++ b/packages/coordination/src/room_reservations.ts
@@ -145,6 +145,9 @@
       if (selected === undefined) continue;
       const {worker, plan} = selected;
       planner.addClaim(worker, request);
+      // Stopping the others would free too little until a run has ended that is not stopped.
+      if (plan.runs.some(each => !isEnding(each) && !isPreemptible(each)))
+        continue;
       for (const assigned of plan.runs) {
         if (canPreempt(assigned, request, nowMs - sinceMs))
           preemptions.push({worker, assigned, request});
@@ -324,6 +327,10 @@
   return waitMs >= PREEMPTION_WAIT_MS && (isLower || step.spec.isCheckpointing);
 }
 
+function isEnding({run}: AssignedRun): boolean {
+  return run.isStopping;
+}
+
 /** A gang is not, as all its members would be stopped, also on other workers. */
 function isPreemptible({step}: AssignedRun): boolean {
   return !step.spec.isLongRunning && !step.spec.isGang;
--- a/packages/coordination/test/placement_pass.test.ts
+++ b/packages/coordination/test/placement_pass.test.ts
@@ -293,4 +293,17 @@
     expect(large.runs).to.have.length(1);
     expect(small.runs).to.have.length(1);
   });
+
+  it('keeps no worker for an interrupted filler, which needs more than room', () => {
+    const needs = {cpuMillis: 50_000, memoryMb: 1_000, accelerators: 0};
+    const job = createTestJob([
+      createTestStep({isLongRunning: true, isFiller: true, image: 'a', needs}),
+    ]);
+    job.occurrences.get(0)!.steps[0].tasks[0].hasRun = true;
+    const reservations = RoomReservations.create();
+    const {serviceName} = SAMPLE_QUEUE;
+    const workers = [createWorker('worker-1')];
+    runPass(job, workers, serviceName, Infinity, 0, reservations);
+    expect(reservations.getCount()).to.equal(0);
+  });
 });
--- a/packages/coordination/test/room_reservations.test.ts
+++ b/packages/coordination/test/room_reservations.test.ts
@@ -117,4 +117,18 @@
     expect(waits[1]).to.be.below(waits[0]);
     expect(waits[0]).to.be.below(LIMIT_MS);
   });
+
+  it('stops no run beside one that cannot be stopped and that the task needs to end', () => {
+    const worker = createFullWorker('1', {estimatedMs: 20_000});
+    const [first, ...others] = [...worker.load.getRuns()];
+    for (const assigned of [first, ...others.slice(0, 3)])
+      worker.load.removeRun(assigned);
+    const needs = createNeeds(4);
+    const gang = {isGang: true, estimatedMs: 60_000, needs};
+    addTestRun(worker.load, gang, 0, '1');
+    const requests = createRequests([worker], 1, {needs: createNeeds(6)});
+    const reservations = RoomReservations.create();
+    reservations.update(requests, 0);
+    expect(reservations.update(requests, LIMIT_MS)).to.deep.equal([]);
+  });
 });
