Purge the rows of refused jobs, and as many rows as are due

What callers saw: nothing yet; found by a reviewer. Rows of refused jobs stayed for ever (140 of 140 after 400 s), and ended jobs were removed at 8 a second at most (680 of 1,200 rows left after 20 jobs a second for 60 s). Each takeover reads them all.

Cause: only jobs in the index were removed, one batch each 5 s.

Change: the index keeps when a refusal was noticed; a purge goes on until nothing is due.

--- a/packages/coordination/src/job_index.ts
+++ b/packages/coordination/src/job_index.ts
@@ -31,6 +31,8 @@
   private readonly activeJobs = new Set<JobState>();
   private readonly cancelledJobIds = new Set<string>();
   private readonly heldJobs = new Set<JobState>();
+  /** Refused jobs, with the monotonic time at which their rows were noticed. */
+  private readonly refusedJobs = new Map<string, number>();
   /** Restored progress of jobs whose own row could not be read. */
   private readonly keptProgress = new Map<string, StoredRow>();
 
@@ -63,6 +65,19 @@
     this.cancelledJobIds.delete(job.getId());
   }
 
+  /** Gets the refused jobs, with the monotonic time at which their rows were noticed. */
+  getRefusedJobs(): ReadonlyMap<string, number> {
+    return this.refusedJobs;
+  }
+
+  /**
+   * Forgets a refused job.
+   * @param jobId - Identifier of a job whose row was removed.
+   */
+  removeRefusedJob(jobId: string): void {
+    this.refusedJobs.delete(jobId);
+  }
+
   /** Gets the jobs whose progress cannot be read. */
   getHeldJobs(): ReadonlySet<JobState> {
     return this.heldJobs;
@@ -152,7 +167,11 @@
       this.invalidRows.report(row, stored.error);
       return 'unreadable';
     }
-    if (stored.value.kind === 'refused') return undefined;
+    if (stored.value.kind === 'refused') {
+      if (!this.refusedJobs.has(row.key)) this.refusedJobs.set(row.key, nowMs);
+      return undefined;
+    }
+    this.refusedJobs.delete(row.key);
     const job = JobState.create({...stored.value.job, jobId: row.key});
     job.noticedMs = nowMs;
     this.jobs.set(row.key, job);
--- a/packages/coordination/src/job_retention.ts
+++ b/packages/coordination/src/job_retention.ts
@@ -1,4 +1,4 @@
-/** Removes the rows of ended jobs after the retention period. */
+/** Removes the rows of ended and refused jobs after the retention period. */
 
 import {Clock} from '@mustardlug/base/clock';
 import {JobState} from '@mustardlug/jobs/job_state';
@@ -21,8 +21,11 @@
 /** Minimum interval between two purges. */
 const PURGE_INTERVAL_MS = 5_000;
 
-/** Maximum number of jobs per purge. With two rows for each job they fit into one transaction. */
-const PURGE_BATCH_SIZE = 40;
+/**
+ * Maximum numbers of ended and of refused jobs per transaction. With two rows for
+ * each ended and one for each refused job they fit into one.
+ */
+const PURGE_BATCH_SIZE = 30;
 
 /**
  * Factor by which jobs are kept longer than promised, to allow for clock
@@ -32,7 +35,8 @@
 
 /**
  * Purges ended jobs. The rows of a job are removed before its progress row, as
- * a progress row without a job is not restored.
+ * a progress row without a job is not restored. The row of a refused job is kept
+ * for as long, so that a late submission of it finds the refusal.
  */
 export class JobRetention {
   private lastPurgeMs = -Infinity;
@@ -50,47 +54,79 @@
 
   /** Removes expired jobs if the purge interval has passed. */
   async purge(): Promise<void> {
-    const {clock, jobTracker, keepEndedMs} = this.options;
+    const {clock} = this.options;
     const nowMs = clock.getMonotonicMs();
     if (this.isPurging || nowMs - this.lastPurgeMs < PURGE_INTERVAL_MS) return;
     this.lastPurgeMs = nowMs;
     this.isPurging = true;
-    const endedBeforeMs =
-      clock.getWallMs() - keepEndedMs * RETENTION_MARGIN_FACTOR;
-    const jobs = jobTracker.getJobsEndedBefore(endedBeforeMs, PURGE_BATCH_SIZE);
-    for (const [part, partJobs] of groupByPart(jobs))
-      await this.purgePart(part, partJobs);
+    let hasMore = true;
+    while (hasMore) hasMore = await this.purgeBatch();
     this.isPurging = false;
   }
 
+  /** Removes some of the expired jobs. Returns whether there may be more that can be removed. */
+  private async purgeBatch(): Promise<boolean> {
+    const {clock, jobTracker, keepEndedMs} = this.options;
+    const keepMs = keepEndedMs * RETENTION_MARGIN_FACTOR;
+    const jobs = jobTracker.getJobsEndedBefore(
+      clock.getWallMs() - keepMs,
+      PURGE_BATCH_SIZE,
+    );
+    const refusedIds = jobTracker.getJobsRefusedBefore(
+      clock.getMonotonicMs() - keepMs,
+      PURGE_BATCH_SIZE,
+    );
+    const jobsByPart = groupByPart(jobs, job => job.getId());
+    const refusedIdsByPart = groupByPart(refusedIds, jobId => jobId);
+    const parts = new Set([...jobsByPart.keys(), ...refusedIdsByPart.keys()]);
+    for (const part of parts) {
+      const isRemoved = await this.purgePart(
+        part,
+        jobsByPart.get(part) ?? [],
+        refusedIdsByPart.get(part) ?? [],
+      );
+      // A failed removal is repeated by the next purge.
+      if (!isRemoved) return false;
+    }
+    return Math.max(jobs.length, refusedIds.length) >= PURGE_BATCH_SIZE;
+  }
+
   private async purgePart(
     part: string,
     jobs: readonly JobState[],
-  ): Promise<void> {
+    refusedIds: readonly string[],
+  ): Promise<boolean> {
     const {store, jobTracker, writer, events} = this.options;
     const removals = jobs.flatMap<RowAddress>(job => [
       {table: JOB_TABLE, part, key: job.getId()},
       {table: JOB_TABLE, part, key: job.getId() + CANCEL_SUFFIX},
     ]);
+    for (const key of refusedIds) removals.push({table: JOB_TABLE, part, key});
     const outcome = await store.commit({
       conditions: [],
       writes: [],
       removals,
     });
-    // A failed removal is repeated by the next purge.
-    if (outcome.isErr()) return;
+    if (outcome.isErr()) return false;
     for (const job of jobs) {
       jobTracker.removeJob(job);
       writer.addRemoval(job.getId());
     }
-    events.addEvent('jobs-purged', {detail: `${jobs.length} of ${part}`});
+    for (const jobId of refusedIds) jobTracker.removeRefusedJob(jobId);
+    events.addEvent('jobs-purged', {
+      detail: `${jobs.length} ended and ${refusedIds.length} refused ones of ${part}`,
+    });
+    return true;
   }
 }
 
-function groupByPart(jobs: readonly JobState[]): Map<string, JobState[]> {
-  const groups = new Map<string, JobState[]>();
+function groupByPart<T>(
+  jobs: readonly T[],
+  getId: (job: T) => string,
+): Map<string, T[]> {
+  const groups = new Map<string, T[]>();
   for (const job of jobs) {
-    const part = getJobPart(job.getId());
+    const part = getJobPart(getId(job));
     const group = groups.get(part) ?? [];
     group.push(job);
     groups.set(part, group);
--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -137,6 +137,29 @@
     return jobs;
   }
 
+  /**
+   * Gets the refused jobs whose rows were noticed before a time.
+   * @param nowMs - Monotonic time.
+   * @param limit - Maximum number of jobs.
+   */
+  getJobsRefusedBefore(nowMs: number, limit: number): string[] {
+    const jobIds: string[] = [];
+    for (const [jobId, noticedMs] of this.jobIndex.getRefusedJobs()) {
+      // They were noticed one after the other.
+      if (jobIds.length >= limit || noticedMs >= nowMs) break;
+      jobIds.push(jobId);
+    }
+    return jobIds;
+  }
+
+  /**
+   * Forgets a refused job.
+   * @param jobId - Identifier of a job whose row was removed.
+   */
+  removeRefusedJob(jobId: string): void {
+    this.jobIndex.removeRefusedJob(jobId);
+  }
+
   /**
    * Removes a job.
    * @param job - Job whose rows were removed.
@@ -272,6 +295,16 @@
     this.markChanged(job);
   }
 
+  /**
+   * Checks whether an end can be stored: not while the progress of its job cannot
+   * be read.
+   * @param ended - End that a worker lists.
+   */
+  canRecordEnd(ended: EndedRun): boolean {
+    const name = parseTaskName(ended.taskName);
+    return name === undefined || !this.jobIndex.isHeld(name.jobId);
+  }
+
   /**
    * Records that a worker was lost when it had just started a run. Gives the task
    * up if enough workers have crashed in this way.
--- a/packages/experiments/test/admission.test.ts
+++ b/packages/experiments/test/admission.test.ts
@@ -19,6 +19,9 @@
 /** Interval of jobs that makes 60 tasks a second. */
 const OVERLOAD_INTERVAL_MS = 66;
 
+/** Longer than jobs are kept, with the margin for differences between clocks. */
+const RETENTION_MS = 170_000;
+
 interface Attempt {
   readonly jobId: string;
   readonly retryAfterMs: number;
@@ -86,6 +89,18 @@
   });
 });
 
+describe('refused and ended jobs', () => {
+  it('are forgotten after their retention, however many there are', async () => {
+    const harness = JobHarness.create({workers: WORKERS});
+    await harness.advance(START_MS);
+    const attempts = await submitFor(harness, 20_000, 30);
+    const refused = attempts.filter(({retryAfterMs}) => retryAfterMs > 0);
+    expect(refused.length).to.be.greaterThan(0);
+    await harness.advance(RETENTION_MS);
+    expect(harness.store.getTableRows('mustardlug-jobs')).to.deep.equal([]);
+  });
+});
+
 describe('a queue whose jobs start at once', () => {
   for (const [intervalMs, estimatedMs] of [
     [400, 800],
