Acknowledge an end only once it is recorded

What callers saw: nothing yet; found by a reviewer. After an unexpected error while an end or a loss was handled, the task stayed assigned for the rest of the term, and after a takeover it ran again although its end had been acknowledged. An end of a job whose progress could not be read was acknowledged and kept in memory alone: after another takeover four done tasks ran again.

Cause: a session counted an end as processed, or dropped a run, before the listener had handled it; ends were acknowledged whether or not they could be stored.

Change: sequence numbers advance and runs are dropped after the listener has returned; ends of held jobs stay listed by the worker; a run of a lost worker is forgotten once it was released.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -362,6 +362,10 @@
     this.schedulePass();
   }
 
+  canRecordEnd(ended: EndedRun): boolean {
+    return this.jobTracker.canRecordEnd(ended);
+  }
+
   onRunLost(
     session: WorkerSession,
     assigned: AssignedRun,
@@ -433,7 +437,7 @@
   onReport(session: WorkerSession): void {
     if (!this.isReady) this.checkReady();
     this.workerSupervisor.applyReport(session);
-    const sequence = session.getProcessedSequence();
+    const sequence = session.getRecordableSequence();
     const processStartMs = session.getProcessStartMs();
     this.deferUntilStored(() => session.acknowledge(sequence, processStartMs));
     this.releaseLeaseBound(session);
@@ -844,11 +848,8 @@
   private tick(): void {
     if (!this.checkTerm()) return;
     const nowMs = this.options.clock.getMonotonicMs();
-    for (const assigned of this.workerPool.takeExpiredOrphans(nowMs)) {
-      const reason = 'the worker was lost before this term';
-      this.jobTracker.recordStartCrash({assigned, isAttributed: false, reason});
-      this.releaseRun(assigned);
-    }
+    for (const assigned of this.workerPool.getExpiredOrphans(nowMs))
+      this.guard('the loss of a run', () => this.releaseOrphan(assigned));
     this.schedulePass();
     if (this.isLoaded) {
       for (const session of this.workerPool.getSessions())
@@ -864,6 +865,13 @@
     });
   }
 
+  private releaseOrphan(assigned: AssignedRun): void {
+    const reason = 'the worker was lost before this term';
+    this.jobTracker.recordStartCrash({assigned, isAttributed: false, reason});
+    this.releaseRun(assigned);
+    this.workerPool.removeOrphan(assigned);
+  }
+
   private reportWaits(nowMs: number): void {
     this.silenceReporter.update(this.workerPool.getSessions());
     if (!this.waitReporter.isDue(nowMs)) return;
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -162,19 +162,25 @@
   }
 
   /**
-   * Removes and returns the runs of unregistered workers that have certainly ended.
+   * Gets the runs of unregistered workers that have certainly ended.
    * @param nowMs - Monotonic time.
    */
-  takeExpiredOrphans(nowMs: number): AssignedRun[] {
+  getExpiredOrphans(nowMs: number): AssignedRun[] {
     const ended: AssignedRun[] = [];
     for (const [assigned, endMs] of this.orphanedRuns) {
-      if (nowMs < endMs) continue;
-      this.orphanedRuns.delete(assigned);
-      ended.push(assigned);
+      if (nowMs >= endMs) ended.push(assigned);
     }
     return ended;
   }
 
+  /**
+   * Removes a run of an unregistered worker.
+   * @param assigned - Run that was released.
+   */
+  removeOrphan(assigned: AssignedRun): void {
+    this.orphanedRuns.delete(assigned);
+  }
+
   /**
    * Stops the runs of a task.
    * @param taskName - Name of the task.
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -36,6 +36,11 @@
     ended: EndedRun,
     assigned: AssignedRun | undefined,
   ): void;
+  /**
+   * Checks whether an end can be stored, so that the worker may discard it. It is
+   * listed again until then.
+   */
+  canRecordEnd(ended: EndedRun): boolean;
   /** Called when a run has certainly ended although the worker did not list its end. */
   onRunLost(
     session: WorkerSession,
@@ -225,6 +230,8 @@
   /** Number of times that leases were suspended. */
   private suspensionCount = 0;
   private processedSequence = 0;
+  /** Sequence number up to which all ended runs of the last report can be recorded. */
+  private recordableSequence = 0;
   private acknowledgedSequence = 0;
   /** Whether the last report listed ended runs, which the worker keeps until they are acknowledged. */
   private hasListedEnds = false;
@@ -377,9 +384,12 @@
     return this.lastResponseMs;
   }
 
-  /** Gets the sequence number of the last ended run that was passed to the listener. */
-  getProcessedSequence(): number {
-    return this.processedSequence;
+  /**
+   * Gets the sequence number up to which ended runs may be acknowledged once they
+   * are stored.
+   */
+  getRecordableSequence(): number {
+    return this.recordableSequence;
   }
 
   /**
@@ -647,6 +657,7 @@
     this.processStartMs = processStartMs;
     this.startBackoff.reset();
     this.processedSequence = 0;
+    this.recordableSequence = 0;
     this.acknowledgedSequence = 0;
     this.options.listener.onProcessRestarted(this, previousStartMs);
   }
@@ -724,10 +735,19 @@
   private applyEndedRuns(report: LeaseReport): void {
     for (const ended of report.ended) {
       if (ended.sequence <= this.processedSequence) continue;
-      this.processedSequence = ended.sequence;
       const assigned = this.load.findRun(ended.taskName, ended.runNumber);
-      if (assigned !== undefined) this.load.removeRun(assigned);
+      // After an unexpected error, the next report lists the end again.
       this.options.listener.onRunEnded(this, ended, assigned);
+      this.processedSequence = ended.sequence;
+      if (assigned !== undefined) this.load.removeRun(assigned);
+    }
+    this.recordableSequence = this.processedSequence;
+    for (const ended of report.ended) {
+      if (this.options.listener.canRecordEnd(ended)) continue;
+      this.recordableSequence = Math.min(
+        this.recordableSequence,
+        ended.sequence - 1,
+      );
     }
   }
 
@@ -788,8 +808,8 @@
   }
 
   private dropRun(assigned: AssignedRun, reason: string): void {
-    this.load.removeRun(assigned);
     this.options.listener.onRunLost(this, assigned, reason);
+    this.load.removeRun(assigned);
   }
 
   /** Forgets when unknown runs were stopped that may be stopped again by now. */
@@ -844,8 +864,8 @@
       await this.stopRun(assigned);
       return;
     }
-    this.load.removeRun(assigned);
     this.options.listener.onRunNotStarted(assigned);
+    this.load.removeRun(assigned);
   }
 
   private recordCommandResponse(assigned: AssignedRun): void {
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -92,6 +92,7 @@
         : ok(JSON.parse(value.toString()) as WorkerRecord),
     listener: {
       onRunEnded,
+      canRecordEnd: () => true,
       onRunLost: () => undefined,
       onReport: () => undefined,
       onWorkerLost: () => undefined,
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -75,6 +75,7 @@
     };
     const listener: SessionListener = {
       onRunEnded: () => undefined,
+      canRecordEnd: () => true,
       onRunLost: release,
       onReport: () => undefined,
       onWorkerLost: () => undefined,
--- a/packages/experiments/test/odd_rows.test.ts
+++ b/packages/experiments/test/odd_rows.test.ts
@@ -310,4 +310,24 @@
     expect(await harness.getPhase(jobId)).to.equal('cancelled');
     expect(harness.checker.violations).to.deep.equal([]);
   });
+
+  it('in place of the progress of a job let no task run again after another takeover', async () => {
+    const harness = JobHarness.create({nodes: 5});
+    const jobId = await startJob(harness);
+    await harness.advance(TASK_MS * 1.2);
+    const part = COORDINATOR_PART;
+    const address = {table: 'mustardlug-progress', part, key: jobId};
+    const row = await readRow(harness, address);
+    killCoordinator(harness);
+    harness.store.put(address, Buffer.from('{}'));
+    await harness.advance(SETTLE_MS);
+    expect(harness.checker.getStartCount()).to.equal(16);
+    killCoordinator(harness);
+    await harness.advance(SETTLE_MS);
+    harness.store.put(address, row);
+    await harness.advance(SETTLE_MS);
+    expect(await harness.getPhase(jobId)).to.equal('completed');
+    expect(harness.checker.getStartCount()).to.equal(16);
+    expect(harness.checker.violations).to.deep.equal([]);
+  });
 });
