Refuse jobs while late work would wait behind them for over 10 s

Cause: late work is placed last and did not count for the refusals, so that new jobs were accepted before it for as long as they arrived.

Change: a queue also refuses jobs while all its unplaced work takes over 10 s to place, until it takes 5 s. Work that no worker could run, and less than all workers would finish in 1 s, does not count.

Evidence: admission_control.test.ts, 'with expired work' (the first fails before).

--- a/packages/coordination/src/admission_control.ts
+++ b/packages/coordination/src/admission_control.ts
@@ -7,7 +7,7 @@
  */
 
 import {Clock} from '@mustardlug/base/clock';
-import {JobState} from '@mustardlug/jobs/job_state';
+import {JobState, StepState} from '@mustardlug/jobs/job_state';
 import {PlacedStep, isWaitingTask} from './placement_pass.js';
 import {
   getCriticalPathMs,
@@ -16,6 +16,7 @@
   getObjectiveDurationMs,
   WaitingStep,
 } from './task_order.js';
+import {CandidateWorker} from './worker_ranking.js';
 
 /** Shortest and longest time over which placements are measured; the tolerable wait in between. */
 const MIN_WINDOW_MS = 2_000;
@@ -36,6 +37,18 @@
 /** Lower limit of the tolerable wait; covers the delay until a decision reaches the nodes. */
 const MIN_TOLERABLE_WAIT_MS = 1_000;
 
+/**
+ * Time in which all accepted work of a queue should be placed, also work that is
+ * late: callers may hold it for lost later, and new jobs would be placed before it.
+ */
+const MAX_BACKLOG_MS = 10_000;
+
+/**
+ * Backlog that is not limited, as the time for which all workers of the service
+ * would work on it. Less may wait for other reasons than load.
+ */
+const MIN_BACKLOG_MS = 1_000;
+
 /** Upper limit of the delay after which refused callers are told to try again. */
 const MAX_RETRY_AFTER_MS = 10_000;
 
@@ -60,7 +73,12 @@
 
 /** Unplaced work of one queue. */
 interface Backlog {
+  /** Work that has not expired, in thousandths of a millisecond of CPU time. */
   work: number;
+  /** All work that a worker could run, expired or not. */
+  totalWork: number;
+  /** CPU capacity of the usable workers, in thousandths of a core. */
+  readonly cpuMillis: number;
   /** Longest time for which a job has waited of which nothing has been placed. */
   oldestWaitMs: number;
   stepCount: number;
@@ -75,6 +93,9 @@
   private refusals: ReadonlyMap<string, QueueRefusal> = new Map();
   /** Steps with waiting tasks before the last pass. */
   private waiting: readonly WaitingStep[] = [];
+  /** Workers that were usable in the last pass, by service. */
+  private workersByService: ReadonlyMap<string, readonly CandidateWorker[]> =
+    new Map();
 
   private constructor(private readonly clock: Clock) {}
 
@@ -89,13 +110,16 @@
   /**
    * Records a placement pass.
    * @param waiting - Steps that had waiting tasks before it.
+   * @param workersByService - Usable workers, by service.
    * @param placedSteps - Steps of which tasks were placed.
    */
   recordPass(
     waiting: readonly WaitingStep[],
+    workersByService: ReadonlyMap<string, readonly CandidateWorker[]>,
     placedSteps: readonly PlacedStep[],
   ): void {
     this.waiting = waiting;
+    this.workersByService = workersByService;
     const placedMs = this.clock.getMonotonicMs();
     for (const placed of placedSteps) {
       const {step, job, queue} = placed.waiting;
@@ -117,7 +141,12 @@
     this.removeOldPlacements();
     const refusals = new Map<string, QueueRefusal>();
     const nowMs = this.clock.getMonotonicMs();
-    const backlogs = getBacklogs(this.waiting, nowMs, wallMs);
+    const backlogs = getBacklogs(
+      this.waiting,
+      this.workersByService,
+      nowMs,
+      wallMs,
+    );
     for (const [queueName, backlog] of backlogs) {
       const retryAfterMs = this.getRetryAfterMs(queueName, backlog);
       if (retryAfterMs === 0) continue;
@@ -138,16 +167,19 @@
     const placements = this.getPlacements(queueName, backlog);
     // Whether jobs wait because of load is not known while none are placed.
     if (placements.length === 0) return 0;
-    const measuredMs = getMeasuredWaitMs(placements, backlog);
-    if (measuredMs < tolerableMs * MIN_MEASURED_FRACTION) return 0;
     let placedWork = 0;
     for (const {work} of placements) placedWork += work;
-    const expectedMs = (backlog.work / placedWork) * getWindowMs(backlog);
+    const msPerWork = getWindowMs(backlog) / placedWork;
     const isRefusing = this.refusals.has(queueName);
-    const limitMs = isRefusing ? tolerableMs * RESUME_FRACTION : tolerableMs;
-    if (expectedMs <= limitMs) return 0;
-    const excessMs = expectedMs - tolerableMs * RESUME_FRACTION;
-    return Math.min(MAX_RETRY_AFTER_MS, excessMs);
+    const totalMs = isBacklogLimited(backlog)
+      ? getExcessMs(backlog.totalWork * msPerWork, MAX_BACKLOG_MS, isRefusing)
+      : 0;
+    const measuredMs = getMeasuredWaitMs(placements, backlog);
+    const isLoaded = measuredMs >= tolerableMs * MIN_MEASURED_FRACTION;
+    const lateMs = isLoaded
+      ? getExcessMs(backlog.work * msPerWork, tolerableMs, isRefusing)
+      : 0;
+    return Math.min(MAX_RETRY_AFTER_MS, Math.max(totalMs, lateMs));
   }
 
   private getStartsPerSecond(queueName: string, backlog: Backlog): number {
@@ -180,9 +212,29 @@
 
 /** Gets how long the waiting jobs can wait, on average, and still meet their objectives. */
 function getTolerableWaitMs({slackMs, stepCount}: Backlog): number {
+  if (stepCount === 0) return MIN_TOLERABLE_WAIT_MS;
   return Math.max(MIN_TOLERABLE_WAIT_MS, slackMs / stepCount);
 }
 
+/**
+ * Gets the time until a wait is short enough for accepting jobs again; 0 while it is.
+ * @param waitMs - Expected wait.
+ * @param limitMs - Wait from which jobs are refused.
+ * @param isRefusing - Whether jobs are being refused.
+ */
+function getExcessMs(
+  waitMs: number,
+  limitMs: number,
+  isRefusing: boolean,
+): number {
+  const resumeMs = limitMs * RESUME_FRACTION;
+  return waitMs > (isRefusing ? resumeMs : limitMs) ? waitMs - resumeMs : 0;
+}
+
+function isBacklogLimited({totalWork, cpuMillis}: Backlog): boolean {
+  return totalWork > cpuMillis * MIN_BACKLOG_MS;
+}
+
 function getWindowMs(backlog: Backlog): number {
   const windowMs = Math.max(MIN_WINDOW_MS, getTolerableWaitMs(backlog));
   return Math.min(MAX_WINDOW_MS, windowMs);
@@ -211,11 +263,12 @@
 }
 
 /**
- * Sums up the unplaced work by queue. Work that has expired is left out, as it is
- * placed after all other work of its priority.
+ * Sums up the unplaced work by queue. Expired work counts only in the total, as it
+ * is placed after all other work of its priority.
  */
 function getBacklogs(
   waiting: readonly WaitingStep[],
+  workersByService: ReadonlyMap<string, readonly CandidateWorker[]>,
   nowMs: number,
   wallMs: number,
 ): Map<string, Backlog> {
@@ -223,27 +276,54 @@
   for (const each of waiting) {
     const {step, job, queue} = each;
     if (step.spec.isLongRunning || job.isEnded()) continue;
-    if (getDeadlineStatus(each, wallMs) === 'expired') continue;
     const taskCount = step.tasks.filter(isWaitingTask).length;
     if (taskCount === 0) continue;
-    const backlog = backlogs.get(queue.name) ?? {
-      work: 0,
-      oldestWaitMs: 0,
-      stepCount: 0,
-      slackMs: 0,
-    };
-    backlog.work += taskCount * getTaskWork(each);
+    const workers = workersByService.get(queue.serviceName) ?? [];
+    const backlog = backlogs.get(queue.name) ?? createBacklog(workers);
+    backlogs.set(queue.name, backlog);
+    const work = taskCount * getTaskWork(each);
+    if (workers.some(worker => canEverRun(step, worker)))
+      backlog.totalWork += work;
+    if (getDeadlineStatus(each, wallMs) === 'expired') continue;
+    backlog.work += work;
     backlog.stepCount++;
     backlog.slackMs += getSlackMs(each);
-    if (isNewJob(job)) {
-      const waitMs = nowMs - job.noticedMs;
-      backlog.oldestWaitMs = Math.max(backlog.oldestWaitMs, waitMs);
-    }
-    backlogs.set(queue.name, backlog);
+    if (!isNewJob(job)) continue;
+    const waitMs = nowMs - job.noticedMs;
+    backlog.oldestWaitMs = Math.max(backlog.oldestWaitMs, waitMs);
   }
   return backlogs;
 }
 
+function createBacklog(workers: readonly CandidateWorker[]): Backlog {
+  let cpuMillis = 0;
+  for (const {load} of workers) cpuMillis += load.getCapacity().cpuMillis;
+  return {
+    work: 0,
+    totalWork: 0,
+    cpuMillis,
+    oldestWaitMs: 0,
+    stepCount: 0,
+    slackMs: 0,
+  };
+}
+
+/** Checks whether an empty worker could run a task of a step. */
+function canEverRun(
+  {spec}: StepState,
+  {load, labels}: CandidateWorker,
+): boolean {
+  const {needs, requiredLabel} = spec;
+  const capacity = load.getCapacity();
+  if (requiredLabel !== undefined && !labels.includes(requiredLabel))
+    return false;
+  return (
+    needs.cpuMillis <= capacity.cpuMillis &&
+    needs.memoryMb <= capacity.memoryMb &&
+    needs.accelerators <= capacity.accelerators
+  );
+}
+
 function getTaskWork({step}: WaitingStep): number {
   return Math.max(1, step.spec.needs.cpuMillis) * getExpectedTaskMs(step.spec);
 }
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -755,7 +755,11 @@
     });
     const waiting = this.jobTracker.getWaitingSteps(wallMs);
     pass.run(waiting, wallMs);
-    this.admissionControl.recordPass(waiting, pass.getPlacedSteps());
+    this.admissionControl.recordPass(
+      waiting,
+      workersByService,
+      pass.getPlacedSteps(),
+    );
     this.isStartLimited = pass.isLimitReached();
     this.lastPass = pass;
     for (const step of pass.getPlacedSteps()) {
--- a/packages/coordination/test/admission_control.test.ts
+++ b/packages/coordination/test/admission_control.test.ts
@@ -3,7 +3,7 @@
 import {expect} from 'chai';
 import {AdmissionControl} from '../src/admission_control.js';
 import {createWaitingStep, WaitingStep} from '../src/task_order.js';
-import {createTestJob, createTestStep} from './test_runs.js';
+import {createTestJob, createTestLoad, createTestStep} from './test_runs.js';
 
 const TASK_MS = 1_000;
 
@@ -28,11 +28,17 @@
   return createWaitingStep(job, 0, step, SAMPLE_QUEUE);
 }
 
+function createWorkers(cpuMillis: number) {
+  const load = createTestLoad(cpuMillis);
+  const worker = {load, rack: '', labels: [], acceptsFillers: true};
+  return new Map([[SAMPLE_QUEUE.serviceName, [worker]]]);
+}
+
 /** Runs passes for three seconds, each of which places one job that has waited, and leaves others waiting. */
 async function runPasses(
   waitMs: number,
   getWaiting: (wallMs: number) => WaitingStep[],
-  {clockErrorMs = 0, isPlacing = true} = {},
+  {clockErrorMs = 0, isPlacing = true, workers = createWorkers(1_000)} = {},
 ) {
   const clock = VirtualClock.create();
   const control = AdmissionControl.create(clock);
@@ -42,7 +48,7 @@
     const noticedMs = clock.getMonotonicMs() - waitMs;
     const waiting = createWaiting(clock.getWallMs() - waitMs, noticedMs);
     const placed = {waiting, workerIds: ['worker-1'], waitingCount: 0};
-    control.recordPass(getWaiting(wallMs), isPlacing ? [placed] : []);
+    control.recordPass(getWaiting(wallMs), workers, isPlacing ? [placed] : []);
     control.update(wallMs);
   }
   return {clock, control};
@@ -83,18 +89,49 @@
     expect(control.getRefusals().size).to.equal(0);
   });
 
-  it('counts neither expired nor long-running work', async () => {
-    const expired = (wallMs: number) => createMany(30)(wallMs - 60_000);
-    for (const getWaiting of [expired, createMany(30, true)]) {
-      const {control} = await runPasses(SLACK_MS, getWaiting);
+  it('counts no long-running work', async () => {
+    const {control} = await runPasses(SLACK_MS, createMany(30, true));
+    expect(control.getRefusals().size).to.equal(0);
+  });
+
+  describe('with expired work', () => {
+    const createExpired = (count: number) => (wallMs: number) =>
+      createMany(count)(wallMs - 60_000);
+
+    it('refuses jobs while it takes longer to place than callers wait for it', async () => {
+      // One task is placed each 100 ms.
+      const {control} = await runPasses(0, createExpired(150), {
+        workers: createWorkers(8_000),
+      });
+      expect(control.getRefusals().size).to.equal(1);
+    });
+
+    it('accepts jobs while it can be placed before', async () => {
+      const {control} = await runPasses(SLACK_MS, createExpired(50), {
+        workers: createWorkers(8_000),
+      });
       expect(control.getRefusals().size).to.equal(0);
-    }
+    });
+
+    it('accepts jobs while all workers together would need little time for it', async () => {
+      const {control} = await runPasses(0, createExpired(150), {
+        workers: createWorkers(400_000),
+      });
+      expect(control.getRefusals().size).to.equal(0);
+    });
+
+    it('does not count what no worker can run', async () => {
+      const {control} = await runPasses(0, createExpired(150), {
+        workers: createWorkers(1_000),
+      });
+      expect(control.getRefusals().size).to.equal(0);
+    });
   });
 
   it('accepts jobs again once nothing waits', async () => {
     const {clock, control} = await runPasses(SLACK_MS, createMany(30));
     expect(control.getRefusals().size).to.equal(1);
-    control.recordPass([], []);
+    control.recordPass([], new Map(), []);
     expect(control.update(clock.getWallMs()).size).to.equal(0);
   });
 });
