--- a/packages/coordination/test/start_window_causes.test.ts
+++ b/packages/coordination/test/start_window_causes.test.ts
@@ -17,9 +17,11 @@
   virtualClock: VirtualClock,
   clock: NodeClock,
   sendCommands: () => void,
+  sendBefore: () => void = () => undefined,
 ): Promise<void> {
   window.start();
   for (let stall = 0; stall < 30; stall++) {
+    sendBefore();
     clock.suspend();
     await virtualClock.advance(400);
     sendCommands();
@@ -90,4 +92,21 @@
     expect(window.getFreeCount()).to.equal(WORKERS);
     window.stop();
   });
+
+  it('leaves a start command for each usable worker if workers respond at once to a blocked process', async () => {
+    const virtualClock = VirtualClock.create();
+    const clock = NodeClock.create(virtualClock);
+    const window = StartWindow.create(clock);
+    window.setUsableWorkerCount(WORKERS);
+    const sendOne = () => {
+      const sentMs = clock.getMonotonicMs();
+      window.addCommand();
+      clock.setTimer(5, () =>
+        window.removeCommand(clock.getMonotonicMs() - sentMs),
+      );
+    };
+    await blockProcess(window, virtualClock, clock, () => undefined, sendOne);
+    expect(window.getLimit()).to.be.at.least(WORKERS);
+    window.stop();
+  });
 });
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -321,7 +321,7 @@
   'run-moved': {
     number: 839,
     level: 'info',
-    text: 'A run was stopped on a leaving or slow worker so that it continues on another one.',
+    text: 'A run was stopped on a leaving or slow worker so that it continues on another one, or a batch run was stopped to make room for an interrupted long-running task.',
   },
   'jobs-purged': {
     number: 840,
