--- a/packages/coordination/src/admission_control.ts
+++ b/packages/coordination/src/admission_control.ts
@@ -57,7 +57,7 @@
 /** Tasks of one step that were placed at the same time. */
 interface RecordedPlacement {
   readonly placedMs: number;
-  /** CPU time that the tasks are expected to use, in thousandths of a millisecond. */
+  /** CPU time that the tasks are expected to use, in microseconds. */
   readonly work: number;
   /** Time for which the job has waited, if its first task was placed. */
   readonly firstWaitMs: number | undefined;
@@ -73,7 +73,7 @@
 
 /** Unplaced work of one queue. */
 interface Backlog {
-  /** Work that has not expired, in thousandths of a millisecond of CPU time. */
+  /** Work that has not expired, in microseconds of CPU time. */
   work: number;
   /** All work that a worker could run, expired or not. */
   totalWork: number;
