--- a/packages/experiments/src/invariant_checker.ts
+++ b/packages/experiments/src/invariant_checker.ts
@@ -90,6 +90,7 @@
    * set a stricter bound.
    */
   capacityBoundMs = CAPACITY_BOUND_MS;
+  private lapsedRunCount = 0;
   private readonly tasks = new Map<string, TaskHistory>();
   private readonly jobs = new Map<string, SubmittedJob>();
   /** Current processes of the workers, by worker ID. */
@@ -158,6 +159,11 @@
     return count;
   }
 
+  /** Gets the number of runs that ended because their worker's lease expired. */
+  getLapsedRunCount(): number {
+    return this.lapsedRunCount;
+  }
+
   onWorkerStarted(record: WorkerRecord): void {
     this.workers.set(record.workerId, record);
     const {capacity} = record;
@@ -224,6 +230,7 @@
     task.runningWorkers.delete(workerId);
     this.activeRuns.get(workerId)?.delete(taskName);
     if (outcome === 'crashed') task.workerCrashes++;
+    if (outcome === 'lapsed') this.lapsedRunCount++;
     if (outcome === 'failed') task.failures++;
     if (outcome !== 'done') return;
     task.isDone = true;
--- a/packages/experiments/src/job_harness.ts
+++ b/packages/experiments/src/job_harness.ts
@@ -32,6 +32,10 @@
   JobWorkerLinkFaults,
 } from '@mustardlug/standins/model_job_worker_client';
 import {NodeClock} from '@mustardlug/standins/node_clock';
+import {
+  ProcessorCosts,
+  ProcessorModel,
+} from '@mustardlug/standins/processor_model';
 import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {RunPerformanceModel} from '@mustardlug/standins/run_performance_model';
 import {EventRecorder, EventSink} from '@mustardlug/telemetry/event_recorder';
@@ -89,6 +93,14 @@
   readonly additionalQueues?: readonly QueueConfig[];
   /** Model of the speed of colocated runs and of the response times of serving tasks. */
   readonly performanceModel?: RunPerformanceModel;
+  /** Gets the CPU capacity of a node, in cores; 1 by default. */
+  readonly getCpuCores?: (nodeId: string) => number;
+  /** Processor time that nodes need for responses; none by default. */
+  readonly processorCosts?: ProcessorCosts;
+  /** Maximum time after the start of the harness within which each node starts; 0 by default. */
+  readonly maxStartDelayMs?: number;
+  /** Maximum of the random delay that each node's calls to the store have; 0 by default. */
+  readonly maxStoreDelayMs?: number;
   /** Receives the events of all nodes. */
   readonly sink?: EventSink;
   /** Seed of the random losses and delays of calls to workers. */
@@ -154,8 +166,12 @@
     this.queue = {...SAMPLE_QUEUE, ...options.queue};
     for (let index = 0; index < (options.workers ?? 4); index++)
       this.addWorker(`worker-${index}`);
-    for (let index = 0; index < (options.nodes ?? 3); index++)
-      this.addNode(`node-${index}`);
+    const {nodes = 3, maxStartDelayMs = 0} = options;
+    for (let index = 0; index < nodes; index++) {
+      const startDelayMs =
+        maxStartDelayMs === 0 ? 0 : maxStartDelayMs * this.random.getFloat();
+      this.startNode(`node-${index}`, startDelayMs);
+    }
   }
 
   /**
@@ -174,15 +190,31 @@
     return this.clock.advance(durationMs);
   }
 
+  /**
+   * Starts a node after a delay.
+   * @param nodeId - Name of the node.
+   * @param delayMs - Delay; without one, the node starts before this call returns.
+   */
+  startNode(nodeId: string, delayMs: number): void {
+    if (delayMs === 0) this.addNode(nodeId);
+    else this.clock.setTimer(delayMs, () => this.addNode(nodeId));
+  }
+
   /**
    * Starts a node.
    * @param nodeId - Name of the node.
    */
   addNode(nodeId: string): HarnessNode {
     const clock = NodeClock.create(this.clock);
+    const cpuCores = this.options.getCpuCores?.(nodeId) ?? 1;
     const storeFaults = createDefaultRowStoreFaults();
+    const {maxStoreDelayMs} = this.options;
+    if (maxStoreDelayMs !== undefined)
+      storeFaults.delayMs = maxStoreDelayMs * this.random.getFloat();
     const linkFaults = createDefaultJobWorkerLinkFaults();
-    const store = this.store.createClient(storeFaults, clock);
+    const processor = this.createProcessor(clock, cpuCores);
+    const storeClient = this.store.createClient(storeFaults, clock);
+    const store = processor?.createStore(storeClient) ?? storeClient;
     const events = EventRecorder.create({
       nodeId,
       clock: HybridLogicalClock.create(clock),
@@ -200,13 +232,14 @@
       store,
       clock,
       nodeId,
-      cpuCores: 1,
+      cpuCores,
       events,
       createCoordinator: commitLog =>
         Coordinator.create({
           clock,
           store,
-          workerClient,
+          workerClient:
+            processor?.createWorkerClient(workerClient) ?? workerClient,
           commitLog,
           nodeId,
           workerTable: WORKER_TABLE,
@@ -247,6 +280,15 @@
     this.nodes.splice(this.nodes.indexOf(node), 1);
   }
 
+  /**
+   * Cuts the power of a node. Nothing of its process goes on.
+   * @param node - Node to stop.
+   */
+  powerOffNode(node: HarnessNode): void {
+    node.clock.kill();
+    this.killNode(node);
+  }
+
   /**
    * Suspends a node. Calls that it has sent are executed, and it gets their
    * responses when it is resumed.
@@ -464,6 +506,16 @@
     this.store.remove(getWorkerAddress(workerId));
   }
 
+  private createProcessor(
+    nodeClock: NodeClock,
+    cpuCores: number,
+  ): ProcessorModel | undefined {
+    const {processorCosts: costs} = this.options;
+    if (costs === undefined) return undefined;
+    const {clock} = this;
+    return ProcessorModel.create({clock, nodeClock, cpuCores, costs});
+  }
+
   private addWorker(workerId: string): void {
     this.startWorker({
       workerId,
--- a/packages/experiments/src/mustardlug_experiment.ts
+++ b/packages/experiments/src/mustardlug_experiment.ts
@@ -16,6 +16,7 @@
 import {PlacementResult, runPlacementScenario} from './placement_experiment.js';
 import {measureTaskMemory} from './memory_benchmark.js';
 import {NodeFailure, measureRecovery} from './recovery_experiment.js';
+import {measureTakeover, TAKEOVER_CAUSES} from './takeover_experiment.js';
 import {
   RequestPolicy,
   RequestResult,
@@ -234,6 +235,51 @@
   print(renderMarkdownTable(header, rows));
 }
 
+async function runTakeoverExperiment(options: {
+  readonly seeds: number;
+  readonly workers: number;
+}): Promise<void> {
+  const {seeds, workers} = options;
+  const rows: string[][] = [];
+  for (const cause of TAKEOVER_CAUSES) {
+    const results = [];
+    for (let seed = 1; seed <= seeds; seed++)
+      results.push(await measureTakeover({cause, seed, workers}));
+    const smallWins = results.filter(each => each.smallElections > 0);
+    const lapses = results.filter(each => each.lapsedRuns > 0);
+    const lapsedRuns = results.reduce((sum, each) => sum + each.lapsedRuns, 0);
+    const lastLarge = results.filter(each => each.lastHolder === 'large');
+    const violations = results.flatMap(each => each.violations);
+    rows.push([
+      cause,
+      String(seeds),
+      String(smallWins.length),
+      String(lastLarge.length),
+      String(lapses.length),
+      String(lapsedRuns),
+      ...renderQuantiles(results.map(each => each.readyMs)),
+      ...renderQuantiles(results.map(each => each.longestPauseMs)),
+      String(violations.length),
+    ]);
+  }
+  const header = [
+    'cause',
+    'seeds',
+    'a small VM elected',
+    'a large one at the end',
+    'leases lapsed',
+    'runs lapsed',
+    'ready p50 ms',
+    'p99',
+    'max',
+    'no starts p50 ms',
+    'p99',
+    'max',
+    'violations',
+  ];
+  print(renderMarkdownTable(header, rows));
+}
+
 function renderQuantiles(values: readonly number[]): string[] {
   const sorted = [...values].sort((left, right) => left - right);
   return [0.5, 0.99, 1].map(quantile => {
@@ -434,6 +480,14 @@
     200,
   )
   .action(runRecoveryExperiment);
+program
+  .command('takeover')
+  .description(
+    'measure takeovers of 18 large and 79 small VMs, and the leases that lapse',
+  )
+  .option('--seeds <number>', 'runs per cause', parsePositiveNumber, 20)
+  .option('--workers <number>', 'number of workers', parsePositiveNumber, 60)
+  .action(runTakeoverExperiment);
 program
   .command('decisions')
   .description('measure the latency of placement decisions, in real time')
--- /dev/null
+++ b/packages/experiments/test/takeover.test.ts
@@ -0,0 +1,88 @@
+import {decodeCoordinatorStatus} from '@mustardlug/coordination/coordinator_status';
+import {COORDINATOR_STATUS_TABLE} from '@mustardlug/coordination/tables';
+import {StoredRow} from '@mustardlug/platform/row_store';
+import {expect} from 'chai';
+import {JobHarness} from '../src/job_harness.js';
+import {
+  measureTakeover,
+  TakeoverCause,
+  TakeoverResult,
+} from '../src/takeover_experiment.js';
+
+const SEEDS = [2, 8, 10, 14];
+
+const WORKERS = 40;
+
+/**
+ * Longest time without a start of a task: as long as a lease, so that no run is
+ * interrupted for want of a coordinator.
+ */
+const LEASE_MS = 5_000;
+
+async function measureSeeds(cause: TakeoverCause): Promise<TakeoverResult[]> {
+  const results: TakeoverResult[] = [];
+  for (const seed of SEEDS)
+    results.push(await measureTakeover({cause, seed, workers: WORKERS}));
+  return results;
+}
+
+function expectTimely(results: readonly TakeoverResult[]): void {
+  expect(results.map(each => each.lapsedRuns)).to.deep.equal(
+    results.map(() => 0),
+  );
+  expect(results.flatMap(each => each.violations)).to.deep.equal([]);
+  for (const {longestPauseMs} of results)
+    expect(longestPauseMs).to.be.below(LEASE_MS);
+}
+
+describe('takeover of 18 large and 79 small VMs', () => {
+  it('keeps the leases when all nodes lose power after an outage of the store', async () => {
+    expectTimely(await measureSeeds('all-nodes-after-store-outage'));
+  });
+
+  it('elects a large VM when all nodes lose power', async () => {
+    for (const cause of [
+      'all-nodes',
+      'all-nodes-after-store-outage',
+    ] as const) {
+      const results = await measureSeeds(cause);
+      for (const {smallElections, lastHolder} of results) {
+        expect(smallElections).to.equal(0);
+        expect(lastHolder).to.equal('large');
+      }
+    }
+  });
+
+  it('keeps the leases when the coordinator is lost or restarted', async () => {
+    expectTimely(await measureSeeds('coordinator-loss'));
+    expectTimely(await measureSeeds('coordinator-restart'));
+  });
+
+  it('returns to a large VM once one runs again', async () => {
+    for (const {lastHolder, violations} of await measureSeeds('large-nodes')) {
+      expect(lastHolder).to.equal('large');
+      expect(violations).to.deep.equal([]);
+    }
+  });
+});
+
+/** Maximum age of a status when it is stored: the latency of a write, and one step of the test. */
+const MAX_FIRST_AGE_MS = 50;
+
+describe('the first status of a term', () => {
+  it('is as recent as the transaction that stores it', async () => {
+    const harness = JobHarness.create();
+    let rows = getStatusRows(harness);
+    while (rows.length === 0) {
+      await harness.advance(10);
+      rows = getStatusRows(harness);
+    }
+    const status = decodeCoordinatorStatus(rows[0].value)._unsafeUnwrap();
+    const ageMs = harness.clock.getMonotonicMs() - status.writtenStoreMs;
+    expect(ageMs).to.be.below(MAX_FIRST_AGE_MS);
+  });
+});
+
+function getStatusRows(harness: JobHarness): StoredRow[] {
+  return harness.store.getTableRows(COORDINATOR_STATUS_TABLE);
+}
