--- a/packages/coordination/src/election.ts
+++ b/packages/coordination/src/election.ts
@@ -107,6 +107,18 @@
     this.lastResponseMs = undefined;
   }
 
+  /**
+   * Describes the status that a takeover is based on, for the log.
+   * @param storeMs - Time of the store at its last response.
+   */
+  formatStatus(storeMs: number): string {
+    if (this.status === undefined) return 'no status';
+    const {term, holder, writtenStoreMs, intervalMs = 0} = this.status;
+    const ageMs = Math.round(storeMs - writtenStoreMs);
+    const timeoutMs = Math.round(this.getTimeoutMs(this.status));
+    return `term ${term}, holder "${holder}", status ${ageMs} ms old, time limit ${timeoutMs} ms, heartbeats every ${intervalMs} ms at most`;
+  }
+
   /**
    * Checks whether this node should try to take over now.
    * @param storeMs - Time of the store at its last response.
@@ -116,12 +128,15 @@
     if (this.isStatusUnreadable) return this.isStatusSettled();
     if (this.status === undefined) return true;
     if (this.status.holder === '') return true;
-    const timeoutMs =
-      getStatusTimeoutMs(this.status) + ROUND_TRIP_FACTOR * this.roundTripMs;
+    const timeoutMs = this.getTimeoutMs(this.status);
     if (storeMs - this.status.writtenStoreMs <= timeoutMs) return false;
     // After an outage of the store, the holder needs time to write its status again.
     return !this.hadStoreOutage || this.observedUnchangedMs > timeoutMs;
   }
+
+  private getTimeoutMs(status: CoordinatorStatus): number {
+    return getStatusTimeoutMs(status) + ROUND_TRIP_FACTOR * this.roundTripMs;
+  }
 }
 
 function getStatusTimeoutMs({intervalMs = 0}: CoordinatorStatus): number {
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -346,6 +346,9 @@
       snapshot.value,
       term,
     );
+    this.options.events.addEvent('takeover-attempted', {
+      detail: `${this.election.formatStatus(this.storeMs)}; this VM has ${this.options.cpuCores} cores`,
+    });
     this.coordinator = this.options.createCoordinator(commitLog);
     await this.coordinator.run();
     this.coordinator = undefined;
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -203,6 +203,11 @@
     level: 'info',
     text: 'The coordinator loaded all state, and at least 90 % of the workers acknowledged its term.',
   },
+  'takeover-attempted': {
+    number: 803,
+    level: 'info',
+    text: 'This node attempts to take the coordinator role; the detail names the holder that it counts as lost, the age of its status and the time limit.',
+  },
   'store-lost': {
     number: 810,
     level: 'warn',
