--- a/packages/coordination/src/coordinator_heartbeat.ts
+++ b/packages/coordination/src/coordinator_heartbeat.ts
@@ -55,11 +55,18 @@
   private isStopped = false;
   private version = 0;
   private lastSentMs: number;
-  /** Longest recent time between two heartbeats, in milliseconds. */
+  private lastAttemptMs: number;
+  /** Longest time between two attempts since the last successful heartbeat, in milliseconds. */
+  private attemptIntervalMs = 0;
+  /**
+   * Longest recent time between two attempts, in milliseconds. An outage of the
+   * store delays the heartbeats, but not the attempts.
+   */
   private intervalMs = HEARTBEAT_INTERVAL_MS;
 
   private constructor(private readonly options: CoordinatorHeartbeatOptions) {
     this.lastSentMs = options.clock.getMonotonicMs();
+    this.lastAttemptMs = this.lastSentMs;
   }
 
   /**
@@ -112,6 +119,7 @@
   private async send(): Promise<boolean> {
     const {store, clock, commitLog, nodeId} = this.options;
     const sentMs = clock.getMonotonicMs();
+    this.recordAttempt(sentMs);
     const value = encodeRowValue(this.createStatus(nodeId));
     const outcome = await store.commit({
       conditions: [{...STATUS_ADDRESS, version: this.version}],
@@ -149,13 +157,19 @@
     return false;
   }
 
+  private recordAttempt(sentMs: number): void {
+    const intervalMs = sentMs - this.lastAttemptMs;
+    this.lastAttemptMs = sentMs;
+    this.attemptIntervalMs = Math.max(this.attemptIntervalMs, intervalMs);
+  }
+
   private recordInterval(sentMs: number): void {
-    const intervalMs = sentMs - this.lastSentMs;
     this.lastSentMs = sentMs;
     this.intervalMs = Math.max(
       HEARTBEAT_INTERVAL_MS,
-      intervalMs,
+      this.attemptIntervalMs,
       this.intervalMs * INTERVAL_DECAY,
     );
+    this.attemptIntervalMs = 0;
   }
 }
