--- a/packages/experiments/test/takeover.test.ts
+++ b/packages/experiments/test/takeover.test.ts
@@ -40,10 +40,11 @@
     expectTimely(await measureSeeds('all-nodes-after-store-outage'));
   });
 
-  it('elects a large VM when all nodes lose power', async () => {
+  it('elects a large VM when all nodes lose power, or the coordinator is lost', async () => {
     for (const cause of [
       'all-nodes',
       'all-nodes-after-store-outage',
+      'coordinator-loss',
     ] as const) {
       const results = await measureSeeds(cause);
       for (const {smallElections, lastHolder} of results) {
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -326,24 +326,33 @@
     return this.election.getStatus()?.term;
   }
 
-  private async attemptTerm(): Promise<void> {
-    const {store, clock, nodeId} = this.options;
+  /** Reads the term row; returns `undefined` if no takeover is due any more. */
+  private async readDueTerm(): Promise<RowSnapshot | undefined> {
+    const {store, clock} = this.options;
     const sentMs = clock.getMonotonicMs();
     const snapshot = await CommitLog.readTerm(store);
-    if (snapshot.isErr() || this.isStopped) return;
+    if (snapshot.isErr() || this.isStopped) return undefined;
     this.election.recordRoundTrip(clock.getMonotonicMs() - sentMs);
     this.storeMs = snapshot.value.storeMs;
-    if (!this.election.isTakeoverDue(this.storeMs)) return;
-    const term = this.getStoredTerm(snapshot.value);
-    if (term === undefined) return;
+    if (!this.election.isTakeoverDue(this.storeMs)) return undefined;
+    return snapshot.value;
+  }
+
+  private async attemptTerm(): Promise<void> {
+    const {store, clock, nodeId} = this.options;
+    if ((await this.readDueTerm()) === undefined) return;
     await this.yieldToLargerVms();
-    if (!this.election.isTakeoverDue(this.storeMs) || this.isStopped) return;
+    // Read again, as the first status of the term is based on the time of the response.
+    const snapshot = await this.readDueTerm();
+    if (snapshot === undefined) return;
+    const term = this.getStoredTerm(snapshot);
+    if (term === undefined) return;
     // Another node has taken a term whose status has not been received yet.
     const statusTerm = this.election.getStatus()?.term ?? 0;
     if (term !== statusTerm && !this.election.isStatusSettled()) return;
     const commitLog = CommitLog.create(
       {store, clock, holder: nodeId},
-      snapshot.value,
+      snapshot,
       term,
     );
     this.options.events.addEvent('takeover-attempted', {
