--- a/packages/coordination/src/election.ts
+++ b/packages/coordination/src/election.ts
@@ -119,6 +119,18 @@
     return `term ${term}, holder "${holder}", status ${ageMs} ms old, time limit ${timeoutMs} ms, heartbeats every ${intervalMs} ms at most`;
   }
 
+  /**
+   * Gets the time until a takeover will be due if the holder does not write its
+   * status again; undefined if it is not known.
+   * @param storeMs - Time of the store at its last response.
+   */
+  getTimeUntilDueMs(storeMs: number): number | undefined {
+    if (this.status === undefined || this.status.holder === '')
+      return undefined;
+    const ageMs = storeMs - this.status.writtenStoreMs;
+    return Math.max(0, this.getTimeoutMs(this.status) - ageMs);
+  }
+
   /**
    * Checks whether this node should try to take over now.
    * @param storeMs - Time of the store at its last response.
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -1,6 +1,6 @@
 /** Leader election: runs the coordinator on this node while it holds the coordinator role. */
 
-import {Clock} from '@mustardlug/base/clock';
+import {Clock, Timer} from '@mustardlug/base/clock';
 import {createInvalidInputError, FieldProblem} from '@mustardlug/base/errors';
 import {
   CoordinatorStatus,
@@ -54,8 +54,14 @@
 /** Delay before the first term of a deployment, so that all nodes can register. */
 const FIRST_TERM_DELAY_MS = 1_000;
 
-/** Election delay of VMs that are much smaller than the largest one. */
-const SMALL_VM_DELAY_MS = 500;
+/**
+ * Election delay of VMs that are much smaller than the largest one. Covers what a
+ * large VM needs to read the status, the term and the nodes when a takeover is due.
+ */
+const SMALL_VM_DELAY_MS = 1_000;
+
+/** Delay after the time at which a takeover is due, so that it is due by the store's clock as well. */
+const DUE_MARGIN_MS = 10;
 
 /** Fraction of the largest VM's CPU capacity from which a VM is not delayed. */
 const LARGE_VM_FRACTION = 0.8;
@@ -106,6 +112,7 @@
   private storeMs = 0;
   private nodeCount = 1;
   private lastNodeCountMs = -Infinity;
+  private dueTimer: Timer | undefined;
   private isCandidate = false;
   private isStopped = false;
 
@@ -156,6 +163,7 @@
   /** Stops following, and hands the role over if this node holds it. */
   async stop(): Promise<void> {
     this.isStopped = true;
+    this.dueTimer?.cancel();
     this.follower.stop();
     await this.coordinator?.stop();
   }
@@ -196,7 +204,20 @@
   private applySnapshot(rows: readonly StoredRow[], storeMs: number): void {
     if (rows.length === 0) this.election.recordStatus(undefined);
     this.applyRows(rows, storeMs);
-    void this.maybeTakeOver();
+    void this.maybeTakeOver(storeMs);
+  }
+
+  /**
+   * Looks at the status when a takeover will be due, as the pauses between the
+   * reads of nodes that started together end together.
+   */
+  private scheduleDueCheck(storeMs: number): void {
+    const delayMs = this.election.getTimeUntilDueMs(storeMs);
+    this.dueTimer?.cancel();
+    if (delayMs === undefined) return;
+    this.dueTimer = this.options.clock.setTimer(delayMs + DUE_MARGIN_MS, () => {
+      void this.maybeTakeOver(storeMs + delayMs + DUE_MARGIN_MS);
+    });
   }
 
   private applyRows(rows: readonly StoredRow[], storeMs: number): void {
@@ -213,6 +234,7 @@
         this.options.clock.getMonotonicMs() - this.follower.getMaxAgeMs();
       const ageMs = Math.max(0, storeMs - status.writtenStoreMs);
       this.received = {status, writtenMs: sentMs - ageMs};
+      this.scheduleDueCheck(storeMs);
     }
   }
 
@@ -265,12 +287,12 @@
   private handleStoreResponse(): void {
     void this.refreshNodeCount();
     this.election.recordStoreResponse(this.options.clock.getMonotonicMs());
-    void this.maybeTakeOver();
+    void this.maybeTakeOver(this.storeMs);
   }
 
-  private async maybeTakeOver(): Promise<void> {
+  private async maybeTakeOver(storeMs: number): Promise<void> {
     if (this.isCandidate || this.isStopped) return;
-    if (!this.election.isTakeoverDue(this.storeMs)) return;
+    if (!this.election.isTakeoverDue(storeMs)) return;
     this.isCandidate = true;
     try {
       await this.attemptTerm();
@@ -326,18 +348,41 @@
     return this.election.getStatus()?.term;
   }
 
-  /** Reads the term row; returns `undefined` if no takeover is due any more. */
+  /**
+   * Reads the status, then the term row; returns `undefined` if no takeover is due
+   * any more.
+   */
   private async readDueTerm(): Promise<RowSnapshot | undefined> {
     const {store, clock} = this.options;
     const sentMs = clock.getMonotonicMs();
+    const status = await store.getRows({
+      table: COORDINATOR_STATUS_TABLE,
+      part: COORDINATOR_PART,
+      fromKey: SINGLE_ROW_KEY,
+      limit: 1,
+    });
+    if (status.isErr() || this.isStopped) return undefined;
+    this.election.recordRoundTrip(clock.getMonotonicMs() - sentMs);
+    this.recordStatusRow(status.value);
     const snapshot = await CommitLog.readTerm(store);
     if (snapshot.isErr() || this.isStopped) return undefined;
-    this.election.recordRoundTrip(clock.getMonotonicMs() - sentMs);
     this.storeMs = snapshot.value.storeMs;
     if (!this.election.isTakeoverDue(this.storeMs)) return undefined;
     return snapshot.value;
   }
 
+  /** Records a status that the feed has not delivered yet. */
+  private recordStatusRow({rows, storeMs}: RowSnapshot): void {
+    for (const row of rows) {
+      const status = this.decodeStatus(row, storeMs);
+      if (status === undefined) continue;
+      const known = this.election.getStatus();
+      if (known !== undefined && status.writtenStoreMs <= known.writtenStoreMs)
+        continue;
+      this.election.recordStatus(status);
+    }
+  }
+
   private async attemptTerm(): Promise<void> {
     const {store, clock, nodeId} = this.options;
     if ((await this.readDueTerm()) === undefined) return;
