--- a/packages/coordination/src/election.ts
+++ b/packages/coordination/src/election.ts
@@ -29,6 +29,8 @@
   private hasReadStatus = false;
   private isStatusUnreadable = false;
   private hadStoreOutage = false;
+  /** Time of the store at its first response after the outage. */
+  private regainedStoreMs: number | undefined;
   private lastResponseMs: number | undefined;
   /** Time for which the status was observed unchanged while the store responded. */
   private observedUnchangedMs = 0;
@@ -66,6 +68,9 @@
     this.isStatusUnreadable = false;
     this.hasReadStatus = true;
     this.observedUnchangedMs = 0;
+    const {regainedStoreMs = Infinity} = this;
+    if (status !== undefined && status.writtenStoreMs > regainedStoreMs)
+      this.hadStoreOutage = false;
   }
 
   /**
@@ -89,8 +94,10 @@
   /**
    * Records a response of the store.
    * @param nowMs - Monotonic time of the response.
+   * @param storeMs - Time of the store in the response.
    */
-  recordStoreResponse(nowMs: number): void {
+  recordStoreResponse(nowMs: number, storeMs: number): void {
+    this.regainedStoreMs ??= storeMs;
     if (this.lastResponseMs !== undefined) {
       this.observedUnchangedMs += Math.min(
         nowMs - this.lastResponseMs,
@@ -103,6 +110,7 @@
   /** Records that the store did not respond. The holder may be unable to reach it as well. */
   recordStoreOutage(): void {
     this.hadStoreOutage = true;
+    this.regainedStoreMs = undefined;
     this.observedUnchangedMs = 0;
     this.lastResponseMs = undefined;
   }
@@ -142,7 +150,7 @@
     if (this.status.holder === '') return true;
     const timeoutMs = this.getTimeoutMs(this.status);
     if (storeMs - this.status.writtenStoreMs <= timeoutMs) return false;
-    // After an outage of the store, the holder needs time to write its status again.
+    // After an outage of the store, the holder needs time to write its status again for the first time.
     return !this.hadStoreOutage || this.observedUnchangedMs > timeoutMs;
   }
 
--- a/packages/coordination/test/election.test.ts
+++ b/packages/coordination/test/election.test.ts
@@ -52,10 +52,30 @@
     const election = Election.create();
     election.recordStatus(createStatus(1_000));
     election.recordStoreOutage();
-    election.recordStoreResponse(6_000);
+    election.recordStoreResponse(6_000, 6_000);
     expect(election.isTakeoverDue(6_000)).to.equal(false);
     for (let nowMs = 6_400; nowMs <= 7_600; nowMs += 400)
-      election.recordStoreResponse(nowMs);
+      election.recordStoreResponse(nowMs, nowMs);
     expect(election.isTakeoverDue(7_600)).to.equal(true);
   });
+
+  it('replaces a holder that is lost after an outage of the store as soon as any other', () => {
+    const election = Election.create();
+    election.recordStatus(createStatus(1_000));
+    election.recordStoreOutage();
+    election.recordStoreResponse(6_000, 6_000);
+    election.recordStatus(createStatus(6_200));
+    // Nodes of a large deployment look at the status less than once a second.
+    election.recordStoreResponse(7_500, 7_500);
+    expect(election.isTakeoverDue(7_500)).to.equal(true);
+  });
+
+  it('gives the holder time after an outage even if a status from before it arrives late', () => {
+    const election = Election.create();
+    election.recordStatus(createStatus(1_000));
+    election.recordStoreOutage();
+    election.recordStatus(createStatus(3_000));
+    election.recordStoreResponse(6_000, 6_000);
+    expect(election.isTakeoverDue(6_000)).to.equal(false);
+  });
 });
--- a/packages/experiments/src/takeover_experiment.ts
+++ b/packages/experiments/src/takeover_experiment.ts
@@ -15,6 +15,8 @@
   | 'coordinator-restart'
   /** The VM of the coordinator is lost for good. */
   | 'coordinator-loss'
+  /** The same, some time after an outage of the store. */
+  | 'coordinator-loss-after-store-outage'
   /** All large VMs lose power for longer than a takeover takes. */
   | 'large-nodes';
 
@@ -23,6 +25,7 @@
   'all-nodes-after-store-outage',
   'coordinator-restart',
   'coordinator-loss',
+  'coordinator-loss-after-store-outage',
   'large-nodes',
 ];
 
@@ -169,9 +172,11 @@
   private async fail(): Promise<void> {
     const {harness} = this;
     const {cause} = this.options;
+    if (cause.endsWith('-after-store-outage')) await this.interruptStore();
     const coordinator = this.findCoordinator();
     switch (cause) {
       case 'coordinator-loss':
+      case 'coordinator-loss-after-store-outage':
         if (coordinator !== undefined) harness.powerOffNode(coordinator);
         return;
       case 'coordinator-restart':
@@ -184,15 +189,22 @@
             this.restart(node, LONG_POWER_LOSS_MS, LARGE_START_SPREAD_MS);
         }
         return;
-      case 'all-nodes-after-store-outage':
-        harness.store.faults.isRefusing = true;
-        await harness.advance(OUTAGE_MS);
-        harness.store.faults.isRefusing = false;
-        await harness.advance(OUTAGE_END_MS);
-        break;
       case 'all-nodes':
-        break;
+      case 'all-nodes-after-store-outage':
+        this.restartAll();
     }
+  }
+
+  private async interruptStore(): Promise<void> {
+    const {clock, store} = this.harness;
+    store.faults.isRefusing = true;
+    await clock.advance(OUTAGE_MS);
+    store.faults.isRefusing = false;
+    await clock.advance(OUTAGE_END_MS);
+  }
+
+  private restartAll(): void {
+    const {harness} = this;
     const lossMs = MAX_POWER_LOSS_MS * this.random.getFloat();
     const smallStartMs =
       lossMs +
--- a/packages/experiments/test/takeover.test.ts
+++ b/packages/experiments/test/takeover.test.ts
@@ -56,6 +56,7 @@
 
   it('keeps the leases when the coordinator is lost or restarted', async () => {
     expectTimely(await measureSeeds('coordinator-loss'));
+    expectTimely(await measureSeeds('coordinator-loss-after-store-outage'));
     expectTimely(await measureSeeds('coordinator-restart'));
   });
 
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -286,7 +286,8 @@
 
   private handleStoreResponse(): void {
     void this.refreshNodeCount();
-    this.election.recordStoreResponse(this.options.clock.getMonotonicMs());
+    const nowMs = this.options.clock.getMonotonicMs();
+    this.election.recordStoreResponse(nowMs, this.storeMs);
     void this.maybeTakeOver(this.storeMs);
   }
 
