--- a/packages/experiments/test/takeover.test.ts
+++ b/packages/experiments/test/takeover.test.ts
@@ -84,6 +84,45 @@
   });
 });
 
+/** Time until the process of a killed coordinator runs again. */
+const RESTART_MS = 300;
+
+/** Time for which the first coordinator is observed, several heartbeats. */
+const FIRST_TERM_MS = 4_000;
+
+/** Age at which a status that nobody has released is out of date. */
+const STATUS_TIMEOUT_MS = 1_200;
+
+describe('a coordinator whose process was killed', () => {
+  it('is replaced by another node as soon as its process runs again', async () => {
+    const elections: string[] = [];
+    const harness = JobHarness.create({
+      sink: ({name, nodeId}) => {
+        if (name === 'coordinator-elected') elections.push(nodeId);
+      },
+    });
+    await harness.advance(FIRST_TERM_MS);
+    const killed = harness.getCoordinator();
+    if (killed === undefined) throw new Error('expected a coordinator');
+    harness.powerOffNode(killed);
+    harness.startNode(killed.nodeId, RESTART_MS);
+    // The status is up to one heartbeat old.
+    await harness.advance(STATUS_TIMEOUT_MS - RESTART_MS);
+    expect(elections).to.have.length(2);
+    expect(elections[1]).not.to.equal(killed.nodeId);
+  });
+
+  it('takes the role again if there is no other node', async () => {
+    const harness = JobHarness.create({nodes: 1});
+    await harness.advance(FIRST_TERM_MS);
+    const [killed] = harness.nodes;
+    harness.powerOffNode(killed);
+    harness.startNode(killed.nodeId, RESTART_MS);
+    await harness.advance(FIRST_TERM_MS);
+    expect(harness.getCoordinator()?.nodeId).to.equal(killed.nodeId);
+  });
+});
+
 function getStatusRows(harness: JobHarness): StoredRow[] {
   return harness.store.getTableRows(COORDINATOR_STATUS_TABLE);
 }
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -55,10 +55,10 @@
 const FIRST_TERM_DELAY_MS = 1_000;
 
 /**
- * Election delay of VMs that are much smaller than the largest one. Covers what a
- * large VM needs to read the status, the term and the nodes when a takeover is due.
+ * Election delay of VMs that leave the role to others. Covers what a large VM needs
+ * to read the status, the term and the nodes when a takeover is due.
  */
-const SMALL_VM_DELAY_MS = 1_000;
+const ELECTION_YIELD_MS = 1_000;
 
 /** Delay after the time at which a takeover is due, so that it is due by the store's clock as well. */
 const DUE_MARGIN_MS = 10;
@@ -114,6 +114,8 @@
   private capacities: ReadonlyMap<string, number> = new Map();
   private lastNodeReadMs = -Infinity;
   private dueTimer: Timer | undefined;
+  /** Whether the coordinator was an earlier process of this node, which has ended. */
+  private wasHolder = false;
   private isCandidate = false;
   private isStopped = false;
 
@@ -205,9 +207,39 @@
   private applySnapshot(rows: readonly StoredRow[], storeMs: number): void {
     if (rows.length === 0) this.election.recordStatus(undefined);
     this.applyRows(rows, storeMs);
+    void this.releaseEarlierTerm(rows, storeMs);
     void this.maybeTakeOver(storeMs);
   }
 
+  /**
+   * Publishes that the role is free if an earlier process of this node held it, as
+   * nobody else can know before the status is out of date.
+   */
+  private async releaseEarlierTerm(
+    rows: readonly StoredRow[],
+    storeMs: number,
+  ): Promise<void> {
+    const {store, nodeId} = this.options;
+    const row = rows.find(({key}) => key === SINGLE_ROW_KEY);
+    const status = this.election.getStatus();
+    if (row === undefined || status?.holder !== nodeId) return;
+    if (this.coordinator !== undefined) return;
+    this.wasHolder = true;
+    const released: CoordinatorStatus = {
+      term: status.term,
+      holder: '',
+      writtenStoreMs: storeMs,
+    };
+    const {table, part, key, version} = row;
+    const address = {table, part, key};
+    // If this fails, the role is free once the status is out of date.
+    await store.commit({
+      conditions: [{...address, version}],
+      writes: [{...address, value: encodeRowValue(released)}],
+      removals: [],
+    });
+  }
+
   /**
    * Looks at the status when a takeover will be due, as the pauses between the
    * reads of nodes that started together end together.
@@ -345,13 +377,18 @@
       });
   }
 
-  /** Delays an election attempt on a small VM, so that a larger one can win it. */
+  /**
+   * Delays an election attempt on a small VM, so that a larger one can win it, and
+   * on the VM of the last holder, whose process may end again for the same cause.
+   */
   private async yieldToLargerVms(): Promise<void> {
     const {clock} = this.options;
     if (this.election.getStatus() === undefined)
       await clock.sleep(FIRST_TERM_DELAY_MS);
     await this.readNodes();
-    if (!this.isLargeVm()) await clock.sleep(SMALL_VM_DELAY_MS);
+    if (this.wasHolder || !this.isLargeVm())
+      await clock.sleep(ELECTION_YIELD_MS);
+    this.wasHolder = false;
   }
 
   /**
