--- a/packages/experiments/src/takeover_experiment.ts
+++ b/packages/experiments/src/takeover_experiment.ts
@@ -17,6 +17,8 @@
   | 'coordinator-loss'
   /** The same, some time after an outage of the store. */
   | 'coordinator-loss-after-store-outage'
+  /** The VM of a coordinator that writes its status ever less often is lost for good. */
+  | 'slow-coordinator-loss'
   /** All large VMs lose power for longer than a takeover takes. */
   | 'large-nodes';
 
@@ -26,6 +28,7 @@
   'coordinator-restart',
   'coordinator-loss',
   'coordinator-loss-after-store-outage',
+  'slow-coordinator-loss',
   'large-nodes',
 ];
 
@@ -70,6 +73,10 @@
 const OUTAGE_MS = 2_600;
 const OUTAGE_END_MS = 600;
 
+/** Delays of a slow coordinator's calls to the store, and the duration of each. */
+const SLOW_STORE_DELAYS_MS = [300, 500, 700, 900, 1_100, 1_300];
+const SLOWNESS_MS = 2_000;
+
 /** Maximum duration of a power loss of all nodes. */
 const MAX_POWER_LOSS_MS = 1_500;
 
@@ -175,6 +182,9 @@
     if (cause.endsWith('-after-store-outage')) await this.interruptStore();
     const coordinator = this.findCoordinator();
     switch (cause) {
+      case 'slow-coordinator-loss':
+        if (coordinator !== undefined) await this.loseSlowNode(coordinator);
+        return;
       case 'coordinator-loss':
       case 'coordinator-loss-after-store-outage':
         if (coordinator !== undefined) harness.powerOffNode(coordinator);
@@ -203,6 +213,14 @@
     await clock.advance(OUTAGE_END_MS);
   }
 
+  private async loseSlowNode(node: HarnessNode): Promise<void> {
+    for (const delayMs of SLOW_STORE_DELAYS_MS) {
+      node.storeFaults.delayMs = delayMs;
+      await this.harness.advance(SLOWNESS_MS);
+    }
+    this.harness.powerOffNode(node);
+  }
+
   private restartAll(): void {
     const {harness} = this;
     const lossMs = MAX_POWER_LOSS_MS * this.random.getFloat();
--- a/packages/experiments/test/takeover.test.ts
+++ b/packages/experiments/test/takeover.test.ts
@@ -58,6 +58,7 @@
     expectTimely(await measureSeeds('coordinator-loss'));
     expectTimely(await measureSeeds('coordinator-loss-after-store-outage'));
     expectTimely(await measureSeeds('coordinator-restart'));
+    expectTimely(await measureSeeds('slow-coordinator-loss'));
   });
 
   it('returns to a large VM once one runs again', async () => {
