--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -381,7 +381,7 @@
    * Delays an election attempt on a small VM, so that a larger one can win it, and
    * on the VM of the last holder, whose process may end again for the same cause.
    */
-  private async yieldToLargerVms(): Promise<void> {
+  private async yieldToOtherVms(): Promise<void> {
     const {clock} = this.options;
     if (this.election.getStatus() === undefined)
       await clock.sleep(FIRST_TERM_DELAY_MS);
@@ -442,7 +442,7 @@
   private async attemptTerm(): Promise<void> {
     const {store, clock, nodeId} = this.options;
     if ((await this.readDueTerm()) === undefined) return;
-    await this.yieldToLargerVms();
+    await this.yieldToOtherVms();
     // Read again, as the first status of the term is based on the time of the response.
     const snapshot = await this.readDueTerm();
     if (snapshot === undefined) return;
