Update the covariance of effects in place, one triangle of it

Cause: with 30 filler images, a sample updated 900 boxed cells with a division each and allocated two typed arrays outside of the young generation.

The covariance is one flat array now, of which each sample computes one triangle; the vectors are kept.

--- a/packages/coordination/src/effect_estimator.ts
+++ b/packages/coordination/src/effect_estimator.ts
@@ -39,11 +39,19 @@
 const PRIOR_VARIANCE = (PRIOR_DEVIATION / NOISE_DEVIATION) ** 2;
 const KNOWN_VARIANCE = (KNOWN_DEVIATION / NOISE_DEVIATION) ** 2;
 
+/** Number of inputs for which there is room at first. */
+const INITIAL_CAPACITY = 8;
+
 /** Recursive least squares estimator with one coefficient for each named input. */
 export class EffectEstimator {
   private readonly positions = new Map<string, number>();
   private effects: number[] = [];
-  private covariance: number[][] = [];
+  /** Rows of `capacity` cells. The matrix is symmetric. */
+  private covariance = new Float64Array(INITIAL_CAPACITY ** 2);
+  private capacity = INITIAL_CAPACITY;
+  /** Amounts of the sample by input, and their product with the covariance. */
+  private vector = new Float64Array(INITIAL_CAPACITY);
+  private product = new Float64Array(INITIAL_CAPACITY);
 
   private constructor() {}
 
@@ -58,10 +66,11 @@
    */
   static restore(stored: StoredEffects): EffectEstimator {
     const estimator = new EffectEstimator();
-    for (const [index, name] of stored.names.entries())
-      estimator.positions.set(name, index);
-    estimator.effects = [...stored.effects];
-    estimator.covariance = stored.covariance.map(row => [...row]);
+    const {names, effects, covariance} = stored;
+    for (const name of names) estimator.addInput(name);
+    estimator.effects = [...effects];
+    for (const [row, cells] of covariance.entries())
+      estimator.covariance.set(cells, row * estimator.capacity);
     return estimator;
   }
 
@@ -70,7 +79,9 @@
     return {
       names: [...this.positions.keys()],
       effects: this.effects.map(roundForStorage),
-      covariance: this.covariance.map(row => row.map(roundForStorage)),
+      covariance: this.effects.map((_effect, row) =>
+        Array.from(this.getRow(row), roundForStorage),
+      ),
     };
   }
 
@@ -90,7 +101,7 @@
   isKnown(name: string): boolean {
     const position = this.positions.get(name);
     if (position === undefined) return false;
-    return this.covariance[position][position] <= KNOWN_VARIANCE;
+    return this.covariance[position * (this.capacity + 1)] <= KNOWN_VARIANCE;
   }
 
   /**
@@ -110,57 +121,84 @@
    * @param value - Observed value, or its change.
    */
   addSample(inputs: readonly EffectInput[], value: number): void {
-    // Indexed loops: with many inputs, iterators would cost more than the arithmetic.
-    const vector = this.createVector(inputs);
-    const size = vector.length;
-    const product = new Float64Array(size);
-    for (let row = 0; row < size; row++)
-      product[row] = getDotProduct(this.covariance[row], vector);
-    const gainDivisor = FORGETTING_FACTOR + getDotProduct(vector, product);
-    const error = value - getDotProduct(this.effects, vector);
+    for (const {name} of inputs) {
+      if (!this.positions.has(name)) this.addInput(name);
+    }
+    const {effects, vector, product} = this;
+    vector.fill(0);
+    product.fill(0);
+    for (const {name, amount} of inputs)
+      vector[this.positions.get(name) ?? 0] += amount;
+    let error = value;
+    let gainDivisor = FORGETTING_FACTOR;
+    // Most samples have few of the inputs.
+    for (let row = 0; row < effects.length; row++) {
+      if (vector[row] === 0) continue;
+      this.addRowTo(product, row, vector[row]);
+      error -= effects[row] * vector[row];
+    }
+    for (let row = 0; row < effects.length; row++)
+      gainDivisor += vector[row] * product[row];
+    for (let row = 0; row < effects.length; row++)
+      effects[row] += (product[row] / gainDivisor) * error;
+    this.updateCovariance(gainDivisor);
+  }
+
+  private updateCovariance(gainDivisor: number): void {
+    // Indexed loops over local variables: this takes most of the time of a report.
+    const {covariance, capacity, product} = this;
+    const size = this.effects.length;
+    const memory = 1 / FORGETTING_FACTOR;
     for (let row = 0; row < size; row++) {
       const gain = product[row] / gainDivisor;
-      this.effects[row] += gain * error;
-      const cells = this.covariance[row];
-      for (let column = 0; column < size; column++)
-        cells[column] =
-          (cells[column] - gain * product[column]) / FORGETTING_FACTOR;
+      const start = row * capacity;
+      for (let column = row; column < size; column++) {
+        const cell =
+          (covariance[start + column] - gain * product[column]) * memory;
+        covariance[start + column] = cell;
+        covariance[column * capacity + row] = cell;
+      }
       // Without this limit, forgetting would make the variance of rare inputs grow without bound.
-      cells[row] = Math.min(cells[row], PRIOR_VARIANCE);
+      covariance[start + row] = Math.min(
+        covariance[start + row],
+        PRIOR_VARIANCE,
+      );
     }
   }
 
-  private createVector(inputs: readonly EffectInput[]): Float64Array {
-    for (const {name} of inputs) {
-      if (!this.positions.has(name)) this.addInput(name);
-    }
-    const vector = new Float64Array(this.effects.length);
-    for (const {name, amount} of inputs)
-      vector[this.positions.get(name) ?? 0] += amount;
-    return vector;
+  /** Adds a multiple of a row of the covariance to a vector. */
+  private addRowTo(sum: Float64Array, row: number, factor: number): void {
+    const {covariance, capacity} = this;
+    const size = this.effects.length;
+    const start = row * capacity;
+    for (let column = 0; column < size; column++)
+      sum[column] += factor * covariance[start + column];
+  }
+
+  private getRow(row: number): Float64Array {
+    const start = row * this.capacity;
+    return this.covariance.subarray(start, start + this.effects.length);
   }
 
   private addInput(name: string): void {
     const position = this.effects.length;
+    if (position === this.capacity) this.doubleCapacity();
     this.positions.set(name, position);
     this.effects.push(0);
-    for (const row of this.covariance) row.push(0);
-    const row = new Array<number>(position + 1).fill(0);
-    row[position] = PRIOR_VARIANCE;
-    this.covariance.push(row);
+    this.covariance[position * (this.capacity + 1)] = PRIOR_VARIANCE;
+  }
+
+  private doubleCapacity(): void {
+    const rows = this.effects.map((_effect, row) => this.getRow(row));
+    this.capacity *= 2;
+    this.vector = new Float64Array(this.capacity);
+    this.product = new Float64Array(this.capacity);
+    this.covariance = new Float64Array(this.capacity ** 2);
+    for (const [index, row] of rows.entries())
+      this.covariance.set(row, index * this.capacity);
   }
 }
 
 function roundForStorage(value: number): number {
   return Number(value.toPrecision(STORED_DIGITS));
 }
-
-function getDotProduct(
-  left: ArrayLike<number>,
-  right: ArrayLike<number>,
-): number {
-  let sum = 0;
-  for (let index = 0; index < left.length; index++)
-    sum += left[index] * right[index];
-  return sum;
-}
