Learn the effects of fillers once from each measurement

Cause: a worker's figures cover half a second, but each run that ends causes a report, and each report counted as a new sample. The same noise was thus weighted many times: with ten reports of each measurement an effect had a quarter of its actual variance, so that fillers counted as known too soon.

Reports within 250 ms of one that was learned from are left out.

--- a/packages/coordination/src/interference_model.ts
+++ b/packages/coordination/src/interference_model.ts
@@ -31,6 +31,13 @@
  */
 const MEASUREMENT_LAG_MS = 250;
 
+/**
+ * Minimum time between two reports of a worker from which effects are learned: half
+ * of what a measurement covers. Each run that ends causes a report, so that reports
+ * closer together repeat the same measurements.
+ */
+const MIN_LEARNING_INTERVAL_MS = 250;
+
 /** Age of a serving task from which its start-up no longer affects its response time. */
 const WARM_UP_MS = 1_500;
 
@@ -128,6 +135,8 @@
   private readonly filters = new WeakMap<AssignedRun, HighPassFilter>();
   private readonly changedImages = new Set<string>();
   private readonly learningPausedUntilMs = new WeakMap<WorkerLoad, number>();
+  /** Time of the last report that was learned from. */
+  private readonly lastLearningMs = new WeakMap<WorkerLoad, number>();
   private readonly responseStates = new WeakMap<WorkerLoad, ResponseState>();
   /** Workers that explore an unknown pair of images, by pair. */
   private readonly explorationWorkers = new Map<string, Set<WorkerLoad>>();
@@ -190,8 +199,13 @@
    * @param nowMs - Monotonic time of the report.
    */
   addReport(load: WorkerLoad, nowMs: number): void {
-    this.responseStates.delete(load);
-    if (load.getServingRuns().size === 0) return;
+    if (load.getServingRuns().size === 0) {
+      this.responseStates.delete(load);
+      return;
+    }
+    const elapsedMs = nowMs - (this.lastLearningMs.get(load) ?? -Infinity);
+    if (elapsedMs < MIN_LEARNING_INTERVAL_MS) return;
+    this.lastLearningMs.set(load, nowMs);
     this.recordFillerUsage(load, nowMs);
     const fillers = this.getUsageAverages(load).getAverages();
     const state = this.classifyResponses(load, fillers, nowMs);
--- a/packages/coordination/test/interference_model.test.ts
+++ b/packages/coordination/test/interference_model.test.ts
@@ -24,8 +24,9 @@
 /**
  * Trains a model with fillers of two images that start and end repeatedly. Only
  * `noisy` interferes with the serving tasks.
+ * @param repeats - Reports of each measurement, as each run that ends causes one.
  */
-function createTrainedModel(): InterferenceModel {
+function createTrainedModel(repeats = 1): InterferenceModel {
   const model = InterferenceModel.create();
   for (const [image, responseMs] of [
     ['noisy', 70],
@@ -41,7 +42,8 @@
       const isPresent = filler !== undefined;
       for (const {run} of servings)
         run.usage = isPresent ? responseMs : UNDISTURBED_MS;
-      model.addReport(load, 2_000 + report * 500);
+      for (let repeat = 0; repeat < repeats; repeat++)
+        model.addReport(load, 2_000 + report * 500 + repeat * 20);
       if (report % REPORTS_PER_FILLER !== 0) continue;
       if (filler === undefined) {
         filler = addTestRun(load, createFiller(image));
@@ -103,6 +105,13 @@
     );
   });
 
+  it('learns as much from one report of a measurement as from ten', () => {
+    const [once, tenTimes] = [1, 10].map(repeats =>
+      createTrainedModel(repeats).getChanges(),
+    );
+    expect(tenTimes).to.deep.equal(once);
+  });
+
   it('does not learn from a worker that misses targets without fillers', () => {
     const model = createTrainedModel();
     const {load, serving} = createServingWorker('desk');
