--- a/packages/coordination/src/interference_model.ts
+++ b/packages/coordination/src/interference_model.ts
@@ -129,6 +129,22 @@
  */
 export type ResponseState = 'unknown' | 'unsaturated' | 'saturated';
 
+/** What the model knows of a serving image on a worker. */
+interface ServingFigures {
+  readonly effects: EffectEstimator;
+  /** Expected load index with the worker's fillers, or the measured one if that is higher. */
+  readonly loadIndex: number;
+}
+
+/** What predictions for a worker are made from, until its runs or what was learned change. */
+interface WorkerFigures {
+  readonly loadRevision: number;
+  readonly modelRevision: number;
+  readonly fillers: readonly EffectInput[];
+  /** By serving image. */
+  readonly servings: ReadonlyMap<string, ServingFigures>;
+}
+
 /** Model of the effects of filler images on serving images. */
 export class InterferenceModel {
   private readonly servingImageModels = new Map<string, ServingImageModel>();
@@ -144,6 +160,10 @@
     WorkerLoad,
     FillerUsageAverages
   >();
+  /** A placement pass makes predictions for each worker many times. */
+  private readonly workerFigures = new WeakMap<WorkerLoad, WorkerFigures>();
+  /** Number of changes of what was learned. */
+  private revision = 0;
 
   private constructor() {}
 
@@ -172,6 +192,7 @@
         effects: EffectEstimator.restore(effects),
         baselineLoad: BaselineLoad.restore(ownLoad),
       });
+      this.revision++;
     }
   }
 
@@ -199,6 +220,7 @@
    * @param nowMs - Monotonic time of the report.
    */
   addReport(load: WorkerLoad, nowMs: number): void {
+    this.workerFigures.delete(load);
     if (load.getServingRuns().size === 0) {
       this.responseStates.delete(load);
       return;
@@ -279,6 +301,7 @@
     if (!isSaturated)
       baselineLoad.addSample(loadIndex - effects.getCombinedEffect(fillers));
     this.changedImages.add(image);
+    this.revision++;
   }
 
   private getFilter(serving: AssignedRun): HighPassFilter {
@@ -311,35 +334,57 @@
     load: WorkerLoad,
   ): InterferencePrediction {
     const share = cpuMillis / load.getCapacity().cpuMillis;
-    const fillers = getFillerShares(load);
+    const {fillers, servings} = this.getWorkerFigures(load);
     let addedLoadIndex = 0;
     let intolerance: FillerIntolerance | undefined;
     let isHarmless = true;
-    for (const [servingImage, measuredIndex] of getMaxLoadIndexes(load)) {
-      const estimator = this.getEffects(servingImage);
-      if (!estimator.isKnown(image)) {
+    for (const [servingImage, {effects, loadIndex}] of servings) {
+      if (!effects.isKnown(image)) {
         isHarmless = false;
-        const unknownShare = getUnknownShare(estimator, fillers) + share;
+        const unknownShare = getUnknownShare(effects, fillers) + share;
         if (unknownShare > MAX_UNKNOWN_SHARE)
           intolerance ??= 'filler-unknown-share';
         if (!this.canExplore(servingImage, image, load))
           intolerance ??= 'filler-explored-elsewhere';
         continue;
       }
-      const effect = estimator.getEffect(image);
+      const effect = effects.getEffect(image);
       const added = effect * share;
       addedLoadIndex = Math.max(addedLoadIndex, added);
       if (effect < MIN_HARMFUL_EFFECT) continue;
       isHarmless = false;
-      const expected = this.predictLoadIndex(servingImage, fillers);
-      const currentIndex = Math.max(expected, measuredIndex);
-      if (currentIndex + added > MAX_PLANNED_LOAD_INDEX)
+      if (loadIndex + added > MAX_PLANNED_LOAD_INDEX)
         intolerance ??= 'filler-effect';
     }
     const isTolerable = intolerance === undefined;
     return {addedLoadIndex, isTolerable, intolerance, isHarmless};
   }
 
+  private getWorkerFigures(load: WorkerLoad): WorkerFigures {
+    const known = this.workerFigures.get(load);
+    const isCurrent =
+      known?.loadRevision === load.getRevision() &&
+      known.modelRevision === this.revision;
+    if (isCurrent) return known;
+    const fillers = getFillerShares(load);
+    const servings = new Map<string, ServingFigures>();
+    for (const [image, measuredIndex] of getMaxLoadIndexes(load)) {
+      const expected = this.predictLoadIndex(image, fillers);
+      servings.set(image, {
+        effects: this.getEffects(image),
+        loadIndex: Math.max(expected, measuredIndex),
+      });
+    }
+    const figures = {
+      loadRevision: load.getRevision(),
+      modelRevision: this.revision,
+      fillers,
+      servings,
+    };
+    this.workerFigures.set(load, figures);
+    return figures;
+  }
+
   /**
    * Gets the CPU share of a worker that a filler may use while all serving tasks
    * are expected to meet their targets. Fillers of unknown effect may use a small
@@ -414,6 +459,7 @@
    * @param nowMs - Monotonic time.
    */
   recordFillerUsage(load: WorkerLoad, nowMs: number): void {
+    this.workerFigures.delete(load);
     this.getUsageAverages(load).advance(getFillerShares(load), nowMs);
   }
 
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -55,6 +55,7 @@
   private readonly fillerRuns = new Set<AssignedRun>();
   private readonly unprovenRuns = new Set<AssignedRun>();
   private servingImages: ReadonlySet<string> | undefined;
+  private revision = 0;
 
   private constructor(private capacity: ResourceRequirements) {}
 
@@ -72,6 +73,12 @@
    */
   setCapacity(capacity: ResourceRequirements): void {
     this.capacity = capacity;
+    this.revision++;
+  }
+
+  /** Gets a number that changes whenever the runs or the capacity change. */
+  getRevision(): number {
+    return this.revision;
   }
 
   /** Gets the capacity. */
@@ -264,6 +271,7 @@
   private updateTotals(assigned: AssignedRun, sign: 1 | -1): void {
     const {step} = assigned;
     const {needs, isFiller, isLongRunning} = step.spec;
+    this.revision++;
     this.usedMemoryMb += sign * needs.memoryMb;
     this.usedAccelerators += sign * needs.accelerators;
     if (isFiller) this.fillerCpuMillis += sign * needs.cpuMillis;
--- a/packages/coordination/test/interference_model.test.ts
+++ b/packages/coordination/test/interference_model.test.ts
@@ -105,6 +105,34 @@
     );
   });
 
+  it('examines the fillers of a worker once for all predictions between two changes', () => {
+    const model = createTrainedModel();
+    const {load, serving} = createServingWorker('desk');
+    let readCount = 0;
+    const read = load.getFillerRuns.bind(load);
+    load.getFillerRuns = () => {
+      readCount++;
+      return read();
+    };
+    for (let step = 0; step < 10; step++)
+      model.predict('noisy', FILLER_CPU, load);
+    expect(readCount).to.equal(1);
+    const predictAnew = () => {
+      readCount = 0;
+      const prediction = model.predict('noisy', FILLER_CPU, load);
+      expect(readCount).to.be.at.least(1);
+      return prediction.intolerance;
+    };
+    const filler = addTestRun(load, createFiller('noisy'));
+    expect(predictAnew()).to.equal('filler-effect');
+    filler.run.cpuLimitPercent = 0;
+    model.recordFillerUsage(load, 50_000);
+    expect(predictAnew()).to.equal(undefined);
+    serving.run.usage = 90;
+    model.addReport(load, 50_500);
+    expect(predictAnew()).to.equal('filler-effect');
+  });
+
   it('learns as much from one report of a measurement as from ten', () => {
     const [once, tenTimes] = [1, 10].map(repeats =>
       createTrainedModel(repeats).getChanges(),
