Report suspected tasks, trials and idle jobs in fleet-load

What the logs could not tell: whether waiting work is suspected of crashing workers and waits for a trial, or waits for room behind other fillers. The step-waiting event names the four oldest steps only. fleet-load now counts the suspected tasks that wait, the workers with a trial in progress and the jobs that have waiting tasks and no run at all; step-waiting names such a job.

No change of behaviour. Test: fleet_report.test.ts.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -35,6 +35,7 @@
   formatQueueLoads,
   formatRestoredJobs,
   formatRun,
+  formatTrials,
 } from './fleet_report.js';
 import {InvalidRowReporter} from './invalid_row_reporter.js';
 import {JobTracker} from './job_tracker.js';
@@ -904,6 +905,7 @@
     );
     const detail = [
       formatFleetLoad(this.workerPool.getSessions(), waiting),
+      formatTrials(this.workerPool.getSessions(), waiting),
       formatQueueLoads(
         this.jobTracker.getQueueLoads(this.admissionControl.getRefusals()),
       ),
--- a/packages/coordination/src/fleet_report.ts
+++ b/packages/coordination/src/fleet_report.ts
@@ -4,6 +4,7 @@
 import {QueueLoad} from './coordinator_status.js';
 import {PassTimes} from './pass_times.js';
 import {isWaitingTask, PlacedStep} from './placement_pass.js';
+import {isSuspected} from './start_crashes.js';
 import {WaitingStep} from './task_order.js';
 import {AssignedRun, WorkerLoad} from './worker_load.js';
 import {WorkerSession} from './worker_session.js';
@@ -59,6 +60,32 @@
   ].join(', ');
 }
 
+/**
+ * Formats how many tasks wait for or are on trial, and how many jobs with waiting
+ * tasks have no run at all.
+ * @param sessions - All workers.
+ * @param waiting - Steps with waiting tasks.
+ */
+export function formatTrials(
+  sessions: readonly WorkerSession[],
+  waiting: readonly WaitingStep[],
+): string {
+  const trials = sessions.filter(({load}) => load.hasTrial()).length;
+  let suspected = 0;
+  const idleJobs = new Set<JobState>();
+  for (const {job, step} of waiting) {
+    for (const task of step.tasks) {
+      if (isWaitingTask(task) && isSuspected(task)) suspected++;
+    }
+    if (!job.hasRuns()) idleJobs.add(job);
+  }
+  return [
+    `${suspected} suspected tasks waiting`,
+    `${trials} workers with trials`,
+    `${idleJobs.size} jobs waiting without a run`,
+  ].join(', ');
+}
+
 /**
  * Counts the workers that are not registered.
  * @param sessions - All workers.
--- a/packages/coordination/src/wait_explanation.ts
+++ b/packages/coordination/src/wait_explanation.ts
@@ -42,7 +42,7 @@
   waiting: WaitingStep,
   inputs: WaitExplanationInputs,
 ): string {
-  const {step, queue} = waiting;
+  const {job, step, queue} = waiting;
   const {cpuMillis, memoryMb, accelerators} = step.spec.needs;
   const verdicts = countVerdicts(waiting, inputs);
   let workerCount = 0;
@@ -56,6 +56,7 @@
     Number.isFinite(inputs.passAgeMs)
       ? `last pass ${Math.round(inputs.passAgeMs)} ms ago`
       : 'no pass in this term',
+    ...(job.hasRuns() ? [] : ['the job has no run']),
   ].join(', ');
 }
 
--- a/packages/coordination/test/fleet_report.test.ts
+++ b/packages/coordination/test/fleet_report.test.ts
@@ -1,6 +1,13 @@
 import {expect} from 'chai';
-import {formatRestoredJobs} from '../src/fleet_report.js';
-import {createTestJob, createTestStep} from './test_runs.js';
+import {getWaitingSteps} from '../src/placement_pass.js';
+import {formatRestoredJobs, formatTrials} from '../src/fleet_report.js';
+import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
+import {
+  addTaskRun,
+  createTestJob,
+  createTestLoad,
+  createTestStep,
+} from './test_runs.js';
 
 describe('formatRestoredJobs', () => {
   it('names the jobs without a run that have not ended, the oldest first', () => {
@@ -17,3 +24,20 @@
     );
   });
 });
+
+describe('formatTrials', () => {
+  it('counts the suspected tasks that wait and the jobs without a run', () => {
+    const jobs = [1, 2, 3].map(() =>
+      createTestJob([createTestStep({taskCount: 2})]),
+    );
+    const [{tasks}] = jobs[0].occurrences.get(0)!.steps;
+    tasks[1].startCrashes = [
+      {workerId: 'worker-9', runNumber: 1, isAttributed: true},
+    ];
+    addTaskRun(createTestLoad(), jobs[1], 0);
+    const waiting = getWaitingSteps(jobs, () => SAMPLE_QUEUE, 0);
+    expect(formatTrials([], waiting)).to.equal(
+      '1 suspected tasks waiting, 0 workers with trials, 2 jobs waiting without a run',
+    );
+  });
+});
