--- a/packages/experiments/test/crashing_tasks.test.ts
+++ b/packages/experiments/test/crashing_tasks.test.ts
@@ -539,6 +539,36 @@
     });
   }
 
+  it('complete although no call reaches the workers that are to start them until their leases have expired', async () => {
+    const workerIds: string[] = [];
+    const scenario = new CrashScenario(
+      {
+        sink: ({name, detail}) => {
+          const workerId = /1 tasks on (\S+),/.exec(detail ?? '')?.[1];
+          if (name !== 'step-placed' || workerId === undefined) return;
+          workerIds.push(workerId);
+          cutOff(workerIds.length <= WAVE_COUNT ? [workerId] : []);
+        },
+      },
+      NO_LOAD,
+    );
+    const {harness} = scenario;
+    const cutOff = (unreachableIds: readonly string[]) => {
+      for (const {requestBlockedWorkers} of harness.nodes.map(
+        node => node.linkFaults,
+      )) {
+        requestBlockedWorkers.clear();
+        for (const workerId of unreachableIds)
+          requestBlockedWorkers.add(workerId);
+      }
+    };
+    await harness.advance(START_MS);
+    await scenario.submitHarmless([createSampleStep(1)]);
+    await harness.advance(SETTLE_MS);
+    expect(workerIds).to.have.length(WAVE_COUNT + 1);
+    await scenario.expectHarmlessCompleted();
+  });
+
   it('complete if workers drain and exit', async () => {
     const scenario = new CrashScenario();
     const {harness} = scenario;
