Try suspected fillers of overdue jobs beyond the CPU of a full fleet

Cause: an overdue filler job without a run is placed under the lowest CPU limit where others have taken all CPU, but the pass skipped suspected tasks there, and trials were ranked without that way out. No worker was kept for the trial either, as none had CPU for it.

Change: trials of such a job are ranked like its other tasks, with workers whose CPU is taken last. At most one task of the job is placed so, as before.

--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -218,7 +218,9 @@
     const tasks = step.tasks.filter(isWaitingTask);
     const suspectedCount = tasks.filter(isSuspected).length;
     const isTrial = suspectedCount === tasks.length;
-    const key = this.getEquivalenceClass(waiting, isTrial);
+    const key = isTrial
+      ? this.getTrialClass(waiting)
+      : this.getEquivalenceClass(waiting);
     const failed = this.findFailure(key, step);
     if (failed !== undefined && failed.step !== step)
       obstacles.push(
@@ -264,8 +266,7 @@
       task => isWaitingTask(task) && isSuspected(task) && canTry(task),
     );
     if (tasks.length === 0) return;
-    const key = this.getEquivalenceClass(waiting, true);
-    if (this.isKnownToFail(key, step)) return;
+    if (this.isKnownToFail(this.getTrialClass(waiting), step)) return;
     const workers: PlacementWorker[] = [];
     for (const task of tasks) {
       const ranking = this.rankForTrial(waiting, task);
@@ -277,7 +278,8 @@
       this.placeOnWorker(waiting, task, ranking, worker);
       workers.push(worker);
     }
-    if (workers.length < tasks.length) this.recordFailure(key, waiting);
+    if (workers.length < tasks.length)
+      this.recordFailure(this.getTrialClass(waiting), waiting);
     this.recordPlacedStep(waiting, workers);
   }
 
@@ -359,9 +361,10 @@
     const unreserved = this.getWorkers(waiting);
     const workers = kept === undefined ? unreserved : [kept, ...unreserved];
     const others = getUncrashedWorkers(workers, task);
-    const ranking = this.rank(waiting, others, true);
+    const isNeglected = this.isNeglectedFiller(waiting);
+    const ranking = this.rank(waiting, others, true, isNeglected);
     if (ranking.getBest() !== undefined) return ranking;
-    return this.rank(waiting, workers, true);
+    return this.rank(waiting, workers, true, isNeglected);
   }
 
   private placeOnWorker(
@@ -393,12 +396,14 @@
     waiting: WaitingStep,
     workers: readonly PlacementWorker[],
   ): PlacementWorker | undefined {
+    const isNeglected = this.isNeglectedFiller(waiting);
     let best: PlacementWorker | undefined;
     let minCount = Infinity;
     for (const worker of workers) {
       const count = worker.load.getUnprovenRuns().size;
       if (count >= minCount) continue;
-      if (this.rank(waiting, [worker], false).getBest() === undefined) continue;
+      const ranking = this.rank(waiting, [worker], false, isNeglected);
+      if (ranking.getBest() === undefined) continue;
       best = worker;
       minCount = count;
     }
@@ -462,17 +467,22 @@
     return hasRoom;
   }
 
+  /** Checks whether a step has fillers of an overdue job that has no run. */
+  private isNeglectedFiller(waiting: WaitingStep): boolean {
+    return canLimitFillers(waiting, this.wallMs) && !waiting.job.hasRuns();
+  }
+
   /**
    * Places one task of an overdue filler job that has no run, also where other
    * fillers have taken all CPU. Overdue jobs come last, so that on a full fleet
    * they would wait for as long as others arrive.
    */
   private placeNeglectedFiller(waiting: WaitingStep): void {
-    const {job, step} = waiting;
+    const {step} = waiting;
     if (this.isLimitReached() || step.spec.isGang) return;
-    if (!canLimitFillers(waiting, this.wallMs)) return;
     const key = this.getEquivalenceClass(waiting, false, true);
-    if (this.isKnownToFail(key, step) || job.hasRuns()) return;
+    if (this.isKnownToFail(key, step) || !this.isNeglectedFiller(waiting))
+      return;
     const task = step.tasks.find(
       each => isWaitingTask(each) && !isSuspected(each),
     );
@@ -568,6 +578,11 @@
     return `${waiting.queue.serviceName} ${kind}${limit}${trial}${overcommitted}`;
   }
 
+  private getTrialClass(waiting: WaitingStep): string | undefined {
+    const isNeglected = this.isNeglectedFiller(waiting);
+    return this.getEquivalenceClass(waiting, true, isNeglected);
+  }
+
   private isKnownToFail(key: string | undefined, step: StepState): boolean {
     return this.findFailure(key, step) !== undefined;
   }
