--- a/packages/experiments/test/suspected_tasks.test.ts
+++ b/packages/experiments/test/suspected_tasks.test.ts
@@ -37,8 +37,10 @@
 
 const WAVE_WORKERS = 8;
 
-/** Tasks of the sample step for which a fleet of `WAVE_WORKERS` has room. */
-const PLACE_COUNT = 4 * WAVE_WORKERS;
+const LARGE_WAVE_WORKERS = 20;
+
+/** Tasks of the sample step for which a worker has room. */
+const PLACES_PER_WORKER = 4;
 
 const WAVE_COUNT = 10;
 
@@ -70,6 +72,33 @@
   return jobIds;
 }
 
+/**
+ * Advances time until all jobs have ended.
+ * @returns The longest time for which a job had no run while less than half of the
+ *     places were in use.
+ */
+async function getMaxIdleMs(
+  harness: JobHarness,
+  jobIds: readonly string[],
+  endedJobIds: ReadonlySet<string>,
+): Promise<number> {
+  const waits = new Map<string, number>();
+  const placeCount = PLACES_PER_WORKER * harness.workers.size;
+  let maxWaitMs = 0;
+  while (endedJobIds.size < jobIds.length) {
+    await harness.advance(LOAD_INTERVAL_MS);
+    const running = getRunningJobs(harness);
+    if (running.length >= placeCount / 2) waits.clear();
+    for (const jobId of jobIds) {
+      const isIdle = !endedJobIds.has(jobId) && !running.includes(jobId);
+      const waitMs = (waits.get(jobId) ?? 0) + LOAD_INTERVAL_MS;
+      waits.set(jobId, isIdle ? waitMs : 0);
+      if (isIdle) maxWaitMs = Math.max(maxWaitMs, waitMs);
+    }
+  }
+  return maxWaitMs;
+}
+
 /** Creates fillers of which each takes all CPU of a worker. */
 function createFillerStep(taskCount: number, estimatedMs: number): StepSpec {
   return createSampleStep(taskCount, {
@@ -146,19 +175,40 @@
       crashHalf(harness, wave);
     }
     await harness.advance(LOSS_MS);
-    const waits = new Map<string, number>();
-    let maxWaitMs = 0;
-    while (endedJobIds.size < jobIds.length) {
-      await harness.advance(LOAD_INTERVAL_MS);
-      const running = getRunningJobs(harness);
-      if (running.length >= PLACE_COUNT / 2) waits.clear();
-      for (const jobId of jobIds) {
-        const isIdle = !endedJobIds.has(jobId) && !running.includes(jobId);
-        const waitMs = (waits.get(jobId) ?? 0) + LOAD_INTERVAL_MS;
-        waits.set(jobId, isIdle ? waitMs : 0);
-        if (isIdle) maxWaitMs = Math.max(maxWaitMs, waitMs);
-      }
+    const maxWaitMs = await getMaxIdleMs(harness, jobIds, endedJobIds);
+    expect(maxWaitMs).to.be.at.most(MAX_WAIT_MS);
+    expect(harness.checker.violations).to.deep.equal([]);
+  });
+
+  it('does not wait for its trial behind others whose starts were followed by waves of crashes', async () => {
+    const endedJobIds = new Set<string>();
+    const harness = JobHarness.create({
+      workers: LARGE_WAVE_WORKERS,
+      sink: ({name, requestId}) => {
+        if (name === 'job-ended') endedJobIds.add(requestId ?? '');
+      },
+    });
+    await harness.advance(START_MS);
+    const jobIds = Array.from({length: LARGE_WAVE_WORKERS}, () =>
+      harness.submitWithoutWaiting(
+        [createSampleStep(1, {estimatedMs: 10_000})],
+        SAMPLE_QUEUE,
+      ),
+    );
+    for (let wave = 0; wave < 2; wave++) {
+      while (getRunningJobs(harness).length < jobIds.length)
+        await harness.advance(CRASH_DELAY_MS);
+      await harness.advance(CRASH_DELAY_MS);
+      const workers = [...harness.workers].sort(
+        ([, left], [, right]) => right.getRunCount() - left.getRunCount(),
+      );
+      harness.crashWorkers(
+        workers.slice(0, LARGE_WAVE_WORKERS / 2).map(([workerId]) => workerId),
+        {delayMs: 3_000, workerId: 'new'},
+      );
     }
+    await harness.advance(LOSS_MS);
+    const maxWaitMs = await getMaxIdleMs(harness, jobIds, endedJobIds);
     expect(maxWaitMs).to.be.at.most(MAX_WAIT_MS);
     expect(harness.checker.violations).to.deep.equal([]);
   });
