Count answered, refused and unanswered calls to workers

With half of the calls to workers unanswered, the log showed workers as unresponsive and leases as expired, but not how many of the calls to them were answered, so that a loss of answers could not be told from dead workers or from a slow link.

CallHistory records what became of each call of a worker session. fleet-load gives the counts since the previous report, and mustardlug_worker_call_seconds has renewals besides the commands.

--- /dev/null
+++ b/packages/coordination/src/call_history.ts
@@ -0,0 +1,126 @@
+/** What is known of the calls to one worker: which were answered, and which were not. */
+
+import {Clock} from '@mustardlug/base/clock';
+import {ResponseTimeEstimator} from '@mustardlug/base/response_time_estimator';
+import {JobWorkerError} from '@mustardlug/platform/job_worker_client';
+import {Result} from 'neverthrow';
+
+/** Numbers of calls by what became of them. */
+export interface CallCounts {
+  readonly answered: number;
+  readonly refused: number;
+  /** Calls without a response, which may have been executed or may be executed later. */
+  readonly unanswered: number;
+}
+
+/** A call that was sent to the worker. */
+export interface WorkerCall {
+  /** Position in the order in which calls were sent. */
+  readonly number: number;
+  /** Monotonic time at which the call was sent. */
+  readonly sentMs: number;
+  /** Time for which the worker may wait before it responds. */
+  readonly waitMs: number;
+  /** Whether the call counts as one without a response. */
+  isOverdue: boolean;
+}
+
+/** Response time up to which a call never counts as overdue. */
+const MIN_EXPECTED_RESPONSE_MS = 250;
+
+/**
+ * Tracks the calls to one worker. A call without a response tells less than one that
+ * was refused: neither that it was not executed, nor that the worker has failed.
+ */
+export class CallHistory {
+  private callCount = 0;
+  private counts: CallCounts = createCounts();
+  private lastAnswerMs = -Infinity;
+  private overdueCount = 0;
+  private readonly responseTimes = ResponseTimeEstimator.create();
+
+  private constructor(private readonly clock: Clock) {}
+
+  /**
+   * Creates a history without calls.
+   * @param clock - Clock of the calls.
+   */
+  static create(clock: Clock): CallHistory {
+    return new CallHistory(clock);
+  }
+
+  /**
+   * Records that a call is sent.
+   * @param waitMs - Time for which the worker may wait before it responds.
+   */
+  addCall(waitMs = 0): WorkerCall {
+    const sentMs = this.clock.getMonotonicMs();
+    return {number: ++this.callCount, sentMs, waitMs, isOverdue: false};
+  }
+
+  /**
+   * Records what became of a call.
+   * @param call - Call that was answered or has timed out.
+   * @param outcome - Its outcome.
+   */
+  recordOutcome(
+    call: WorkerCall,
+    outcome: Result<unknown, JobWorkerError>,
+  ): void {
+    const {answered, refused, unanswered} = this.counts;
+    if (outcome.isOk()) {
+      this.recordAnswer(call);
+      this.counts = {answered: answered + 1, refused, unanswered};
+    } else if (outcome.error.kind === 'worker-refusal') {
+      this.recordAnswer(call);
+      this.counts = {answered, refused: refused + 1, unanswered};
+    } else {
+      this.recordOverdue(call);
+      this.counts = {answered, refused, unanswered: unanswered + 1};
+    }
+  }
+
+  /**
+   * Records that a call has not been answered in the usual time. It still may be.
+   * @param call - Call without a response.
+   */
+  recordOverdue(call: WorkerCall): void {
+    if (call.isOverdue) return;
+    call.isOverdue = true;
+    if (call.sentMs >= this.lastAnswerMs) this.overdueCount++;
+  }
+
+  /** Gets the number of calls sent since the last response that were not answered in the usual time. */
+  getOverdueCount(): number {
+    return this.overdueCount;
+  }
+
+  /** Gets the time, besides the wait, after which a call without a response is overdue. */
+  getExpectedResponseMs(): number {
+    return this.responseTimes.getLimitMs(MIN_EXPECTED_RESPONSE_MS);
+  }
+
+  /** Gets the number of the call that was sent last. */
+  getLastCallNumber(): number {
+    return this.callCount;
+  }
+
+  /** Gets the numbers of calls since the previous request for them. */
+  takeCounts(): CallCounts {
+    const {counts} = this;
+    this.counts = createCounts();
+    return counts;
+  }
+
+  private recordAnswer({sentMs, waitMs}: WorkerCall): void {
+    this.lastAnswerMs = this.clock.getMonotonicMs();
+    this.overdueCount = 0;
+    const responseMs = this.lastAnswerMs - sentMs - waitMs;
+    // The worker may have used any part of the wait.
+    if (responseMs >= 0) this.responseTimes.record(responseMs);
+  }
+}
+
+function createCounts(): CallCounts {
+  return {answered: 0, refused: 0, unanswered: 0};
+}
--- a/packages/coordination/src/fleet_report.ts
+++ b/packages/coordination/src/fleet_report.ts
@@ -34,7 +34,8 @@
 }
 
 /**
- * Formats the number of cores that are free, in use or waited for, by kind of work.
+ * Formats the number of cores that are free, in use or waited for, by kind of work,
+ * and the calls to the workers since the previous report.
  * @param sessions - All workers.
  * @param waiting - Steps with waiting tasks.
  */
@@ -56,9 +57,24 @@
     `filler ${sumCores(loads, load => load.getFillerCpuMillis())}`,
     `paused ${sumCores(loads, getThrottledCpuMillis)}`,
     `waiting ${getWaitingCores(waiting)}`,
+    formatCallCounts(sessions),
   ].join(', ');
 }
 
+/** Formats the calls to the workers since the previous report by what became of them. */
+function formatCallCounts(sessions: readonly WorkerSession[]): string {
+  let answered = 0;
+  let refused = 0;
+  let unanswered = 0;
+  for (const session of sessions) {
+    const counts = session.takeCallCounts();
+    answered += counts.answered;
+    refused += counts.refused;
+    unanswered += counts.unanswered;
+  }
+  return `calls ${answered} answered ${refused} refused ${unanswered} unanswered`;
+}
+
 /**
  * Counts the workers that are not registered.
  * @param sessions - All workers.
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -12,6 +12,7 @@
   JobWorkerError,
 } from '@mustardlug/platform/job_worker_client';
 import {Result} from 'neverthrow';
+import {CallCounts, CallHistory} from './call_history.js';
 import {StartBackoff} from './start_backoff.js';
 import {StartWindow} from './start_window.js';
 import {AssignedRun, getRunKey, WorkerLoad} from './worker_load.js';
@@ -244,6 +245,7 @@
   private retryDelayMs = RENEWAL_RETRY_MS;
   private isOutOfCapacity = false;
   private readonly startBackoff: StartBackoff;
+  private readonly calls: CallHistory;
   /** Whether the last report listed runs of unknown tasks, whose needs cannot be counted. */
   private hasUnknownRuns = false;
   private readonly unknownRunStopTimes = new Map<string, number>();
@@ -256,6 +258,7 @@
     this.load = WorkerLoad.create(options.record.capacity);
     const {clock, previousTermTimeoutMs, leaseBoundMs} = options;
     this.startBackoff = StartBackoff.create(clock);
+    this.calls = CallHistory.create(clock);
     this.createdMs = clock.getMonotonicMs();
     this.areLeasesSuspended = leaseBoundMs !== undefined;
     this.leaseEndMs = Math.min(
@@ -384,6 +387,11 @@
     return this.lastResponseMs;
   }
 
+  /** Gets the numbers of calls to the worker since the previous request for them. */
+  takeCallCounts(): CallCounts {
+    return this.calls.takeCounts();
+  }
+
   /**
    * Gets the sequence number up to which ended runs may be acknowledged once they
    * are stored.
@@ -510,8 +518,8 @@
     run.isStopping = true;
     while (!this.isStopped && this.isCurrent(assigned)) {
       const {workerStartMs} = run;
-      const outcome = await this.options.client.stopRun(
-        this.createRunCommand(assigned),
+      const outcome = await this.track(
+        this.options.client.stopRun(this.createRunCommand(assigned)),
       );
       // The response does not hold for a process that was started later.
       if (run.workerStartMs !== workerStartMs) continue;
@@ -554,10 +562,12 @@
     try {
       while (!this.isStopped && this.isCurrent(assigned)) {
         const {cpuLimitPercent: percent, workerStartMs} = run;
-        const outcome = await this.options.client.setRunCpuLimit({
-          ...this.createRunCommand(assigned),
-          percent,
-        });
+        const outcome = await this.track(
+          this.options.client.setRunCpuLimit({
+            ...this.createRunCommand(assigned),
+            percent,
+          }),
+        );
         if (this.isStopped) return;
         if (outcome.isOk()) {
           const isUnchanged =
@@ -591,15 +601,17 @@
       this.hasLastRenewalFailed ||
       this.areLeasesSuspended ||
       !this.options.isTermConfirmed();
-    const outcome = await client.renewLease({
+    const waitMs =
+      isReportOnly || hasUnacknowledgedEnds ? 0 : RENEWAL_POLL_TIMEOUT_MS;
+    const pending = client.renewLease({
       worker: this.record,
       fencingToken,
       acknowledgedSequence:
         isReportOnly || !this.hasListedEnds ? 0 : this.acknowledgedSequence,
       leaseUntilMs: isReportOnly ? undefined : this.grantLease(),
-      waitMs:
-        isReportOnly || hasUnacknowledgedEnds ? 0 : RENEWAL_POLL_TIMEOUT_MS,
+      waitMs,
     });
+    const outcome = await this.track(pending, this.calls.addCall(waitMs));
     if (this.isStopped) return false;
     if (outcome.isOk()) {
       this.applyReport(outcome.value, sentMs);
@@ -831,7 +843,9 @@
     if (nowMs - lastMs < UNKNOWN_RUN_STOP_INTERVAL_MS) return;
     this.unknownRunStopTimes.set(key, nowMs);
     const worker = this.record;
-    await client.stopRun({worker, taskName, runNumber, fencingToken});
+    await this.track(
+      client.stopRun({worker, taskName, runNumber, fencingToken}),
+    );
   }
 
   private async handleRefusal(
@@ -890,12 +904,14 @@
     const {clock, startWindow} = this.options;
     const sentMs = clock.getMonotonicMs();
     startWindow.addCommand();
-    const outcome = await this.options.client.startRun({
-      ...this.createRunCommand(assigned),
-      specification: job.accepted.spec.specification,
-      checkpoint: task.checkpoint,
-      leaseUntilMs,
-    });
+    const outcome = await this.track(
+      this.options.client.startRun({
+        ...this.createRunCommand(assigned),
+        specification: job.accepted.spec.specification,
+        checkpoint: task.checkpoint,
+        leaseUntilMs,
+      }),
+    );
     const isAnswered =
       outcome.isOk() || outcome.error.kind === 'worker-refusal';
     startWindow.removeCommand(
@@ -967,12 +983,14 @@
    */
   private async requestReport(): Promise<LeaseReport | undefined> {
     const {client, fencingToken} = this.options;
-    const report = await client.renewLease({
-      worker: this.record,
-      fencingToken,
-      acknowledgedSequence: 0,
-      waitMs: 0,
-    });
+    const report = await this.track(
+      client.renewLease({
+        worker: this.record,
+        fencingToken,
+        acknowledgedSequence: 0,
+        waitMs: 0,
+      }),
+    );
     this.pendingReport = undefined;
     return report.isOk() ? report.value : undefined;
   }
@@ -983,6 +1001,16 @@
     for (const notify of waiters) notify();
   }
 
+  /** Sends a call, and records whether it was answered. */
+  private async track<T>(
+    pending: Promise<Result<T, JobWorkerError>>,
+    call = this.calls.addCall(),
+  ): Promise<Result<T, JobWorkerError>> {
+    const outcome = await pending;
+    this.calls.recordOutcome(call, outcome);
+    return outcome;
+  }
+
   private createRunCommand(assigned: AssignedRun): RunCommand {
     return {
       worker: this.record,
--- a/packages/node/src/metered_job_worker_client.ts
+++ b/packages/node/src/metered_job_worker_client.ts
@@ -13,7 +13,10 @@
 import {getCallResult} from './metered_row_store.js';
 import {NodeMetrics} from './node_metrics.js';
 
-/** Job worker client that records the latency of its commands, except of lease renewals, which are long polls. */
+/**
+ * Job worker client that records the latency of its calls. That of lease renewals
+ * includes the time for which the worker waits for a run to end.
+ */
 export class MeteredJobWorkerClient extends JobWorkerClient {
   private constructor(
     private readonly client: JobWorkerClient,
@@ -38,7 +41,7 @@
   }
 
   override renewLease(request: LeaseRenewal) {
-    return this.client.renewLease(request);
+    return this.measure('renew', this.client.renewLease(request));
   }
 
   override startRun(command: StartRunCommand) {
@@ -53,10 +56,10 @@
     return this.measure('pace', this.client.setRunCpuLimit(command));
   }
 
-  private async measure(
+  private async measure<T>(
     call: string,
-    pending: Promise<Result<void, JobWorkerError>>,
-  ): Promise<Result<void, JobWorkerError>> {
+    pending: Promise<Result<T, JobWorkerError>>,
+  ): Promise<Result<T, JobWorkerError>> {
     const startMs = this.clock.getMonotonicMs();
     const outcome = await pending;
     const durationMs = this.clock.getMonotonicMs() - startMs;
