--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -564,6 +564,19 @@
     }
   });
 
+  it('stays usable after a renewal without a response', async () => {
+    const fixture = SessionFixture.create();
+    const {session, client, clock} = fixture;
+    void session.run();
+    await fixture.report();
+    client.report = undefined;
+    await clock.advance(RENEWAL_MS);
+    expect(session.isUsable()).to.equal(true);
+    await clock.advance(SILENCE_MS);
+    expect(session.isUsable()).to.equal(false);
+    session.stop();
+  });
+
   describe('a worker that does not respond', () => {
     it('gets no lease until leases are resumed', async () => {
       const fixture = SessionFixture.create();
