--- a/packages/base/src/response_time_estimator.ts
+++ b/packages/base/src/response_time_estimator.ts
@@ -27,9 +27,8 @@
   }
 
   /**
-   * Records a response, or a call that has timed out although its address
-   * responded shortly before.
-   * @param durationMs - Time until the response or the timeout.
+   * Records a response. A call without one tells nothing about the others.
+   * @param durationMs - Time until the response.
    */
   record(durationMs: number): void {
     const deviationMs = Math.abs(durationMs - this.meanMs);
