--- a/packages/coordination/test/admission_control.test.ts
+++ b/packages/coordination/test/admission_control.test.ts
@@ -1,4 +1,5 @@
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {QueueConfig} from '@mustardlug/jobs/queue_config';
 import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {expect} from 'chai';
 import {AdmissionControl} from '../src/admission_control.js';
@@ -16,16 +17,16 @@
 function createWaiting(
   acceptedMs: number,
   noticedMs: number,
-  isLongRunning = false,
+  {isLongRunning = false, queue = SAMPLE_QUEUE} = {},
 ): WaitingStep {
   const job = createTestJob(
     [createTestStep({estimatedMs: TASK_MS, isLongRunning})],
-    SAMPLE_QUEUE,
+    queue,
     acceptedMs,
   );
   job.noticedMs = noticedMs;
   const step = job.occurrences.get(0)!.steps[0];
-  return createWaitingStep(job, 0, step, SAMPLE_QUEUE);
+  return createWaitingStep(job, 0, step, queue);
 }
 
 function createWorkers(cpuMillis: number) {
@@ -54,9 +55,12 @@
   return {clock, control};
 }
 
-function createMany(count: number, isLongRunning = false) {
+function createMany(
+  count: number,
+  options: {isLongRunning?: boolean; queue?: QueueConfig} = {},
+) {
   return (wallMs: number) =>
-    Array.from({length: count}, () => createWaiting(wallMs, 0, isLongRunning));
+    Array.from({length: count}, () => createWaiting(wallMs, 0, options));
 }
 
 describe(AdmissionControl.name, () => {
@@ -72,6 +76,26 @@
     expect(control.getRefusals().size).to.equal(0);
   });
 
+  it('accepts jobs while workers have room for the waiting ones, however slowly these are started', async () => {
+    const {control} = await runPasses(SLACK_MS, createMany(30), {
+      workers: createWorkers(400_000),
+    });
+    expect(control.getRefusals().size).to.equal(0);
+  });
+
+  it('refuses jobs while work of a higher priority takes longer than they can wait', async () => {
+    const urgent = {...SAMPLE_QUEUE, name: 'urgent', priority: -1};
+    const {control} = await runPasses(
+      SLACK_MS,
+      wallMs => [
+        ...createMany(30, {queue: urgent})(wallMs),
+        ...createMany(30)(wallMs),
+      ],
+      {workers: createWorkers(20_000)},
+    );
+    expect(control.getRefusals().has(QUEUE_NAME)).to.equal(true);
+  });
+
   it('accepts jobs while others are placed at once, whatever waits beside them', async () => {
     const {control} = await runPasses(0, createMany(30));
     expect(control.getRefusals().size).to.equal(0);
@@ -90,7 +114,10 @@
   });
 
   it('counts no long-running work', async () => {
-    const {control} = await runPasses(SLACK_MS, createMany(30, true));
+    const {control} = await runPasses(
+      SLACK_MS,
+      createMany(30, {isLongRunning: true}),
+    );
     expect(control.getRefusals().size).to.equal(0);
   });
 
--- a/packages/experiments/test/admission.test.ts
+++ b/packages/experiments/test/admission.test.ts
@@ -116,3 +116,18 @@
       expect(refused).to.deep.equal([]);
     });
 });
+
+describe('a queue whose start commands get no response half of the time', () => {
+  it('accepts all jobs while the workers have room for them', async () => {
+    const harness = JobHarness.create({workers: 8});
+    await harness.advance(START_MS);
+    for (const {linkFaults} of harness.nodes) {
+      linkFaults.lateProbability = 0.5;
+      linkFaults.lateMs = 2_000;
+      linkFaults.maxLateMs = 12_000;
+    }
+    const attempts = await submitFor(harness, 30_000, 400);
+    const refused = attempts.filter(({retryAfterMs}) => retryAfterMs > 0);
+    expect(refused).to.deep.equal([]);
+  });
+});
