--- a/packages/coordination/src/admission_control.ts
+++ b/packages/coordination/src/admission_control.ts
@@ -8,6 +8,7 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {JobState, StepState} from '@mustardlug/jobs/job_state';
+import {QueueConfig} from '@mustardlug/jobs/queue_config';
 import {PlacedStep, isWaitingTask} from './placement_pass.js';
 import {
   getCriticalPathMs,
@@ -16,7 +17,7 @@
   getObjectiveDurationMs,
   WaitingStep,
 } from './task_order.js';
-import {CandidateWorker} from './worker_ranking.js';
+import {WorkerLoad} from './worker_load.js';
 
 /** Shortest and longest time over which placements are measured; the tolerable wait in between. */
 const MIN_WINDOW_MS = 2_000;
@@ -54,6 +55,12 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** A worker that is to run jobs, whether or not it is usable at the moment. */
+export interface AdmissionWorker {
+  readonly load: WorkerLoad;
+  readonly labels: readonly string[];
+}
+
 /** Tasks of one step that were placed at the same time. */
 interface RecordedPlacement {
   readonly placedMs: number;
@@ -73,12 +80,15 @@
 
 /** Unplaced work of one queue. */
 interface Backlog {
+  readonly queue: QueueConfig;
   /** Work that has not expired, in microseconds of CPU time. */
   work: number;
   /** All work that a worker could run, expired or not. */
   totalWork: number;
-  /** CPU capacity of the usable workers, in thousandths of a core. */
+  /** CPU capacity of the workers, in thousandths of a core. */
   readonly cpuMillis: number;
+  /** Part of it that long-running tasks leave to others. */
+  readonly availableCpuMillis: number;
   /** Longest time for which a job has waited of which nothing has been placed. */
   oldestWaitMs: number;
   stepCount: number;
@@ -86,6 +96,14 @@
   slackMs: number;
 }
 
+/** Work that is placed before a new job of a queue, in microseconds of CPU time. */
+interface PrecedingWork {
+  /** Work before a job that has not expired. */
+  readonly work: number;
+  /** Work before an expired job. */
+  readonly totalWork: number;
+}
+
 /** Measures how long the jobs of each queue wait, and refuses those that would miss their objective. */
 export class AdmissionControl {
   private readonly placements = new Map<string, RecordedPlacement[]>();
@@ -93,8 +111,8 @@
   private refusals: ReadonlyMap<string, QueueRefusal> = new Map();
   /** Steps with waiting tasks before the last pass. */
   private waiting: readonly WaitingStep[] = [];
-  /** Workers that were usable in the last pass, by service. */
-  private workersByService: ReadonlyMap<string, readonly CandidateWorker[]> =
+  /** Workers at the last pass, by service. */
+  private workersByService: ReadonlyMap<string, readonly AdmissionWorker[]> =
     new Map();
 
   private constructor(private readonly clock: Clock) {}
@@ -110,12 +128,12 @@
   /**
    * Records a placement pass.
    * @param waiting - Steps that had waiting tasks before it.
-   * @param workersByService - Usable workers, by service.
+   * @param workersByService - Workers that are registered and not leaving, by service.
    * @param placedSteps - Steps of which tasks were placed.
    */
   recordPass(
     waiting: readonly WaitingStep[],
-    workersByService: ReadonlyMap<string, readonly CandidateWorker[]>,
+    workersByService: ReadonlyMap<string, readonly AdmissionWorker[]>,
     placedSteps: readonly PlacedStep[],
   ): void {
     this.waiting = waiting;
@@ -148,7 +166,8 @@
       wallMs,
     );
     for (const [queueName, backlog] of backlogs) {
-      const retryAfterMs = this.getRetryAfterMs(queueName, backlog);
+      const preceding = getPrecedingWork(backlog, backlogs.values());
+      const retryAfterMs = this.getRetryAfterMs(backlog, preceding);
       if (retryAfterMs === 0) continue;
       const startsPerSecond = this.getStartsPerSecond(queueName, backlog);
       refusals.set(queueName, {retryAfterMs, startsPerSecond});
@@ -162,7 +181,13 @@
     return this.refusals;
   }
 
-  private getRetryAfterMs(queueName: string, backlog: Backlog): number {
+  /**
+   * Starts may be slow for other reasons than load, such as calls without a
+   * response. The workers then still have room, so that the wait that all of them
+   * together would need is the limit of the wait that recent placements suggest.
+   */
+  private getRetryAfterMs(backlog: Backlog, preceding: PrecedingWork): number {
+    const queueName = backlog.queue.name;
     const tolerableMs = getTolerableWaitMs(backlog);
     const placements = this.getPlacements(queueName, backlog);
     // Whether jobs wait because of load is not known while none are placed.
@@ -171,14 +196,20 @@
     for (const {work} of placements) placedWork += work;
     const msPerWork = getWindowMs(backlog) / placedWork;
     const isRefusing = this.refusals.has(queueName);
+    const totalWaitMs = Math.min(
+      backlog.totalWork * msPerWork,
+      preceding.totalWork / backlog.availableCpuMillis,
+    );
     const totalMs = isBacklogLimited(backlog)
-      ? getExcessMs(backlog.totalWork * msPerWork, MAX_BACKLOG_MS, isRefusing)
+      ? getExcessMs(totalWaitMs, MAX_BACKLOG_MS, isRefusing)
       : 0;
     const measuredMs = getMeasuredWaitMs(placements, backlog);
     const isLoaded = measuredMs >= tolerableMs * MIN_MEASURED_FRACTION;
-    const lateMs = isLoaded
-      ? getExcessMs(backlog.work * msPerWork, tolerableMs, isRefusing)
-      : 0;
+    const waitMs = Math.min(
+      backlog.work * msPerWork,
+      preceding.work / backlog.availableCpuMillis,
+    );
+    const lateMs = isLoaded ? getExcessMs(waitMs, tolerableMs, isRefusing) : 0;
     return Math.min(MAX_RETRY_AFTER_MS, Math.max(totalMs, lateMs));
   }
 
@@ -210,6 +241,23 @@
   }
 }
 
+/** Sums up the work that workers do before they are done with that of a queue. */
+function getPrecedingWork(
+  {queue}: Backlog,
+  backlogs: Iterable<Backlog>,
+): PrecedingWork {
+  let work = 0;
+  let totalWork = 0;
+  for (const other of backlogs) {
+    if (other.queue.serviceName !== queue.serviceName) continue;
+    if (other.queue.priority > queue.priority) continue;
+    const isBefore = other.queue.priority < queue.priority;
+    work += isBefore ? other.totalWork : other.work;
+    totalWork += other.totalWork;
+  }
+  return {work, totalWork};
+}
+
 /** Gets how long the waiting jobs can wait, on average, and still meet their objectives. */
 function getTolerableWaitMs({slackMs, stepCount}: Backlog): number {
   if (stepCount === 0) return MIN_TOLERABLE_WAIT_MS;
@@ -268,7 +316,7 @@
  */
 function getBacklogs(
   waiting: readonly WaitingStep[],
-  workersByService: ReadonlyMap<string, readonly CandidateWorker[]>,
+  workersByService: ReadonlyMap<string, readonly AdmissionWorker[]>,
   nowMs: number,
   wallMs: number,
 ): Map<string, Backlog> {
@@ -279,7 +327,7 @@
     const taskCount = step.tasks.filter(isWaitingTask).length;
     if (taskCount === 0) continue;
     const workers = workersByService.get(queue.serviceName) ?? [];
-    const backlog = backlogs.get(queue.name) ?? createBacklog(workers);
+    const backlog = backlogs.get(queue.name) ?? createBacklog(queue, workers);
     backlogs.set(queue.name, backlog);
     const work = taskCount * getTaskWork(each);
     if (workers.some(worker => canEverRun(step, worker)))
@@ -295,13 +343,22 @@
   return backlogs;
 }
 
-function createBacklog(workers: readonly CandidateWorker[]): Backlog {
+function createBacklog(
+  queue: QueueConfig,
+  workers: readonly AdmissionWorker[],
+): Backlog {
   let cpuMillis = 0;
-  for (const {load} of workers) cpuMillis += load.getCapacity().cpuMillis;
+  let availableCpuMillis = 0;
+  for (const {load} of workers) {
+    cpuMillis += load.getCapacity().cpuMillis;
+    availableCpuMillis += load.getBatchCpuMillis();
+  }
   return {
+    queue,
     work: 0,
     totalWork: 0,
     cpuMillis,
+    availableCpuMillis,
     oldestWaitMs: 0,
     stepCount: 0,
     slackMs: 0,
@@ -311,7 +368,7 @@
 /** Checks whether an empty worker could run a task of a step. */
 function canEverRun(
   {spec}: StepState,
-  {load, labels}: CandidateWorker,
+  {load, labels}: AdmissionWorker,
 ): boolean {
   const {needs, requiredLabel} = spec;
   const capacity = load.getCapacity();
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -21,7 +21,7 @@
   recordInternalError,
   runGuarded,
 } from '@mustardlug/telemetry/guarded_call';
-import {AdmissionControl} from './admission_control.js';
+import {AdmissionControl, AdmissionWorker} from './admission_control.js';
 import {CommitLog, CommitOutcome} from './commit_log.js';
 import {CoordinatorHeartbeat, STATUS_ADDRESS} from './coordinator_heartbeat.js';
 import {QueueLoad} from './coordinator_status.js';
@@ -758,7 +758,7 @@
     pass.run(waiting, wallMs);
     this.admissionControl.recordPass(
       waiting,
-      workersByService,
+      this.getAdmissionWorkers(),
       pass.getPlacedSteps(),
     );
     this.isStartLimited = pass.isLimitReached();
@@ -771,6 +771,22 @@
     }
   }
 
+  /**
+   * Gets the workers that are to run jobs, by service. Those that are not usable at
+   * the moment count: why they are not says nothing about load.
+   */
+  private getAdmissionWorkers(): Map<string, AdmissionWorker[]> {
+    const workers = new Map<string, AdmissionWorker[]>();
+    for (const session of this.workerPool.getSessions()) {
+      const {serviceName, labels, isDraining} = session.getRecord();
+      if (isDraining || !session.hasRegistration()) continue;
+      const list = workers.get(serviceName) ?? [];
+      list.push({load: session.load, labels});
+      workers.set(serviceName, list);
+    }
+    return workers;
+  }
+
   /** Gets the load by name of the queue, or `undefined` while accepted jobs may be unknown here. */
   private getQueueLoads(): Record<string, QueueLoad> | undefined {
     const jobsAgeMs = this.jobFollower?.getMaxAgeMs() ?? Infinity;
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -154,11 +154,14 @@
 
   /** Gets the CPU that is available to further fillers, in thousandths of a core. */
   getReclaimableCpuMillis(): number {
-    const servingUse = this.servingCpuMillis * SERVING_CPU_UTILIZATION;
     const batchUse = this.usedCpuMillis - this.servingCpuMillis;
-    return (
-      this.capacity.cpuMillis - servingUse - batchUse - this.fillerCpuMillis
-    );
+    return this.getBatchCpuMillis() - batchUse - this.fillerCpuMillis;
+  }
+
+  /** Gets the CPU that long-running tasks leave to others, in thousandths of a core. */
+  getBatchCpuMillis(): number {
+    const servingUse = this.servingCpuMillis * SERVING_CPU_UTILIZATION;
+    return this.capacity.cpuMillis - servingUse;
   }
 
   /** Gets the CPU that fillers declare, in thousandths of a core. */
