--- a/packages/coordination/src/job_index.ts
+++ b/packages/coordination/src/job_index.ts
@@ -174,6 +174,7 @@
     this.refusedJobs.delete(row.key);
     const job = JobState.create({...stored.value.job, jobId: row.key});
     job.noticedMs = nowMs;
+    job.idleSinceMs = nowMs;
     this.jobs.set(row.key, job);
     return this.addJob(job, nowMs);
   }
--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -391,6 +391,7 @@
 
   /** Removes the state of a job that was kept only for its active runs. */
   private recordRunRemoved(job: JobState): void {
+    if (!job.hasRuns()) job.idleSinceMs = this.options.clock.getMonotonicMs();
     job.removeDoneOccurrences();
     this.jobIndex.updateActiveJobs(job);
     this.markChanged(job);
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -194,6 +194,9 @@
    */
   noticedMs = 0;
 
+  /** Monotonic time since which the job has had no run, if it has none; that of its notice before the first one. */
+  idleSinceMs = 0;
+
   private constructor(readonly accepted: AcceptedJob) {}
 
   /**
