--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -174,8 +174,13 @@
     this.reserveRoom(sortedPreceding);
     if (this.isLimitReached()) return;
     const sorted = sortWaitingSteps(waiting, wallMs);
+    let hasPlacedNeglected = false;
     for (const each of sorted) {
       if (this.isLimitReached()) return;
+      if (!hasPlacedNeglected && canLimitFillers(each, wallMs)) {
+        hasPlacedNeglected = true;
+        this.placeNeglectedFillers(sorted);
+      }
       const key = this.getEquivalenceClass(each);
       if (this.isKnownToFail(key, each.step)) continue;
       const isPlaced = each.step.spec.isGang
@@ -183,7 +188,6 @@
         : this.placeTasks(each);
       if (!isPlaced) this.recordFailure(key, each);
     }
-    for (const each of sorted) this.placeNeglectedFiller(each);
   }
 
   /** Checks whether tasks may be left waiting because of `maxPlacements`. */
@@ -462,6 +466,21 @@
     return hasRoom;
   }
 
+  /**
+   * Places one task of each overdue filler job that has no run. They share the
+   * placements that are left: if the oldest jobs took all of them, the others would
+   * stand still for as long as these last.
+   */
+  private placeNeglectedFillers(sorted: readonly WaitingStep[]): void {
+    const neglected = sorted.filter(
+      each => canLimitFillers(each, this.wallMs) && !each.job.hasRuns(),
+    );
+    neglected.sort(
+      (left, right) => left.job.idleSinceMs - right.job.idleSinceMs,
+    );
+    for (const each of neglected) this.placeNeglectedFiller(each);
+  }
+
   /**
    * Places one task of an overdue filler job that has no run, also where other
    * fillers have taken all CPU. Overdue jobs come last, so that on a full fleet
