--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -482,9 +482,7 @@
    * stand still for as long as these last.
    */
   private placeNeglectedFillers(sorted: readonly WaitingStep[]): void {
-    const neglected = sorted.filter(
-      each => canLimitFillers(each, this.wallMs) && !each.job.hasRuns(),
-    );
+    const neglected = sorted.filter(each => this.isNeglectedFiller(each));
     neglected.sort(
       (left, right) => left.job.idleSinceMs - right.job.idleSinceMs,
     );
