--- a/packages/coordination/src/worker_health.ts
+++ b/packages/coordination/src/worker_health.ts
@@ -101,6 +101,12 @@
 /** Age from which the progress of a run is a reliable measure of its speed. */
 const MIN_RUN_AGE_MS = 600;
 
+/**
+ * Usual maximum time between two reports. A run whose end is reported later may
+ * have ended long before, as reports can be lost.
+ */
+const MAX_REPORT_INTERVAL_MS = 1_000;
+
 /**
  * Tracks the health of all workers. Quarantined workers get no new runs, except
  * for single probes.
@@ -177,7 +183,7 @@
     record.slowdowns.push({recordedMs: nowMs, jobId, slowdown});
     const {queue} = assigned.job.accepted;
     if (!record.isQuarantined) {
-      const durationMs = nowMs - assigned.run.placedMs;
+      const durationMs = getEndMs(assigned, nowMs) - assigned.run.startedMs;
       this.options.durationModel.addDuration(
         queue.name,
         assigned.step,
@@ -256,7 +262,7 @@
     if (totalMs === undefined) return false;
     const expectedMs = this.getExpectedMs(assigned);
     if (totalMs < SLOWDOWN_THRESHOLD * expectedMs) return false;
-    const remainingMs = totalMs - (nowMs - assigned.run.placedMs);
+    const remainingMs = totalMs - (nowMs - assigned.run.startedMs);
     return remainingMs > expectedMs + RESTART_OVERHEAD_MS;
   }
 
@@ -324,7 +330,8 @@
   }
 
   private getEndedSlowdown(assigned: AssignedRun, nowMs: number): number {
-    return (nowMs - assigned.run.placedMs) / this.getExpectedMs(assigned);
+    const durationMs = getEndMs(assigned, nowMs) - assigned.run.startedMs;
+    return durationMs / this.getExpectedMs(assigned);
   }
 
   /**
@@ -374,12 +381,18 @@
 ): number | undefined {
   if (step.spec.isLongRunning || run.isAdopted) return undefined;
   if (!run.isConfirmed || run.isStopping) return undefined;
-  const elapsedMs = nowMs - run.placedMs;
+  const elapsedMs = nowMs - run.startedMs;
   if (elapsedMs < MIN_RUN_AGE_MS) return undefined;
   const percent = Math.max(1, run.progressPercent);
   return Math.max((100 * run.progressAgeMs) / percent, elapsedMs);
 }
 
+/** Gets the time at which a run ended, as far as reports of the worker tell. */
+function getEndMs({run}: AssignedRun, nowMs: number): number {
+  const listedMs = run.startedMs + run.progressAgeMs;
+  return Math.min(nowMs, listedMs + MAX_REPORT_INTERVAL_MS);
+}
+
 function isSlow(observed: readonly Slowdown[]): boolean {
   const median = getMedian(observed.map(({slowdown}) => slowdown));
   const jobs = new Set(observed.map(({jobId}) => jobId));
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -523,6 +523,8 @@
       if (run.workerStartMs !== workerStartMs) return;
       if (outcome.isOk()) {
         this.recordCommandResponse(assigned);
+        // Earlier commands without a response may not have been executed.
+        if (attempt > 1 && !run.isConfirmed) run.startedMs = sentMs;
         confirmRun(assigned);
         this.startBackoff.reset();
         if (run.cpuLimitPercent < UNLIMITED_PERCENT)
@@ -843,10 +845,10 @@
       if (assigned.run.workerStartMs !== report.startMs)
         assigned.firstListedClockMs = undefined;
       assigned.run.workerStartMs = report.startMs;
-      confirmRun(assigned);
+      this.confirmListedRun(assigned);
       assigned.run.progressPercent = running.progressPercent;
       assigned.run.progressAgeMs =
-        this.options.clock.getMonotonicMs() - assigned.run.placedMs;
+        this.options.clock.getMonotonicMs() - assigned.run.startedMs;
       // A start or a report may arrive long after the placement.
       assigned.firstListedClockMs ??= report.clockMs;
       const listedMs = report.clockMs - assigned.firstListedClockMs;
@@ -863,6 +865,14 @@
     }
   }
 
+  /** Confirms a run that may have started as late as this report if its start was not answered. */
+  private confirmListedRun(assigned: AssignedRun): void {
+    const {run} = assigned;
+    if (!run.isConfirmed && !run.isAdopted && run.openStarts > 0)
+      run.startedMs = this.options.clock.getMonotonicMs();
+    confirmRun(assigned);
+  }
+
   /**
    * Assigns a run that the worker reports unexpectedly, so that it counts against
    * the worker and its task is not placed again before it has ended. Stops it
--- a/packages/experiments/test/unanswered_calls.test.ts
+++ b/packages/experiments/test/unanswered_calls.test.ts
@@ -1,5 +1,6 @@
 import {RandomSource} from '@mustardlug/base/random_source';
 import {createSampleStep, SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
+import {RecordedEvent} from '@mustardlug/telemetry/event_recorder';
 import {expect} from 'chai';
 import {JobHarness} from '../src/job_harness.js';
 
@@ -82,6 +83,24 @@
       expect(harness.checker.violations).to.deep.equal([]);
     }
   });
+
+  it('are not taken for slow ones', async () => {
+    for (const seed of SEEDS) {
+      const setAside: RecordedEvent[] = [];
+      const sink = (event: RecordedEvent): void => {
+        if (event.name === 'worker-set-aside') setAside.push(event);
+      };
+      const harness = JobHarness.create({workers: WORKER_COUNT, seed, sink});
+      await harness.advance(START_MS);
+      loseAnswers(harness, 0.5);
+      for (let round = 0; round < 2 * ROUND_COUNT; round++) {
+        const step = createSampleStep(TASK_COUNT, {estimatedMs: 1_000});
+        await harness.submit([step]);
+        await harness.advance(ROUND_MS / 2);
+      }
+      expect(setAside, `seed ${seed}`).to.deep.equal([]);
+    }
+  });
 });
 
 /** Plays random rounds of jobs, restarts and lost answers. */
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -306,6 +306,7 @@
     workerId,
     workerStartMs,
     placedMs,
+    startedMs: placedMs,
     isAdopted: false,
     isConfirmed: false,
     openStarts: 0,
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -15,6 +15,11 @@
   workerStartMs: number;
   /** Monotonic time at which the run was placed. */
   readonly placedMs: number;
+  /**
+   * Monotonic time by which the run has started, if it has: that of its placement,
+   * unless its start commands were not answered at first.
+   */
+  startedMs: number;
   /** Whether the run was found in stored rows or in a report; its actual age is then unknown. */
   readonly isAdopted: boolean;
   /** Whether the worker has confirmed the run, in a response or in a report. */
