--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -190,6 +190,9 @@
  */
 const MAX_START_ATTEMPTS = 4;
 
+/** The same while calls are being lost, as stopping the run takes calls too. */
+const MAX_LOSSY_START_ATTEMPTS = 10;
+
 /** Interval at which a start that waits for current registrations checks them. */
 const REGISTRATION_POLL_MS = 20;
 
@@ -510,11 +513,14 @@
   async startRun(assigned: AssignedRun): Promise<void> {
     const {run} = assigned;
     const {workerStartMs} = run;
-    for (let attempt = 1; attempt <= MAX_START_ATTEMPTS; attempt++) {
+    for (let attempt = 1; attempt <= this.getMaxStartAttempts(); attempt++) {
       if (!this.options.areRegistrationsCurrent())
         await this.waitForRegistrations(assigned, workerStartMs);
       if (!this.shouldStart(assigned, workerStartMs)) return;
       if (!this.isRegisteredForStarts(workerStartMs)) break;
+      // A start that may have been executed is repeated once leases are granted again.
+      if (run.openStarts > 0) await this.waitForLeases(assigned, workerStartMs);
+      if (!this.shouldStart(assigned, workerStartMs)) return;
       if (this.areLeasesSuspended) break;
       if (this.hasUnknownRuns || !this.load.isWithinCapacity()) break;
       const sentMs = this.options.clock.getMonotonicMs();
@@ -547,6 +553,10 @@
     await this.abandonStart(assigned);
   }
 
+  private getMaxStartAttempts(): number {
+    return this.calls.isLossy() ? MAX_LOSSY_START_ATTEMPTS : MAX_START_ATTEMPTS;
+  }
+
   /**
    * Stops a run, or prevents it from starting if it has not started yet. Repeats
    * the command until the worker responds.
@@ -1116,6 +1126,19 @@
     }
   }
 
+  /** Waits until leases are granted, or until the run is no longer to be started. */
+  private async waitForLeases(
+    assigned: AssignedRun,
+    workerStartMs: number,
+  ): Promise<void> {
+    while (
+      this.areLeasesSuspended &&
+      this.shouldStart(assigned, workerStartMs)
+    ) {
+      await new Promise<void>(resolve => this.renewalWaiters.push(resolve));
+    }
+  }
+
   private notifyRenewalWaiters(): void {
     const waiters = this.renewalWaiters;
     this.renewalWaiters = [];
