--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -190,6 +190,9 @@
  */
 const MAX_START_ATTEMPTS = 4;
 
+/** The same while calls are being lost, as stopping the run takes calls too. */
+const MAX_LOSSY_START_ATTEMPTS = 10;
+
 /** Interval at which a start that waits for current registrations checks them. */
 const REGISTRATION_POLL_MS = 20;
 
@@ -510,11 +513,14 @@
   async startRun(assigned: AssignedRun): Promise<void> {
     const {run} = assigned;
     const {workerStartMs} = run;
-    for (let attempt = 1; attempt <= MAX_START_ATTEMPTS; attempt++) {
+    for (let attempt = 1; attempt <= this.getMaxStartAttempts(); attempt++) {
       if (!this.options.areRegistrationsCurrent())
         await this.waitForRegistrations(assigned, workerStartMs);
       if (!this.shouldStart(assigned, workerStartMs)) return;
       if (!this.isRegisteredForStarts(workerStartMs)) break;
+      // A start that may have been executed is repeated once leases are granted again.
+      if (run.openStarts > 0) await this.waitForLeases(assigned, workerStartMs);
+      if (!this.shouldStart(assigned, workerStartMs)) return;
       if (this.areLeasesSuspended) break;
       if (this.hasUnknownRuns || !this.load.isWithinCapacity()) break;
       const sentMs = this.options.clock.getMonotonicMs();
@@ -523,6 +529,8 @@
       if (run.workerStartMs !== workerStartMs) return;
       if (outcome.isOk()) {
         this.recordCommandResponse(assigned);
+        // Earlier commands without a response may not have been executed.
+        if (attempt > 1 && !run.isConfirmed) run.startedMs = sentMs;
         confirmRun(assigned);
         this.startBackoff.reset();
         if (run.cpuLimitPercent < UNLIMITED_PERCENT)
@@ -545,6 +553,10 @@
     await this.abandonStart(assigned);
   }
 
+  private getMaxStartAttempts(): number {
+    return this.calls.isLossy() ? MAX_LOSSY_START_ATTEMPTS : MAX_START_ATTEMPTS;
+  }
+
   /**
    * Stops a run, or prevents it from starting if it has not started yet. Repeats
    * the command until the worker responds.
@@ -843,10 +855,10 @@
       if (assigned.run.workerStartMs !== report.startMs)
         assigned.firstListedClockMs = undefined;
       assigned.run.workerStartMs = report.startMs;
-      confirmRun(assigned);
+      this.confirmListedRun(assigned);
       assigned.run.progressPercent = running.progressPercent;
       assigned.run.progressAgeMs =
-        this.options.clock.getMonotonicMs() - assigned.run.placedMs;
+        this.options.clock.getMonotonicMs() - assigned.run.startedMs;
       // A start or a report may arrive long after the placement.
       assigned.firstListedClockMs ??= report.clockMs;
       const listedMs = report.clockMs - assigned.firstListedClockMs;
@@ -863,6 +875,14 @@
     }
   }
 
+  /** Confirms a run that may have started as late as this report if its start was not answered. */
+  private confirmListedRun(assigned: AssignedRun): void {
+    const {run} = assigned;
+    if (!run.isConfirmed && !run.isAdopted && run.openStarts > 0)
+      run.startedMs = this.options.clock.getMonotonicMs();
+    confirmRun(assigned);
+  }
+
   /**
    * Assigns a run that the worker reports unexpectedly, so that it counts against
    * the worker and its task is not placed again before it has ended. Stops it
@@ -1106,6 +1126,19 @@
     }
   }
 
+  /** Waits until leases are granted, or until the run is no longer to be started. */
+  private async waitForLeases(
+    assigned: AssignedRun,
+    workerStartMs: number,
+  ): Promise<void> {
+    while (
+      this.areLeasesSuspended &&
+      this.shouldStart(assigned, workerStartMs)
+    ) {
+      await new Promise<void>(resolve => this.renewalWaiters.push(resolve));
+    }
+  }
+
   private notifyRenewalWaiters(): void {
     const waiters = this.renewalWaiters;
     this.renewalWaiters = [];
