--- a/packages/coordination/test/crash_attributor.test.ts
+++ b/packages/coordination/test/crash_attributor.test.ts
@@ -196,4 +196,17 @@
       {assigned: first, isAttributed: true},
     ]);
   });
+
+  it('does not attribute a crash with which a quarter of the workers were lost that had last responded up to 1.4 s earlier', () => {
+    const assigned = addTestRun(load, {});
+    const silentWorkers = Array.from({length: 6}, (_, index) => {
+      const silentLoad = createTestLoad();
+      addTestRun(silentLoad, {});
+      const lastResponseMs = LOST_MS - 1_400 + 100 * index;
+      return createLost(`worker-1${index}`, silentLoad, lastResponseMs);
+    });
+    expect(
+      recordLoss(createLost('worker-1', load), silentWorkers),
+    ).to.deep.equal([{assigned, isAttributed: false}]);
+  });
 });
