--- a/packages/coordination/src/call_history.ts
+++ b/packages/coordination/src/call_history.ts
@@ -13,8 +13,12 @@
   readonly unanswered: number;
 }
 
+/** Kind of a call: any live worker answers renewals, but it may answer no commands. */
+export type CallKind = 'renewal' | 'command';
+
 /** A call that was sent to the worker. */
 export interface WorkerCall {
+  readonly kind: CallKind;
   /** Position in the order in which calls were sent. */
   readonly number: number;
   /** Monotonic time at which the call was sent. */
@@ -28,10 +32,10 @@
 /** Response time up to which a call never counts as overdue. */
 const MIN_EXPECTED_RESPONSE_MS = 200;
 
-/** Weight of a call in the share of calls without a response. */
+/** Weight of a renewal in the share of renewals without a response. */
 const SHARE_WEIGHT = 1 / 8;
 
-/** Share of calls without a response from which on calls count as being lost. */
+/** Share of renewals without a response from which on calls count as being lost. */
 const LOSSY_SHARE = 0.2;
 
 /** Number of overdue calls since the last response from which on the worker counts as stopped. */
@@ -66,11 +70,12 @@
 
   /**
    * Records that a call is sent.
+   * @param kind - Kind of the call.
    * @param waitMs - Time for which the worker may wait before it responds.
    */
-  addCall(waitMs = 0): WorkerCall {
+  addCall(kind: CallKind, waitMs = 0): WorkerCall {
     const sentMs = this.clock.getMonotonicMs();
-    return {number: ++this.callCount, sentMs, waitMs, isOverdue: false};
+    return {kind, number: ++this.callCount, sentMs, waitMs, isOverdue: false};
   }
 
   /**
@@ -91,7 +96,7 @@
       this.counts = {answered, refused: refused + 1, unanswered};
     } else {
       this.recordOverdue(call);
-      this.unansweredShare += (1 - this.unansweredShare) * SHARE_WEIGHT;
+      this.updateShare(call, 1);
       this.counts = {answered, refused, unanswered: unanswered + 1};
     }
   }
@@ -116,7 +121,7 @@
     return this.responseTimes.getLimitMs(MIN_EXPECTED_RESPONSE_MS);
   }
 
-  /** Checks whether several calls before the last response got none. */
+  /** Checks whether several renewals before the last response got none. */
   isLossy(): boolean {
     return this.shareBeforeSilence > LOSSY_SHARE;
   }
@@ -139,15 +144,22 @@
     return counts;
   }
 
-  private recordAnswer({sentMs, waitMs}: WorkerCall): void {
+  private recordAnswer(call: WorkerCall): void {
+    const {sentMs, waitMs} = call;
     this.lastAnswerMs = this.clock.getMonotonicMs();
     this.overdueCount = 0;
-    this.unansweredShare -= this.unansweredShare * SHARE_WEIGHT;
+    this.updateShare(call, 0);
     this.shareBeforeSilence = this.unansweredShare;
     const responseMs = this.lastAnswerMs - sentMs - waitMs;
     // The worker may have used any part of the wait.
     if (responseMs >= 0) this.responseTimes.record(responseMs);
   }
+
+  private updateShare({kind}: WorkerCall, unanswered: 0 | 1): void {
+    if (kind === 'renewal')
+      this.unansweredShare +=
+        (unanswered - this.unansweredShare) * SHARE_WEIGHT;
+  }
 }
 
 function createCounts(): CallCounts {
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -675,7 +675,7 @@
       isReportOnly || hasUnacknowledgedEnds || this.calls.getOverdueCount() > 0
         ? 0
         : this.getPollTimeoutMs();
-    const call = this.calls.addCall(waitMs);
+    const call = this.calls.addCall('renewal', waitMs);
     const pending = client.renewLease({
       worker: this.record,
       fencingToken,
@@ -1148,7 +1148,7 @@
   /** Sends a call, and records whether it was answered. */
   private async track<T>(
     pending: Promise<Result<T, JobWorkerError>>,
-    call = this.calls.addCall(),
+    call = this.calls.addCall('command'),
   ): Promise<Result<T, JobWorkerError>> {
     const outcome = await pending;
     this.calls.recordOutcome(call, outcome);
--- a/packages/coordination/test/call_history.test.ts
+++ b/packages/coordination/test/call_history.test.ts
@@ -24,7 +24,7 @@
   it('counts answered, refused and unanswered calls since the previous request', () => {
     const history = CallHistory.create(VirtualClock.create());
     for (const outcome of [ANSWER, NO_ANSWER, REFUSAL, NO_ANSWER])
-      history.recordOutcome(history.addCall(), outcome);
+      history.recordOutcome(history.addCall('renewal'), outcome);
     expect(history.takeCounts()).to.deep.equal({
       answered: 1,
       refused: 1,
@@ -36,17 +36,17 @@
   it('counts a call once as overdue, and none that was sent before the last response', async () => {
     const clock = VirtualClock.create();
     const history = CallHistory.create(clock);
-    const early = history.addCall();
-    const answered = history.addCall();
+    const early = history.addCall('renewal');
+    const answered = history.addCall('renewal');
     await clock.advance(1);
     history.recordOutcome(answered, ANSWER);
     history.recordOverdue(early);
     expect(history.getOverdueCount()).to.equal(0);
-    const late = history.addCall();
+    const late = history.addCall('renewal');
     history.recordOverdue(late);
     history.recordOutcome(late, NO_ANSWER);
     expect(history.getOverdueCount()).to.equal(1);
-    history.recordOutcome(history.addCall(), REFUSAL);
+    history.recordOutcome(history.addCall('renewal'), REFUSAL);
     expect(history.getOverdueCount()).to.equal(0);
   });
 
@@ -55,26 +55,38 @@
     const history = CallHistory.create(clock);
     const usualMs = history.getExpectedResponseMs();
     for (let round = 0; round < 40; round++) {
-      const call = history.addCall();
+      const call = history.addCall('renewal');
       await clock.advance(SLOW_RESPONSE_MS);
       history.recordOutcome(call, NO_ANSWER);
     }
     expect(history.getExpectedResponseMs()).to.equal(usualMs);
     for (let round = 0; round < 40; round++) {
-      const call = history.addCall();
+      const call = history.addCall('renewal');
       await clock.advance(SLOW_RESPONSE_MS);
       history.recordOutcome(call, ANSWER);
     }
     expect(history.getExpectedResponseMs()).to.be.above(SLOW_RESPONSE_MS);
   });
 
+  it('does not take commands without a response for lost if renewals are answered', () => {
+    const history = CallHistory.create(VirtualClock.create());
+    for (let call = 0; call < 20; call++) {
+      history.recordOutcome(history.addCall('command'), NO_ANSWER);
+      history.recordOutcome(history.addCall('renewal'), ANSWER);
+    }
+    expect(history.isLossy()).to.equal(false);
+  });
+
   it('takes a worker for stopped after fewer overdue calls if none were lost before', () => {
     const history = CallHistory.create(VirtualClock.create());
     for (let call = 0; call < 20; call++)
-      history.recordOutcome(history.addCall(), ANSWER);
+      history.recordOutcome(history.addCall('renewal'), ANSWER);
     expect(countUntilStopped(history)).to.equal(3);
     for (let call = 0; call < 20; call++)
-      history.recordOutcome(history.addCall(), call % 2 ? ANSWER : NO_ANSWER);
+      history.recordOutcome(
+        history.addCall('renewal'),
+        call % 2 ? ANSWER : NO_ANSWER,
+      );
     expect(history.isLossy()).to.equal(true);
     expect(countUntilStopped(history)).to.equal(5);
   });
@@ -84,7 +96,7 @@
 function countUntilStopped(history: CallHistory): number {
   let count = 0;
   while (!history.hasStopped()) {
-    history.recordOutcome(history.addCall(), NO_ANSWER);
+    history.recordOutcome(history.addCall('renewal'), NO_ANSWER);
     count++;
   }
   return count;
