--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -549,7 +549,7 @@
       return;
     }
     if (!this.shouldStart(assigned, workerStartMs)) return;
-    this.recordStartFailure(assigned);
+    this.recordUnansweredStart(assigned);
     await this.abandonStart(assigned);
   }
 
@@ -930,7 +930,7 @@
         assigned;
       const isLapsed = report.clockMs > startLeaseUntilMs;
       if (commandResponseMs > sentMs && !isLapsed) continue;
-      if (isUnstarted(assigned)) this.recordStartFailure(assigned);
+      if (isUnstarted(assigned)) this.recordUnansweredStart(assigned);
       this.dropRun(
         assigned,
         commandResponseMs <= sentMs
@@ -1015,13 +1015,20 @@
       return;
     }
     if (reason === 'no-room') this.isOutOfCapacity = true;
-    if (WORKER_REFUSALS.has(reason)) this.recordStartFailure(assigned);
+    if (WORKER_REFUSALS.has(reason)) {
+      this.startBackoff.recordFailure();
+      assigned.task.unstartedOn.add(this.getId());
+    }
     this.options.listener.onStartRefused(this, assigned, reason);
     await this.abandonStart(assigned);
   }
 
-  private recordStartFailure({task}: AssignedRun): void {
-    this.startBackoff.recordFailure();
+  /**
+   * Records that a run was not started for want of a response. The worker gets no
+   * pause while other calls are being lost too, as it may start the next run at once.
+   */
+  private recordUnansweredStart({task}: AssignedRun): void {
+    if (!this.calls.isLossy()) this.startBackoff.recordFailure();
     task.unstartedOn.add(this.getId());
   }
 
