--- a/packages/coordination/src/start_window.ts
+++ b/packages/coordination/src/start_window.ts
@@ -10,10 +10,12 @@
  * if they are not the cause: the work that waits grows, and with it its cost, so that
  * the process falls behind further. The commands themselves tell: each prompt response
  * admits one more command however late timers are, up to one for each worker that can
- * take it, and late responses take them back.
+ * take it, and late responses take them back. A command whose response is overdue,
+ * measured by the others, is not in progress any more: it takes no processor time.
  */
 
 import {Clock, Timer} from '@mustardlug/base/clock';
+import {ResponseTimeEstimator} from '@mustardlug/base/response_time_estimator';
 
 /** Interval at which the delay of timers is measured. */
 const MEASUREMENT_INTERVAL_MS = 50;
@@ -40,9 +42,19 @@
 /** Factor by which a late response lowers the number of commands that are always admitted. */
 const LATE_DECREASE_FACTOR = 0.9;
 
+/** Time without a response for which a command always counts as in progress. */
+const MIN_PROGRESS_MS = 100;
+
+/** A start command in progress. */
+export interface OpenCommand {
+  readonly sentMs: number;
+}
+
 /** Tracks start commands in progress, and limits them by the delay of this process's timers. */
 export class StartWindow {
-  private commandCount = 0;
+  /** Commands without a response, the oldest first; those that are overdue are removed. */
+  private readonly openCommands = new Set<OpenCommand>();
+  private readonly responseTimes = ResponseTimeEstimator.create();
   private limit = INITIAL_LIMIT;
   private delayMs = 0;
   private usableWorkerCount = 0;
@@ -88,27 +100,37 @@
 
   /** Gets the number of start commands in progress. */
   getCommandCount(): number {
-    return this.commandCount;
+    const progressMs = this.responseTimes.getLimitMs(MIN_PROGRESS_MS);
+    const oldestMs = this.clock.getMonotonicMs() - progressMs;
+    for (const command of this.openCommands) {
+      if (command.sentMs >= oldestMs) break;
+      this.openCommands.delete(command);
+    }
+    return this.openCommands.size;
   }
 
   /** Gets the number of start commands that may be added to those in progress. */
   getFreeCount(): number {
-    return Math.max(0, Math.floor(this.getLimit()) - this.commandCount);
+    return Math.max(0, Math.floor(this.getLimit()) - this.getCommandCount());
   }
 
   /** Records that a start command is sent. */
-  addCommand(): void {
-    this.commandCount++;
+  addCommand(): OpenCommand {
+    const command = {sentMs: this.clock.getMonotonicMs()};
+    this.openCommands.add(command);
+    return command;
   }
 
   /**
    * Records that a start command was answered or has timed out.
+   * @param command - Command.
    * @param responseMs - Time until the response; undefined if there was none, as from
    *     a worker that has crashed.
    */
-  removeCommand(responseMs?: number): void {
-    this.commandCount--;
+  removeCommand(command: OpenCommand, responseMs?: number): void {
+    this.openCommands.delete(command);
     if (responseMs === undefined) return;
+    this.responseTimes.record(responseMs);
     if (responseMs > LATE_RESPONSE_MS)
       this.provenLimit = Math.max(
         MIN_LIMIT,
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -1062,8 +1062,7 @@
     );
     run.openStarts++;
     const {clock, startWindow} = this.options;
-    const sentMs = clock.getMonotonicMs();
-    startWindow.addCommand();
+    const command = startWindow.addCommand();
     const outcome = await this.track(
       this.options.client.startRun({
         ...this.createRunCommand(assigned),
@@ -1075,7 +1074,8 @@
     const isAnswered =
       outcome.isOk() || outcome.error.kind === 'worker-refusal';
     startWindow.removeCommand(
-      isAnswered ? clock.getMonotonicMs() - sentMs : undefined,
+      command,
+      isAnswered ? clock.getMonotonicMs() - command.sentMs : undefined,
     );
     const isSettled =
       isAnswered ||
--- a/packages/coordination/test/start_window_causes.test.ts
+++ b/packages/coordination/test/start_window_causes.test.ts
@@ -36,8 +36,7 @@
   responsesMs: ReadonlyArray<number | undefined>,
 ): void {
   for (const responseMs of responsesMs) {
-    window.addCommand();
-    window.removeCommand(responseMs);
+    window.removeCommand(window.addCommand(), responseMs);
   }
 }
 
@@ -99,10 +98,9 @@
     const window = StartWindow.create(clock);
     window.setUsableWorkerCount(WORKERS);
     const sendOne = () => {
-      const sentMs = clock.getMonotonicMs();
-      window.addCommand();
+      const command = window.addCommand();
       clock.setTimer(5, () =>
-        window.removeCommand(clock.getMonotonicMs() - sentMs),
+        window.removeCommand(command, clock.getMonotonicMs() - command.sentMs),
       );
     };
     await blockProcess(window, virtualClock, clock, () => undefined, sendOne);
