Let weakly suspected tasks share a trial

Cause: a class of fault: protection against one task that crashes workers, sized for single suspects, is applied to a whole fleet's work after a failure of workers. A trial takes 0.6 to 1 s alone on a worker, on a fifth of the workers at a time.

Change: up to four tasks that have just enough crashes to be suspected, none of them attributed, share a trial; they may also join one beyond the limit of workers. A crash in it counts like that of a lone trial, and each of them is tried alone next, so that a task that crashes workers is started as often as before. Losses from before the term are attributed to lone trials only.

--- a/packages/coordination/src/crash_attributor.ts
+++ b/packages/coordination/src/crash_attributor.ts
@@ -1,7 +1,7 @@
 /** Decides which of the runs on a lost worker may have crashed it. */
 
 import {JobState, TaskRun} from '@mustardlug/jobs/job_state';
-import {AssignedRun, isTrial, WorkerLoad} from './worker_load.js';
+import {AssignedRun, isLoneTrial, isTrial, WorkerLoad} from './worker_load.js';
 
 /** A worker that has stopped responding or was restarted. */
 export interface LostWorker {
@@ -192,8 +192,8 @@
   assigned: AssignedRun,
   isLikely: boolean,
 ): string | undefined {
-  // Except beside a trial, it is not known what an earlier term was starting on the worker.
-  if (!Number.isFinite(lastResponseMs) && !isTrial(assigned))
+  // Except beside a lone trial, it is not known what an earlier term was starting on the worker.
+  if (!Number.isFinite(lastResponseMs) && !isLoneTrial(assigned))
     return 'the worker was lost before this term';
   if (isLikely) return undefined;
   return 'it is not known to have started, unlike other runs there';
--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -19,8 +19,8 @@
   RoomRequest,
   RoomReservations,
 } from './room_reservations.js';
-import {hasSuspectedTask, isSuspected} from './start_crashes.js';
-import {AssignedRun} from './worker_load.js';
+import {canShareTrial, hasSuspectedTask, isSuspected} from './start_crashes.js';
+import {AssignedRun, StartKind} from './worker_load.js';
 import {WorkerSession} from './worker_session.js';
 
 /** A candidate worker, with the session that sends it commands. */
@@ -219,7 +219,7 @@
     const suspectedCount = tasks.filter(isSuspected).length;
     const isTrial = suspectedCount === tasks.length;
     const key = isTrial
-      ? this.getTrialClass(waiting)
+      ? this.getTrialClass(waiting, getTrialKind(tasks[0]))
       : this.getEquivalenceClass(waiting);
     const failed = this.findFailure(key, step);
     if (failed !== undefined && failed.step !== step)
@@ -248,8 +248,9 @@
   }
 
   /**
-   * Places suspected tasks, each on a worker that starts nothing else. They come
-   * first, as other tasks could keep all workers from being free for them.
+   * Places suspected tasks, each on a worker that starts nothing else, or only
+   * others that may share a trial. They come first, as other tasks could keep all
+   * workers from being free for them.
    * @param waiting - Step with waiting tasks.
    * @param canTry - Selects among the tasks; a gang is tried as a whole.
    */
@@ -266,20 +267,23 @@
       task => isWaitingTask(task) && isSuspected(task) && canTry(task),
     );
     if (tasks.length === 0) return;
-    if (this.isKnownToFail(this.getTrialClass(waiting), step)) return;
     const workers: PlacementWorker[] = [];
+    const failedKinds = new Set<StartKind>();
     for (const task of tasks) {
+      const kind = getTrialKind(task);
+      if (failedKinds.has(kind)) continue;
+      if (this.isKnownToFail(this.getTrialClass(waiting, kind), step)) continue;
       const ranking = this.rankForTrial(waiting, task);
       const worker = ranking?.getBest(isAvoidedBy(task));
       if (ranking === undefined || worker === undefined) {
         this.reserveTrialWorker(waiting, task);
-        break;
+        this.recordFailure(this.getTrialClass(waiting, kind), waiting);
+        failedKinds.add(kind);
+        continue;
       }
       this.placeOnWorker(waiting, task, ranking, worker);
       workers.push(worker);
     }
-    if (workers.length < tasks.length)
-      this.recordFailure(this.getTrialClass(waiting), waiting);
     this.recordPlacedStep(waiting, workers);
   }
 
@@ -309,7 +313,7 @@
     if (worker === undefined) return;
     const {reservations} = this.options;
     if (!reservations.hasRoom(task, waiting.step, worker)) return;
-    const ranking = this.rank(waiting, [worker], false);
+    const ranking = this.rank(waiting, [worker], 'plain');
     if (ranking.getBest() === undefined) return;
     this.placeOnWorker(waiting, task, ranking, worker);
     this.recordPlacedStep(waiting, [worker]);
@@ -356,15 +360,20 @@
     waiting: WaitingStep,
     task: TaskState,
   ): WorkerRanking<PlacementWorker> | undefined {
-    if (!this.canStartTrial(waiting)) return undefined;
+    const startKind = getTrialKind(task);
+    const canStart = this.canStartTrial(waiting);
+    if (!canStart && startKind === 'trial') return undefined;
     const kept = this.findKeptWorker(waiting, task);
     const unreserved = this.getWorkers(waiting);
-    const workers = kept === undefined ? unreserved : [kept, ...unreserved];
+    const candidates = kept === undefined ? unreserved : [kept, ...unreserved];
+    const workers = canStart
+      ? candidates
+      : candidates.filter(({load}) => load.hasTrial());
     const others = getUncrashedWorkers(workers, task);
     const isNeglected = this.isNeglectedFiller(waiting);
-    const ranking = this.rank(waiting, others, true, isNeglected);
+    const ranking = this.rank(waiting, others, startKind, isNeglected);
     if (ranking.getBest() !== undefined) return ranking;
-    return this.rank(waiting, workers, true, isNeglected);
+    return this.rank(waiting, workers, startKind, isNeglected);
   }
 
   private placeOnWorker(
@@ -402,7 +411,7 @@
     for (const worker of workers) {
       const count = worker.load.getUnprovenRuns().size;
       if (count >= minCount) continue;
-      const ranking = this.rank(waiting, [worker], false, isNeglected);
+      const ranking = this.rank(waiting, [worker], 'plain', isNeglected);
       if (ranking.getBest() === undefined) continue;
       best = worker;
       minCount = count;
@@ -452,7 +461,7 @@
     candidates: readonly PlacementWorker[],
   ): boolean {
     if (tasks.length === 0) return true;
-    const ranking = this.rank(waiting, candidates, false);
+    const ranking = this.rank(waiting, candidates, 'plain');
     const workers: PlacementWorker[] = [];
     let hasRoom = true;
     for (const task of tasks) {
@@ -480,7 +489,7 @@
   private placeNeglectedFiller(waiting: WaitingStep): void {
     const {step} = waiting;
     if (this.isLimitReached() || step.spec.isGang) return;
-    const key = this.getEquivalenceClass(waiting, false, true);
+    const key = this.getEquivalenceClass(waiting, 'plain', true);
     if (this.isKnownToFail(key, step) || !this.isNeglectedFiller(waiting))
       return;
     const task = step.tasks.find(
@@ -488,7 +497,7 @@
     );
     if (task === undefined) return;
     const workers = this.getWorkers(waiting);
-    const ranking = this.rank(waiting, workers, false, true);
+    const ranking = this.rank(waiting, workers, 'plain', true);
     const worker = ranking.getBest(isAvoidedBy(task));
     if (worker === undefined) {
       this.recordFailure(key, waiting);
@@ -508,7 +517,7 @@
     const ranking = this.rank(
       waiting,
       this.getWorkers(waiting),
-      hasSuspectedTask(step),
+      hasSuspectedTask(step) ? 'trial' : 'plain',
     );
     const placed: Array<{assigned: AssignedRun; worker: PlacementWorker}> = [];
     for (const task of step.tasks) {
@@ -534,13 +543,13 @@
   private rank(
     waiting: WaitingStep,
     workers: readonly PlacementWorker[],
-    isTrial: boolean,
+    startKind: StartKind,
     canOvercommitFillers = false,
   ): WorkerRanking<PlacementWorker> {
     const {step} = waiting;
     const request: RankingRequest = {
       step,
-      isTrial,
+      startKind,
       canLimitFillers: canLimitFillers(waiting, this.wallMs),
       canOvercommitFillers,
       interferenceModel: this.options.interferenceModel,
@@ -561,7 +570,7 @@
    */
   private getEquivalenceClass(
     waiting: WaitingStep,
-    isTrial = false,
+    startKind: StartKind = 'plain',
     canOvercommitFillers = false,
   ): string | undefined {
     const {spec} = waiting.step;
@@ -571,16 +580,18 @@
       spec.requiredLabel !== undefined ||
       spec.needs.accelerators > 0;
     if (isConstrained) return undefined;
-    const kind = spec.isFiller ? `filler ${spec.image ?? ''}` : 'plain';
+    const kind = spec.isFiller ? `filler ${spec.image ?? ''}` : 'other';
     const limit = canLimitFillers(waiting, this.wallMs) ? ' limited' : '';
-    const trial = isTrial ? ' trial' : '';
     const overcommitted = canOvercommitFillers ? ' overcommitted' : '';
-    return `${waiting.queue.serviceName} ${kind}${limit}${trial}${overcommitted}`;
+    return `${waiting.queue.serviceName} ${kind}${limit} ${startKind}${overcommitted}`;
   }
 
-  private getTrialClass(waiting: WaitingStep): string | undefined {
+  private getTrialClass(
+    waiting: WaitingStep,
+    kind: StartKind,
+  ): string | undefined {
     const isNeglected = this.isNeglectedFiller(waiting);
-    return this.getEquivalenceClass(waiting, true, isNeglected);
+    return this.getEquivalenceClass(waiting, kind, isNeglected);
   }
 
   private isKnownToFail(key: string | undefined, step: StepState): boolean {
@@ -613,6 +624,10 @@
   return ({session}: PlacementWorker) => unstartedOn.has(session.getId());
 }
 
+function getTrialKind(task: TaskState): StartKind {
+  return canShareTrial(task) ? 'shared-trial' : 'trial';
+}
+
 /** Gets the workers that have not crashed at a start of a task. */
 function getUncrashedWorkers(
   workers: readonly PlacementWorker[],
--- a/packages/coordination/src/start_crashes.ts
+++ b/packages/coordination/src/start_crashes.ts
@@ -24,6 +24,19 @@
   );
 }
 
+/**
+ * Checks whether a suspected task may be tried beside others of its kind: all its
+ * crashes had another likely cause, and there are as few as make a suspect. If the
+ * worker crashes, each of them is tried alone next.
+ * @param task - Suspected task.
+ */
+export function canShareTrial({startCrashes}: TaskState): boolean {
+  return (
+    startCrashes.length <= MIN_SUSPICIOUS_CRASHES &&
+    !startCrashes.some(crash => crash.isAttributed)
+  );
+}
+
 /**
  * Checks whether any task of a step is suspected.
  * @param step - Step to check.
--- a/packages/coordination/src/wait_explanation.ts
+++ b/packages/coordination/src/wait_explanation.ts
@@ -1,6 +1,7 @@
 /** Explains why the tasks of a step are waiting, with the functions that place them. */
 
-import {hasSuspectedTask, isSuspected} from './start_crashes.js';
+import {StepState} from '@mustardlug/jobs/job_state';
+import {canShareTrial, hasSuspectedTask, isSuspected} from './start_crashes.js';
 import {
   canLimitFillers,
   isWaitingTask,
@@ -12,6 +13,7 @@
   CandidateExclusion,
   RankingRequest,
 } from './worker_ranking.js';
+import {StartKind} from './worker_load.js';
 import {UnusableReason, WorkerSupervisor} from './worker_supervisor.js';
 import {WorkerSession} from './worker_session.js';
 
@@ -74,13 +76,11 @@
 ): Map<WorkerVerdict, number> {
   const {supervisor, sessions, nowMs, wallMs} = inputs;
   const {step, queue} = waiting;
-  const isTrial = step.spec.isGang
-    ? hasSuspectedTask(step)
-    : step.tasks.filter(isWaitingTask).every(isSuspected);
+  const startKind = getStartKind(step);
   const interferenceModel = supervisor.getInterferenceModel();
   const request: RankingRequest = {
     step,
-    isTrial,
+    startKind,
     canLimitFillers: canLimitFillers(waiting, wallMs),
     interferenceModel,
   };
@@ -100,6 +100,14 @@
   return counts;
 }
 
+/** Gets how the next waiting task is to be started, if all of them are suspected. */
+function getStartKind(step: StepState): StartKind {
+  if (step.spec.isGang) return hasSuspectedTask(step) ? 'trial' : 'plain';
+  const tasks = step.tasks.filter(isWaitingTask);
+  if (!tasks.every(isSuspected)) return 'plain';
+  return tasks.some(canShareTrial) ? 'shared-trial' : 'trial';
+}
+
 function getKind({step}: WaitingStep): string {
   const {isFiller, isLongRunning, isGang, image} = step.spec;
   const kinds = [
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -7,7 +7,7 @@
   TaskState,
 } from '@mustardlug/jobs/job_state';
 import {ResourceRequirements} from '@mustardlug/jobs/job_spec';
-import {hasSuspectedTask, isSuspected} from './start_crashes.js';
+import {canShareTrial, hasSuspectedTask, isSuspected} from './start_crashes.js';
 
 /** A run with the job, step and task that it belongs to. */
 export interface AssignedRun {
@@ -38,6 +38,15 @@
  */
 const SERVING_CPU_UTILIZATION = 0.45;
 
+/**
+ * Maximum number of tasks that share a trial. After a crash each of them is tried
+ * alone.
+ */
+const MAX_SHARED_TRIALS = 4;
+
+/** How a run is started: as usual, or as a trial of a suspected task, alone or beside others. */
+export type StartKind = 'plain' | 'shared-trial' | 'trial';
+
 /** Resource of which a worker has too little for a task. */
 export type Shortage = 'memory' | 'accelerators' | 'cpu';
 
@@ -209,14 +218,20 @@
   /**
    * Checks whether a run of a step may be started beside the runs here.
    * @param step - Step of the run.
-   * @param isTrialOfStep - Whether the run is a trial.
+   * @param kind - How the run is to be started.
    */
-  canStartBeside(step: StepState, isTrialOfStep: boolean): boolean {
+  canStartBeside(step: StepState, kind: StartKind): boolean {
     if (this.unprovenRuns.size === 0) return true;
+    if (kind === 'shared-trial' && this.unprovenRuns.size >= MAX_SHARED_TRIALS)
+      return false;
     for (const assigned of this.unprovenRuns) {
       // The members of a gang start together, and a crash is held against all of them.
       if (step.spec.isGang && assigned.step === step) continue;
-      if (isTrialOfStep || isTrial(assigned)) return false;
+      if (kind === 'trial') return false;
+      const isBesideTrial = isTrial(assigned);
+      if (kind === 'plain' && isBesideTrial) return false;
+      if (kind === 'shared-trial' && (!isBesideTrial || isLoneTrial(assigned)))
+        return false;
     }
     return true;
   }
@@ -284,6 +299,15 @@
   return step.spec.isGang ? hasSuspectedTask(step) : isSuspected(task);
 }
 
+/**
+ * Checks whether a run is a trial beside which no other task may be started.
+ * @param assigned - Run to check.
+ */
+export function isLoneTrial(assigned: AssignedRun): boolean {
+  const {step, task} = assigned;
+  return isTrial(assigned) && (step.spec.isGang || !canShareTrial(task));
+}
+
 /**
  * Gets the key of a run on its worker.
  * @param taskName - Name of the task.
--- a/packages/coordination/src/worker_ranking.ts
+++ b/packages/coordination/src/worker_ranking.ts
@@ -6,7 +6,7 @@
   getMinCpuLimitPercent,
   getTolerableCpuLimitPercent,
 } from './limited_fillers.js';
-import {Shortage, WorkerLoad} from './worker_load.js';
+import {Shortage, StartKind, WorkerLoad} from './worker_load.js';
 
 /** A worker that is eligible for new tasks. */
 export interface CandidateWorker {
@@ -23,8 +23,8 @@
   readonly interferenceModel: InterferenceModel;
   /** Rack that all tasks of the step should share, if the step asks for a common rack. */
   readonly preferredRack?: string;
-  /** Whether the tasks are suspected, so that each is tried on a worker that starts nothing else. */
-  readonly isTrial?: boolean;
+  /** How the tasks are to be started; as usual if absent. */
+  readonly startKind?: StartKind;
   /** Whether fillers may also be placed under a CPU limit, if no worker can take them without. */
   readonly canLimitFillers?: boolean;
   /** Whether a filler may also be placed, under the lowest CPU limit, where others have taken all CPU. */
@@ -165,8 +165,8 @@
   request: RankingRequest,
   worker: CandidateWorker,
 ): Suitability | CandidateExclusion {
-  const {step, isTrial = false} = request;
-  if (!worker.load.canStartBeside(step, isTrial)) return 'trial';
+  const {step, startKind = 'plain'} = request;
+  if (!worker.load.canStartBeside(step, startKind)) return 'trial';
   const obstacle = findRoomObstacle(step, worker);
   if (obstacle !== undefined) return obstacle;
   const suitability = getSuitability(request, worker);
