--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -1190,7 +1190,8 @@
 
   /** Gets the delay before a failed renewal is repeated, and doubles the next one. */
   private takeRetryDelayMs(): number {
-    if (this.load.getRunCount() > 0) return RENEWAL_RETRY_MS;
+    if (this.load.getRunCount() > 0 || this.calls.isLossy())
+      return RENEWAL_RETRY_MS;
     const delayMs = this.retryDelayMs;
     this.retryDelayMs = Math.min(2 * delayMs, MAX_RENEWAL_RETRY_MS);
     return delayMs;
