--- a/packages/coordination/test/admission_control.test.ts
+++ b/packages/coordination/test/admission_control.test.ts
@@ -1,9 +1,11 @@
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {StepSpec} from '@mustardlug/jobs/job_spec';
 import {QueueConfig} from '@mustardlug/jobs/queue_config';
 import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {expect} from 'chai';
-import {AdmissionControl} from '../src/admission_control.js';
+import {AdmissionControl, AdmissionWorker} from '../src/admission_control.js';
 import {createWaitingStep, WaitingStep} from '../src/task_order.js';
+import {WorkerLoad} from '../src/worker_load.js';
 import {createTestJob, createTestLoad, createTestStep} from './test_runs.js';
 
 const TASK_MS = 1_000;
@@ -17,10 +19,14 @@
 function createWaiting(
   acceptedMs: number,
   noticedMs: number,
-  {isLongRunning = false, queue = SAMPLE_QUEUE} = {},
+  {
+    isLongRunning = false,
+    queue = SAMPLE_QUEUE,
+    fields = {} as Partial<StepSpec>,
+  } = {},
 ): WaitingStep {
   const job = createTestJob(
-    [createTestStep({estimatedMs: TASK_MS, isLongRunning})],
+    [createTestStep({estimatedMs: TASK_MS, isLongRunning, ...fields})],
     queue,
     acceptedMs,
   );
@@ -39,7 +45,11 @@
 async function runPasses(
   waitMs: number,
   getWaiting: (wallMs: number) => WaitingStep[],
-  {clockErrorMs = 0, isPlacing = true, workers = createWorkers(1_000)} = {},
+  {
+    clockErrorMs = 0,
+    isPlacing = true,
+    workers = createWorkers(1_000) as Map<string, AdmissionWorker[]>,
+  } = {},
 ) {
   const clock = VirtualClock.create();
   const control = AdmissionControl.create(clock);
@@ -57,7 +67,11 @@
 
 function createMany(
   count: number,
-  options: {isLongRunning?: boolean; queue?: QueueConfig} = {},
+  options: {
+    isLongRunning?: boolean;
+    queue?: QueueConfig;
+    fields?: Partial<StepSpec>;
+  } = {},
 ) {
   return (wallMs: number) =>
     Array.from({length: count}, () => createWaiting(wallMs, 0, options));
@@ -83,6 +97,46 @@
     expect(control.getRefusals().size).to.equal(0);
   });
 
+  for (const [resource, needs] of [
+    ['memory', {cpuMillis: 1_000, memoryMb: 128_000, accelerators: 0}],
+    ['accelerators', {cpuMillis: 1_000, memoryMb: 1, accelerators: 1}],
+  ] as const) {
+    it(`refuses jobs while the waiting ones take longer than they can wait for ${resource}`, async () => {
+      // One task fits at a time, on a worker with 400 cores.
+      const load = WorkerLoad.create({
+        cpuMillis: 400_000,
+        memoryMb: 128_000,
+        accelerators: 1,
+      });
+      const worker = {load, rack: '', labels: [], acceptsFillers: true};
+      const workers = new Map([[SAMPLE_QUEUE.serviceName, [worker]]]);
+      const {control} = await runPasses(
+        SLACK_MS,
+        createMany(300, {fields: {needs}}),
+        {workers},
+      );
+      expect(control.getRefusals().has(QUEUE_NAME)).to.equal(true);
+    });
+  }
+
+  it('refuses jobs while the waiting ones take longer than they can wait for the workers with their label', async () => {
+    const labels = ['accelerated'];
+    const plain = {load: createTestLoad(4_000_000), rack: '', labels: []};
+    const labelled = {load: createTestLoad(8_000), rack: '', labels};
+    const workers = new Map([
+      [
+        SAMPLE_QUEUE.serviceName,
+        [plain, labelled].map(worker => ({...worker, acceptsFillers: true})),
+      ],
+    ]);
+    const {control} = await runPasses(
+      SLACK_MS,
+      createMany(300, {fields: {requiredLabel: 'accelerated'}}),
+      {workers},
+    );
+    expect(control.getRefusals().has(QUEUE_NAME)).to.equal(true);
+  });
+
   it('refuses jobs while work of a higher priority takes longer than they can wait', async () => {
     const urgent = {...SAMPLE_QUEUE, name: 'urgent', priority: -1};
     const {control} = await runPasses(
--- a/packages/coordination/test/placement_pass_overdue.test.ts
+++ b/packages/coordination/test/placement_pass_overdue.test.ts
@@ -18,8 +18,12 @@
 
 const MAX_PLACEMENTS = 8;
 
-function createFillerJob(acceptedMs: number, idleSinceMs = 0): JobState {
-  const step = createTestStep({taskCount: 20, isFiller: true});
+function createFillerJob(
+  acceptedMs: number,
+  idleSinceMs = 0,
+  isFiller = true,
+): JobState {
+  const step = createTestStep({taskCount: 20, isFiller});
   const job = createTestJob([step], SAMPLE_QUEUE, acceptedMs);
   job.idleSinceMs = idleSinceMs;
   return job;
@@ -89,3 +93,13 @@
     expect(placed).to.deep.equal(longest);
   });
 });
+
+describe('a placement pass that cannot start all overdue batch tasks', () => {
+  it('places a task of each job without a run before it places more of others', () => {
+    const jobs = [0, 1, 2, 3].map(acceptedMs =>
+      createFillerJob(acceptedMs, 0, false),
+    );
+    const counts = countPlacements(jobs);
+    for (const count of counts) expect(count).to.be.greaterThan(0);
+  });
+});
