--- a/packages/coordination/src/admission_control.ts
+++ b/packages/coordination/src/admission_control.ts
@@ -87,8 +87,10 @@
   totalWork: number;
   /** CPU capacity of the workers, in thousandths of a core. */
   readonly cpuMillis: number;
-  /** Part of it that long-running tasks leave to others. */
-  readonly availableCpuMillis: number;
+  /** Time that the workers need for the work that has not expired. */
+  readonly occupancy: Occupancy;
+  /** The same for all work that a worker could run, expired or not. */
+  readonly totalOccupancy: Occupancy;
   /** Longest time for which a job has waited of which nothing has been placed. */
   oldestWaitMs: number;
   stepCount: number;
@@ -96,12 +98,34 @@
   slackMs: number;
 }
 
-/** Work that is placed before a new job of a queue, in microseconds of CPU time. */
+/** Time for which work takes each resource of all workers that can run it. */
+interface Occupancy {
+  cpuMs: number;
+  memoryMs: number;
+  acceleratorMs: number;
+}
+
+/** Time that the workers need before they can run a new job of a queue. */
 interface PrecedingWork {
-  /** Work before a job that has not expired. */
-  readonly work: number;
-  /** Work before an expired job. */
-  readonly totalWork: number;
+  /** Before a job that has not expired. */
+  readonly workMs: number;
+  /** Before an expired job. */
+  readonly totalWorkMs: number;
+}
+
+/** Resources of the workers that can run a step. */
+interface WorkerResources {
+  cpuMillis: number;
+  /** Part of it that long-running tasks leave to others. */
+  availableCpuMillis: number;
+  memoryMb: number;
+  accelerators: number;
+}
+
+/** Workers with the same capacity and labels. */
+interface WorkerKind {
+  readonly example: AdmissionWorker;
+  readonly resources: WorkerResources;
 }
 
 /** Measures how long the jobs of each queue wait, and refuses those that would miss their objective. */
@@ -198,17 +222,14 @@
     const isRefusing = this.refusals.has(queueName);
     const totalWaitMs = Math.min(
       backlog.totalWork * msPerWork,
-      preceding.totalWork / backlog.availableCpuMillis,
+      preceding.totalWorkMs,
     );
     const totalMs = isBacklogLimited(backlog)
       ? getExcessMs(totalWaitMs, MAX_BACKLOG_MS, isRefusing)
       : 0;
     const measuredMs = getMeasuredWaitMs(placements, backlog);
     const isLoaded = measuredMs >= tolerableMs * MIN_MEASURED_FRACTION;
-    const waitMs = Math.min(
-      backlog.work * msPerWork,
-      preceding.work / backlog.availableCpuMillis,
-    );
+    const waitMs = Math.min(backlog.work * msPerWork, preceding.workMs);
     const lateMs = isLoaded ? getExcessMs(waitMs, tolerableMs, isRefusing) : 0;
     return Math.min(MAX_RETRY_AFTER_MS, Math.max(totalMs, lateMs));
   }
@@ -241,21 +262,35 @@
   }
 }
 
-/** Sums up the work that workers do before they are done with that of a queue. */
+/** Gets how long workers are busy before they are done with the work of a queue. */
 function getPrecedingWork(
   {queue}: Backlog,
   backlogs: Iterable<Backlog>,
 ): PrecedingWork {
-  let work = 0;
-  let totalWork = 0;
+  const before = createOccupancy();
+  const total = createOccupancy();
   for (const other of backlogs) {
     if (other.queue.serviceName !== queue.serviceName) continue;
     if (other.queue.priority > queue.priority) continue;
     const isBefore = other.queue.priority < queue.priority;
-    work += isBefore ? other.totalWork : other.work;
-    totalWork += other.totalWork;
+    addOccupancy(before, isBefore ? other.totalOccupancy : other.occupancy);
+    addOccupancy(total, other.totalOccupancy);
   }
-  return {work, totalWork};
+  return {workMs: getLongestMs(before), totalWorkMs: getLongestMs(total)};
+}
+
+function createOccupancy(): Occupancy {
+  return {cpuMs: 0, memoryMs: 0, acceleratorMs: 0};
+}
+
+function addOccupancy(sum: Occupancy, added: Occupancy): void {
+  sum.cpuMs += added.cpuMs;
+  sum.memoryMs += added.memoryMs;
+  sum.acceleratorMs += added.acceleratorMs;
+}
+
+function getLongestMs({cpuMs, memoryMs, acceleratorMs}: Occupancy): number {
+  return Math.max(cpuMs, memoryMs, acceleratorMs);
 }
 
 /** Gets how long the waiting jobs can wait, on average, and still meet their objectives. */
@@ -321,19 +356,29 @@
   wallMs: number,
 ): Map<string, Backlog> {
   const backlogs = new Map<string, Backlog>();
+  const kindsByService = new Map<string, WorkerKind[]>();
+  for (const [serviceName, workers] of workersByService)
+    kindsByService.set(serviceName, getWorkerKinds(workers));
   for (const each of waiting) {
     const {step, job, queue} = each;
     if (step.spec.isLongRunning || job.isEnded()) continue;
     const taskCount = step.tasks.filter(isWaitingTask).length;
     if (taskCount === 0) continue;
-    const workers = workersByService.get(queue.serviceName) ?? [];
-    const backlog = backlogs.get(queue.name) ?? createBacklog(queue, workers);
+    const kinds = kindsByService.get(queue.serviceName) ?? [];
+    const backlog = backlogs.get(queue.name) ?? createBacklog(queue, kinds);
     backlogs.set(queue.name, backlog);
     const work = taskCount * getTaskWork(each);
-    if (workers.some(worker => canEverRun(step, worker)))
+    const fitting = kinds.filter(({example}) => canEverRun(step, example));
+    const canRun = fitting.length > 0;
+    const resources = getResources(canRun ? fitting : kinds);
+    const occupancy = getOccupancy(each, taskCount, resources);
+    if (canRun) {
       backlog.totalWork += work;
+      addOccupancy(backlog.totalOccupancy, occupancy);
+    }
     if (getDeadlineStatus(each, wallMs) === 'expired') continue;
     backlog.work += work;
+    addOccupancy(backlog.occupancy, occupancy);
     backlog.stepCount++;
     backlog.slackMs += getSlackMs(each);
     if (!isNewJob(job)) continue;
@@ -345,26 +390,80 @@
 
 function createBacklog(
   queue: QueueConfig,
-  workers: readonly AdmissionWorker[],
+  kinds: readonly WorkerKind[],
 ): Backlog {
-  let cpuMillis = 0;
-  let availableCpuMillis = 0;
-  for (const {load} of workers) {
-    cpuMillis += load.getCapacity().cpuMillis;
-    availableCpuMillis += load.getBatchCpuMillis();
-  }
   return {
     queue,
     work: 0,
     totalWork: 0,
-    cpuMillis,
-    availableCpuMillis,
+    cpuMillis: getResources(kinds)?.cpuMillis ?? 0,
+    occupancy: createOccupancy(),
+    totalOccupancy: createOccupancy(),
     oldestWaitMs: 0,
     stepCount: 0,
     slackMs: 0,
   };
 }
 
+/** Groups workers, as there are many of few kinds. */
+function getWorkerKinds(workers: readonly AdmissionWorker[]): WorkerKind[] {
+  const kinds = new Map<string, WorkerKind>();
+  for (const worker of workers) {
+    const {load, labels} = worker;
+    const {cpuMillis, memoryMb, accelerators} = load.getCapacity();
+    const key = JSON.stringify([cpuMillis, memoryMb, accelerators, labels]);
+    const resources = {
+      cpuMillis,
+      availableCpuMillis: load.getBatchCpuMillis(),
+      memoryMb,
+      accelerators,
+    };
+    const known = kinds.get(key);
+    if (known === undefined) kinds.set(key, {example: worker, resources});
+    else addResources(known.resources, resources);
+  }
+  return [...kinds.values()];
+}
+
+/** Sums up the resources of workers; `undefined` without any. */
+function getResources(
+  kinds: readonly WorkerKind[],
+): WorkerResources | undefined {
+  if (kinds.length === 0) return undefined;
+  const sum = {...kinds[0].resources};
+  for (const {resources} of kinds.slice(1)) addResources(sum, resources);
+  return sum;
+}
+
+function addResources(sum: WorkerResources, added: WorkerResources): void {
+  sum.cpuMillis += added.cpuMillis;
+  sum.availableCpuMillis += added.availableCpuMillis;
+  sum.memoryMb += added.memoryMb;
+  sum.accelerators += added.accelerators;
+}
+
+/** Gets for how long tasks take the resources of workers; no time without workers. */
+function getOccupancy(
+  each: WaitingStep,
+  taskCount: number,
+  resources: WorkerResources | undefined,
+): Occupancy {
+  if (resources === undefined) return createOccupancy();
+  const {memoryMb, accelerators} = each.step.spec.needs;
+  const totalMs = taskCount * getExpectedTaskMs(each.step.spec);
+  return {
+    cpuMs: divide(taskCount * getTaskWork(each), resources.availableCpuMillis),
+    memoryMs: divide(totalMs * memoryMb, resources.memoryMb),
+    acceleratorMs: divide(totalMs * accelerators, resources.accelerators),
+  };
+}
+
+/** Divides work by what handles it. Work that nothing handles takes forever. */
+function divide(work: number, capacity: number): number {
+  if (work === 0) return 0;
+  return capacity > 0 ? work / capacity : Infinity;
+}
+
 /** Checks whether an empty worker could run a task of a step. */
 function canEverRun(
   {spec}: StepState,
