--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -549,7 +549,7 @@
       return;
     }
     if (!this.shouldStart(assigned, workerStartMs)) return;
-    this.recordStartFailure(assigned);
+    this.recordUnansweredStart(assigned);
     await this.abandonStart(assigned);
   }
 
@@ -675,7 +675,7 @@
       isReportOnly || hasUnacknowledgedEnds || this.calls.getOverdueCount() > 0
         ? 0
         : this.getPollTimeoutMs();
-    const call = this.calls.addCall(waitMs);
+    const call = this.calls.addCall('renewal', waitMs);
     const pending = client.renewLease({
       worker: this.record,
       fencingToken,
@@ -930,7 +930,7 @@
         assigned;
       const isLapsed = report.clockMs > startLeaseUntilMs;
       if (commandResponseMs > sentMs && !isLapsed) continue;
-      if (isUnstarted(assigned)) this.recordStartFailure(assigned);
+      if (isUnstarted(assigned)) this.recordUnansweredStart(assigned);
       this.dropRun(
         assigned,
         commandResponseMs <= sentMs
@@ -1015,13 +1015,20 @@
       return;
     }
     if (reason === 'no-room') this.isOutOfCapacity = true;
-    if (WORKER_REFUSALS.has(reason)) this.recordStartFailure(assigned);
+    if (WORKER_REFUSALS.has(reason)) {
+      this.startBackoff.recordFailure();
+      assigned.task.unstartedOn.add(this.getId());
+    }
     this.options.listener.onStartRefused(this, assigned, reason);
     await this.abandonStart(assigned);
   }
 
-  private recordStartFailure({task}: AssignedRun): void {
-    this.startBackoff.recordFailure();
+  /**
+   * Records that a run was not started for want of a response. The worker gets no
+   * pause while other calls are being lost too, as it may start the next run at once.
+   */
+  private recordUnansweredStart({task}: AssignedRun): void {
+    if (!this.calls.isLossy()) this.startBackoff.recordFailure();
     task.unstartedOn.add(this.getId());
   }
 
@@ -1055,8 +1062,7 @@
     );
     run.openStarts++;
     const {clock, startWindow} = this.options;
-    const sentMs = clock.getMonotonicMs();
-    startWindow.addCommand();
+    const command = startWindow.addCommand();
     const outcome = await this.track(
       this.options.client.startRun({
         ...this.createRunCommand(assigned),
@@ -1068,7 +1074,8 @@
     const isAnswered =
       outcome.isOk() || outcome.error.kind === 'worker-refusal';
     startWindow.removeCommand(
-      isAnswered ? clock.getMonotonicMs() - sentMs : undefined,
+      command,
+      isAnswered ? clock.getMonotonicMs() - command.sentMs : undefined,
     );
     const isSettled =
       isAnswered ||
@@ -1148,7 +1155,7 @@
   /** Sends a call, and records whether it was answered. */
   private async track<T>(
     pending: Promise<Result<T, JobWorkerError>>,
-    call = this.calls.addCall(),
+    call = this.calls.addCall('command'),
   ): Promise<Result<T, JobWorkerError>> {
     const outcome = await pending;
     this.calls.recordOutcome(call, outcome);
