Blame no start for a crash while the same process may respond again

Cause: a lease that lapsed while a worker was silent counted as a crash of the worker.

Change: the loss of a worker that is still registered, and of which no other process has responded, is not attributed to a start, so that no job fails for it. It still counts as a doubt. If the same process responds again, the crash is withdrawn (event start-crash-withdrawn). Crashes of workers whose registration is gone, or whose next process has responded, are attributed as before.

Limits: presumed crashes are known in memory only; after a takeover they stand, not attributed, until a run is proven.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -26,6 +26,7 @@
 import {CoordinatorHeartbeat, STATUS_ADDRESS} from './coordinator_heartbeat.js';
 import {QueueLoad} from './coordinator_status.js';
 import {CrashAttributor, LostWorker} from './crash_attributor.js';
+import {DoubtfulCrashes} from './doubtful_crashes.js';
 import {
   countUnregistered,
   formatFleetLoad,
@@ -193,6 +194,7 @@
   private readonly leaseBounds: LeaseBounds;
   private readonly admissionControl: AdmissionControl;
   private readonly crashAttributor = CrashAttributor.create();
+  private readonly doubtfulCrashes = DoubtfulCrashes.create();
   private readonly reservations = RoomReservations.create();
   private readonly waitReporter: WaitReporter;
   private readonly silenceReporter: SilenceReporter;
@@ -381,8 +383,13 @@
     this.releaseRun(assigned);
   }
 
-  onWorkerLost(session: WorkerSession, lastResponseMs: number): void {
-    const lost = {...toLostWorker(session), lastResponseMs};
+  onWorkerLost(
+    session: WorkerSession,
+    lastResponseMs: number,
+    isReplaced: boolean,
+  ): void {
+    const mayRespondAgain = !isReplaced && session.hasRegistration();
+    const lost = {...toLostWorker(session), lastResponseMs, mayRespondAgain};
     const others = this.workerPool
       .getSessions()
       .filter(each => each !== session && !each.getRecord().isDraining);
@@ -395,6 +402,7 @@
     );
     for (const suspected of suspectedRuns)
       this.jobTracker.recordStartCrash(suspected);
+    if (mayRespondAgain) this.doubtfulCrashes.add(session, suspectedRuns);
   }
 
   onRunProven(assigned: AssignedRun): void {
@@ -438,6 +446,8 @@
 
   onReport(session: WorkerSession): void {
     if (!this.isReady) this.checkReady();
+    for (const assigned of this.doubtfulCrashes.takeRefuted(session))
+      this.jobTracker.withdrawStartCrash(assigned);
     this.workerSupervisor.applyReport(session);
     const sequence = session.getRecordableSequence();
     const processStartMs = session.getProcessStartMs();
@@ -959,6 +969,7 @@
   return {
     workerId: session.getId(),
     lastResponseMs: session.getLastResponseMs(),
+    mayRespondAgain: session.hasRegistration(),
     load: session.load,
   };
 }
--- a/packages/coordination/src/crash_attributor.ts
+++ b/packages/coordination/src/crash_attributor.ts
@@ -8,6 +8,8 @@
   readonly workerId: string;
   /** Monotonic time of its last response before the loss; negative infinity if there was none in this term. */
   readonly lastResponseMs: number;
+  /** Whether the same process may respond again, as nothing but its silence is known. */
+  readonly mayRespondAgain: boolean;
   /** Runs that were assigned to it at the loss. */
   readonly load: WorkerLoad;
 }
@@ -188,10 +190,11 @@
 
 /** Gets the reason why a run is not the likely cause on its worker, or `undefined` if it is. */
 function getDoubt(
-  {lastResponseMs}: LostWorker,
+  {lastResponseMs, mayRespondAgain}: LostWorker,
   assigned: AssignedRun,
   isLikely: boolean,
 ): string | undefined {
+  if (mayRespondAgain) return 'the worker is registered and may respond again';
   // Except beside a lone trial, it is not known what an earlier term was starting on the worker.
   if (!Number.isFinite(lastResponseMs) && !isLoneTrial(assigned))
     return 'the worker was lost before this term';
--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -330,6 +330,25 @@
     if (isGivenUp(task)) this.giveUp(assigned);
   }
 
+  /**
+   * Withdraws a crash, as the worker process has responded again.
+   * @param assigned - Run that the crash was recorded for.
+   */
+  withdrawStartCrash({job, task, run, taskName}: AssignedRun): void {
+    const {workerId, runNumber} = run;
+    const remaining = task.startCrashes.filter(
+      crash => crash.workerId !== workerId || crash.runNumber !== runNumber,
+    );
+    if (remaining.length === task.startCrashes.length) return;
+    task.startCrashes = remaining;
+    this.markChanged(job);
+    this.options.events.addEvent('start-crash-withdrawn', {
+      taskId: taskName,
+      workerId,
+      detail: `run ${runNumber}; crashes so far: ${remaining.length === 0 ? 'none' : formatStartCrashes(remaining)}`,
+    });
+  }
+
   /**
    * Records that a run has not crashed the worker that started it, so that the
    * task is not the cause of earlier crashes. Stores it for a successor if the run
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -51,8 +51,14 @@
    * Called before runs are dropped because their worker was lost, unless it was
    * leaving as planned. Its load still has all of them.
    * @param lastResponseMs - Monotonic time of the last response of the lost process.
+   * @param isReplaced - Whether another process has responded, so that the previous
+   *     one has certainly ended.
    */
-  onWorkerLost(session: WorkerSession, lastResponseMs: number): void;
+  onWorkerLost(
+    session: WorkerSession,
+    lastResponseMs: number,
+    isReplaced: boolean,
+  ): void;
   /** Called when a run has been running for long enough not to crash the worker at its start. */
   onRunProven(assigned: AssignedRun): void;
   /** Called after a report was applied. Its ended runs may be acknowledged once they are stored. */
@@ -629,7 +635,7 @@
 
   private applyReport(report: LeaseReport, sentMs: number): void {
     const receivedMs = this.options.clock.getMonotonicMs();
-    if (this.isOtherProcess(report.startMs)) this.reportLoss();
+    if (this.isOtherProcess(report.startMs)) this.reportLoss(true);
     this.workerClock = {clockMs: report.clockMs, receivedMs};
     this.lastResponseMs = receivedMs;
     if (!this.hasResponded) this.limitPreviousTermLeases(receivedMs);
@@ -779,7 +785,7 @@
     if (this.options.clock.getMonotonicMs() < this.leaseEndMs) return;
     if (!this.hasLastRenewalFailed || this.load.getRunCount() === 0) return;
     if (this.getSilenceMs() < MIN_GIVE_UP_AGE_MS) return;
-    this.reportLoss();
+    this.reportLoss(false);
     for (const assigned of [...this.load.getRuns()])
       this.dropRun(assigned, 'its lease expired');
   }
@@ -802,9 +808,10 @@
     return false;
   }
 
-  private reportLoss(): void {
+  private reportLoss(isReplaced: boolean): void {
     if (this.record.isDraining) return;
-    this.options.listener.onWorkerLost(this, this.lastResponseMs);
+    const {listener} = this.options;
+    listener.onWorkerLost(this, this.lastResponseMs, isReplaced);
   }
 
   private dropRun(assigned: AssignedRun, reason: string): void {
--- a/packages/coordination/test/crash_attributor.test.ts
+++ b/packages/coordination/test/crash_attributor.test.ts
@@ -16,7 +16,7 @@
   load: WorkerLoad,
   lastResponseMs = LOST_MS,
 ): LostWorker {
-  return {workerId, load, lastResponseMs};
+  return {workerId, load, lastResponseMs, mayRespondAgain: false};
 }
 
 function addProvenRun(load: WorkerLoad): AssignedRun {
@@ -63,6 +63,12 @@
     ]);
   });
 
+  it('does not attribute the loss of a worker that may respond again', () => {
+    const assigned = addTestRun(load, {});
+    const lost = {...createLost('worker-1', load), mayRespondAgain: true};
+    expect(recordLoss(lost)).to.deep.equal([{assigned, isAttributed: false}]);
+  });
+
   it('suspects nothing on a worker whose runs are all proven', () => {
     addProvenRun(load);
     expect(recordLoss(createLost('worker-1', load))).to.deep.equal([]);
--- a/packages/coordination/test/job_tracker.test.ts
+++ b/packages/coordination/test/job_tracker.test.ts
@@ -252,6 +252,20 @@
       expect(assigned.task.startCrashes).to.have.length(1);
     });
 
+    it('can be withdrawn one by one', () => {
+      const assigned = placeRun(fixture, step, 0);
+      const other = {...assigned, run: {...assigned.run, runNumber: 77}};
+      for (const each of [assigned, other])
+        fixture.tracker.recordStartCrash({
+          assigned: each,
+          isAttributed: true,
+          reason: '',
+        });
+      fixture.tracker.withdrawStartCrash(assigned);
+      const numbers = assigned.task.startCrashes.map(crash => crash.runNumber);
+      expect(numbers).to.deep.equal([77]);
+    });
+
     it('are cleared by a run that is proven', () => {
       const assigned = recordCrashes(2);
       fixture.tracker.recordRunProven(assigned);
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -363,6 +363,11 @@
     level: 'warn',
     text: 'A worker was lost when it had just started a run, which may be the cause.',
   },
+  'start-crash-withdrawn': {
+    number: 850,
+    level: 'info',
+    text: 'A worker that was taken for crashed at the start of a run responded again, from the same process.',
+  },
   'task-given-up': {
     number: 846,
     level: 'error',
