Look for trials only on workers that could take a task otherwise

Cause: on each worker, all runs that were started lately were examined before anything else of a filler but its memory, for each step that waits. On a full fleet nearly all of these workers have no CPU for it.

They are examined last. The same workers are eligible.

--- a/packages/coordination/src/worker_ranking.ts
+++ b/packages/coordination/src/worker_ranking.ts
@@ -102,9 +102,11 @@
     for (const worker of workers) {
       // On a full fleet most workers have no room, which costs least to check.
       if (findRoomObstacle(request.step, worker) !== undefined) continue;
-      const suitability = assessWorker(request, worker);
-      if (typeof suitability !== 'string')
-        ranking.ranked.push({worker, ...suitability});
+      const suitability = rateWorker(request, worker);
+      if (typeof suitability === 'string') continue;
+      // Examines all runs that were started lately.
+      if (!canStartBeside(request, worker)) continue;
+      ranking.ranked.push({worker, ...suitability});
     }
     ranking.ranked.sort((left, right) => left.score - right.score);
     return ranking;
@@ -165,10 +167,24 @@
   request: RankingRequest,
   worker: CandidateWorker,
 ): Suitability | CandidateExclusion {
-  const {step, isTrial = false} = request;
-  if (!worker.load.canStartBeside(step, isTrial)) return 'trial';
-  const obstacle = findRoomObstacle(step, worker);
-  if (obstacle !== undefined) return obstacle;
+  if (!canStartBeside(request, worker)) return 'trial';
+  const obstacle = findRoomObstacle(request.step, worker);
+  return obstacle ?? rateWorker(request, worker);
+}
+
+function canStartBeside(
+  {step, isTrial = false}: RankingRequest,
+  {load}: CandidateWorker,
+): boolean {
+  return load.canStartBeside(step, isTrial);
+}
+
+/** Gets the suitability of a worker that has room, or why it is not eligible. */
+function rateWorker(
+  request: RankingRequest,
+  worker: CandidateWorker,
+): Suitability | CandidateExclusion {
+  const {step} = request;
   const suitability = getSuitability(request, worker);
   if (typeof suitability === 'string') return suitability;
   const targetRack = step.spec.dataRack ?? request.preferredRack;
--- a/packages/coordination/test/worker_ranking.test.ts
+++ b/packages/coordination/test/worker_ranking.test.ts
@@ -116,6 +116,23 @@
     expect(looks).to.deep.equal([loads[1]]);
   });
 
+  it('looks for trials only on workers with CPU for a filler', () => {
+    const loads = [createTestLoad(), createTestLoad()];
+    addTestRun(loads[0], {
+      isFiller: true,
+      needs: {cpuMillis: 32_000, memoryMb: 1, accelerators: 0},
+    });
+    const looks: WorkerLoad[] = [];
+    for (const load of loads)
+      load.canStartBeside = () => {
+        looks.push(load);
+        return true;
+      };
+    const workers = loads.map(load => createWorker(load));
+    expect(selectWorker({isFiller: true}, workers)).to.equal(workers[1]);
+    expect(looks).to.deep.equal([loads[1]]);
+  });
+
   it('selects only workers with the required label', () => {
     const plain = createWorker(createTestLoad());
     const labelled = createWorker(createTestLoad(), {labels: ['fast']});
