--- a/packages/coordination/src/fleet_report.ts
+++ b/packages/coordination/src/fleet_report.ts
@@ -4,6 +4,7 @@
 import {QueueLoad} from './coordinator_status.js';
 import {PassTimes} from './pass_times.js';
 import {isWaitingTask, PlacedStep} from './placement_pass.js';
+import {isSuspected} from './start_crashes.js';
 import {WaitingStep} from './task_order.js';
 import {AssignedRun, WorkerLoad} from './worker_load.js';
 import {WorkerSession} from './worker_session.js';
@@ -34,7 +35,8 @@
 }
 
 /**
- * Formats the number of cores that are free, in use or waited for, by kind of work.
+ * Formats the number of cores that are free, in use or waited for, by kind of work,
+ * and the calls to the workers since the previous report.
  * @param sessions - All workers.
  * @param waiting - Steps with waiting tasks.
  */
@@ -56,6 +58,47 @@
     `filler ${sumCores(loads, load => load.getFillerCpuMillis())}`,
     `paused ${sumCores(loads, getThrottledCpuMillis)}`,
     `waiting ${getWaitingCores(waiting)}`,
+    formatCallCounts(sessions),
+  ].join(', ');
+}
+
+/** Formats the calls to the workers since the previous report by what became of them. */
+function formatCallCounts(sessions: readonly WorkerSession[]): string {
+  let answered = 0;
+  let refused = 0;
+  let unanswered = 0;
+  for (const session of sessions) {
+    const counts = session.takeCallCounts();
+    answered += counts.answered;
+    refused += counts.refused;
+    unanswered += counts.unanswered;
+  }
+  return `calls ${answered} answered ${refused} refused ${unanswered} unanswered`;
+}
+
+/**
+ * Formats how many tasks wait for or are on trial, and how many jobs with waiting
+ * tasks have no run at all.
+ * @param sessions - All workers.
+ * @param waiting - Steps with waiting tasks.
+ */
+export function formatTrials(
+  sessions: readonly WorkerSession[],
+  waiting: readonly WaitingStep[],
+): string {
+  const trials = sessions.filter(({load}) => load.hasTrial()).length;
+  let suspected = 0;
+  const idleJobs = new Set<JobState>();
+  for (const {job, step} of waiting) {
+    for (const task of step.tasks) {
+      if (isWaitingTask(task) && isSuspected(task)) suspected++;
+    }
+    if (!job.hasRuns()) idleJobs.add(job);
+  }
+  return [
+    `${suspected} suspected tasks waiting`,
+    `${trials} workers with trials`,
+    `${idleJobs.size} jobs waiting without a run`,
   ].join(', ');
 }
 
--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -174,8 +174,13 @@
     this.reserveRoom(sortedPreceding);
     if (this.isLimitReached()) return;
     const sorted = sortWaitingSteps(waiting, wallMs);
+    let hasPlacedNeglected = false;
     for (const each of sorted) {
       if (this.isLimitReached()) return;
+      if (!hasPlacedNeglected && canLimitFillers(each, wallMs)) {
+        hasPlacedNeglected = true;
+        this.placeNeglectedFillers(sorted);
+      }
       const key = this.getEquivalenceClass(each);
       if (this.isKnownToFail(key, each.step)) continue;
       const isPlaced = each.step.spec.isGang
@@ -183,7 +188,6 @@
         : this.placeTasks(each);
       if (!isPlaced) this.recordFailure(key, each);
     }
-    for (const each of sorted) this.placeNeglectedFiller(each);
   }
 
   /** Checks whether tasks may be left waiting because of `maxPlacements`. */
@@ -218,7 +222,9 @@
     const tasks = step.tasks.filter(isWaitingTask);
     const suspectedCount = tasks.filter(isSuspected).length;
     const isTrial = suspectedCount === tasks.length;
-    const key = this.getEquivalenceClass(waiting, isTrial);
+    const key = isTrial
+      ? this.getTrialClass(waiting)
+      : this.getEquivalenceClass(waiting);
     const failed = this.findFailure(key, step);
     if (failed !== undefined && failed.step !== step)
       obstacles.push(
@@ -264,8 +270,7 @@
       task => isWaitingTask(task) && isSuspected(task) && canTry(task),
     );
     if (tasks.length === 0) return;
-    const key = this.getEquivalenceClass(waiting, true);
-    if (this.isKnownToFail(key, step)) return;
+    if (this.isKnownToFail(this.getTrialClass(waiting), step)) return;
     const workers: PlacementWorker[] = [];
     for (const task of tasks) {
       const ranking = this.rankForTrial(waiting, task);
@@ -277,7 +282,8 @@
       this.placeOnWorker(waiting, task, ranking, worker);
       workers.push(worker);
     }
-    if (workers.length < tasks.length) this.recordFailure(key, waiting);
+    if (workers.length < tasks.length)
+      this.recordFailure(this.getTrialClass(waiting), waiting);
     this.recordPlacedStep(waiting, workers);
   }
 
@@ -359,9 +365,10 @@
     const unreserved = this.getWorkers(waiting);
     const workers = kept === undefined ? unreserved : [kept, ...unreserved];
     const others = getUncrashedWorkers(workers, task);
-    const ranking = this.rank(waiting, others, true);
+    const isNeglected = this.isNeglectedFiller(waiting);
+    const ranking = this.rank(waiting, others, true, isNeglected);
     if (ranking.getBest() !== undefined) return ranking;
-    return this.rank(waiting, workers, true);
+    return this.rank(waiting, workers, true, isNeglected);
   }
 
   private placeOnWorker(
@@ -393,12 +400,14 @@
     waiting: WaitingStep,
     workers: readonly PlacementWorker[],
   ): PlacementWorker | undefined {
+    const isNeglected = this.isNeglectedFiller(waiting);
     let best: PlacementWorker | undefined;
     let minCount = Infinity;
     for (const worker of workers) {
       const count = worker.load.getUnprovenRuns().size;
       if (count >= minCount) continue;
-      if (this.rank(waiting, [worker], false).getBest() === undefined) continue;
+      const ranking = this.rank(waiting, [worker], false, isNeglected);
+      if (ranking.getBest() === undefined) continue;
       best = worker;
       minCount = count;
     }
@@ -462,17 +471,37 @@
     return hasRoom;
   }
 
+  /** Checks whether a step has fillers of an overdue job that has no run. */
+  private isNeglectedFiller(waiting: WaitingStep): boolean {
+    return canLimitFillers(waiting, this.wallMs) && !waiting.job.hasRuns();
+  }
+
+  /**
+   * Places one task of each overdue filler job that has no run. They share the
+   * placements that are left: if the oldest jobs took all of them, the others would
+   * stand still for as long as these last.
+   */
+  private placeNeglectedFillers(sorted: readonly WaitingStep[]): void {
+    const neglected = sorted.filter(
+      each => canLimitFillers(each, this.wallMs) && !each.job.hasRuns(),
+    );
+    neglected.sort(
+      (left, right) => left.job.idleSinceMs - right.job.idleSinceMs,
+    );
+    for (const each of neglected) this.placeNeglectedFiller(each);
+  }
+
   /**
    * Places one task of an overdue filler job that has no run, also where other
    * fillers have taken all CPU. Overdue jobs come last, so that on a full fleet
    * they would wait for as long as others arrive.
    */
   private placeNeglectedFiller(waiting: WaitingStep): void {
-    const {job, step} = waiting;
+    const {step} = waiting;
     if (this.isLimitReached() || step.spec.isGang) return;
-    if (!canLimitFillers(waiting, this.wallMs)) return;
     const key = this.getEquivalenceClass(waiting, false, true);
-    if (this.isKnownToFail(key, step) || job.hasRuns()) return;
+    if (this.isKnownToFail(key, step) || !this.isNeglectedFiller(waiting))
+      return;
     const task = step.tasks.find(
       each => isWaitingTask(each) && !isSuspected(each),
     );
@@ -568,6 +597,11 @@
     return `${waiting.queue.serviceName} ${kind}${limit}${trial}${overcommitted}`;
   }
 
+  private getTrialClass(waiting: WaitingStep): string | undefined {
+    const isNeglected = this.isNeglectedFiller(waiting);
+    return this.getEquivalenceClass(waiting, true, isNeglected);
+  }
+
   private isKnownToFail(key: string | undefined, step: StepState): boolean {
     return this.findFailure(key, step) !== undefined;
   }
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -55,6 +55,7 @@
   private readonly fillerRuns = new Set<AssignedRun>();
   private readonly unprovenRuns = new Set<AssignedRun>();
   private servingImages: ReadonlySet<string> | undefined;
+  private revision = 0;
 
   private constructor(private capacity: ResourceRequirements) {}
 
@@ -72,6 +73,12 @@
    */
   setCapacity(capacity: ResourceRequirements): void {
     this.capacity = capacity;
+    this.revision++;
+  }
+
+  /** Gets a number that changes whenever the runs or the capacity change. */
+  getRevision(): number {
+    return this.revision;
   }
 
   /** Gets the capacity. */
@@ -154,11 +161,14 @@
 
   /** Gets the CPU that is available to further fillers, in thousandths of a core. */
   getReclaimableCpuMillis(): number {
-    const servingUse = this.servingCpuMillis * SERVING_CPU_UTILIZATION;
     const batchUse = this.usedCpuMillis - this.servingCpuMillis;
-    return (
-      this.capacity.cpuMillis - servingUse - batchUse - this.fillerCpuMillis
-    );
+    return this.getBatchCpuMillis() - batchUse - this.fillerCpuMillis;
+  }
+
+  /** Gets the CPU that long-running tasks leave to others, in thousandths of a core. */
+  getBatchCpuMillis(): number {
+    const servingUse = this.servingCpuMillis * SERVING_CPU_UTILIZATION;
+    return this.capacity.cpuMillis - servingUse;
   }
 
   /** Gets the CPU that fillers declare, in thousandths of a core. */
@@ -264,6 +274,7 @@
   private updateTotals(assigned: AssignedRun, sign: 1 | -1): void {
     const {step} = assigned;
     const {needs, isFiller, isLongRunning} = step.spec;
+    this.revision++;
     this.usedMemoryMb += sign * needs.memoryMb;
     this.usedAccelerators += sign * needs.accelerators;
     if (isFiller) this.fillerCpuMillis += sign * needs.cpuMillis;
