--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -174,12 +174,13 @@
     this.reserveRoom(sortedPreceding);
     if (this.isLimitReached()) return;
     const sorted = sortWaitingSteps(waiting, wallMs);
-    let hasPlacedNeglected = false;
+    const priorities = new Set<number>();
     for (const each of sorted) {
       if (this.isLimitReached()) return;
-      if (!hasPlacedNeglected && canLimitFillers(each, wallMs)) {
-        hasPlacedNeglected = true;
-        this.placeNeglectedFillers(sorted);
+      const {priority} = each.queue;
+      if (!priorities.has(priority) && isOverdue(each, wallMs)) {
+        priorities.add(priority);
+        this.placeNeglectedTasks(sorted, priority);
       }
       const key = this.getEquivalenceClass(each);
       if (this.isKnownToFail(key, each.step)) continue;
@@ -480,35 +481,43 @@
     return hasRoom;
   }
 
-  /** Checks whether a step has fillers of an overdue job that has no run. */
+  /** Checks whether a step belongs to an overdue job that has no run. */
+  private isNeglected(waiting: WaitingStep): boolean {
+    return isOverdue(waiting, this.wallMs) && !waiting.job.hasRuns();
+  }
+
   private isNeglectedFiller(waiting: WaitingStep): boolean {
-    return canLimitFillers(waiting, this.wallMs) && !waiting.job.hasRuns();
+    return waiting.step.spec.isFiller && this.isNeglected(waiting);
   }
 
   /**
-   * Places one task of each overdue filler job that has no run. They share the
+   * Places one task of each overdue job of a priority that has no run. They share the
    * placements that are left: if the oldest jobs took all of them, the others would
    * stand still for as long as these last.
    */
-  private placeNeglectedFillers(sorted: readonly WaitingStep[]): void {
-    const neglected = sorted.filter(each => this.isNeglectedFiller(each));
+  private placeNeglectedTasks(
+    sorted: readonly WaitingStep[],
+    priority: number,
+  ): void {
+    const neglected = sorted.filter(
+      each => each.queue.priority === priority && this.isNeglected(each),
+    );
     neglected.sort(
       (left, right) => left.job.idleSinceMs - right.job.idleSinceMs,
     );
-    for (const each of neglected) this.placeNeglectedFiller(each);
+    for (const each of neglected) this.placeNeglectedTask(each);
   }
 
   /**
-   * Places one task of an overdue filler job that has no run, also where other
-   * fillers have taken all CPU. Overdue jobs come last, so that on a full fleet
-   * they would wait for as long as others arrive.
+   * Places one task of an overdue job that has no run, a filler also where others
+   * have taken all CPU. Overdue jobs come last, so that on a full fleet they would
+   * wait for as long as others arrive.
    */
-  private placeNeglectedFiller(waiting: WaitingStep): void {
+  private placeNeglectedTask(waiting: WaitingStep): void {
     const {step} = waiting;
     if (this.isLimitReached() || step.spec.isGang) return;
     const key = this.getEquivalenceClass(waiting, 'plain', true);
-    if (this.isKnownToFail(key, step) || !this.isNeglectedFiller(waiting))
-      return;
+    if (this.isKnownToFail(key, step) || !this.isNeglected(waiting)) return;
     const task = step.tasks.find(
       each => isWaitingTask(each) && !isSuspected(each),
     );
