--- a/packages/membership/src/lease_manager.ts
+++ b/packages/membership/src/lease_manager.ts
@@ -68,6 +68,13 @@
 
 /** Minimum time for which a lease is held before it is handed over to a preferred process. */
 const MIN_HOLD_BEFORE_HANDOVER_MS = 10_000;
+
+/**
+ * Delay before a renewal without a response is repeated. The worker may be sound, and
+ * the lease outlasts one call that takes its whole time limit, but not a pause as well.
+ */
+const RENEWAL_RETRY_MS = 200;
+
 const FIRST_SUCCESSOR_RANK = 1;
 /** Processes ranked below the first successor poll less often by this factor. */
 const LOW_RANK_POLL_FACTOR = 3;
@@ -233,19 +240,24 @@
     tracked: TrackedWorker,
   ): Promise<void> {
     tracked.isCallInProgress = true;
-    await this.acquireOrRenew(tracked);
+    const isAnswered = await this.acquireOrRenew(tracked);
     tracked.isCallInProgress = false;
-    const isHeld = tracked.lease !== undefined;
-    const {renewMs} = this.options.timing;
-    this.schedule(tracked, isHeld ? renewMs : this.getPollDelayMs(tracked));
+    this.schedule(tracked, this.getNextDelayMs(tracked, isAnswered));
   }
 
-  private async acquireOrRenew(tracked: TrackedWorker): Promise<void> {
+  private getNextDelayMs(tracked: TrackedWorker, isAnswered: boolean): number {
+    if (tracked.lease === undefined) return this.getPollDelayMs(tracked);
+    return isAnswered ? this.options.timing.renewMs : RENEWAL_RETRY_MS;
+  }
+
+  /** Returns whether the worker responded. */
+  private async acquireOrRenew(tracked: TrackedWorker): Promise<boolean> {
     if (tracked.lease !== undefined && !tracked.lease.isValid()) {
       this.dropLease(tracked, 'the lease expired before it was renewed');
     }
-    if (tracked.lease === undefined) await this.acquire(tracked);
-    else await this.renew(tracked, tracked.lease);
+    if (tracked.lease !== undefined) return this.renew(tracked, tracked.lease);
+    await this.acquire(tracked);
+    return true;
   }
 
   /**
@@ -278,10 +290,11 @@
     this.options.listener.onAcquired(lease);
   }
 
+  /** Returns whether the worker responded. */
   private async renew(
     tracked: TrackedWorker,
     lease: WorkerLease,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const {clock, client, scope, holderId, timing} = this.options;
     const sentAtMs = clock.getMonotonicMs();
     const renewed = await client.requestLease(tracked.address, {
@@ -293,16 +306,18 @@
       withUsage:
         this.options.shouldRequestUsage?.(lease.address.workerId) ?? false,
     });
-    if (this.isObsolete(tracked)) return;
+    if (this.isObsolete(tracked)) return true;
     if (renewed.isOk()) {
       lease.extend(sentAtMs, timing.ttlMs, renewed.value);
       this.options.listener.onRenewed(lease);
       await this.handOverIfPreferred(tracked, lease, renewed.value);
-      return;
+      return true;
     }
-    if (renewed.error.kind === 'refused' || !lease.isValid()) {
+    const isRefused = renewed.error.kind === 'refused';
+    if (isRefused || !lease.isValid()) {
       this.dropLease(tracked, renewed.error.message);
     }
+    return isRefused;
   }
 
   private isObsolete(tracked: TrackedWorker): boolean {
