--- a/packages/coordination/src/admission_control.ts
+++ b/packages/coordination/src/admission_control.ts
@@ -7,7 +7,7 @@
  */
 
 import {Clock} from '@mustardlug/base/clock';
-import {JobState, StepState} from '@mustardlug/jobs/job_state';
+import {JobState} from '@mustardlug/jobs/job_state';
 import {QueueConfig} from '@mustardlug/jobs/queue_config';
 import {PlacedStep, isWaitingTask} from './placement_pass.js';
 import {
@@ -17,7 +17,8 @@
   getObjectiveDurationMs,
   WaitingStep,
 } from './task_order.js';
-import {WorkerLoad} from './worker_load.js';
+import {Occupancy} from './occupancy.js';
+import {AdmissionWorker, ServiceCapacity} from './service_capacity.js';
 
 /** Shortest and longest time over which placements are measured; the tolerable wait in between. */
 const MIN_WINDOW_MS = 2_000;
@@ -55,12 +56,6 @@
 
 const MS_PER_SECOND = 1_000;
 
-/** A worker that is to run jobs, whether or not it is usable at the moment. */
-export interface AdmissionWorker {
-  readonly load: WorkerLoad;
-  readonly labels: readonly string[];
-}
-
 /** Tasks of one step that were placed at the same time. */
 interface RecordedPlacement {
   readonly placedMs: number;
@@ -98,13 +93,6 @@
   slackMs: number;
 }
 
-/** Time for which work takes each resource of all workers that can run it. */
-interface Occupancy {
-  cpuMs: number;
-  memoryMs: number;
-  acceleratorMs: number;
-}
-
 /** Time that the workers need before they can run a new job of a queue. */
 interface PrecedingWork {
   /** Before a job that has not expired. */
@@ -113,21 +101,6 @@
   readonly totalWorkMs: number;
 }
 
-/** Resources of the workers that can run a step. */
-interface WorkerResources {
-  cpuMillis: number;
-  /** Part of it that long-running tasks leave to others. */
-  availableCpuMillis: number;
-  memoryMb: number;
-  accelerators: number;
-}
-
-/** Workers with the same capacity and labels. */
-interface WorkerKind {
-  readonly example: AdmissionWorker;
-  readonly resources: WorkerResources;
-}
-
 /** Measures how long the jobs of each queue wait, and refuses those that would miss their objective. */
 export class AdmissionControl {
   private readonly placements = new Map<string, RecordedPlacement[]>();
@@ -267,30 +240,16 @@
   {queue}: Backlog,
   backlogs: Iterable<Backlog>,
 ): PrecedingWork {
-  const before = createOccupancy();
-  const total = createOccupancy();
+  const before = Occupancy.create();
+  const total = Occupancy.create();
   for (const other of backlogs) {
     if (other.queue.serviceName !== queue.serviceName) continue;
     if (other.queue.priority > queue.priority) continue;
     const isBefore = other.queue.priority < queue.priority;
-    addOccupancy(before, isBefore ? other.totalOccupancy : other.occupancy);
-    addOccupancy(total, other.totalOccupancy);
+    before.add(isBefore ? other.totalOccupancy : other.occupancy);
+    total.add(other.totalOccupancy);
   }
-  return {workMs: getLongestMs(before), totalWorkMs: getLongestMs(total)};
-}
-
-function createOccupancy(): Occupancy {
-  return {cpuMs: 0, memoryMs: 0, acceleratorMs: 0};
-}
-
-function addOccupancy(sum: Occupancy, added: Occupancy): void {
-  sum.cpuMs += added.cpuMs;
-  sum.memoryMs += added.memoryMs;
-  sum.acceleratorMs += added.acceleratorMs;
-}
-
-function getLongestMs({cpuMs, memoryMs, acceleratorMs}: Occupancy): number {
-  return Math.max(cpuMs, memoryMs, acceleratorMs);
+  return {workMs: before.getLongestMs(), totalWorkMs: total.getLongestMs()};
 }
 
 /** Gets how long the waiting jobs can wait, on average, and still meet their objectives. */
@@ -356,29 +315,30 @@
   wallMs: number,
 ): Map<string, Backlog> {
   const backlogs = new Map<string, Backlog>();
-  const kindsByService = new Map<string, WorkerKind[]>();
+  const capacities = new Map<string, ServiceCapacity>();
   for (const [serviceName, workers] of workersByService)
-    kindsByService.set(serviceName, getWorkerKinds(workers));
+    capacities.set(serviceName, ServiceCapacity.create(workers));
   for (const each of waiting) {
     const {step, job, queue} = each;
     if (step.spec.isLongRunning || job.isEnded()) continue;
     const taskCount = step.tasks.filter(isWaitingTask).length;
     if (taskCount === 0) continue;
-    const kinds = kindsByService.get(queue.serviceName) ?? [];
-    const backlog = backlogs.get(queue.name) ?? createBacklog(queue, kinds);
+    const capacity =
+      capacities.get(queue.serviceName) ?? ServiceCapacity.create([]);
+    const backlog = backlogs.get(queue.name) ?? createBacklog(queue, capacity);
     backlogs.set(queue.name, backlog);
     const work = taskCount * getTaskWork(each);
-    const fitting = kinds.filter(({example}) => canEverRun(step, example));
-    const canRun = fitting.length > 0;
-    const resources = getResources(canRun ? fitting : kinds);
-    const occupancy = getOccupancy(each, taskCount, resources);
-    if (canRun) {
+    const occupancy = capacity.getOccupancy(
+      step.spec,
+      taskCount * getExpectedTaskMs(step.spec),
+    );
+    if (capacity.canRun(step.spec)) {
       backlog.totalWork += work;
-      addOccupancy(backlog.totalOccupancy, occupancy);
+      backlog.totalOccupancy.add(occupancy);
     }
     if (getDeadlineStatus(each, wallMs) === 'expired') continue;
     backlog.work += work;
-    addOccupancy(backlog.occupancy, occupancy);
+    backlog.occupancy.add(occupancy);
     backlog.stepCount++;
     backlog.slackMs += getSlackMs(each);
     if (!isNewJob(job)) continue;
@@ -388,98 +348,20 @@
   return backlogs;
 }
 
-function createBacklog(
-  queue: QueueConfig,
-  kinds: readonly WorkerKind[],
-): Backlog {
+function createBacklog(queue: QueueConfig, capacity: ServiceCapacity): Backlog {
   return {
     queue,
     work: 0,
     totalWork: 0,
-    cpuMillis: getResources(kinds)?.cpuMillis ?? 0,
-    occupancy: createOccupancy(),
-    totalOccupancy: createOccupancy(),
+    cpuMillis: capacity.getCpuMillis(),
+    occupancy: Occupancy.create(),
+    totalOccupancy: Occupancy.create(),
     oldestWaitMs: 0,
     stepCount: 0,
     slackMs: 0,
   };
 }
 
-/** Groups workers, as there are many of few kinds. */
-function getWorkerKinds(workers: readonly AdmissionWorker[]): WorkerKind[] {
-  const kinds = new Map<string, WorkerKind>();
-  for (const worker of workers) {
-    const {load, labels} = worker;
-    const {cpuMillis, memoryMb, accelerators} = load.getCapacity();
-    const key = JSON.stringify([cpuMillis, memoryMb, accelerators, labels]);
-    const resources = {
-      cpuMillis,
-      availableCpuMillis: load.getBatchCpuMillis(),
-      memoryMb,
-      accelerators,
-    };
-    const known = kinds.get(key);
-    if (known === undefined) kinds.set(key, {example: worker, resources});
-    else addResources(known.resources, resources);
-  }
-  return [...kinds.values()];
-}
-
-/** Sums up the resources of workers; `undefined` without any. */
-function getResources(
-  kinds: readonly WorkerKind[],
-): WorkerResources | undefined {
-  if (kinds.length === 0) return undefined;
-  const sum = {...kinds[0].resources};
-  for (const {resources} of kinds.slice(1)) addResources(sum, resources);
-  return sum;
-}
-
-function addResources(sum: WorkerResources, added: WorkerResources): void {
-  sum.cpuMillis += added.cpuMillis;
-  sum.availableCpuMillis += added.availableCpuMillis;
-  sum.memoryMb += added.memoryMb;
-  sum.accelerators += added.accelerators;
-}
-
-/** Gets for how long tasks take the resources of workers; no time without workers. */
-function getOccupancy(
-  each: WaitingStep,
-  taskCount: number,
-  resources: WorkerResources | undefined,
-): Occupancy {
-  if (resources === undefined) return createOccupancy();
-  const {memoryMb, accelerators} = each.step.spec.needs;
-  const totalMs = taskCount * getExpectedTaskMs(each.step.spec);
-  return {
-    cpuMs: divide(taskCount * getTaskWork(each), resources.availableCpuMillis),
-    memoryMs: divide(totalMs * memoryMb, resources.memoryMb),
-    acceleratorMs: divide(totalMs * accelerators, resources.accelerators),
-  };
-}
-
-/** Divides work by what handles it. Work that nothing handles takes forever. */
-function divide(work: number, capacity: number): number {
-  if (work === 0) return 0;
-  return capacity > 0 ? work / capacity : Infinity;
-}
-
-/** Checks whether an empty worker could run a task of a step. */
-function canEverRun(
-  {spec}: StepState,
-  {load, labels}: AdmissionWorker,
-): boolean {
-  const {needs, requiredLabel} = spec;
-  const capacity = load.getCapacity();
-  if (requiredLabel !== undefined && !labels.includes(requiredLabel))
-    return false;
-  return (
-    needs.cpuMillis <= capacity.cpuMillis &&
-    needs.memoryMb <= capacity.memoryMb &&
-    needs.accelerators <= capacity.accelerators
-  );
-}
-
 function getTaskWork({step}: WaitingStep): number {
   return Math.max(1, step.spec.needs.cpuMillis) * getExpectedTaskMs(step.spec);
 }
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -21,7 +21,7 @@
   recordInternalError,
   runGuarded,
 } from '@mustardlug/telemetry/guarded_call';
-import {AdmissionControl, AdmissionWorker} from './admission_control.js';
+import {AdmissionControl} from './admission_control.js';
 import {CommitLog, CommitOutcome} from './commit_log.js';
 import {CoordinatorHeartbeat, STATUS_ADDRESS} from './coordinator_heartbeat.js';
 import {QueueLoad} from './coordinator_status.js';
@@ -59,6 +59,7 @@
 import {RoomReservations} from './room_reservations.js';
 import {WorkerSupervisor} from './worker_supervisor.js';
 import {RunNumbers} from './run_numbers.js';
+import {AdmissionWorker} from './service_capacity.js';
 import {SilenceReporter} from './silence_reporter.js';
 import {explainWait} from './wait_explanation.js';
 import {WaitReporter, WaitSummary} from './wait_reporter.js';
