--- a/packages/coordination/src/admission_control.ts
+++ b/packages/coordination/src/admission_control.ts
@@ -93,14 +93,6 @@
   slackMs: number;
 }
 
-/** Time that the workers need before they can run a new job of a queue. */
-interface PrecedingWork {
-  /** Before a job that has not expired. */
-  readonly workMs: number;
-  /** Before an expired job. */
-  readonly totalWorkMs: number;
-}
-
 /** Measures how long the jobs of each queue wait, and refuses those that would miss their objective. */
 export class AdmissionControl {
   private readonly placements = new Map<string, RecordedPlacement[]>();
@@ -163,8 +155,8 @@
       wallMs,
     );
     for (const [queueName, backlog] of backlogs) {
-      const preceding = getPrecedingWork(backlog, backlogs.values());
-      const retryAfterMs = this.getRetryAfterMs(backlog, preceding);
+      const busyMs = getBusyMs(backlog, backlogs.values());
+      const retryAfterMs = this.getRetryAfterMs(backlog, busyMs);
       if (retryAfterMs === 0) continue;
       const startsPerSecond = this.getStartsPerSecond(queueName, backlog);
       refusals.set(queueName, {retryAfterMs, startsPerSecond});
@@ -180,10 +172,11 @@
 
   /**
    * Starts may be slow for other reasons than load, such as calls without a
-   * response. The workers then still have room, so that the wait that all of them
-   * together would need is the limit of the wait that recent placements suggest.
+   * response. The workers then still have room, so that a new job, which precedes late
+   * ones, waits for no longer than they are busy. Late work waits for as long as recent
+   * placements suggest, whatever the reason.
    */
-  private getRetryAfterMs(backlog: Backlog, preceding: PrecedingWork): number {
+  private getRetryAfterMs(backlog: Backlog, busyMs: number): number {
     const queueName = backlog.queue.name;
     const tolerableMs = getTolerableWaitMs(backlog);
     const placements = this.getPlacements(queueName, backlog);
@@ -193,16 +186,12 @@
     for (const {work} of placements) placedWork += work;
     const msPerWork = getWindowMs(backlog) / placedWork;
     const isRefusing = this.refusals.has(queueName);
-    const totalWaitMs = Math.min(
-      backlog.totalWork * msPerWork,
-      preceding.totalWorkMs,
-    );
     const totalMs = isBacklogLimited(backlog)
-      ? getExcessMs(totalWaitMs, MAX_BACKLOG_MS, isRefusing)
+      ? getExcessMs(backlog.totalWork * msPerWork, MAX_BACKLOG_MS, isRefusing)
       : 0;
     const measuredMs = getMeasuredWaitMs(placements, backlog);
     const isLoaded = measuredMs >= tolerableMs * MIN_MEASURED_FRACTION;
-    const waitMs = Math.min(backlog.work * msPerWork, preceding.workMs);
+    const waitMs = Math.min(backlog.work * msPerWork, busyMs);
     const lateMs = isLoaded ? getExcessMs(waitMs, tolerableMs, isRefusing) : 0;
     return Math.min(MAX_RETRY_AFTER_MS, Math.max(totalMs, lateMs));
   }
@@ -235,21 +224,16 @@
   }
 }
 
-/** Gets how long workers are busy before they are done with the work of a queue. */
-function getPrecedingWork(
-  {queue}: Backlog,
-  backlogs: Iterable<Backlog>,
-): PrecedingWork {
-  const before = Occupancy.create();
-  const total = Occupancy.create();
+/** Gets for how long workers are busy with the work that precedes a new job of a queue. */
+function getBusyMs({queue}: Backlog, backlogs: Iterable<Backlog>): number {
+  const preceding = Occupancy.create();
   for (const other of backlogs) {
     if (other.queue.serviceName !== queue.serviceName) continue;
     if (other.queue.priority > queue.priority) continue;
     const isBefore = other.queue.priority < queue.priority;
-    before.add(isBefore ? other.totalOccupancy : other.occupancy);
-    total.add(other.totalOccupancy);
+    preceding.add(isBefore ? other.totalOccupancy : other.occupancy);
   }
-  return {workMs: before.getLongestMs(), totalWorkMs: total.getLongestMs()};
+  return preceding.getLongestMs();
 }
 
 /** Gets how long the waiting jobs can wait, on average, and still meet their objectives. */
