--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -256,6 +256,8 @@
   private lastReportedCallMs = -Infinity;
   /** Ends the wait for a response to the renewal that was sent last. */
   private endRenewalWait: ((progress: RenewalProgress) => void) | undefined;
+  /** Unexpected error while a report was applied. */
+  private reportError: Error | undefined;
   private workerClock: {clockMs: number; receivedMs: number} | undefined;
   /** Expiry of the last lease that a renewal granted since the last report, on the worker's clock. */
   private grantedUntilMs: number | undefined;
@@ -458,6 +460,7 @@
     while (!this.isStopped) {
       const progress = await this.renew();
       if (this.isStopped) return;
+      this.throwReportError();
       this.dropExpiredRuns();
       this.suspendLeasesIfSilent();
       this.notifyRenewalWaiters();
@@ -735,6 +738,13 @@
     );
   }
 
+  /** Throws the error of a report, if there was one, so that the caller of `run` handles it. */
+  private throwReportError(): void {
+    const {reportError} = this;
+    this.reportError = undefined;
+    if (reportError !== undefined) throw reportError;
+  }
+
   private async handleRenewal(
     call: WorkerCall,
     pending: Promise<Result<LeaseReport, JobWorkerError>>,
@@ -743,8 +753,12 @@
     this.openRenewalCount--;
     if (this.isStopped) return;
     if (outcome.isOk()) {
-      if (!this.isOvertaken(outcome.value, call))
-        this.applyReport(outcome.value, call);
+      try {
+        if (!this.isOvertaken(outcome.value, call))
+          this.applyReport(outcome.value, call);
+      } catch (error) {
+        this.reportError = error as Error;
+      }
       this.endRenewalWait?.('reported');
       return;
     }
