--- a/review/lib/standins.js
+++ b/review/lib/standins.js
@@ -507,6 +507,14 @@
 
 /** Node processes, started with the command of the deploy file. */
 export class Nodes {
+  constructor() {
+    process.on('exit', () => {
+      for (const {child} of this.nodes) child?.kill('SIGKILL');
+    });
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+      process.on(signal, () => process.exit(2));
+  }
+
   nodes = [];
   folder = mkdtempSync(join(tmpdir(), 'mustardlug-review-'));
 
