--- a/review/3/case.js
+++ b/review/3/case.js
@@ -157,4 +157,13 @@
   setTimeout(() => process.exit(result), 500);
 }
 
-await main();
+try {
+  await main();
+} catch (error) {
+  log(`the case could not run: ${error.stack}`);
+  writeFileSync(
+    new URL('record.txt', import.meta.url),
+    lines.join('\n') + '\n',
+  );
+  process.exit(2);
+}
--- a/review/4/case.js
+++ b/review/4/case.js
@@ -123,15 +123,18 @@
         if (sinceMs === undefined || reported.has(task)) continue;
         if (nowMs - calmMs < (CALM_S + ABSENT_S) * 1000) continue;
         if (nowMs - sinceMs < (RESTART_S + ABSENT_S) * 1000) continue;
+        const empty = workers.filter(each => each.isUp && each.runs.size === 0);
+        // There has to be capacity for it twice over.
+        if (empty.length < 2) continue;
         reported.add(task);
         isBroken = true;
-        const empty = workers.filter(each => each.isUp && each.runs.size === 0);
         log(
           `BROKEN: ${task} has had no run for ${((nowMs - sinceMs) / 1000).toFixed(1)} s, the nodes have been running for ${((nowMs - calmMs) / 1000).toFixed(1)} s, ${empty.length} workers are up and empty`,
         );
       }
       await sleep(100);
     }
+    couldRun &&= absentSinceMs.size === LASTING_TASKS;
     const {status, json} = await call(nodes[1], 'GET', `/hold/${id}`);
     log(`GET /hold/${id}: ${status} ${JSON.stringify(json)}`);
   } finally {
@@ -148,4 +151,13 @@
   setTimeout(() => process.exit(result), 500);
 }
 
-await main();
+try {
+  await main();
+} catch (error) {
+  log(`the case could not run: ${error.stack}`);
+  writeFileSync(
+    new URL('record.txt', import.meta.url),
+    lines.join('\n') + '\n',
+  );
+  process.exit(2);
+}
