--- a/review/lib/standins.js
+++ b/review/lib/standins.js
@@ -510,6 +510,7 @@
   constructor() {
     process.on('exit', () => {
       for (const {child} of this.nodes) child?.kill('SIGKILL');
+      rmSync(this.folder, {recursive: true, force: true});
     });
     for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'])
       process.on(signal, () => process.exit(2));
