Count the failures of a gang by run, not by member

Cause: each end 'failed' of a member was added to the member's count, and the gang's failures were the sum over its members. The limit is for runs, whose number the members share.

Change: a step keeps the numbers of the runs in which any member has failed, and stores them, so that members that fail before and after a takeover count once. Rows of earlier builds count by the member that failed most often. The reason names the gang.

--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -300,8 +300,7 @@
     if (!job.isEnded() && !task.isDone) {
       if (ended.outcome === 'done')
         this.recordTaskDone(job, step, task, ended.taskName);
-      else if (ended.outcome === 'failed')
-        this.recordTaskFailure(job, step, task);
+      else if (ended.outcome === 'failed') this.recordTaskFailure(assigned);
     }
     this.recordRunRemoved(job);
   }
@@ -512,17 +511,16 @@
     if (job.isEnded()) this.recordJobEnd(job, job.phase);
   }
 
-  private recordTaskFailure(
-    job: JobState,
-    step: StepState,
-    task: TaskState,
-  ): void {
+  private recordTaskFailure({job, step, task, run}: AssignedRun): void {
     if (step.spec.isLongRunning) return;
-    task.failures++;
-    const {maxAttempts} = this.getQueue(job);
-    const failures = step.spec.isGang ? getGangFailures(step) : task.failures;
-    if (failures < maxAttempts) return;
-    this.failJob(job, `a task of step ${step.index} failed ${failures} times`);
+    step.recordFailure(task, run.runNumber);
+    const failures = step.getFailureCount(task);
+    if (failures < this.getQueue(job).maxAttempts) return;
+    const subject = step.spec.isGang ? 'the gang' : 'a task';
+    this.failJob(
+      job,
+      `${subject} of step ${step.index} failed ${failures} times`,
+    );
   }
 
   private clearStartCrashes(job: JobState, task: TaskState): void {
@@ -580,9 +578,3 @@
     }
   }
 }
-
-function getGangFailures(step: StepState): number {
-  let failures = 0;
-  for (const task of step.tasks) failures += task.failures;
-  return failures;
-}
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -34,6 +34,9 @@
 /** Step index and task index, followed by the fields of the run. */
 export type StoredDoneTaskRun = [number, number, ...StoredRun];
 
+/** Step index, followed by the numbers of the failed runs. */
+export type StoredFailedGangRuns = [number, ...number[]];
+
 /** Worker ID, run number, and 1 if the crash is attributed to the start or 0 if not. */
 export type StoredStartCrash = [string, number, 0 | 1];
 
@@ -50,6 +53,8 @@
   readonly doneTaskRuns?: readonly StoredDoneTaskRun[];
   /** Tasks whose starts workers have crashed at; absent if there are none. */
   readonly startCrashes?: readonly StoredTaskCrashes[];
+  /** Gangs with failed runs; absent if there are none, and in rows of earlier versions. */
+  readonly failedGangRuns?: readonly StoredFailedGangRuns[];
 }
 
 /** Stored progress of a job. */
@@ -150,11 +155,13 @@
     const steps = occurrence.steps.map(step => step.tasks.map(toStoredTask));
     const doneTaskRuns = getDoneTaskRuns(occurrence);
     const startCrashes = getStartCrashes(occurrence);
+    const failedGangRuns = getFailedGangRuns(occurrence);
     occurrences.push({
       number,
       steps,
       ...(doneTaskRuns.length > 0 && {doneTaskRuns}),
       ...(startCrashes.length > 0 && {startCrashes}),
+      ...(failedGangRuns.length > 0 && {failedGangRuns}),
     });
   }
   const hasStarted = job.hasStarted || undefined;
@@ -177,7 +184,8 @@
   job.endedMs = stored.endedMs;
   job.failureReason = stored.failureReason;
   for (const storedOccurrence of stored.occurrences) {
-    const {number, steps, doneTaskRuns, startCrashes} = storedOccurrence;
+    const {number, steps, doneTaskRuns, startCrashes, failedGangRuns} =
+      storedOccurrence;
     const occurrence = OccurrenceState.create(number, job.accepted.spec);
     for (const [stepIndex, tasks] of steps.entries()) {
       const step = occurrence.steps[stepIndex];
@@ -195,6 +203,10 @@
       const task = occurrence.steps[stepIndex].tasks[taskIndex];
       task.startCrashes = crashes.map(restoreStartCrash);
     }
+    for (const [stepIndex, ...runNumbers] of failedGangRuns ?? []) {
+      const step = occurrence.steps[stepIndex];
+      for (const runNumber of runNumbers) step.failedGangRuns.add(runNumber);
+    }
     job.occurrences.set(number, occurrence);
   }
   // Rows of earlier versions lack the field, but the results of runs may show it.
@@ -255,6 +267,12 @@
   return stored;
 }
 
+function getFailedGangRuns({steps}: OccurrenceState): StoredFailedGangRuns[] {
+  return steps
+    .filter(({failedGangRuns}) => failedGangRuns.size > 0)
+    .map(({index, failedGangRuns}) => [index, ...failedGangRuns]);
+}
+
 function toStoredStartCrash(crash: StartCrash): StoredStartCrash {
   return [crash.workerId, crash.runNumber, crash.isAttributed ? 1 : 0];
 }
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -61,6 +61,7 @@
 export interface TaskState {
   readonly index: number;
   isDone: boolean;
+  /** Number of own runs that failed. Of a gang, `failedGangRuns` has those of all members. */
   failures: number;
   /** Whether a worker has confirmed a run of the task. */
   hasRun: boolean;
@@ -80,6 +81,8 @@
 export class StepState {
   /** Number of tasks that completed successfully. */
   doneCount = 0;
+  /** Numbers of the runs of a gang in which any member failed. */
+  readonly failedGangRuns = new Set<number>();
   /** Monotonic time at which all tasks were done, if that was in this term; not stored. */
   doneMs: number | undefined;
 
@@ -121,6 +124,28 @@
     return this.tasks.some(task => task.runs.length > 0);
   }
 
+  /**
+   * Records that a run of a task failed. The members of a gang share their runs,
+   * each of which counts once.
+   * @param task - Task of this step.
+   * @param runNumber - Number of the run.
+   */
+  recordFailure(task: TaskState, runNumber: number): void {
+    task.failures++;
+    if (this.spec.isGang) this.failedGangRuns.add(runNumber);
+  }
+
+  /**
+   * Gets the number of failed runs that count against the attempts of a task.
+   * @param task - Task of this step.
+   */
+  getFailureCount(task: TaskState): number {
+    if (!this.spec.isGang) return task.failures;
+    // Earlier builds stored only how often each member failed.
+    const memberFailures = this.tasks.map(({failures}) => failures);
+    return Math.max(this.failedGangRuns.size, ...memberFailures);
+  }
+
   /**
    * Marks a task as done.
    * @param task - Task of this step.
--- a/packages/jobs/src/stored_schemas.ts
+++ b/packages/jobs/src/stored_schemas.ts
@@ -11,6 +11,7 @@
 import {
   decodeRowValue,
   StoredDoneTaskRun,
+  StoredFailedGangRuns,
   StoredJob,
   StoredOccurrence,
   StoredProgress,
@@ -105,6 +106,12 @@
       'expected a list of crashes',
     )
     .optional(),
+  failedGangRuns: z
+    .custom<StoredFailedGangRuns[]>(
+      value => isListOf(value, isFailedGangRuns),
+      'expected a list of failed runs',
+    )
+    .optional(),
 });
 
 const progressSchema: z.ZodType<StoredProgress> = z.object({
@@ -176,7 +183,10 @@
     if (!coversSteps(occurrence, spec))
       return createMismatch(path, 'the steps and tasks of the job');
     if (!namesKnownTasks(occurrence))
-      return createMismatch(path, 'runs and crashes of tasks of the job');
+      return createMismatch(
+        path,
+        'runs, crashes and failures of tasks of the job',
+      );
   }
   return undefined;
 }
@@ -194,14 +204,19 @@
 }
 
 function namesKnownTasks(occurrence: StoredOccurrence): boolean {
-  const {steps, doneTaskRuns = [], startCrashes = []} = occurrence;
+  const {
+    steps,
+    doneTaskRuns = [],
+    startCrashes = [],
+    failedGangRuns = [],
+  } = occurrence;
   for (const [stepIndex, taskIndex] of doneTaskRuns) {
     if (steps[stepIndex]?.[taskIndex] !== 1) return false;
   }
   for (const [stepIndex, taskIndex] of startCrashes) {
     if (steps[stepIndex]?.[taskIndex] === undefined) return false;
   }
-  return true;
+  return failedGangRuns.every(([stepIndex]) => steps[stepIndex] !== undefined);
 }
 
 function isListOf<T>(
@@ -256,6 +271,10 @@
   );
 }
 
+function isFailedGangRuns(value: unknown): value is StoredFailedGangRuns {
+  return isListOf(value, isCount) && value.length > 0;
+}
+
 function isStoredStartCrash(value: unknown): value is StoredStartCrash {
   if (!Array.isArray(value) || value.length !== 3) return false;
   const [workerId, runNumber, mark] = value as unknown[];
--- a/packages/jobs/test/job_model.test.ts
+++ b/packages/jobs/test/job_model.test.ts
@@ -15,7 +15,7 @@
 } from '../src/job_spec.js';
 import {JobState} from '../src/job_state.js';
 import {findQueue, QueueConfig} from '../src/queue_config.js';
-import {decodeStoredProgress} from '../src/stored_schemas.js';
+import {decodeStoredProgress, validateProgress} from '../src/stored_schemas.js';
 import {formatTaskName, parseTaskName} from '../src/task_name.js';
 
 /** Maximum size of a row's value that the platform's store accepts, in bytes. */
@@ -175,6 +175,24 @@
     expect(unproven.runs[0].isProven).to.equal(false);
   });
 
+  it('rejects failed runs of a gang that the job does not have', () => {
+    const job = createJob();
+    job.createDueOccurrences(1_000);
+    const [stored] = toStoredProgress(job).occurrences;
+    const {spec} = job.accepted;
+    for (const [stepIndex, isValid] of [
+      [0, true],
+      [1, false],
+    ] as const) {
+      const occurrences = [{...stored, failedGangRuns: [[stepIndex, 7]]}];
+      const bytes = encodeRowValue({...toStoredProgress(job), occurrences});
+      const progress = decodeStoredProgress('job-1', bytes).andThen(decoded =>
+        validateProgress('job-1', decoded, spec),
+      );
+      expect(progress.isOk()).to.equal(isValid);
+    }
+  });
+
   it('restores the runs of done tasks, also of an occurrence that is done', () => {
     const job = createJob();
     job.createDueOccurrences(1_000);
