Bound the end of a term's leases by its status, so that a successor waits less

Cause: a successor did not know until when its predecessor had granted leases. It waited from its own election for the 5.5 s for which an isolated predecessor could go on, and for a lease of 5.45 s.

A coordinator grants no lease beyond its last confirmed status, ever shorter ones while the store is away, and ends its term 0.5 s before the limit. A successor waits until what the status declares that its takeover replaces; the takeover is conditional on that status. A worker that may hold a longer lease, as its process executed a renewal that counts on its predecessor's clock, is named with the runs there. Statuses of earlier builds declare nothing: 10.95 s from the election, as before.

--- a/packages/coordination/src/commit_log.ts
+++ b/packages/coordination/src/commit_log.ts
@@ -10,6 +10,7 @@
   ABSENT_VERSION,
   RowAddress,
   RowCommitError,
+  RowCondition,
   RowReceipt,
   RowSnapshot,
   RowStore,
@@ -18,6 +19,7 @@
 } from '@mustardlug/platform/row_store';
 import {ok, Result} from 'neverthrow';
 import {z} from 'zod';
+import {decodeCoordinatorStatus, STATUS_ADDRESS} from './coordinator_status.js';
 import {COORDINATOR_PART, SINGLE_ROW_KEY, TERM_TABLE} from './tables.js';
 
 /** Stored term of the coordinator. */
@@ -48,6 +50,19 @@
   readonly removals: readonly RowAddress[];
 }
 
+/** What is known of the previous term besides its row. */
+export interface PreviousTerm {
+  /** Number of the term, in case its row cannot be read. */
+  readonly minTerm: number;
+  /**
+   * Status row as it was read before the term row, if there was one. The new term
+   * begins only if it has not been written since.
+   */
+  readonly statusRow: StoredRow | undefined;
+  /** Monotonic time at which the read of the term row was sent. */
+  readonly sentMs: number;
+}
+
 export interface CommitLogOptions {
   readonly store: RowStore;
   readonly clock: Clock;
@@ -79,8 +94,8 @@
   private isClosed = false;
   private lastReceipt: {storeMs: number; receivedMs: number} | undefined;
   private lastConfirmedSendMs = -Infinity;
-  /** Last response to a commit, with the monotonic time at which the commit was sent. */
-  private lastCommitTime: {storeMs: number; sentMs: number} | undefined;
+  /** Last time of the store whose call was sent at a known monotonic time. */
+  private lastStoreTime: {storeMs: number; sentMs: number} | undefined;
   private areLeaseBoundsKept: boolean;
 
   private constructor(
@@ -88,6 +103,7 @@
     readonly term: number,
     private termVersion: number,
     private readonly predecessor: TermRow | undefined,
+    private readonly previous: PreviousTerm | undefined,
   ) {
     this.areLeaseBoundsKept = this.hasPredecessorKeptLeaseBounds();
   }
@@ -96,19 +112,22 @@
    * Creates the log of a new term. The term begins with its first commit.
    * @param options - Store, clock and holder.
    * @param snapshot - Term row as `readTerm` returned it.
-   * @param minPreviousTerm - Term that is known from elsewhere, in case the row
-   *     cannot be read.
+   * @param previous - What else is known of the previous term.
    */
   static create(
     options: CommitLogOptions,
     snapshot: RowSnapshot,
-    minPreviousTerm = 0,
+    previous?: PreviousTerm,
   ): CommitLog {
     const predecessor = CommitLog.readTermRow(snapshot).unwrapOr(undefined);
-    const term = Math.max(predecessor?.term ?? 0, minPreviousTerm) + 1;
+    const minTerm = previous?.minTerm ?? 0;
+    const term = Math.max(predecessor?.term ?? 0, minTerm) + 1;
     const version = snapshot.rows.at(0)?.version ?? ABSENT_VERSION;
-    const log = new CommitLog(options, term, version, predecessor);
-    log.recordStoreTime(snapshot.storeMs);
+    const log = new CommitLog(options, term, version, predecessor, previous);
+    const {storeMs} = snapshot;
+    if (previous !== undefined)
+      log.lastStoreTime = {storeMs, sentMs: previous.sentMs};
+    log.recordStoreTime(storeMs);
     return log;
   }
 
@@ -154,6 +173,18 @@
     return this.predecessor?.keepsLeaseBounds ?? false;
   }
 
+  /**
+   * Gets the time of the store by which all leases of the previous term and of earlier
+   * ones have expired, or `undefined` if its status did not declare one.
+   */
+  getPreviousLeaseEndStoreMs(): number | undefined {
+    const row = this.previous?.statusRow;
+    if (row === undefined || this.predecessor === undefined) return undefined;
+    const status = decodeCoordinatorStatus(row.value).unwrapOr(undefined);
+    if (status?.term !== this.predecessor.term) return undefined;
+    return status.leaseEndStoreMs;
+  }
+
   /** Gets the monotonic time at which the last confirmed commit was sent. */
   getLastConfirmedSendMs(): number {
     return this.lastConfirmedSendMs;
@@ -174,7 +205,7 @@
    */
   confirmTerm(sentMs: number, storeMs: number): void {
     this.lastConfirmedSendMs = Math.max(this.lastConfirmedSendMs, sentMs);
-    this.lastCommitTime = {storeMs, sentMs};
+    this.lastStoreTime = {storeMs, sentMs};
     this.recordStoreTime(storeMs);
   }
 
@@ -189,12 +220,11 @@
   }
 
   /**
-   * Gets the latest time that the store may have now, or `undefined` before the
-   * first response to a commit.
+   * Gets the latest time that the store may have now, or `undefined` if it is not known.
    */
   getMaxStoreMs(): number | undefined {
-    if (this.lastCommitTime === undefined) return undefined;
-    const {storeMs, sentMs} = this.lastCommitTime;
+    if (this.lastStoreTime === undefined) return undefined;
+    const {storeMs, sentMs} = this.lastStoreTime;
     return storeMs + this.options.clock.getMonotonicMs() - sentMs;
   }
 
@@ -243,7 +273,10 @@
       keepsLeaseBounds: this.areLeaseBoundsKept,
     };
     return this.options.store.commit({
-      conditions: [{...TERM_ADDRESS, version: this.termVersion}],
+      conditions: [
+        {...TERM_ADDRESS, version: this.termVersion},
+        ...this.getStatusConditions(),
+      ],
       writes: [
         {...TERM_ADDRESS, value: encodeRowValue(row)},
         ...changes.writes,
@@ -252,6 +285,16 @@
     });
   }
 
+  /**
+   * The first commit of a term replaces the status that was read, and no later one: its
+   * writer may have granted leases for which the one that was read does not account.
+   */
+  private getStatusConditions(): RowCondition[] {
+    if (this.commitNumber > 1 || this.previous === undefined) return [];
+    const version = this.previous.statusRow?.version ?? ABSENT_VERSION;
+    return [{...STATUS_ADDRESS, version}];
+  }
+
   private recordConfirmation(
     receipt: RowReceipt,
     sentMs: number,
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -2,7 +2,12 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {createTaskRun, encodeRowValue} from '@mustardlug/jobs/job_codec';
-import {JobState, StepState, TaskState} from '@mustardlug/jobs/job_state';
+import {
+  JobState,
+  StepState,
+  TaskRun,
+  TaskState,
+} from '@mustardlug/jobs/job_state';
 import {DeploymentConfig} from '@mustardlug/jobs/queue_config';
 import {
   EndedRun,
@@ -24,8 +29,8 @@
 } from '@mustardlug/telemetry/guarded_call';
 import {AdmissionControl} from './admission_control.js';
 import {CommitLog, CommitOutcome} from './commit_log.js';
-import {CoordinatorHeartbeat, STATUS_ADDRESS} from './coordinator_heartbeat.js';
-import {QueueLoad} from './coordinator_status.js';
+import {CoordinatorHeartbeat} from './coordinator_heartbeat.js';
+import {QueueLoad, STATUS_ADDRESS} from './coordinator_status.js';
 import {CrashAttributor, LostWorker} from './crash_attributor.js';
 import {DoubtfulCrashes} from './doubtful_crashes.js';
 import {
@@ -43,6 +48,7 @@
 import {InvalidRowReporter} from './invalid_row_reporter.js';
 import {JobTracker} from './job_tracker.js';
 import {LeaseBounds} from './lease_bounds.js';
+import {LeaseLimit} from './lease_limit.js';
 import {JobRetention} from './job_retention.js';
 import {ProgressWriter} from './progress_writer.js';
 import {OwnDelay, WorkListener} from './own_delay.js';
@@ -69,7 +75,11 @@
 import {WaitReporter, WaitSummary} from './wait_reporter.js';
 import {AssignedRun} from './worker_load.js';
 import {WorkerDecoder, WorkerPool} from './worker_pool.js';
-import {SessionListener, WorkerSession} from './worker_session.js';
+import {
+  MIN_LEASE_VALIDITY_MS,
+  SessionListener,
+  WorkerSession,
+} from './worker_session.js';
 
 export interface CoordinatorOptions {
   readonly clock: Clock;
@@ -143,14 +153,6 @@
 /** Delay before another attempt to read the shared state. */
 const SNAPSHOT_RETRY_MS = 50;
 
-/**
- * Time without a confirmed commit after which a coordinator stops issuing
- * commands. Long enough to bridge usual outages of the store. A successor adds
- * it to the lease duration before it gives up runs on a worker that it cannot
- * reach.
- */
-const ISOLATION_TIMEOUT_MS = 5_500;
-
 /**
  * Age of the registrations beyond which no run is started. Longer than two waits
  * for changes, and with a heartbeat shorter than the time after which a capacity
@@ -199,6 +201,7 @@
   private readonly startWindow: StartWindow;
   private readonly invalidRows: InvalidRowReporter;
   private readonly leaseBounds: LeaseBounds;
+  private readonly leaseLimit: LeaseLimit;
   private readonly admissionControl: AdmissionControl;
   private readonly crashAttributor = CrashAttributor.create();
   private readonly doubtfulCrashes = DoubtfulCrashes.create();
@@ -249,6 +252,10 @@
     this.admissionControl = AdmissionControl.create(clock);
     this.invalidRows = InvalidRowReporter.create(events);
     this.leaseBounds = LeaseBounds.create(clock, commitLog, this.invalidRows);
+    this.leaseLimit = LeaseLimit.create(clock, commitLog, () => {
+      for (const session of this.workerPool.getSessions())
+        session.extendLeaseSoon();
+    });
     this.workerPool = WorkerPool.create({
       clock,
       events,
@@ -260,7 +267,7 @@
       isTermConfirmed: () => this.checkTerm(),
       areRegistrationsCurrent: () => this.areRegistrationsCurrent(),
       isStoreResponding: () => this.isStoreResponding(),
-      previousTermTimeoutMs: ISOLATION_TIMEOUT_MS,
+      leaseLimit: this.leaseLimit,
       startWindow: this.startWindow,
       ownDelay: this.ownDelay,
       leaseBounds: this.leaseBounds,
@@ -283,6 +290,7 @@
       store,
       clock,
       commitLog,
+      leaseLimit: this.leaseLimit,
       nodeId,
       getQueueLoads: () => this.getQueueLoads(),
       isRestoring: () => !this.isLoaded,
@@ -314,6 +322,7 @@
     const {commitLog, events, nodeId, clock} = this.options;
     const outcome = await this.commitStatus(nodeId, 1);
     if (outcome === 'superseded') return 'superseded';
+    this.leaseLimit.begin();
     this.startWindow.start();
     this.ownDelay.start();
     const heartbeat = this.heartbeat.run(commitLog.getVersion());
@@ -449,11 +458,13 @@
       workerId: session.getId(),
       detail: `run ${running.runNumber} on process ${session.getProcessStartMs()}, ${running.progressPercent} % done`,
     });
-    return this.jobTracker.addReportedRun(
+    const assigned = this.jobTracker.addReportedRun(
       running,
       session.getId(),
       session.getProcessStartMs(),
     );
+    if (assigned !== undefined) this.recordLongLease(session, assigned.run);
+    return assigned;
   }
 
   onCommandUnanswered(
@@ -510,13 +521,17 @@
   }
 
   /** Stores a status in a transaction of the term, which begins or ends with it. */
-  private commitStatus(
+  private async commitStatus(
     holder: string,
     maxAttempts: number,
   ): Promise<CommitOutcome> {
+    const {commitLog, clock} = this.options;
+    const createdMs = clock.getMonotonicMs();
     const value = encodeRowValue(this.heartbeat.createStatus(holder));
     const writes = [{...STATUS_ADDRESS, value}];
-    return this.options.commitLog.commit({writes, removals: []}, maxAttempts);
+    const outcome = await commitLog.commit({writes, removals: []}, maxAttempts);
+    if (outcome === 'committed') this.leaseLimit.confirm(createdMs);
+    return outcome;
   }
 
   private finish(end: CoordinatorEndReason): void {
@@ -933,6 +948,7 @@
       this.options.clock.getMonotonicMs(),
     );
     run.cpuLimitPercent = cpuLimitPercent;
+    this.recordLongLease(session, run);
     task.runs.push(run);
     const assigned: AssignedRun = {
       job,
@@ -974,6 +990,13 @@
     return placeableMs;
   }
 
+  /** Records with a run that its worker may hold a lease of which the status does not tell. */
+  private recordLongLease(session: WorkerSession, run: TaskRun): void {
+    const leaseEndMs = session.getLeaseEndMs();
+    const endStoreMs = this.leaseLimit.getLongLeaseEndStoreMs(leaseEndMs);
+    if (endStoreMs !== undefined) run.longLeaseEndStoreMs = endStoreMs;
+  }
+
   private startRun(session: WorkerSession, assigned: AssignedRun): void {
     this.unsentRuns.delete(assigned);
     if (!this.checkTerm()) return;
@@ -1105,9 +1128,11 @@
     return this.getUnconfirmedMs() < STORE_RESPONSE_TIMEOUT_MS;
   }
 
-  /** Without access to the store, this node cannot know whether another one has taken over. */
+  /** Without access to the store, this node can soon grant no leases any more. */
   private isIsolated(): boolean {
-    return this.getUnconfirmedMs() > ISOLATION_TIMEOUT_MS;
+    const remainingMs =
+      this.leaseLimit.getEndMs() - this.options.clock.getMonotonicMs();
+    return remainingMs < MIN_LEASE_VALIDITY_MS;
   }
 
   /** Gets the time since the last write to the store that was confirmed was sent. */
--- a/packages/coordination/src/coordinator_heartbeat.ts
+++ b/packages/coordination/src/coordinator_heartbeat.ts
@@ -5,23 +5,23 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {encodeRowValue} from '@mustardlug/jobs/job_codec';
-import {RowAddress, RowStore, StoredRow} from '@mustardlug/platform/row_store';
+import {RowStore, StoredRow} from '@mustardlug/platform/row_store';
 import {CommitLog} from './commit_log.js';
 import {
   CoordinatorStatus,
   decodeCoordinatorStatus,
   QueueLoad,
+  STATUS_ADDRESS,
 } from './coordinator_status.js';
-import {
-  COORDINATOR_PART,
-  COORDINATOR_STATUS_TABLE,
-  SINGLE_ROW_KEY,
-} from './tables.js';
+import {LeaseLimit} from './lease_limit.js';
+import {COORDINATOR_STATUS_TABLE} from './tables.js';
 
 export interface CoordinatorHeartbeatOptions {
   readonly store: RowStore;
   readonly clock: Clock;
   readonly commitLog: CommitLog;
+  /** Limit of the leases, which each status declares. */
+  readonly leaseLimit: LeaseLimit;
   readonly nodeId: string;
   /** Returns the load by name of the queue, or `undefined` while accepted jobs may be unknown. */
   readonly getQueueLoads: () => Record<string, QueueLoad> | undefined;
@@ -46,13 +46,6 @@
 /** Factor by which the longest recent interval shrinks with each heartbeat. */
 const INTERVAL_DECAY = 0.9;
 
-/** Address of the status row. */
-export const STATUS_ADDRESS: RowAddress = {
-  table: COORDINATOR_STATUS_TABLE,
-  part: COORDINATOR_PART,
-  key: SINGLE_ROW_KEY,
-};
-
 /**
  * Rewrites the status row at a fixed interval. Each write is conditional on the
  * version that the previous one gave to the row. As a successor's first
@@ -90,7 +83,7 @@
    * @param holder - Identifier of the coordinating node; empty to hand the role over.
    */
   createStatus(holder: string): CoordinatorStatus {
-    const {commitLog, getQueueLoads, isRestoring} = this.options;
+    const {commitLog, leaseLimit, getQueueLoads, isRestoring} = this.options;
     const intervalMs = isRestoring()
       ? Math.max(RESTORING_INTERVAL_MS, this.intervalMs)
       : this.intervalMs;
@@ -99,6 +92,7 @@
       holder,
       writtenStoreMs: commitLog.getStoreMs(),
       intervalMs: Math.round(intervalMs),
+      leaseEndStoreMs: leaseLimit.getDeclaration(),
       queues: getQueueLoads(),
     };
   }
@@ -128,7 +122,7 @@
 
   /** Sends one heartbeat, and returns whether the store responded. */
   private async send(): Promise<boolean> {
-    const {store, clock, commitLog, nodeId} = this.options;
+    const {store, clock, commitLog, leaseLimit, nodeId} = this.options;
     const sentMs = clock.getMonotonicMs();
     this.recordAttempt(sentMs);
     const value = encodeRowValue(this.createStatus(nodeId));
@@ -141,6 +135,7 @@
     if (outcome.isOk()) {
       this.version = outcome.value.version;
       commitLog.confirmTerm(sentMs, outcome.value.storeMs);
+      leaseLimit.confirm(sentMs);
       this.recordInterval(sentMs);
       return true;
     }
--- a/packages/coordination/src/coordinator_status.ts
+++ b/packages/coordination/src/coordinator_status.ts
@@ -4,7 +4,20 @@
 import {decodeRowValue} from '@mustardlug/jobs/job_codec';
 import {Result} from 'neverthrow';
 import {z} from 'zod';
+import {RowAddress} from '@mustardlug/platform/row_store';
 import {RefusalLimit} from './admission_control.js';
+import {
+  COORDINATOR_PART,
+  COORDINATOR_STATUS_TABLE,
+  SINGLE_ROW_KEY,
+} from './tables.js';
+
+/** Address of the status row. */
+export const STATUS_ADDRESS: RowAddress = {
+  table: COORDINATOR_STATUS_TABLE,
+  part: COORDINATOR_PART,
+  key: SINGLE_ROW_KEY,
+};
 
 export interface QueueLoad {
   /** Number of accepted jobs without a started task. */
@@ -30,6 +43,11 @@
    * writes less often.
    */
   readonly intervalMs?: number;
+  /**
+   * Time of the store by which all leases of this term and of earlier ones have
+   * expired, unless the status is written again; absent in statuses of earlier versions.
+   */
+  readonly leaseEndStoreMs?: number;
   /** Load by name of the queue; absent while the holder may not know all accepted jobs. */
   readonly queues?: Readonly<Record<string, QueueLoad>>;
 }
@@ -60,6 +78,7 @@
   holder: z.string(),
   writtenStoreMs: z.number(),
   intervalMs: z.number().nonnegative().optional(),
+  leaseEndStoreMs: z.number().nonnegative().optional(),
   queues: z
     .record(
       z.string(),
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -2,7 +2,7 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {AppError} from '@mustardlug/base/errors';
-import {JobState, StepState, TaskState} from '@mustardlug/jobs/job_state';
+import {JobState, TaskState} from '@mustardlug/jobs/job_state';
 import {
   JobWorkerClient,
   WorkerRecord,
@@ -15,15 +15,12 @@
 } from '@mustardlug/telemetry/guarded_call';
 import {Result} from 'neverthrow';
 import {LeaseBounds} from './lease_bounds.js';
+import {LeaseLimit, UNDECLARED_LEASE_MS} from './lease_limit.js';
 import {getTaskName} from './task_names.js';
 import {OwnDelay} from './own_delay.js';
 import {StartWindow} from './start_window.js';
 import {AssignedRun} from './worker_load.js';
-import {
-  MAX_LEASE_VALIDITY_MS,
-  SessionListener,
-  WorkerSession,
-} from './worker_session.js';
+import {SessionListener, WorkerSession} from './worker_session.js';
 
 /** Decodes a row of the platform's worker table. */
 export type WorkerDecoder = (
@@ -47,8 +44,7 @@
   readonly areRegistrationsCurrent: () => boolean;
   /** Checks whether the store responds, so that bounds of leases can be stored and removed. */
   readonly isStoreResponding: () => boolean;
-  /** How long an earlier coordinator may keep issuing commands. */
-  readonly previousTermTimeoutMs: number;
+  readonly leaseLimit: LeaseLimit;
   /** Start commands in progress to all workers. */
   readonly startWindow: StartWindow;
   readonly ownDelay: OwnDelay;
@@ -69,6 +65,8 @@
   private readonly sessions = new Map<string, WorkerSession>();
   /** Runs of unregistered workers, with the monotonic time at which they have certainly ended. */
   private readonly orphanedRuns = new Map<AssignedRun, number>();
+  /** Monotonic time by which leases of earlier terms have expired that last longer than declared, by worker ID. */
+  private readonly longLeaseEndsMs = new Map<string, number>();
 
   private constructor(private readonly options: WorkerPoolOptions) {}
 
@@ -130,10 +128,7 @@
    * @returns Identifiers of the workers.
    */
   endObsoleteSessions(): string[] {
-    const retentionMs =
-      this.options.previousTermTimeoutMs +
-      MAX_LEASE_VALIDITY_MS +
-      COMPARISON_MARGIN_MS;
+    const retentionMs = UNDECLARED_LEASE_MS + COMPARISON_MARGIN_MS;
     const endedIds: string[] = [];
     for (const [workerId, session] of this.sessions) {
       if (!session.isObsolete(retentionMs)) continue;
@@ -150,12 +145,9 @@
    * @param jobs - Restored jobs.
    */
   adoptRuns(jobs: Iterable<JobState>): void {
-    for (const job of jobs) {
-      for (const occurrence of job.occurrences.values()) {
-        for (const step of occurrence.steps)
-          this.adoptStepRuns(job, occurrence.number, step);
-      }
-    }
+    const runs = [...getAssignedRuns(jobs)];
+    for (const assigned of runs) this.recordLongLease(assigned);
+    for (const assigned of runs) this.adoptRun(assigned);
   }
 
   /** Gets the runs of unregistered workers, with the monotonic time at which each is given up. */
@@ -237,7 +229,8 @@
   }
 
   private addSession(record: WorkerRecord): void {
-    const {clock, workerClient, listener, fencingToken} = this.options;
+    const {clock, workerClient, listener, fencingToken, leaseLimit} =
+      this.options;
     const session = WorkerSession.create({
       clock,
       client: workerClient,
@@ -248,7 +241,8 @@
       isTermConfirmed: this.options.isTermConfirmed,
       areRegistrationsCurrent: this.options.areRegistrationsCurrent,
       isStoreResponding: this.options.isStoreResponding,
-      previousTermTimeoutMs: this.options.previousTermTimeoutMs,
+      previousLeaseEndMs: this.getPreviousLeaseEndMs(record.workerId),
+      getLeaseLimitMs: () => leaseLimit.getEndMs(),
       startWindow: this.options.startWindow,
       ownDelay: this.options.ownDelay,
       leaseBoundMs: this.options.leaseBounds.getLeaseEndMs(record.workerId),
@@ -273,33 +267,25 @@
     }
   }
 
-  private adoptStepRuns(
-    job: JobState,
-    occurrence: number,
-    step: StepState,
-  ): void {
-    for (const task of step.tasks) {
-      for (const run of task.runs) {
-        const taskName = getTaskName(job, occurrence, step, task);
-        // A worker that has accepted this term rejects commands of earlier terms.
-        const commandResponseMs = -Infinity;
-        this.adoptRun({
-          job,
-          occurrence,
-          step,
-          task,
-          run,
-          taskName,
-          commandResponseMs,
-        });
-      }
-    }
+  private recordLongLease({run}: AssignedRun): void {
+    const {workerId, longLeaseEndStoreMs} = run;
+    if (longLeaseEndStoreMs === undefined) return;
+    const {leaseLimit} = this.options;
+    const endMs = leaseLimit.getPreviousEndMs(longLeaseEndStoreMs);
+    const knownMs = this.longLeaseEndsMs.get(workerId) ?? -Infinity;
+    this.longLeaseEndsMs.set(workerId, Math.max(knownMs, endMs));
+  }
+
+  /** Gets the monotonic time by which the leases of earlier terms of a worker have expired. */
+  private getPreviousLeaseEndMs(workerId: string): number {
+    const longLeaseEndMs = this.longLeaseEndsMs.get(workerId) ?? -Infinity;
+    return Math.max(this.options.leaseLimit.getPreviousEndMs(), longLeaseEndMs);
   }
 
   private adoptRun(assigned: AssignedRun): void {
     const session = this.sessions.get(assigned.run.workerId);
     if (session !== undefined) {
-      session.load.addRun(assigned);
+      this.assignAdoptedRun(session, assigned);
       return;
     }
     this.orphanedRuns.set(
@@ -313,9 +299,8 @@
    * it for a successor; a session with the worker would be created with it.
    */
   private getOrphanLeaseEndMs(workerId: string): number {
-    const {clock, previousTermTimeoutMs, leaseBounds} = this.options;
-    const maxEndMs =
-      clock.getMonotonicMs() + previousTermTimeoutMs + MAX_LEASE_VALIDITY_MS;
+    const {leaseBounds} = this.options;
+    const maxEndMs = this.getPreviousLeaseEndMs(workerId);
     const boundMs = leaseBounds.getLeaseEndMs(workerId);
     if (boundMs === undefined) leaseBounds.setLeaseEnd(workerId, maxEndMs);
     return Math.min(maxEndMs, boundMs ?? Infinity);
@@ -325,7 +310,54 @@
     for (const assigned of [...this.orphanedRuns.keys()]) {
       if (assigned.run.workerId !== session.getId()) continue;
       this.orphanedRuns.delete(assigned);
-      session.load.addRun(assigned);
+      this.assignAdoptedRun(session, assigned);
+    }
+  }
+
+  /**
+   * Assigns a run of an earlier term to the session of its worker. If the worker has
+   * started again, its process may have executed calls to the previous one, whose leases
+   * do not count on its clock; while it does not respond, the longest wait applies.
+   */
+  private assignAdoptedRun(
+    session: WorkerSession,
+    assigned: AssignedRun,
+  ): void {
+    session.load.addRun(assigned);
+    if (session.hasAcceptedTerm()) return;
+    const {leaseLimit, leaseBounds} = this.options;
+    const isSameProcess =
+      assigned.run.workerStartMs === session.getProcessStartMs();
+    const endMs = isSameProcess
+      ? this.getPreviousLeaseEndMs(session.getId())
+      : leaseLimit.getLatestPreviousEndMs();
+    const boundMs = leaseBounds.getLeaseEndMs(session.getId()) ?? Infinity;
+    session.extendLeaseEnd(Math.min(endMs, boundMs));
+  }
+}
+
+/** Gets the runs of restored jobs. */
+function* getAssignedRuns(jobs: Iterable<JobState>): Generator<AssignedRun> {
+  for (const job of jobs) {
+    for (const {number: occurrence, steps} of job.occurrences.values()) {
+      for (const step of steps) {
+        for (const task of step.tasks) {
+          for (const run of task.runs) {
+            const taskName = getTaskName(job, occurrence, step, task);
+            // A worker that has accepted this term rejects commands of earlier terms.
+            const commandResponseMs = -Infinity;
+            yield {
+              job,
+              occurrence,
+              step,
+              task,
+              run,
+              taskName,
+              commandResponseMs,
+            };
+          }
+        }
+      }
     }
   }
 }
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -120,14 +120,16 @@
   readonly areRegistrationsCurrent: () => boolean;
   /** Checks whether the store responds, so that bounds of leases can be stored and removed. */
   readonly isStoreResponding: () => boolean;
-  /** How long an earlier coordinator may grant leases before the worker accepts this term. */
-  readonly previousTermTimeoutMs: number;
+  /** Monotonic time by which all leases of earlier terms have expired. */
+  readonly previousLeaseEndMs: number;
+  /** Gets the monotonic time by which all leases of this term must have expired. */
+  readonly getLeaseLimitMs: () => number;
   /** Start commands in progress to all workers. */
   readonly startWindow: StartWindow;
   readonly ownDelay: OwnDelay;
   /**
-   * Monotonic time by which all leases of earlier terms have expired, if a stored
-   * bound tells. Leases are then suspended at first.
+   * The same for this worker, if a stored bound tells. Leases are then suspended at
+   * first.
    */
   readonly leaseBoundMs: number | undefined;
 }
@@ -143,7 +145,8 @@
 
 /**
  * Maximum time that the worker waits for a run to end while calls to it stay
- * unanswered: the sooner a renewal is overdue, the more of them fit into a lease.
+ * unanswered, as the sooner a renewal is overdue, the more of them fit into a lease; and
+ * while leases are short, so that they are renewed soon after the store responds again.
  */
 const SHORT_POLL_TIMEOUT_MS = 200;
 
@@ -181,6 +184,13 @@
 export const MAX_LEASE_VALIDITY_MS =
   LEASE_MS * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
 
+/** Duration of the shortest lease that is worth granting; covers a renewal. */
+const MIN_LEASE_MS = 200;
+
+/** The same for the shortest lease. */
+export const MIN_LEASE_VALIDITY_MS =
+  MIN_LEASE_MS * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
+
 /** Age of the last response beyond which a worker receives no new runs. */
 const UNRESPONSIVE_TIMEOUT_MS = 1_500;
 
@@ -271,6 +281,8 @@
   private workerClock: {clockMs: number; receivedMs: number} | undefined;
   /** Expiry of the last lease that a renewal granted since the last report, on the worker's clock. */
   private grantedUntilMs: number | undefined;
+  /** Whether the next renewal has to grant a longer lease than that in progress. */
+  private isExtensionDue = false;
   /** Monotonic time at which all leases have expired, including those of earlier terms. */
   private leaseEndMs: number;
   private areLeasesSuspended: boolean;
@@ -301,15 +313,12 @@
     this.record = options.record;
     this.processStartMs = options.record.startMs;
     this.load = WorkerLoad.create(options.record.capacity);
-    const {clock, previousTermTimeoutMs, leaseBoundMs} = options;
+    const {clock, previousLeaseEndMs, leaseBoundMs} = options;
     this.startBackoff = StartBackoff.create(clock);
     this.calls = CallHistory.create(clock, options.startWindow.eventLoopDelay);
     this.createdMs = clock.getMonotonicMs();
     this.areLeasesSuspended = leaseBoundMs !== undefined;
-    this.leaseEndMs = Math.min(
-      this.createdMs + previousTermTimeoutMs + MAX_LEASE_VALIDITY_MS,
-      leaseBoundMs ?? Infinity,
-    );
+    this.leaseEndMs = Math.min(previousLeaseEndMs, leaseBoundMs ?? Infinity);
   }
 
   /**
@@ -401,6 +410,14 @@
     return this.areLeasesSuspended ? 'leases-suspended' : undefined;
   }
 
+  /**
+   * Extends the time for which runs are kept if the worker does not respond.
+   * @param leaseEndMs - Monotonic time by which all leases have expired.
+   */
+  extendLeaseEnd(leaseEndMs: number): void {
+    this.leaseEndMs = Math.max(this.leaseEndMs, leaseEndMs);
+  }
+
   /** Gets the monotonic time from which runs are given up if the worker does not respond. */
   getLeaseEndMs(): number {
     return this.leaseEndMs;
@@ -532,6 +549,17 @@
     if (this.suspensionCount === suspension) this.areLeasesSuspended = false;
   }
 
+  /**
+   * Extends the lease of a worker with runs without waiting for the renewal in progress,
+   * unless that is overdue already.
+   */
+  extendLeaseSoon(): void {
+    if (this.load.getRunCount() === 0 || this.calls.getOverdueCount() > 0)
+      return;
+    this.isExtensionDue = true;
+    if (this.mayOverlapRenewals()) this.endRenewalWait?.('overdue');
+  }
+
   /** Ends the session. Runs on the worker continue until their lease expires. */
   stop(): void {
     this.isStopped = true;
@@ -734,7 +762,7 @@
   }
 
   private getPollTimeoutMs(): number {
-    return this.calls.isLossy()
+    return this.calls.isLossy() || this.isLeaseLimited()
       ? SHORT_POLL_TIMEOUT_MS
       : RENEWAL_POLL_TIMEOUT_MS;
   }
@@ -754,10 +782,12 @@
   /**
    * Gets the expiry of the lease that a renewal grants. Until the worker reports, it
    * stays that of the first renewal, so that runs of a lost worker are not waited
-   * for any longer than after one renewal.
+   * for any longer than after one renewal, unless an extension is due.
    */
   private renewLease(): number {
-    this.grantedUntilMs ??= this.grantLease();
+    if (this.grantedUntilMs === undefined || this.isExtensionDue)
+      this.grantedUntilMs = this.grantLease();
+    this.isExtensionDue = false;
     return this.grantedUntilMs;
   }
 
@@ -817,14 +847,22 @@
     return report.clockMs <= (this.workerClock?.clockMs ?? -Infinity);
   }
 
+  /** Checks whether the limit of the term is too close for a full lease. */
+  private isLeaseLimited(): boolean {
+    const {clock, getLeaseLimitMs} = this.options;
+    return getLeaseLimitMs() - clock.getMonotonicMs() < MAX_LEASE_VALIDITY_MS;
+  }
+
   /** Extends the lease and returns its expiry on the worker's clock. */
   private grantLease(): number {
-    const nowMs = this.options.clock.getMonotonicMs();
-    const leaseMs = Math.min(LEASE_MS, this.options.maxLeaseMs);
-    this.leaseEndMs = Math.max(
-      this.leaseEndMs,
-      nowMs + leaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS,
+    const {clock, maxLeaseMs, getLeaseLimitMs} = this.options;
+    const nowMs = clock.getMonotonicMs();
+    const remainingMs = getLeaseLimitMs() - nowMs - LEASE_MARGIN_MS;
+    const leaseMs = Math.max(
+      0,
+      Math.min(LEASE_MS, maxLeaseMs, remainingMs / CLOCK_DRIFT_FACTOR),
     );
+    this.extendLeaseEnd(nowMs + leaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS);
     const {clockMs, receivedMs} = this.workerClock ?? {
       clockMs: 0,
       receivedMs: nowMs,
@@ -894,8 +932,7 @@
     if (this.grantedUntilMs === undefined) return;
     const {clock, maxLeaseMs} = this.options;
     const leaseMs = Math.min(this.grantedUntilMs - clockMs, maxLeaseMs);
-    this.leaseEndMs = Math.max(
-      this.leaseEndMs,
+    this.extendLeaseEnd(
       clock.getMonotonicMs() + leaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS,
     );
   }
--- a/packages/coordination/test/commit_log.test.ts
+++ b/packages/coordination/test/commit_log.test.ts
@@ -2,6 +2,7 @@
 import {MemoryRowStore} from '@mustardlug/standins/memory_row_store';
 import {expect} from 'chai';
 import {CommitLog} from '../src/commit_log.js';
+import {STATUS_ADDRESS} from '../src/coordinator_status.js';
 import {COORDINATOR_PART, PROGRESS_TABLE} from '../src/tables.js';
 
 const ADDRESS = {table: PROGRESS_TABLE, part: COORDINATOR_PART, key: 'job'};
@@ -66,6 +67,43 @@
     expect(outcomes.sort()).to.deep.equal(['committed', 'superseded']);
   });
 
+  for (const [title, isWritten] of [
+    [
+      'does not begin a term if the status has been written since it was read',
+      true,
+    ],
+    ['begins a term if the status is the one that was read', false],
+  ] as const)
+    it(title, async () => {
+      const fixture = new Fixture();
+      const {clock, client: store} = fixture;
+      fixture.store.put(STATUS_ADDRESS, {});
+      const [statusRow] = fixture.store.getTableRows(STATUS_ADDRESS.table);
+      const snapshot = await fixture.runUntilSettled(CommitLog.readTerm(store));
+      const log = CommitLog.create(
+        {store, clock, holder: 'node-1'},
+        snapshot._unsafeUnwrap(),
+        {minTerm: 0, statusRow, sentMs: clock.getMonotonicMs()},
+      );
+      if (isWritten) fixture.store.put(STATUS_ADDRESS, {});
+      const outcome = await fixture.runUntilSettled(fixture.commit(log, 'x'));
+      expect(outcome).to.equal(isWritten ? 'superseded' : 'committed');
+    });
+
+  it('does not begin a term if there was no status and one has been written since', async () => {
+    const fixture = new Fixture();
+    const {clock, client: store} = fixture;
+    const snapshot = await fixture.runUntilSettled(CommitLog.readTerm(store));
+    const log = CommitLog.create(
+      {store, clock, holder: 'node-1'},
+      snapshot._unsafeUnwrap(),
+      {minTerm: 0, statusRow: undefined, sentMs: clock.getMonotonicMs()},
+    );
+    fixture.store.put(STATUS_ADDRESS, {});
+    const outcome = await fixture.runUntilSettled(fixture.commit(log, 'x'));
+    expect(outcome).to.equal('superseded');
+  });
+
   it('recognizes its own commit when the response was lost', async () => {
     const fixture = new Fixture();
     const log = await fixture.createLog('node-1');
--- a/packages/coordination/test/coordinator_heartbeat.test.ts
+++ b/packages/coordination/test/coordinator_heartbeat.test.ts
@@ -6,6 +6,7 @@
 import {expect} from 'chai';
 import {CommitLog} from '../src/commit_log.js';
 import {CoordinatorHeartbeat} from '../src/coordinator_heartbeat.js';
+import {LeaseLimit} from '../src/lease_limit.js';
 
 describe(CoordinatorHeartbeat.name, () => {
   async function runThroughOutage(fault: 'isRefusing' | 'isSilent') {
@@ -23,6 +24,7 @@
       store,
       clock,
       commitLog,
+      leaseLimit: LeaseLimit.create(clock, commitLog),
       nodeId: 'node-1',
       getQueueLoads: () => undefined,
       isRestoring: () => false,
--- a/packages/coordination/test/late_reports.test.ts
+++ b/packages/coordination/test/late_reports.test.ts
@@ -14,7 +14,11 @@
 import {OwnDelay} from '../src/own_delay.js';
 import {StartWindow} from '../src/start_window.js';
 import {HealthChange, WorkerHealth} from '../src/worker_health.js';
-import {SessionListener, WorkerSession} from '../src/worker_session.js';
+import {
+  MAX_LEASE_VALIDITY_MS,
+  SessionListener,
+  WorkerSession,
+} from '../src/worker_session.js';
 import {ScriptedJobWorkerClient} from './scripted_job_worker_client.js';
 import {addTestRun, createTestLoad} from './test_runs.js';
 
@@ -124,7 +128,8 @@
     isTermConfirmed: () => true,
     areRegistrationsCurrent: () => true,
     isStoreResponding: () => true,
-    previousTermTimeoutMs: 0,
+    previousLeaseEndMs: clock.getMonotonicMs() + MAX_LEASE_VALIDITY_MS,
+    getLeaseLimitMs: () => Infinity,
     startWindow: StartWindow.create(clock),
     leaseBoundMs: undefined,
     ownDelay: OwnDelay.create(clock),
--- a/packages/coordination/test/renewal_bursts.test.ts
+++ b/packages/coordination/test/renewal_bursts.test.ts
@@ -11,7 +11,11 @@
 import {err, ok, Result} from 'neverthrow';
 import {OwnDelay} from '../src/own_delay.js';
 import {StartWindow} from '../src/start_window.js';
-import {SessionListener, WorkerSession} from '../src/worker_session.js';
+import {
+  MAX_LEASE_VALIDITY_MS,
+  SessionListener,
+  WorkerSession,
+} from '../src/worker_session.js';
 import {ScriptedJobWorkerClient} from './scripted_job_worker_client.js';
 import {addTestRun} from './test_runs.js';
 
@@ -89,7 +93,8 @@
     isTermConfirmed: () => true,
     areRegistrationsCurrent: () => true,
     isStoreResponding: () => true,
-    previousTermTimeoutMs: 0,
+    previousLeaseEndMs: clock.getMonotonicMs() + MAX_LEASE_VALIDITY_MS,
+    getLeaseLimitMs: () => Infinity,
     startWindow: StartWindow.create(clock),
     ownDelay: OwnDelay.create(clock),
     leaseBoundMs: undefined,
--- a/packages/coordination/test/simultaneous_losses.test.ts
+++ b/packages/coordination/test/simultaneous_losses.test.ts
@@ -11,7 +11,11 @@
 import {CrashAttributor, LostWorker} from '../src/crash_attributor.js';
 import {OwnDelay} from '../src/own_delay.js';
 import {StartWindow} from '../src/start_window.js';
-import {SessionListener, WorkerSession} from '../src/worker_session.js';
+import {
+  MAX_LEASE_VALIDITY_MS,
+  SessionListener,
+  WorkerSession,
+} from '../src/worker_session.js';
 import {ScriptedJobWorkerClient} from './scripted_job_worker_client.js';
 import {addTestRun, createTestLoad} from './test_runs.js';
 
@@ -102,7 +106,8 @@
     isTermConfirmed: () => true,
     areRegistrationsCurrent: () => true,
     isStoreResponding: () => true,
-    previousTermTimeoutMs: 0,
+    previousLeaseEndMs: clock.getMonotonicMs() + MAX_LEASE_VALIDITY_MS,
+    getLeaseLimitMs: () => Infinity,
     startWindow: StartWindow.create(clock),
     leaseBoundMs: undefined,
     ownDelay: OwnDelay.create(clock),
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -21,12 +21,16 @@
 import {WorkerPool} from '../src/worker_pool.js';
 import {SessionListener} from '../src/worker_session.js';
 import {LeaseBounds} from '../src/lease_bounds.js';
+import {LeaseLimit} from '../src/lease_limit.js';
 import {ScriptedJobWorkerClient} from './scripted_job_worker_client.js';
 import {InvalidRowReporter} from '../src/invalid_row_reporter.js';
 import {createTestEvents} from './test_events.js';
 import {createTestCommitLog} from './test_commit_logs.js';
 import {addTestRun} from './test_runs.js';
 
+/** Interval at which the status of the term is confirmed. */
+const STATUS_INTERVAL_MS = 300;
+
 const RECORD: WorkerRecord = {
   workerId: 'worker-1',
   address: 'worker-1:80',
@@ -79,6 +83,13 @@
   workerClient = createModelClient(clock),
   onRunEnded: SessionListener['onRunEnded'] = () => undefined,
 ): WorkerPool {
+  const leaseLimit = LeaseLimit.create(clock, createTestCommitLog(clock));
+  leaseLimit.begin();
+  const confirmStatus = (): void => {
+    leaseLimit.confirm(clock.getMonotonicMs());
+    clock.setTimer(STATUS_INTERVAL_MS, confirmStatus);
+  };
+  confirmStatus();
   return WorkerPool.create({
     clock,
     events: EventRecorder.create({
@@ -111,7 +122,7 @@
     isTermConfirmed: () => true,
     areRegistrationsCurrent: () => true,
     isStoreResponding: () => true,
-    previousTermTimeoutMs: 0,
+    leaseLimit,
     startWindow: StartWindow.create(clock),
     ownDelay: OwnDelay.create(clock),
     leaseBounds: LeaseBounds.create(
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -8,7 +8,11 @@
 } from '@mustardlug/platform/job_worker_client';
 import {expect} from 'chai';
 import {AssignedRun} from '../src/worker_load.js';
-import {SessionListener, WorkerSession} from '../src/worker_session.js';
+import {
+  MAX_LEASE_VALIDITY_MS,
+  SessionListener,
+  WorkerSession,
+} from '../src/worker_session.js';
 import {ScriptedJobWorkerClient} from './scripted_job_worker_client.js';
 import {OwnDelay} from '../src/own_delay.js';
 import {StartWindow} from '../src/start_window.js';
@@ -67,6 +71,8 @@
   areRegistrationsCurrent = true;
   isStoreResponding = true;
   isTermConfirmed = true;
+  /** Monotonic time by which all leases of the term must have expired. */
+  leaseLimitMs = Infinity;
   readonly session: WorkerSession;
   readonly assigned: AssignedRun;
 
@@ -100,7 +106,8 @@
       isTermConfirmed: () => this.isTermConfirmed,
       areRegistrationsCurrent: () => this.areRegistrationsCurrent,
       isStoreResponding: () => this.isStoreResponding,
-      previousTermTimeoutMs: 0,
+      previousLeaseEndMs: this.clock.getMonotonicMs() + MAX_LEASE_VALIDITY_MS,
+      getLeaseLimitMs: () => this.leaseLimitMs,
       startWindow: StartWindow.create(this.clock),
       ownDelay: OwnDelay.create(this.clock),
       leaseBoundMs:
@@ -159,6 +166,32 @@
     session.stop();
   });
 
+  describe('near the limit of its leases', () => {
+    const REMAINING_MS = 2_000;
+
+    it('grants no lease beyond the limit of the term, by renewals, starts and refused starts', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, assigned, clock} = fixture;
+      void session.run();
+      await fixture.report();
+      const limitMs = clock.getMonotonicMs() + REMAINING_MS;
+      fixture.leaseLimitMs = limitMs;
+      client.renewals.length = 0;
+      client.startResponses.push('lapsed', 'no-room');
+      // The worker's clock reads 0 in each report, and runs 2 % slow.
+      const reportedMs = clock.getMonotonicMs();
+      void session.startRun(assigned);
+      await clock.advance(10);
+      const grants = [...client.startCommands, ...client.renewals];
+      const leases = grants.map(({leaseUntilMs = 0}) => leaseUntilMs);
+      expect(client.startCommands).to.have.length(2);
+      for (const leaseUntilMs of leases)
+        expect(reportedMs + leaseUntilMs / 0.98).to.be.at.most(limitMs);
+      expect(Math.max(...leases)).to.be.above(REMAINING_MS / 2);
+      session.stop();
+    });
+  });
+
   describe('applying a report', () => {
     it('excludes the worker from new runs while it lists a run of an unknown task', async () => {
       const fixture = SessionFixture.create();
--- a/packages/jobs/src/job_codec.ts
+++ b/packages/jobs/src/job_codec.ts
@@ -34,6 +34,9 @@
 /** Step index and task index, followed by the fields of the run. */
 export type StoredDoneTaskRun = [number, number, ...StoredRun];
 
+/** Step index, task index and run number, followed by the time of the store at which the lease has expired. */
+export type StoredLongLease = [number, number, number, number];
+
 /** Step index, followed by the numbers of the failed runs. */
 export type StoredFailedGangRuns = [number, ...number[]];
 
@@ -55,6 +58,8 @@
   readonly startCrashes?: readonly StoredTaskCrashes[];
   /** Gangs with failed runs; absent if there are none, and in rows of earlier versions. */
   readonly failedGangRuns?: readonly StoredFailedGangRuns[];
+  /** Runs on workers whose leases last longer than the status declares; absent if there are none. */
+  readonly longLeases?: readonly StoredLongLease[];
 }
 
 /** Stored progress of a job. */
@@ -156,12 +161,14 @@
     const doneTaskRuns = getDoneTaskRuns(occurrence);
     const startCrashes = getStartCrashes(occurrence);
     const failedGangRuns = getFailedGangRuns(occurrence);
+    const longLeases = getLongLeases(occurrence);
     occurrences.push({
       number,
       steps,
       ...(doneTaskRuns.length > 0 && {doneTaskRuns}),
       ...(startCrashes.length > 0 && {startCrashes}),
       ...(failedGangRuns.length > 0 && {failedGangRuns}),
+      ...(longLeases.length > 0 && {longLeases}),
     });
   }
   const hasStarted = job.hasStarted || undefined;
@@ -184,8 +191,8 @@
   job.endedMs = stored.endedMs;
   job.failureReason = stored.failureReason;
   for (const storedOccurrence of stored.occurrences) {
-    const {number, steps, doneTaskRuns, startCrashes, failedGangRuns} =
-      storedOccurrence;
+    const {number, steps, doneTaskRuns, startCrashes} = storedOccurrence;
+    const {failedGangRuns, longLeases} = storedOccurrence;
     const occurrence = OccurrenceState.create(number, job.accepted.spec);
     for (const [stepIndex, tasks] of steps.entries()) {
       const step = occurrence.steps[stepIndex];
@@ -207,6 +214,12 @@
       const step = occurrence.steps[stepIndex];
       for (const runNumber of runNumbers) step.failedGangRuns.add(runNumber);
     }
+    for (const [stepIndex, taskIndex, runNumber, endStoreMs] of longLeases ??
+      []) {
+      const {runs} = occurrence.steps[stepIndex].tasks[taskIndex];
+      const run = runs.find(each => each.runNumber === runNumber);
+      if (run !== undefined) run.longLeaseEndStoreMs = endStoreMs;
+    }
     job.occurrences.set(number, occurrence);
   }
   // Rows of earlier versions lack the field, but the results of runs may show it.
@@ -273,6 +286,19 @@
     .map(({index, failedGangRuns}) => [index, ...failedGangRuns]);
 }
 
+function getLongLeases({steps}: OccurrenceState): StoredLongLease[] {
+  const stored: StoredLongLease[] = [];
+  for (const step of steps) {
+    for (const task of step.tasks) {
+      for (const {runNumber, longLeaseEndStoreMs} of task.runs) {
+        if (longLeaseEndStoreMs === undefined) continue;
+        stored.push([step.index, task.index, runNumber, longLeaseEndStoreMs]);
+      }
+    }
+  }
+  return stored;
+}
+
 function toStoredStartCrash(crash: StartCrash): StoredStartCrash {
   return [crash.workerId, crash.runNumber, crash.isAttributed ? 1 : 0];
 }
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -34,6 +34,11 @@
    * does not crash the worker that starts it.
    */
   isProven: boolean;
+  /**
+   * Time of the store by which all leases of the worker have expired, if that is later
+   * than the coordinator's status declares for all workers.
+   */
+  longLeaseEndStoreMs?: number;
   /** Whether a stop was requested; the end of the run then does not count as a failure. */
   isStopping: boolean;
   /** Last reported progress, 0 to 100. */
--- a/packages/jobs/src/stored_schemas.ts
+++ b/packages/jobs/src/stored_schemas.ts
@@ -13,6 +13,7 @@
   StoredDoneTaskRun,
   StoredFailedGangRuns,
   StoredJob,
+  StoredLongLease,
   StoredOccurrence,
   StoredProgress,
   StoredRun,
@@ -112,6 +113,12 @@
       'expected a list of failed runs',
     )
     .optional(),
+  longLeases: z
+    .custom<StoredLongLease[]>(
+      value => isListOf(value, isLongLease),
+      'expected a list of leases',
+    )
+    .optional(),
 });
 
 const progressSchema: z.ZodType<StoredProgress> = z.object({
@@ -185,7 +192,7 @@
     if (!namesKnownTasks(occurrence))
       return createMismatch(
         path,
-        'runs, crashes and failures of tasks of the job',
+        'runs, crashes, failures and leases of tasks of the job',
       );
   }
   return undefined;
@@ -209,11 +216,12 @@
     doneTaskRuns = [],
     startCrashes = [],
     failedGangRuns = [],
+    longLeases = [],
   } = occurrence;
   for (const [stepIndex, taskIndex] of doneTaskRuns) {
     if (steps[stepIndex]?.[taskIndex] !== 1) return false;
   }
-  for (const [stepIndex, taskIndex] of startCrashes) {
+  for (const [stepIndex, taskIndex] of [...startCrashes, ...longLeases]) {
     if (steps[stepIndex]?.[taskIndex] === undefined) return false;
   }
   return failedGangRuns.every(([stepIndex]) => steps[stepIndex] !== undefined);
@@ -271,6 +279,10 @@
   );
 }
 
+function isLongLease(value: unknown): value is StoredLongLease {
+  return isListOf(value, isCount) && value.length === 4;
+}
+
 function isFailedGangRuns(value: unknown): value is StoredFailedGangRuns {
   return isListOf(value, isCount) && value.length > 0;
 }
--- a/packages/jobs/test/job_model.test.ts
+++ b/packages/jobs/test/job_model.test.ts
@@ -175,6 +175,23 @@
     expect(unproven.runs[0].isProven).to.equal(false);
   });
 
+  it('restores until when the worker of a run may hold a lease', () => {
+    const job = createJob();
+    job.createDueOccurrences(1_000);
+    const [task] = job.occurrences.get(0)!.steps[0].tasks;
+    const run = createTaskRun('worker-1', 7, 1_001, 0);
+    task.runs = [run, {...run, runNumber: 1_002, longLeaseEndStoreMs: 9_000}];
+    const stored = decodeStoredProgress(
+      'job-1',
+      encodeRowValue(toStoredProgress(job)),
+    )._unsafeUnwrap();
+    const restored = createJob();
+    restoreProgress(restored, stored, 0);
+    const [{runs}] = restored.occurrences.get(0)!.steps[0].tasks;
+    const ends = runs.map(({longLeaseEndStoreMs}) => longLeaseEndStoreMs);
+    expect(ends).to.deep.equal([undefined, 9_000]);
+  });
+
   it('rejects failed runs of a gang that the job does not have', () => {
     const job = createJob();
     job.createDueOccurrences(1_000);
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -102,6 +102,16 @@
   readonly writtenMs: number;
 }
 
+/** A term whose holder is to be replaced, as it was read. */
+interface DueTerm {
+  /** Term row. */
+  readonly snapshot: RowSnapshot;
+  /** Status row, if there was one. */
+  readonly statusRow: StoredRow | undefined;
+  /** Monotonic time at which the read of the term row was sent. */
+  readonly sentMs: number;
+}
+
 /** Follows the coordinator's status, and takes over the role when its holder has failed. */
 export class CoordinatorRole {
   private readonly election = Election.create();
@@ -235,6 +245,7 @@
       term: status.term,
       holder: '',
       writtenStoreMs: storeMs,
+      leaseEndStoreMs: status.leaseEndStoreMs,
     };
     const {table, part, key, version} = row;
     const address = {table, part, key};
@@ -414,9 +425,9 @@
    * Reads the status, then the term row; returns `undefined` if no takeover is due
    * any more.
    */
-  private async readDueTerm(): Promise<RowSnapshot | undefined> {
+  private async readDueTerm(): Promise<DueTerm | undefined> {
     const {store, clock} = this.options;
-    const sentMs = clock.getMonotonicMs();
+    const statusSentMs = clock.getMonotonicMs();
     const status = await store.getRows({
       table: COORDINATOR_STATUS_TABLE,
       part: COORDINATOR_PART,
@@ -424,13 +435,15 @@
       limit: 1,
     });
     if (status.isErr() || this.isStopped) return undefined;
-    this.election.recordRoundTrip(clock.getMonotonicMs() - sentMs);
+    const sentMs = clock.getMonotonicMs();
+    this.election.recordRoundTrip(sentMs - statusSentMs);
     this.recordStatusRow(status.value);
     const snapshot = await CommitLog.readTerm(store);
     if (snapshot.isErr() || this.isStopped) return undefined;
     this.storeMs = snapshot.value.storeMs;
     if (!this.isTakeoverDue(this.storeMs)) return undefined;
-    return snapshot.value;
+    const statusRow = status.value.rows.at(0);
+    return {snapshot: snapshot.value, statusRow, sentMs};
   }
 
   /** Records a status that the feed has not delivered yet. */
@@ -450,8 +463,9 @@
     if ((await this.readDueTerm()) === undefined) return;
     await this.yieldToOtherVms();
     // Read again, as the first status of the term is based on the time of the response.
-    const snapshot = await this.readDueTerm();
-    if (snapshot === undefined) return;
+    const due = await this.readDueTerm();
+    if (due === undefined) return;
+    const {snapshot, statusRow, sentMs} = due;
     const term = this.getStoredTerm(snapshot);
     if (term === undefined) return;
     // Another node has taken a term whose status has not been received yet.
@@ -460,7 +474,7 @@
     const commitLog = CommitLog.create(
       {store, clock, holder: nodeId},
       snapshot,
-      term,
+      {minTerm: term, statusRow, sentMs},
     );
     this.options.events.addEvent('takeover-attempted', {
       detail: `${this.election.formatStatus(this.storeMs)}; this VM has ${this.options.cpuCores} cores`,
