Look for a lost coordinator when it is due after an outage of the store as well

After an outage, nodes looked at the status only with the next reads of the feed, 0.6 s apart and counted with 0.6 s at most: a coordinator lost in an outage of 4.2 s was replaced 2.3 s after it (9 nodes, virtual time). As the leases of a term end 7 s after its last confirmed status, they lapsed before.

Change: when the time in which the holder may write its status again is over, a node reads the status, whose response counts as observed time.

Evidence: 'a coordinator that is lost in an outage of the store' fails in three of three cases without the change.

--- a/packages/coordination/src/election.ts
+++ b/packages/coordination/src/election.ts
@@ -135,8 +135,17 @@
   getTimeUntilDueMs(storeMs: number): number | undefined {
     if (this.status === undefined || this.status.holder === '')
       return undefined;
+    const timeoutMs = this.getTimeoutMs(this.status);
     const ageMs = storeMs - this.status.writtenStoreMs;
-    return Math.max(0, this.getTimeoutMs(this.status) - ageMs);
+    const observedMs = this.hadStoreOutage
+      ? this.observedUnchangedMs
+      : Infinity;
+    return Math.max(0, timeoutMs - ageMs, timeoutMs - observedMs);
+  }
+
+  /** Checks whether the holder has not written its status since an outage of the store. */
+  isAwaitingHolder(): boolean {
+    return this.hadStoreOutage;
   }
 
   /**
--- a/packages/coordination/test/election.test.ts
+++ b/packages/coordination/test/election.test.ts
@@ -78,4 +78,18 @@
     election.recordStoreResponse(6_000, 6_000);
     expect(election.isTakeoverDue(6_000)).to.equal(false);
   });
+
+  it('is due after an outage of the store when the status was observed for long enough', () => {
+    const election = Election.create();
+    election.recordStatus(createStatus(1_000));
+    election.recordStoreOutage();
+    expect(election.isAwaitingHolder()).to.equal(true);
+    election.recordStoreResponse(6_000, 6_000);
+    expect(election.getTimeUntilDueMs(6_000)).to.equal(1_200);
+    election.recordStoreResponse(6_500, 6_500);
+    expect(election.getTimeUntilDueMs(6_500)).to.equal(700);
+    election.recordStatus(createStatus(6_600));
+    expect(election.isAwaitingHolder()).to.equal(false);
+    expect(election.getTimeUntilDueMs(6_700)).to.equal(1_100);
+  });
 });
--- a/packages/experiments/test/takeover.test.ts
+++ b/packages/experiments/test/takeover.test.ts
@@ -125,6 +125,26 @@
   });
 });
 
+/** Time until the store's first response to a node after an outage, and the election itself. */
+const RESPONSE_AND_ELECTION_MS = 600;
+
+describe('a coordinator that is lost in an outage of the store', () => {
+  // Guards against an election that waits for the next reads of the feed, 0.6 s apart.
+  for (const offsetMs of [0, 100, 200])
+    it(`is replaced once its status could have been written again, ${offsetMs} ms after a status`, async () => {
+      const harness = JobHarness.create({nodes: 9});
+      await harness.advance(FIRST_TERM_MS + offsetMs);
+      const lost = harness.getCoordinator();
+      if (lost === undefined) throw new Error('expected a coordinator');
+      harness.store.faults.isRefusing = true;
+      await harness.advance(FIRST_TERM_MS);
+      harness.powerOffNode(lost);
+      harness.store.faults.isRefusing = false;
+      await harness.advance(STATUS_TIMEOUT_MS + RESPONSE_AND_ELECTION_MS);
+      expect(harness.getCoordinator()).not.to.equal(undefined);
+    });
+});
+
 /** Jobs whose rows block a coordinator of 0.27 of a core for over a second. */
 const RESTORED_JOBS = 100;
 
--- a/packages/node/src/coordinator_role.ts
+++ b/packages/node/src/coordinator_role.ts
@@ -1,7 +1,11 @@
 /** Leader election: runs the coordinator on this node while it holds the coordinator role. */
 
 import {Clock, Timer} from '@mustardlug/base/clock';
-import {createInvalidInputError, FieldProblem} from '@mustardlug/base/errors';
+import {
+  createInvalidInputError,
+  FieldProblem,
+  UnavailableError,
+} from '@mustardlug/base/errors';
 import {
   CoordinatorStatus,
   decodeCoordinatorStatus,
@@ -32,6 +36,7 @@
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {DurationHistogram} from '@mustardlug/telemetry/duration_histogram';
 import {recordInternalError} from '@mustardlug/telemetry/guarded_call';
+import {Result} from 'neverthrow';
 import {z} from 'zod';
 
 /** Options of `CoordinatorRole`. */
@@ -266,7 +271,35 @@
     this.dueTimer?.cancel();
     if (delayMs === undefined) return;
     this.dueTimer = this.options.clock.setTimer(delayMs + DUE_MARGIN_MS, () => {
-      void this.maybeTakeOver(storeMs + delayMs + DUE_MARGIN_MS);
+      void this.checkDue(storeMs + delayMs + DUE_MARGIN_MS);
+    });
+  }
+
+  /** Takes over if it is due. After an outage, only responses of the store show that it is. */
+  private async checkDue(storeMs: number): Promise<void> {
+    if (this.isCandidate || this.isStopped) return;
+    if (!this.election.isAwaitingHolder()) {
+      await this.maybeTakeOver(storeMs);
+      return;
+    }
+    const status = await this.readStatus();
+    if (status.isErr() || this.isStopped) return;
+    this.recordStatusRow(status.value);
+    this.storeMs = status.value.storeMs;
+    this.election.recordStoreResponse(
+      this.options.clock.getMonotonicMs(),
+      this.storeMs,
+    );
+    if (!this.isTakeoverDue(this.storeMs)) this.scheduleDueCheck(this.storeMs);
+    await this.maybeTakeOver(this.storeMs);
+  }
+
+  private readStatus(): Promise<Result<RowSnapshot, UnavailableError>> {
+    return this.options.store.getRows({
+      table: COORDINATOR_STATUS_TABLE,
+      part: COORDINATOR_PART,
+      fromKey: SINGLE_ROW_KEY,
+      limit: 1,
     });
   }
 
@@ -359,6 +392,7 @@
     void this.refreshNodes();
     const nowMs = this.options.clock.getMonotonicMs();
     this.election.recordStoreResponse(nowMs, this.storeMs);
+    if (this.election.isAwaitingHolder()) this.scheduleDueCheck(this.storeMs);
     void this.maybeTakeOver(this.storeMs);
   }
 
@@ -428,12 +462,7 @@
   private async readDueTerm(): Promise<DueTerm | undefined> {
     const {store, clock} = this.options;
     const statusSentMs = clock.getMonotonicMs();
-    const status = await store.getRows({
-      table: COORDINATOR_STATUS_TABLE,
-      part: COORDINATOR_PART,
-      fromKey: SINGLE_ROW_KEY,
-      limit: 1,
-    });
+    const status = await this.readStatus();
     if (status.isErr() || this.isStopped) return undefined;
     const sentMs = clock.getMonotonicMs();
     this.election.recordRoundTrip(sentMs - statusSentMs);
