--- a/packages/experiments/test/previous_leases.test.ts
+++ b/packages/experiments/test/previous_leases.test.ts
@@ -151,6 +151,26 @@
       await fleet.expectSingleRun();
     });
 
+  for (const busyMs of [2_000, 4_000, 6_800])
+    it(`that was busy for ${busyMs} ms covers what it grants afterwards`, async () => {
+      const fleet = await Fleet.create();
+      fleet.cutWorkerOffFromOthers();
+      fleet.coordinator.clock.spend(busyMs);
+      await fleet.expectSingleRun();
+    });
+
+  for (const outageMs of [2_000, 4_000, 6_000])
+    it(`that is cut off when the store is back after ${outageMs} ms covers its leases`, async () => {
+      const fleet = await Fleet.create();
+      const {harness, coordinator} = fleet;
+      fleet.cutWorkerOffFromOthers();
+      harness.store.faults.isRefusing = true;
+      await harness.advance(outageMs);
+      coordinator.storeFaults.isSilent = true;
+      harness.store.faults.isRefusing = false;
+      await fleet.expectSingleRun();
+    });
+
   for (const fault of ['loseNextAnswers', 'applyNextLate'] as const)
     for (const lateMs of [50, 400, 1_000])
       it(`whose last status was stored without a response (${fault}, ${lateMs} ms) covers its leases`, async () => {
