--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -187,7 +187,7 @@
 /** Duration of the shortest lease that is worth granting; covers a renewal. */
 const MIN_LEASE_MS = 200;
 
-/** The same for the shortest lease. */
+/** Upper bound for the time that the shortest lease keeps runs going, on the coordinator's clock. */
 export const MIN_LEASE_VALIDITY_MS =
   MIN_LEASE_MS * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
 
