--- a/packages/platform/src/row_store.ts
+++ b/packages/platform/src/row_store.ts
@@ -60,8 +60,20 @@
   readonly message: string;
 }
 
+/**
+ * The store rejected a transaction, which it may do for as long as its content is
+ * the same. Unlike `RefusedError`, it does not ask to try again later.
+ */
+export interface RowRejectionError {
+  readonly kind: 'row-rejection';
+  readonly message: string;
+  /** Whether the transaction may have been applied nevertheless. */
+  readonly mayHaveTakenEffect: boolean;
+}
+
 /** Errors of a transaction. A refused transaction has not taken effect. */
-export type RowCommitError = RowConflictError | RefusedError | UnavailableError;
+export type RowCommitError =
+  RowConflictError | RowRejectionError | RefusedError | UnavailableError;
 
 /** Selects rows of one partition. */
 export interface RowRange {
--- a/packages/standins/src/memory_row_store.ts
+++ b/packages/standins/src/memory_row_store.ts
@@ -14,6 +14,7 @@
   RowCommitError,
   RowRange,
   RowReceipt,
+  RowRejectionError,
   RowSnapshot,
   RowStore,
   RowTransaction,
@@ -21,6 +22,12 @@
 } from '@mustardlug/platform/row_store';
 import {err, ok, Result} from 'neverthrow';
 import {NodeClock} from './node_clock.js';
+import {
+  findExceededLimit,
+  getWireBytes,
+  MAX_CALL_BYTES,
+  MAX_TABLES,
+} from './row_store_limits.js';
 
 /** Store faults that affect one node or all nodes; may be changed at any time. */
 export interface RowStoreFaults {
@@ -44,8 +51,17 @@
   writeBytesPerSecond: number;
   /** Time by which responses of the change feed arrive late, by table. */
   readonly feedDelaysMs: Map<string, number>;
+  /** Determines which transactions are rejected although they keep the limits of the store. */
+  getRejection?: (transaction: RowTransaction) => RowRejection | undefined;
 }
 
+/**
+ * How a transaction is rejected: without effect, or with a response that leaves open
+ * whether it was applied.
+ */
+export type RowRejection =
+  'not-applied' | 'unknown-not-applied' | 'unknown-applied';
+
 /** Creates fault settings without active faults. */
 export function createDefaultRowStoreFaults(): RowStoreFaults {
   return {
@@ -84,6 +100,7 @@
   /** Faults that affect all nodes. */
   readonly faults = createDefaultRowStoreFaults();
   private readonly rows = new Map<string, StoredRow>();
+  private readonly tables = new Set<string>();
   private history: HistoryEntry[] = [];
   private version = 0;
   /** Version up to which the history has been discarded. */
@@ -156,6 +173,9 @@
 
   /** @internal */
   apply(transaction: RowTransaction): Result<RowReceipt, RowCommitError> {
+    const excess =
+      findExceededLimit(transaction) ?? this.findExcessTables(transaction);
+    if (excess !== undefined) return err(createRejection(excess, false));
     const current = transaction.conditions.map(condition =>
       this.rows.get(getRowKey(condition)),
     );
@@ -175,6 +195,7 @@
     for (const write of transaction.writes) {
       const row = {...write, version};
       this.rows.set(getRowKey(write), row);
+      this.tables.add(write.table);
       this.history.push({address: write, row, version});
     }
     for (const address of transaction.removals) {
@@ -193,9 +214,10 @@
       .filter(row => row.key >= (range.fromKey ?? ''))
       .filter(row => range.toKey === undefined || row.key < range.toKey)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
+    const rows = matching.slice(0, countPageRows(matching, limit));
     return {
-      rows: matching.slice(0, limit),
-      hasMore: matching.length > limit,
+      rows,
+      hasMore: matching.length > rows.length,
       version: this.version,
       storeMs: this.clock.getMonotonicMs(),
     };
@@ -249,6 +271,14 @@
     });
   }
 
+  private findExcessTables({writes}: RowTransaction): string | undefined {
+    const added = new Set(writes.map(({table}) => table));
+    for (const table of this.tables) added.delete(table);
+    const count = this.tables.size + added.size;
+    if (count <= MAX_TABLES) return undefined;
+    return `${count} tables, at most ${MAX_TABLES} are kept`;
+  }
+
   private notifyWaiters(): void {
     for (const notify of [...this.waiters]) notify();
   }
@@ -346,6 +376,12 @@
       this.clock.setTimer(lateMs, () => this.store.apply(transaction));
       return err(createNoResponseError(true));
     }
+    const rejection = this.getRejection(transaction);
+    if (rejection === 'unknown-applied') this.store.apply(transaction);
+    if (rejection !== undefined) {
+      const mayHaveTakenEffect = rejection !== 'not-applied';
+      return err(createRejection('an injected fault', mayHaveTakenEffect));
+    }
     const outcome = this.store.apply(transaction);
     if (this.consumeFault('loseNextAnswers'))
       return err(createNoResponseError(true));
@@ -383,6 +419,13 @@
     return this.hasFault('isRefusing') ? 'refused' : undefined;
   }
 
+  private getRejection(transaction: RowTransaction): RowRejection | undefined {
+    return (
+      this.clientFaults.getRejection?.(transaction) ??
+      this.store.faults.getRejection?.(transaction)
+    );
+  }
+
   private hasFault(name: 'isSilent' | 'isRefusing'): boolean {
     return this.store.faults[name] || this.clientFaults[name];
   }
@@ -409,6 +452,26 @@
   );
 }
 
+function createRejection(
+  reason: string,
+  mayHaveTakenEffect: boolean,
+): RowRejectionError {
+  const message = `the store rejected a write: ${reason}; change the write`;
+  return {kind: 'row-rejection', message, mayHaveTakenEffect};
+}
+
+/** Counts the first rows that fit into a page, one at least if there are any. */
+function countPageRows(rows: readonly StoredRow[], limit: number): number {
+  let count = 0;
+  let pageBytes = 0;
+  for (const row of rows) {
+    pageBytes += getWireBytes(row);
+    if (count >= limit || (count > 0 && pageBytes > MAX_CALL_BYTES)) break;
+    count++;
+  }
+  return count;
+}
+
 function getRowKey({table, part, key}: RowAddress): string {
   return `${table}\n${part}\n${key}`;
 }
