--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -4,6 +4,7 @@
 import {createTaskRun, encodeRowValue} from '@mustardlug/jobs/job_codec';
 import {
   JobState,
+  MAX_CHECKPOINT_BYTES,
   StepState,
   TaskRun,
   TaskState,
@@ -225,6 +226,8 @@
   private urgentJobs = new Set<JobState>();
   /** Runs that are placed and whose start is not sent yet. */
   private readonly unsentRuns = new Set<AssignedRun>();
+  /** Runs of which a checkpoint was reported as too large. */
+  private readonly omittedCheckpointRuns = new WeakSet<TaskRun>();
   private isLoaded = false;
   private isReady = false;
   private electedMs = 0;
@@ -276,6 +279,8 @@
       clock,
       events,
       getConfig: options.getConfig,
+      onCheckpointOmitted: (assigned, length) =>
+        this.onCheckpointOmitted(assigned, length),
       stopTaskRuns: (name, task) => this.workerPool.stopTaskRuns(name, task),
       invalidRows: this.invalidRows,
     });
@@ -442,6 +447,16 @@
     this.jobTracker.recordRunProven(assigned);
   }
 
+  onCheckpointOmitted({run, taskName}: AssignedRun, length: number): void {
+    if (this.omittedCheckpointRuns.has(run)) return;
+    this.omittedCheckpointRuns.add(run);
+    this.options.events.addEvent('checkpoint-omitted', {
+      taskId: taskName,
+      workerId: run.workerId,
+      detail: `${formatRun(run)}: ${length} characters, at most ${MAX_CHECKPOINT_BYTES} bytes of JSON are kept`,
+    });
+  }
+
   onProcessRestarted(session: WorkerSession, previousStartMs: number): void {
     this.options.events.addEvent('worker-restarted', {
       workerId: session.getId(),
--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -4,6 +4,7 @@
 import {createTaskRun} from '@mustardlug/jobs/job_codec';
 import {
   JobState,
+  recordCheckpoint,
   StepState,
   TaskRun,
   TaskState,
@@ -37,6 +38,8 @@
   /** Returns the current configuration, or `undefined` if none has been received yet. */
   readonly getConfig: () => DeploymentConfig | undefined;
   readonly stopTaskRuns: (taskName: string, task: TaskState) => void;
+  /** Called when the checkpoint of an ended run is too large to be kept. */
+  readonly onCheckpointOmitted: (assigned: AssignedRun, length: number) => void;
   /** Receives the rows that cannot be read. */
   readonly invalidRows: InvalidRowReporter;
 }
@@ -294,7 +297,8 @@
     task.hasRun = true;
     task.runs = task.runs.filter(each => each !== run);
     task.releasedMs = this.options.clock.getMonotonicMs();
-    if (ended.checkpoint !== '') task.checkpoint = ended.checkpoint;
+    if (!recordCheckpoint(task, ended.checkpoint))
+      this.options.onCheckpointOmitted(assigned, ended.checkpoint.length);
     if (ended.outcome === 'done' || ended.outcome === 'failed')
       task.startCrashes = [];
     if (!job.isEnded() && !task.isDone) {
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -1,6 +1,7 @@
 /** The coordinator's side of one worker: lease renewal, reports and run commands. */
 
 import {Clock} from '@mustardlug/base/clock';
+import {recordCheckpoint} from '@mustardlug/jobs/job_state';
 import {
   EndedRun,
   JobWorkerClient,
@@ -67,6 +68,11 @@
   onWorkerLost(session: WorkerSession, isReplaced: boolean): void;
   /** Called when a run has been running for long enough not to crash the worker at its start. */
   onRunProven(assigned: AssignedRun): void;
+  /**
+   * Called when a checkpoint of a run is too large to be kept.
+   * @param length - Its length, in characters.
+   */
+  onCheckpointOmitted(assigned: AssignedRun, length: number): void;
   /** Called after a report was applied. Its ended runs may be acknowledged once they are stored. */
   onReport(session: WorkerSession): void;
   /**
@@ -990,8 +996,11 @@
         assigned.run.previousUsage = assigned.run.usage;
         assigned.run.usage = running.usage;
       }
-      if (running.checkpoint !== '')
-        assigned.task.checkpoint = running.checkpoint;
+      if (!recordCheckpoint(assigned.task, running.checkpoint))
+        this.options.listener.onCheckpointOmitted(
+          assigned,
+          running.checkpoint.length,
+        );
     }
   }
 
--- a/packages/coordination/test/job_tracker.test.ts
+++ b/packages/coordination/test/job_tracker.test.ts
@@ -6,7 +6,11 @@
   toStoredProgress,
 } from '@mustardlug/jobs/job_codec';
 import {StepSpec} from '@mustardlug/jobs/job_spec';
-import {JobState, StepState} from '@mustardlug/jobs/job_state';
+import {
+  JobState,
+  MAX_CHECKPOINT_BYTES,
+  StepState,
+} from '@mustardlug/jobs/job_state';
 import {DeploymentConfig, QueueConfig} from '@mustardlug/jobs/queue_config';
 import {EndedRun} from '@mustardlug/platform/job_worker_client';
 import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
@@ -26,11 +30,14 @@
 interface TrackerFixture {
   readonly tracker: JobTracker;
   readonly stoppedTasks: string[];
+  /** Tasks that ended with a checkpoint that was too large to be kept. */
+  readonly omittedTasks: string[];
 }
 
 function createTracker(config?: DeploymentConfig): TrackerFixture {
   const clock = VirtualClock.create();
   const stoppedTasks: string[] = [];
+  const omittedTasks: string[] = [];
   const tracker = JobTracker.create({
     clock,
     events: EventRecorder.create({
@@ -40,9 +47,10 @@
     }),
     getConfig: () => config,
     stopTaskRuns: taskName => void stoppedTasks.push(taskName),
+    onCheckpointOmitted: ({taskName}) => void omittedTasks.push(taskName),
     invalidRows: InvalidRowReporter.create(createTestEvents(clock)),
   });
-  return {tracker, stoppedTasks};
+  return {tracker, stoppedTasks, omittedTasks};
 }
 
 function createJobRow(steps: readonly StepSpec[], queue = SAMPLE_QUEUE) {
@@ -119,6 +127,27 @@
 }
 
 describe(JobTracker.name, () => {
+  it('records the end of a run whose checkpoint is too large, and keeps the previous checkpoint', () => {
+    const fixture = createTracker();
+    const step = acceptJob(fixture, [createTestStep({taskCount: 2})]);
+    const [task, other] = step.tasks;
+    const end = (taskIndex: number, runNumber: number, checkpoint: string) => {
+      const assigned = placeRun(fixture, step, taskIndex, runNumber);
+      const ended = createEnd(assigned.taskName, runNumber);
+      const outcome = taskIndex === 0 ? 'stopped' : 'done';
+      fixture.tracker.recordRunEnd(assigned, {...ended, outcome, checkpoint});
+    };
+    end(0, 1, 'kept');
+    end(0, 2, 'x'.repeat(MAX_CHECKPOINT_BYTES));
+    expect(task).to.deep.include({checkpoint: 'kept', runs: []});
+    end(1, 3, 'x'.repeat(10 * MAX_CHECKPOINT_BYTES));
+    expect(other.isDone).to.equal(true);
+    expect(fixture.omittedTasks).to.deep.equal([
+      `${JOB_ID}.0.0.0`,
+      `${JOB_ID}.0.0.1`,
+    ]);
+  });
+
   it('accepts the other jobs of a batch if one row fails unexpectedly', () => {
     const {tracker} = createTracker();
     const row = createJobRow([createTestStep()]);
--- a/packages/coordination/test/late_reports.test.ts
+++ b/packages/coordination/test/late_reports.test.ts
@@ -110,6 +110,7 @@
     onStartRefused: ignore,
     onRunNotStarted: ignore,
     onProcessRestarted: ignore,
+    onCheckpointOmitted: () => undefined,
     onUnknownRun: ignore,
     onCommandUnanswered: ignore,
     onFenced: ignore,
--- a/packages/coordination/test/renewal_bursts.test.ts
+++ b/packages/coordination/test/renewal_bursts.test.ts
@@ -78,6 +78,7 @@
     onStartRefused: ignore,
     onRunNotStarted: ignore,
     onProcessRestarted: ignore,
+    onCheckpointOmitted: () => undefined,
     onUnknownRun: ignore,
     onCommandUnanswered: ignore,
     onFenced: ignore,
--- a/packages/coordination/test/simultaneous_losses.test.ts
+++ b/packages/coordination/test/simultaneous_losses.test.ts
@@ -91,6 +91,7 @@
     onStartRefused: ignore,
     onRunNotStarted: ignore,
     onProcessRestarted: ignore,
+    onCheckpointOmitted: () => undefined,
     onUnknownRun: ignore,
     onCommandUnanswered: ignore,
     onFenced: ignore,
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -112,6 +112,7 @@
       onStartRefused: () => undefined,
       onRunNotStarted: () => undefined,
       onProcessRestarted: () => undefined,
+      onCheckpointOmitted: () => undefined,
       onUnknownRun: () => undefined,
       onCommandUnanswered: () => undefined,
       onFenced: () => undefined,
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -1,4 +1,5 @@
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
+import {MAX_CHECKPOINT_BYTES} from '@mustardlug/jobs/job_state';
 import {
   LeaseRenewal,
   LeaseReport,
@@ -57,6 +58,10 @@
   return {clockMs: 0, startMs, running: [], ended: [], ...fields};
 }
 
+function createRunning({taskName, run}: AssignedRun): RunningRun {
+  return {...UNKNOWN_RUN, taskName, runNumber: run.runNumber};
+}
+
 /** A session with one assigned run, and the runs that it released. */
 class SessionFixture {
   readonly clock = VirtualClock.create();
@@ -65,6 +70,7 @@
   /** Run that the listener assigns when the worker reports an unknown one. */
   reportedRun: AssignedRun | undefined;
   readonly provenRuns: AssignedRun[] = [];
+  readonly omittedCheckpointLengths: number[] = [];
   fencedCount = 0;
   /** Expiry of the leases at each suspension. */
   readonly suspendedLeaseEndsMs: number[] = [];
@@ -90,6 +96,8 @@
       onStartRefused: () => undefined,
       onRunNotStarted: assigned => this.releasedRuns.push(assigned),
       onProcessRestarted: () => undefined,
+      onCheckpointOmitted: (_assigned, length) =>
+        this.omittedCheckpointLengths.push(length),
       onUnknownRun: () => this.reportedRun,
       onCommandUnanswered: () => undefined,
       onFenced: () => this.fencedCount++,
@@ -166,6 +174,34 @@
     session.stop();
   });
 
+  // One long checkpoint cost its worker, and the work of its neighbours there.
+  it('keeps the previous checkpoint of a task if the next one is too large, and its neighbours theirs', async () => {
+    const fixture = SessionFixture.create();
+    const {session, assigned} = fixture;
+    const neighbour = addTestRun(session.load, {});
+    void session.run();
+    const reportCheckpoints = (checkpoint: string, other: string) =>
+      fixture.report({
+        running: [
+          {...createRunning(assigned), checkpoint},
+          {...createRunning(neighbour), checkpoint: other},
+        ],
+      });
+    await reportCheckpoints('a-1', 'b-1');
+    await reportCheckpoints('x'.repeat(MAX_CHECKPOINT_BYTES), 'b-2');
+    expect(assigned.task.checkpoint).to.equal('a-1');
+    expect(neighbour.task.checkpoint).to.equal('b-2');
+    expect(fixture.omittedCheckpointLengths).to.include(MAX_CHECKPOINT_BYTES);
+    // JSON needs six bytes for each of these characters.
+    await reportCheckpoints('\u0001'.repeat(MAX_CHECKPOINT_BYTES / 4), 'b-3');
+    expect(assigned.task.checkpoint).to.equal('a-1');
+    const kept = 'y'.repeat(MAX_CHECKPOINT_BYTES - 2);
+    await reportCheckpoints(kept, 'b-4');
+    expect(assigned.task.checkpoint).to.equal(kept);
+    expect(fixture.releasedRuns).to.deep.equal([]);
+    session.stop();
+  });
+
   describe('near the limit of its leases', () => {
     const REMAINING_MS = 2_000;
 
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -7,6 +7,15 @@
 export type JobPhase =
   'pending' | 'running' | 'completed' | 'failed' | 'cancelled';
 
+/**
+ * Maximum size of a checkpoint that is kept, in bytes of JSON. A task has to fit
+ * into a row of the store, with its runs.
+ */
+export const MAX_CHECKPOINT_BYTES = 32_768;
+
+/** Maximum number of bytes of a UTF-16 code unit in JSON. */
+const MAX_JSON_CHARACTER_BYTES = 6;
+
 /** One run of a task on a worker. */
 export interface TaskRun {
   readonly runNumber: number;
@@ -82,6 +91,27 @@
   runs: TaskRun[];
 }
 
+/**
+ * Records the latest checkpoint of a task. If it is too large to be kept, the task
+ * keeps the previous one.
+ * @param task - Task that the checkpoint belongs to.
+ * @param checkpoint - Checkpoint; empty if there is none.
+ * @returns Whether the task has lost nothing.
+ */
+export function recordCheckpoint(task: TaskState, checkpoint: string): boolean {
+  if (checkpoint === '' || checkpoint === task.checkpoint) return true;
+  if (!isStorable(checkpoint)) return false;
+  task.checkpoint = checkpoint;
+  return true;
+}
+
+function isStorable(checkpoint: string): boolean {
+  const {length} = checkpoint;
+  if (length * MAX_JSON_CHARACTER_BYTES <= MAX_CHECKPOINT_BYTES) return true;
+  if (length > MAX_CHECKPOINT_BYTES) return false;
+  return Buffer.byteLength(JSON.stringify(checkpoint)) <= MAX_CHECKPOINT_BYTES;
+}
+
 /** State of one step in one occurrence. */
 export class StepState {
   /** Number of tasks that completed successfully. */
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -303,6 +303,11 @@
     level: 'warn',
     text: 'A run is known to have stopped, and no end was reported for it.',
   },
+  'checkpoint-omitted': {
+    number: 851,
+    level: 'warn',
+    text: 'A checkpoint is too large to be kept; the task would resume from an earlier one. It is reported once for each run.',
+  },
   'start-refused': {
     number: 833,
     level: 'warn',
