--- a/packages/coordination/src/commit_log.ts
+++ b/packages/coordination/src/commit_log.ts
@@ -42,7 +42,8 @@
   keepsLeaseBounds: z.boolean().optional(),
 });
 
-export type CommitOutcome = 'committed' | 'superseded';
+/** A commit that is rejected has not taken effect, or does so before the next one. */
+export type CommitOutcome = 'committed' | 'superseded' | 'rejected';
 
 /** Changes of one commit, besides the term row. */
 export interface CommitChanges {
@@ -75,6 +76,12 @@
 /** Maximum delay between two attempts. Bounds the delay after an outage of the store. */
 const MAX_RETRY_MS = 200;
 
+/**
+ * Attempts after which a transaction counts as rejected if the responses leave open
+ * whether it was applied. Such a response may also come from a failure that passes.
+ */
+const MAX_UNCLEAR_REJECTIONS = 3;
+
 /** Maximum number of rows in one transaction besides the term row. */
 export const MAX_COMMIT_ROWS = 98;
 
@@ -91,6 +98,8 @@
  */
 export class CommitLog {
   private commitNumber = 0;
+  /** Numbers of rejected commits that may have taken effect since the last confirmed one. */
+  private readonly unclearCommitNumbers = new Set<number>();
   private isClosed = false;
   private lastReceipt: {storeMs: number; receivedMs: number} | undefined;
   private lastConfirmedSendMs = -Infinity;
@@ -235,7 +244,7 @@
 
   /**
    * Commits changes. Repeats the transaction during outages of the store until
-   * the outcome is known.
+   * the outcome is known, but not if the store rejects it.
    * @param changes - At most `MAX_COMMIT_ROWS` rows of the coordinator's part.
    * @param maxAttempts - Attempts after which the commit counts as superseded.
    */
@@ -245,16 +254,32 @@
   ): Promise<CommitOutcome> {
     this.commitNumber++;
     let retryMs = INITIAL_RETRY_MS;
+    let unclearRejections = 0;
     for (let attempt = 1; !this.isClosed; attempt++) {
       const sentMs = this.options.clock.getMonotonicMs();
       const outcome = await this.send(changes);
       if (outcome.isOk()) return this.recordConfirmation(outcome.value, sentMs);
-      if (outcome.error.kind === 'row-conflict') {
-        const own = outcome.error.rows.find(row => this.isOwnCommit(row));
+      const {error} = outcome;
+      if (error.kind === 'row-conflict') {
+        const own = this.findOwnCommit(error.rows);
         if (own === undefined) return 'superseded';
         this.termVersion = own.version;
+        this.unclearCommitNumbers.clear();
         this.lastConfirmedSendMs = Math.max(this.lastConfirmedSendMs, sentMs);
-        return 'committed';
+        if (own.commitNumber === this.commitNumber) return 'committed';
+        // A rejected commit had taken effect; this one follows it.
+        continue;
+      }
+      if (error.kind === 'row-rejection') {
+        unclearRejections++;
+        if (
+          !error.mayHaveTakenEffect ||
+          unclearRejections >= MAX_UNCLEAR_REJECTIONS
+        ) {
+          // An earlier attempt may have got no response.
+          this.unclearCommitNumbers.add(this.commitNumber);
+          return 'rejected';
+        }
       }
       if (attempt >= maxAttempts) return 'superseded';
       await this.options.clock.sleep(retryMs);
@@ -300,6 +325,7 @@
     sentMs: number,
   ): CommitOutcome {
     this.termVersion = receipt.version;
+    this.unclearCommitNumbers.clear();
     this.confirmTerm(sentMs, receipt.storeMs);
     return 'committed';
   }
@@ -310,19 +336,23 @@
   }
 
   /**
-   * Checks whether a conflicting term row was written by an earlier attempt
-   * whose response was lost. A row that cannot be read is not: the term ends, as
-   * another coordinator may have written before it was replaced.
+   * Finds the term row among conflicting rows if an earlier attempt wrote it whose
+   * response was lost, or a commit that was rejected. A row that cannot be read was
+   * not: the term ends, as another coordinator may have written before it was replaced.
    */
-  private isOwnCommit(row: StoredRow): boolean {
-    if (row.table !== TERM_TABLE) return false;
-    const stored = decodeTermRow(row.value);
-    return (
-      stored.isOk() &&
-      stored.value.term === this.term &&
-      stored.value.holder === this.options.holder &&
-      stored.value.commitNumber === this.commitNumber
-    );
+  private findOwnCommit(
+    rows: readonly StoredRow[],
+  ): {commitNumber: number; version: number} | undefined {
+    const row = rows.find(({table}) => table === TERM_TABLE);
+    if (row === undefined) return undefined;
+    const stored = decodeTermRow(row.value).unwrapOr(undefined);
+    if (stored?.term !== this.term || stored.holder !== this.options.holder)
+      return undefined;
+    const {commitNumber} = stored;
+    const isOwn =
+      commitNumber === this.commitNumber ||
+      this.unclearCommitNumbers.has(commitNumber);
+    return isOwn ? {commitNumber, version: row.version} : undefined;
   }
 }
 
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -52,6 +52,7 @@
 import {LeaseLimit} from './lease_limit.js';
 import {JobRetention} from './job_retention.js';
 import {ProgressWriter} from './progress_writer.js';
+import {RejectedJobs} from './rejected_jobs.js';
 import {OwnDelay, WorkListener} from './own_delay.js';
 import {getTaskName} from './task_names.js';
 import {
@@ -113,6 +114,8 @@
   readonly maxStartCommands: number;
   /** Time that placement passes have taken in this term. */
   readonly passMs: number;
+  /** Jobs whose progress the store rejects. */
+  readonly rejectedJobs: number;
 }
 
 /** Reason for the end of a coordinator's term. */
@@ -120,6 +123,8 @@
   | 'superseded'
   | 'stopped'
   | 'isolated'
+  /** The store rejects what the term has to store. */
+  | 'rejected'
   /** An unexpected error left the state of the term incomplete. */
   | 'failed';
 
@@ -195,6 +200,7 @@
 export class Coordinator implements SessionListener {
   private readonly workerPool: WorkerPool;
   private readonly jobTracker: JobTracker;
+  private readonly rejectedJobs: RejectedJobs;
   private readonly workerSupervisor: WorkerSupervisor;
   private readonly writer: ProgressWriter;
   private readonly heartbeat: CoordinatorHeartbeat;
@@ -275,6 +281,7 @@
       ownDelay: this.ownDelay,
       leaseBounds: this.leaseBounds,
     });
+    this.rejectedJobs = RejectedJobs.create(clock, events);
     this.jobTracker = JobTracker.create({
       clock,
       events,
@@ -283,13 +290,17 @@
         this.onCheckpointOmitted(assigned, length),
       stopTaskRuns: (name, task) => this.workerPool.stopTaskRuns(name, task),
       invalidRows: this.invalidRows,
+      rejectedJobs: this.rejectedJobs,
     });
     this.writer = ProgressWriter.create({
       clock,
+      events,
       commitLog,
       interferenceModel: this.workerSupervisor.getInterferenceModel(),
       leaseBounds: this.leaseBounds,
       ownDelay: this.ownDelay,
+      rejectedJobs: this.rejectedJobs,
+      onJobRejected: job => this.withdrawUnsentRuns(job),
     });
     this.heartbeat = CoordinatorHeartbeat.create({
       store,
@@ -326,7 +337,7 @@
   async run(): Promise<CoordinatorEndReason> {
     const {commitLog, events, nodeId, clock} = this.options;
     const outcome = await this.commitStatus(nodeId, 1);
-    if (outcome === 'superseded') return 'superseded';
+    if (outcome !== 'committed') return outcome;
     this.leaseLimit.begin();
     this.startWindow.start();
     this.ownDelay.start();
@@ -378,6 +389,7 @@
       startCommands: this.startWindow.getCommandCount(),
       maxStartCommands: this.startWindow.getLimit(),
       passMs: this.passTimes.getTotalMs(),
+      rejectedJobs: this.rejectedJobs.getCount(),
     };
   }
 
@@ -407,8 +419,8 @@
     this.schedulePass();
   }
 
-  canRecordEnd(ended: EndedRun): boolean {
-    return this.jobTracker.canRecordEnd(ended);
+  canRecordEndOf(taskName: string): boolean {
+    return this.jobTracker.canRecordEndOf(taskName);
   }
 
   onRunLost(
@@ -502,9 +514,11 @@
     const sequence = session.getRecordableSequence();
     const processStartMs = session.getProcessStartMs();
     const receivedMs = this.options.clock.getMonotonicMs();
-    this.deferUntilStored(() =>
-      session.acknowledge(sequence, processStartMs, receivedMs),
-    );
+    this.deferUntilStored(() => {
+      // The store may have rejected the progress of a job meanwhile.
+      const stored = Math.min(sequence, session.getRecordableSequence());
+      session.acknowledge(stored, processStartMs, receivedMs);
+    });
     this.releaseLeaseBound(session);
     if (!this.hasUnstoredChanges() && !this.isCommitting)
       this.writer.runDeferredActions();
@@ -838,7 +852,7 @@
       this.isCommitPending = false;
       const jobs = this.jobTracker.takeChangedJobs();
       const outcome = await this.writer.commit(jobs);
-      if (outcome === 'superseded') this.finish('superseded');
+      if (outcome !== 'committed') this.finish(outcome);
       if (this.endReason !== undefined) break;
     } while (this.isCommitPending && !this.isHandingOver);
     this.isCommitting = false;
@@ -856,7 +870,7 @@
     const workersByService = this.getUsableWorkers();
     this.startWindow.setUsableWorkerCount(countWorkers(workersByService));
     const pass = this.createPass(workersByService, this.round);
-    const waiting = this.jobTracker.getWaitingSteps(wallMs);
+    const waiting = this.jobTracker.getPlaceableSteps(wallMs);
     this.ownDelay.addWork('waiting-step', waiting.length);
     pass.run(waiting, wallMs);
     this.admissionControl.recordPass({
@@ -1049,6 +1063,21 @@
     this.runNumbers.release(step, taskName);
   }
 
+  /**
+   * Withdraws the placements of a job whose progress was rejected. A successor does not
+   * know of them, and they would hold room that other jobs can use.
+   */
+  private withdrawUnsentRuns(job: JobState): void {
+    const withdrawn = [...this.unsentRuns].filter(each => each.job === job);
+    for (const assigned of withdrawn) {
+      this.unsentRuns.delete(assigned);
+      const session = this.workerPool.findSession(assigned.run.workerId);
+      session?.load.removeRun(assigned);
+    }
+    this.jobTracker.withdrawRuns(job, withdrawn);
+    this.schedulePass();
+  }
+
   private scheduleTick(): void {
     this.options.clock.setTimer(TICK_MS, () => {
       if (this.endReason !== undefined) return;
@@ -1094,6 +1123,8 @@
 
   private explainWait(waiting: WaitingStep): string {
     const {clock} = this.options;
+    if (this.rejectedJobs.has(waiting.job.getId()))
+      return 'the store rejects the progress of the job';
     return explainWait(waiting, {
       supervisor: this.workerSupervisor,
       sessions: this.workerPool.getSessions(),
--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -20,6 +20,7 @@
 import {SuspectedRun} from './crash_attributor.js';
 import {InvalidRowReporter} from './invalid_row_reporter.js';
 import {JobIndex} from './job_index.js';
+import {RejectedJobs} from './rejected_jobs.js';
 import {formatStartCrashes, isGivenUp} from './start_crashes.js';
 import {getTaskName} from './task_names.js';
 import {WaitingStep} from './task_order.js';
@@ -42,6 +43,8 @@
   readonly onCheckpointOmitted: (assigned: AssignedRun, length: number) => void;
   /** Receives the rows that cannot be read. */
   readonly invalidRows: InvalidRowReporter;
+  /** Jobs whose progress the store rejects. */
+  readonly rejectedJobs: RejectedJobs;
 }
 
 /** Holds all jobs, and the set of those whose stored progress is out of date. */
@@ -128,14 +131,30 @@
   }
 
   /**
-   * Gets the steps of some jobs that have waiting tasks.
+   * Gets the steps whose waiting tasks may be placed: those of jobs whose progress
+   * can be stored.
+   * @param wallMs - Wall-clock time.
+   */
+  getPlaceableSteps(wallMs: number): WaitingStep[] {
+    return this.removeRejected(this.getWaitingSteps(wallMs));
+  }
+
+  private removeRejected(steps: WaitingStep[]): WaitingStep[] {
+    const {rejectedJobs} = this.options;
+    if (rejectedJobs.isEmpty()) return steps;
+    return steps.filter(({job}) => !rejectedJobs.has(job.getId()));
+  }
+
+  /**
+   * Gets the steps of some jobs that have waiting tasks, of those whose progress can
+   * be stored.
    * @param jobs - Jobs to search; those that are not active are skipped.
    * @param wallMs - Wall-clock time.
    */
   getWaitingStepsOf(jobs: Iterable<JobState>, wallMs: number): WaitingStep[] {
     const activeJobs = this.getActiveJobs();
     const searched = [...jobs].filter(job => activeJobs.has(job));
-    return this.waitingSteps.getSteps(searched, wallMs);
+    return this.removeRejected(this.waitingSteps.getSteps(searched, wallMs));
   }
 
   /** Returns the jobs that were accepted or have changed since the previous call. */
@@ -334,13 +353,17 @@
   }
 
   /**
-   * Checks whether an end can be stored: not while the progress of its job cannot
-   * be read.
-   * @param ended - End that a worker lists.
+   * Checks whether the end of a run can be stored: not while the progress of its job
+   * cannot be read, or is rejected by the store.
+   * @param taskName - Task that the run belongs to.
    */
-  canRecordEnd(ended: EndedRun): boolean {
-    const name = parseTaskName(ended.taskName);
-    return name === undefined || !this.jobIndex.isHeld(name.jobId);
+  canRecordEndOf(taskName: string): boolean {
+    const name = parseTaskName(taskName);
+    if (name === undefined) return true;
+    return (
+      !this.jobIndex.isHeld(name.jobId) &&
+      !this.options.rejectedJobs.has(name.jobId)
+    );
   }
 
   /**
@@ -447,6 +470,17 @@
     this.recordRunRemoved(job);
   }
 
+  /**
+   * Withdraws runs of a job that have neither been stored nor sent.
+   * @param job - Job of the runs.
+   * @param withdrawn - Runs to remove.
+   */
+  withdrawRuns(job: JobState, withdrawn: readonly AssignedRun[]): void {
+    for (const {task, run} of withdrawn)
+      task.runs = task.runs.filter(each => each !== run);
+    this.recordRunRemoved(job);
+  }
+
   /** Removes the state of a job that was kept only for its active runs. */
   private recordRunRemoved(job: JobState): void {
     if (!job.hasRuns()) job.idleSinceMs = this.options.clock.getMonotonicMs();
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -39,6 +39,9 @@
   readonly latestMs: number;
 }
 
+/** End of a run that was processed, and may not be acknowledged yet. */
+type ProcessedEnd = Pick<EndedRun, 'sequence' | 'taskName'>;
+
 /** Receives the events of a worker session. */
 export interface SessionListener {
   /** Called once for each run that the worker lists as ended, in the order of the list. */
@@ -48,10 +51,11 @@
     assigned: AssignedRun | undefined,
   ): void;
   /**
-   * Checks whether an end can be stored, so that the worker may discard it. It is
-   * listed again until then.
+   * Checks whether the end of a run can be stored, so that the worker may discard it.
+   * It is listed again until then.
+   * @param taskName - Task that the run belongs to.
    */
-  canRecordEnd(ended: EndedRun): boolean;
+  canRecordEndOf(taskName: string): boolean;
   /** Called when a run has certainly ended although the worker did not list its end. */
   onRunLost(
     session: WorkerSession,
@@ -295,9 +299,9 @@
   /** Number of times that leases were suspended. */
   private suspensionCount = 0;
   private processedSequence = 0;
-  /** Sequence number up to which all ended runs of the last report can be recorded. */
-  private recordableSequence = 0;
   private acknowledgedSequence = 0;
+  /** Processed ends that are not acknowledged, in the order of their numbers. */
+  private unacknowledgedEnds: ProcessedEnd[] = [];
   /** Whether the last report listed ended runs, which the worker keeps until they are acknowledged. */
   private hasListedEnds = false;
   /** Start commands that wait for the next renewal, successful or not. */
@@ -485,7 +489,11 @@
    * are stored.
    */
   getRecordableSequence(): number {
-    return this.recordableSequence;
+    const {listener} = this.options;
+    const held = this.unacknowledgedEnds.find(
+      ({taskName}) => !listener.canRecordEndOf(taskName),
+    );
+    return held === undefined ? this.processedSequence : held.sequence - 1;
   }
 
   /**
@@ -500,9 +508,12 @@
     receivedMs: number,
   ): void {
     if (processStartMs !== this.processStartMs) return;
-    if (sequence > this.acknowledgedSequence)
-      this.options.ownDelay.recordSince('end-stored', receivedMs);
-    this.acknowledgedSequence = Math.max(this.acknowledgedSequence, sequence);
+    if (sequence <= this.acknowledgedSequence) return;
+    this.options.ownDelay.recordSince('end-stored', receivedMs);
+    this.acknowledgedSequence = sequence;
+    this.unacknowledgedEnds = this.unacknowledgedEnds.filter(
+      ended => ended.sequence > sequence,
+    );
     if (!this.hasLastRenewalFailed) this.wakeUp?.();
   }
 
@@ -928,7 +939,7 @@
     this.startBackoff.reset();
     this.reportTimes.reset();
     this.processedSequence = 0;
-    this.recordableSequence = 0;
+    this.unacknowledgedEnds = [];
     this.acknowledgedSequence = 0;
     this.options.listener.onProcessRestarted(this, previousStartMs);
   }
@@ -1033,16 +1044,12 @@
       // After an unexpected error, the next report lists the end again.
       this.options.listener.onRunEnded(this, ended, assigned);
       this.processedSequence = ended.sequence;
+      this.unacknowledgedEnds.push({
+        sequence: ended.sequence,
+        taskName: ended.taskName,
+      });
       if (assigned !== undefined) this.load.removeRun(assigned);
     }
-    this.recordableSequence = this.processedSequence;
-    for (const ended of report.ended) {
-      if (this.options.listener.canRecordEnd(ended)) continue;
-      this.recordableSequence = Math.min(
-        this.recordableSequence,
-        ended.sequence - 1,
-      );
-    }
   }
 
   private dropUnlistedRuns(report: LeaseReport, sentMs: number): void {
--- a/packages/coordination/test/commit_log.test.ts
+++ b/packages/coordination/test/commit_log.test.ts
@@ -55,6 +55,53 @@
     expect(fixture.getValue()).to.equal('two');
   });
 
+  for (const rejection of [
+    'not-applied',
+    'unknown-not-applied',
+    'unknown-applied',
+  ] as const)
+    // A transaction that the store rejects was repeated for as long as the term lasted.
+    it(`goes on after a commit that the store rejects (${rejection})`, async () => {
+      const fixture = new Fixture();
+      const log = await fixture.createLog('node-1');
+      await fixture.runUntilSettled(fixture.commit(log, 'one'));
+      fixture.store.faults.getRejection = ({writes}) =>
+        writes.some(({value}) => String(value) === 'two')
+          ? rejection
+          : undefined;
+      const outcome = await fixture.runUntilSettled(fixture.commit(log, 'two'));
+      // The second attempt finds that the first one was applied.
+      const isApplied = rejection === 'unknown-applied';
+      expect(outcome).to.equal(isApplied ? 'committed' : 'rejected');
+      expect(fixture.getValue()).to.equal(isApplied ? 'two' : 'one');
+      expect(
+        await fixture.runUntilSettled(fixture.commit(log, 'three')),
+      ).to.equal('committed');
+      expect(fixture.getValue()).to.equal('three');
+    });
+
+  it('goes on after a rejected commit of which a late attempt takes effect', async () => {
+    const fixture = new Fixture();
+    const log = await fixture.createLog('node-1');
+    await fixture.runUntilSettled(fixture.commit(log, 'one'));
+    const {faults} = fixture.store;
+    faults.applyNextLate = 1;
+    fixture.clock.setTimer(20, () => {
+      faults.getRejection = () => 'not-applied';
+    });
+    expect(await fixture.runUntilSettled(fixture.commit(log, 'two'))).to.equal(
+      'rejected',
+    );
+    expect(fixture.getValue()).to.equal('one');
+    await fixture.clock.advance(faults.lateMs);
+    expect(fixture.getValue()).to.equal('two');
+    faults.getRejection = undefined;
+    expect(
+      await fixture.runUntilSettled(fixture.commit(log, 'three')),
+    ).to.equal('committed');
+    expect(fixture.getValue()).to.equal('three');
+  });
+
   it('accepts the first commit of only one of two candidates for a term', async () => {
     const fixture = new Fixture();
     const logs = [
--- a/packages/coordination/test/job_tracker.test.ts
+++ b/packages/coordination/test/job_tracker.test.ts
@@ -21,6 +21,7 @@
 import {JobTracker} from '../src/job_tracker.js';
 import {createTestEvents} from './test_events.js';
 import {getTaskName} from '../src/task_names.js';
+import {RejectedJobs} from '../src/rejected_jobs.js';
 import {AssignedRun} from '../src/worker_load.js';
 import {createTestStep} from './test_runs.js';
 
@@ -49,6 +50,7 @@
     stopTaskRuns: taskName => void stoppedTasks.push(taskName),
     onCheckpointOmitted: ({taskName}) => void omittedTasks.push(taskName),
     invalidRows: InvalidRowReporter.create(createTestEvents(clock)),
+    rejectedJobs: RejectedJobs.create(clock, createTestEvents(clock)),
   });
   return {tracker, stoppedTasks, omittedTasks};
 }
--- a/packages/coordination/test/late_reports.test.ts
+++ b/packages/coordination/test/late_reports.test.ts
@@ -101,7 +101,7 @@
         health.recordRunEnd(assigned, outcome, clock.getMonotonicMs()),
       );
     },
-    canRecordEnd: () => true,
+    canRecordEndOf: () => true,
     onRunLost: ignore,
     onReport: ({load}) =>
       changes.push(health.evaluate(load, WORKER_ID, clock.getMonotonicMs())),
--- a/packages/coordination/test/progress_writer.test.ts
+++ b/packages/coordination/test/progress_writer.test.ts
@@ -6,15 +6,20 @@
 import {LeaseBounds} from '../src/lease_bounds.js';
 import {OwnDelay} from '../src/own_delay.js';
 import {ProgressWriter} from '../src/progress_writer.js';
+import {RejectedJobs} from '../src/rejected_jobs.js';
 import {createTestCommitLog} from './test_commit_logs.js';
 import {createTestEvents} from './test_events.js';
 import {createTestJob, createTestStep} from './test_runs.js';
 
 function createWriter(clock: VirtualClock): ProgressWriter {
   const commitLog = createTestCommitLog(clock);
-  const invalidRows = InvalidRowReporter.create(createTestEvents(clock));
+  const events = createTestEvents(clock);
+  const invalidRows = InvalidRowReporter.create(events);
   return ProgressWriter.create({
     clock,
+    events,
+    rejectedJobs: RejectedJobs.create(clock, events),
+    onJobRejected: () => undefined,
     commitLog,
     interferenceModel: InterferenceModel.create(),
     leaseBounds: LeaseBounds.create(clock, commitLog, invalidRows),
--- a/packages/coordination/test/renewal_bursts.test.ts
+++ b/packages/coordination/test/renewal_bursts.test.ts
@@ -70,7 +70,7 @@
   const ignore = (): undefined => undefined;
   const listener: SessionListener = {
     onRunEnded: ignore,
-    canRecordEnd: () => true,
+    canRecordEndOf: () => true,
     onRunLost: ignore,
     onReport: ignore,
     onWorkerLost: ignore,
--- a/packages/coordination/test/simultaneous_losses.test.ts
+++ b/packages/coordination/test/simultaneous_losses.test.ts
@@ -83,7 +83,7 @@
   const ignore = (): undefined => undefined;
   const listener: SessionListener = {
     onRunEnded: ignore,
-    canRecordEnd: () => true,
+    canRecordEndOf: () => true,
     onRunLost: ignore,
     onReport: ignore,
     onWorkerLost: ignore,
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -104,7 +104,7 @@
         : ok(JSON.parse(value.toString()) as WorkerRecord),
     listener: {
       onRunEnded,
-      canRecordEnd: () => true,
+      canRecordEndOf: () => true,
       onRunLost: () => undefined,
       onReport: () => undefined,
       onWorkerLost: () => undefined,
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -88,7 +88,7 @@
     };
     const listener: SessionListener = {
       onRunEnded: () => undefined,
-      canRecordEnd: () => true,
+      canRecordEndOf: () => true,
       onRunLost: release,
       onReport: () => undefined,
       onWorkerLost: () => undefined,
--- a/packages/experiments/src/job_harness.ts
+++ b/packages/experiments/src/job_harness.ts
@@ -382,6 +382,11 @@
     );
   }
 
+  /** Gets the default queue. */
+  getQueue(): QueueConfig {
+    return this.queue;
+  }
+
   /**
    * Submits a job through a node and waits for the outcome.
    * @param steps - Steps of the job.
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -231,6 +231,11 @@
       'Number of start commands that may be in progress at a time.',
       () => this.role.getLoad()?.maxStartCommands ?? 0,
     );
+    metrics.addGauge(
+      'mustardlug_rejected_jobs',
+      'Number of jobs whose progress the store rejects; 0 without the coordinator role.',
+      () => this.role.getLoad()?.rejectedJobs ?? 0,
+    );
     metrics.addGauge(
       'mustardlug_placement_pass_seconds',
       'Time that placement passes have taken in this term.',
--- a/packages/platform/src/row_store.ts
+++ b/packages/platform/src/row_store.ts
@@ -6,6 +6,9 @@
 /** Version of a row that does not exist. */
 export const ABSENT_VERSION = 0;
 
+/** Maximum size of the value of a row, in bytes. */
+export const MAX_ROW_BYTES = 65_536;
+
 /** Address of a row. */
 export interface RowAddress {
   readonly table: string;
--- a/packages/standins/src/memory_row_store.ts
+++ b/packages/standins/src/memory_row_store.ts
@@ -377,7 +377,10 @@
       return err(createNoResponseError(true));
     }
     const rejection = this.getRejection(transaction);
-    if (rejection === 'unknown-applied') this.store.apply(transaction);
+    if (rejection === 'unknown-applied') {
+      const outcome = this.store.apply(transaction);
+      if (outcome.isErr()) return outcome;
+    }
     if (rejection !== undefined) {
       const mayHaveTakenEffect = rejection !== 'not-applied';
       return err(createRejection('an injected fault', mayHaveTakenEffect));
--- a/packages/standins/src/row_store_limits.ts
+++ b/packages/standins/src/row_store_limits.ts
@@ -1,9 +1,10 @@
 /** Limits of the platform's row store, which the stand-ins enforce. */
 
-import {RowAddress, RowTransaction} from '@mustardlug/platform/row_store';
-
-/** Maximum size of the value of a row, in bytes. */
-export const MAX_ROW_BYTES = 65_536;
+import {
+  MAX_ROW_BYTES,
+  RowAddress,
+  RowTransaction,
+} from '@mustardlug/platform/row_store';
 
 /** Maximum length of the name of a table, a partition or a key, in bytes. */
 const MAX_TEXT_BYTES = 200;
--- a/packages/standins/test/memory_row_store.test.ts
+++ b/packages/standins/test/memory_row_store.test.ts
@@ -1,8 +1,11 @@
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
-import {RowTransaction, RowWrite} from '@mustardlug/platform/row_store';
+import {
+  MAX_ROW_BYTES,
+  RowTransaction,
+  RowWrite,
+} from '@mustardlug/platform/row_store';
 import {expect} from 'chai';
 import {MemoryRowStore} from '../src/memory_row_store.js';
-import {MAX_ROW_BYTES} from '../src/row_store_limits.js';
 
 function createWrite(key: string, sizeBytes: number, table = 't'): RowWrite {
   return {table, part: 'p', key, value: Buffer.alloc(sizeBytes)};
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -248,6 +248,26 @@
     level: 'info',
     text: 'The rows of a job that had been held could be read; its tasks are started again.',
   },
+  'progress-rejected': {
+    number: 852,
+    level: 'error',
+    text: 'The store rejects the progress of a job. None of its tasks is started and none of its ends acknowledged until it is stored; other jobs go on.',
+  },
+  'progress-accepted': {
+    number: 853,
+    level: 'info',
+    text: 'The progress of a job that the store had rejected was stored, or is no longer needed.',
+  },
+  'row-rejected': {
+    number: 854,
+    level: 'error',
+    text: 'The store rejects a row that is not the progress of a job; the detail names its table and key.',
+  },
+  'commits-rejected': {
+    number: 855,
+    level: 'error',
+    text: 'The store rejects all commits of this coordinator, also those without rows. If it accepts its heartbeat for 3 s meanwhile, the term ends.',
+  },
   'settings-reloaded': {
     number: 815,
     level: 'info',
