--- a/packages/coordination/src/job_store.ts
+++ b/packages/coordination/src/job_store.ts
@@ -2,7 +2,10 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {
+  createInvalidInputError,
   createUnavailableError,
+  FieldProblem,
+  InvalidInputError,
   NotFoundError,
   createNotFoundError,
   RefusedError,
@@ -18,8 +21,10 @@
 } from '@mustardlug/jobs/stored_schemas';
 import {
   ABSENT_VERSION,
+  MAX_ROW_BYTES,
   RowAddress,
   RowCommitError,
+  RowRejectionError,
   RowStore,
   StoredRow,
 } from '@mustardlug/platform/row_store';
@@ -59,8 +64,9 @@
   readonly retryAfterMs: number;
 }
 
-/** Why a submission was not accepted. */
-export type SubmissionError = SubmissionRefusedError | UnavailableError;
+/** Why a submission was not accepted. A job that is `invalid-input` can never be stored. */
+export type SubmissionError =
+  SubmissionRefusedError | InvalidInputError | UnavailableError;
 
 /** What a caller is told of a job. */
 export interface JobStatus {
@@ -72,6 +78,15 @@
 /** Delay before a write without a response is repeated. */
 const WRITE_RETRY_MS = 60;
 
+/**
+ * Attempts after which the store counts as rejecting a job if its responses leave open
+ * whether the job was stored.
+ */
+const MAX_UNCLEAR_REJECTIONS = 3;
+
+/** Row of a job that never runs. */
+const REFUSED_JOB: StoredJob = {kind: 'refused'};
+
 /** Time reserved for sending the response to the caller. */
 const RESPONSE_MARGIN_MS = 150;
 
@@ -103,19 +118,27 @@
    */
   async submit(submission: Submission): Promise<Result<void, SubmissionError>> {
     const isRefusal = submission.retryAfterMs > 0;
-    const value = encodeRowValue(
-      isRefusal ? {kind: 'refused'} : this.createStoredJob(submission),
-    );
     const address = getJobAddress(submission.jobId);
+    let value = encodeRowValue(
+      isRefusal ? REFUSED_JOB : this.createStoredJob(submission),
+    );
+    if (value.length > MAX_ROW_BYTES)
+      return err(this.rejectTooLarge(submission, value.length));
     let version = ABSENT_VERSION;
     let isUncertain = false;
+    let rejectionCount = 0;
+    /** Rejection for which a refusal is being written in place of the job. */
+    let rejection: RowRejectionError | undefined;
     for (;;) {
       const outcome = await this.options.store.commit({
         conditions: [{...address, version}],
         writes: [{...address, value}],
         removals: [],
       });
-      if (outcome.isOk()) return this.reportStored(submission);
+      if (outcome.isOk()) {
+        if (rejection === undefined) return this.reportStored(submission);
+        return err(this.refuseOnStoreError(submission, rejection));
+      }
       const {error} = outcome;
       if (error.kind === 'row-conflict') {
         const row = error.rows.find(each => each.key === address.key);
@@ -125,15 +148,28 @@
         // The row may have been an accepted job, so that no refusal is true.
         if (stored === 'unreadable')
           return err(this.reportUncertain(submission, UNREADABLE_ROW));
+        if (row !== undefined && rejection !== undefined)
+          return err(this.refuseOnStoreError(submission, rejection));
         if (isRefusal && row !== undefined)
           return this.reportStored(submission);
         version = row?.version ?? ABSENT_VERSION;
         continue;
       }
-      isUncertain ||= error.kind === 'unavailable' && error.mayHaveTakenEffect;
+      isUncertain ||= error.kind !== 'refused' && error.mayHaveTakenEffect;
       const isExpired = !this.hasTimeLeft(submission.deadlineMs);
       if (!isUncertain) return err(this.refuseOnStoreError(submission, error));
       if (isExpired) return err(this.reportUncertain(submission, error));
+      if (error.kind === 'row-rejection') {
+        rejectionCount++;
+        const isFinal =
+          !error.mayHaveTakenEffect || rejectionCount >= MAX_UNCLEAR_REJECTIONS;
+        if (isFinal && rejection === undefined) {
+          // An earlier attempt may still take effect, unless the refusal precedes it.
+          rejection = error;
+          value = encodeRowValue(REFUSED_JOB);
+          continue;
+        }
+      }
       await this.options.clock.sleep(WRITE_RETRY_MS);
     }
   }
@@ -161,7 +197,10 @@
         removals: [],
       });
       if (outcome.isOk()) break;
-      if (!this.hasTimeLeft(deadlineMs)) {
+      const isRejected =
+        outcome.error.kind === 'row-rejection' &&
+        !outcome.error.mayHaveTakenEffect;
+      if (isRejected || !this.hasTimeLeft(deadlineMs)) {
         const message = `${outcome.error.message}; repeat the cancellation`;
         return err(createUnavailableError(message, true));
       }
@@ -268,6 +307,20 @@
     return ok(undefined);
   }
 
+  private rejectTooLarge(
+    {jobId, queue}: Submission,
+    sizeBytes: number,
+  ): InvalidInputError {
+    const problem: FieldProblem = {
+      path: 'steps',
+      expected: `expected a job of at most ${MAX_ROW_BYTES} bytes as stored, got ${sizeBytes}`,
+      remedy: 'use fewer steps, or shorter labels and images',
+    };
+    const error = createInvalidInputError('job', [problem]);
+    this.recordRefusal(jobId, queue.name, error.message);
+    return error;
+  }
+
   private refuseOnStoreError(
     submission: Submission,
     error: RowCommitError,
--- a/packages/node/src/caller_api.ts
+++ b/packages/node/src/caller_api.ts
@@ -175,6 +175,8 @@
     const {error} = outcome;
     if (error.kind === 'unavailable')
       return context.json({error: {reason: error.message}}, 504);
+    if (error.kind === 'invalid-input')
+      return context.json({error: {reason: error.message}}, 413);
     const status = isRefusing ? 429 : 503;
     return renderRefusal(context, status, error.message, error.retryAfterMs);
   }
