--- a/packages/platform/src/group_committer.ts
+++ b/packages/platform/src/group_committer.ts
@@ -142,10 +142,13 @@
       return;
     }
     if (group.length === 1) {
-      group[0].settle(await this.resolveConflict(group[0].unit));
+      const [{unit, settle}] = group;
+      if (outcome.error.kind === 'refused')
+        settle({kind: 'unavailable', reason: outcome.error.message});
+      else settle(await this.resolveConflict(unit));
       return;
     }
-    // One conflicting row fails the whole group. Bisection isolates it in few transactions.
+    // One row that conflicts or is rejected fails the whole group. Bisection isolates it in few transactions.
     const middle = group.length >> 1;
     await this.commitGroup(group.slice(0, middle));
     await this.commitGroup(group.slice(middle));
--- a/packages/platform/src/http_platform.ts
+++ b/packages/platform/src/http_platform.ts
@@ -5,6 +5,7 @@
 import {
   createConflictError,
   createNotFoundError,
+  createRefusedError,
   createUnavailableError,
   UnavailableError,
 } from '@mustardlug/base/errors';
@@ -27,6 +28,12 @@
 const HTTP_NOT_FOUND = 404;
 const HTTP_CONFLICT = 409;
 
+/** Statuses of a service that asks for patience. */
+const BUSY_STATUSES: readonly number[] = [408, 429];
+
+/** Range of the statuses of requests that were not executed. */
+const [MIN_CLIENT_ERROR, MAX_CLIENT_ERROR] = [400, 499];
+
 const rowSchema = z.object({
   key: z.string(),
   value: z.looseObject({writeToken: z.string()}),
@@ -50,6 +57,11 @@
   readonly failureDomain: string;
 }
 
+function isRejection(status: number): boolean {
+  if (BUSY_STATUSES.includes(status)) return false;
+  return status >= MIN_CLIENT_ERROR && status <= MAX_CLIENT_ERROR;
+}
+
 function parseResponse<T>(
   schema: z.ZodType<T>,
   response: JsonResponse,
@@ -95,6 +107,11 @@
         'the revision of a row differs from the expected one; read the row again';
       return err(createConflictError(message));
     }
+    const {status} = response.value;
+    if (isRejection(status)) {
+      const message = `the table service rejected a transaction with status ${status}; it may do so again`;
+      return err(createRefusedError(message));
+    }
     return parseResponse(receiptSchema, response.value);
   }
 
--- a/packages/platform/src/retrying_committer.ts
+++ b/packages/platform/src/retrying_committer.ts
@@ -56,7 +56,7 @@
    * Commits a transaction that contains at least one put.
    * @param token - Token that all written values carry.
    * @param operations - Changes to apply.
-   * @returns `unavailable` with `mayHaveTakenEffect` only if the outcome is still unknown after the last attempt.
+   * @returns `refused` at once if the table rejects the transaction, `unavailable` with `mayHaveTakenEffect` only if the outcome is still unknown after the last attempt.
    */
   async commit(
     token: string,
@@ -67,7 +67,10 @@
     for (let attempt = 1; ; attempt++) {
       const outcome = await this.table.commit(operations);
       if (outcome.isOk()) return outcome;
-      if (outcome.error.kind === 'conflict') {
+      if (outcome.error.kind === 'refused') {
+        // An earlier attempt without a response may have been applied, or still be.
+        if (!isUncertain) return outcome;
+      } else if (outcome.error.kind === 'conflict') {
         if (!isUncertain) return outcome;
         const resolved = await this.getCommitReceipt(token, operations);
         if (resolved.isOk() || resolved.error.kind === 'conflict')
--- a/packages/platform/src/table_service.ts
+++ b/packages/platform/src/table_service.ts
@@ -1,7 +1,11 @@
 /** Interface of the transactional table service of the platform. */
 
 import {Result} from 'neverthrow';
-import {ConflictError, UnavailableError} from '@mustardlug/base/errors';
+import {
+  ConflictError,
+  RefusedError,
+  UnavailableError,
+} from '@mustardlug/base/errors';
 
 /** Expected revision of a row that must not exist. */
 export const ABSENT_REVISION = 0;
@@ -70,15 +74,15 @@
   readonly limit: number;
 }
 
-/** Errors of a transaction. */
-export type CommitError = ConflictError | UnavailableError;
+/** Errors of a transaction. One that is refused had no effect, and is likely to be refused again. */
+export type CommitError = ConflictError | RefusedError | UnavailableError;
 
 /** Client of the table service. */
 export abstract class TableService {
   /**
    * Applies all operations atomically.
    * @param operations - Changes to apply.
-   * @returns `conflict` if a revision differs from the expected one, `unavailable` if the outcome is unknown.
+   * @returns `conflict` if a revision differs from the expected one, `refused` if the service rejects the transaction, `unavailable` if the outcome is unknown.
    */
   abstract commit(
     operations: readonly TableOperation[],
--- a/packages/standins/src/memory_table.ts
+++ b/packages/standins/src/memory_table.ts
@@ -4,6 +4,7 @@
 import {Clock} from '@mustardlug/base/clock';
 import {
   createConflictError,
+  createRefusedError,
   createUnavailableError,
   UnavailableError,
 } from '@mustardlug/base/errors';
@@ -33,6 +34,8 @@
   applyNextLate: number;
   /** Delay of the writes that `applyNextLate` counts. */
   lateMs: number;
+  /** Determines which transactions are rejected without effect. */
+  isRejected?: (operations: readonly TableOperation[]) => boolean;
 }
 
 /** Numbers of calls and written rows since the table was created. */
@@ -83,6 +86,10 @@
       this.clock.setTimer(this.faults.lateMs, () => this.apply(operations));
       return err(createNoResponseError(true));
     }
+    if (this.faults.isRejected?.(operations)) {
+      const message = 'the table rejected a transaction; change it';
+      return err(createRefusedError(message));
+    }
     const receipt = this.apply(operations);
     if (this.faults.loseNextAnswers > 0) {
       this.faults.loseNextAnswers--;
--- a/packages/standins/test/group_committer.test.ts
+++ b/packages/standins/test/group_committer.test.ts
@@ -90,6 +90,44 @@
       );
     });
 
+    // A write that was rejected for good failed its group and all writes behind it.
+    it('fails only the write that the table rejects', async () => {
+      const clock = VirtualClock.create();
+      const table = MemoryTable.create(clock);
+      table.faults.isRejected = operations =>
+        operations.some(({key}) => key === 'row-3');
+      const committer = GroupCommitter.create({
+        table,
+        retryingCommitter: RetryingCommitter.create({table, clock}),
+        clock,
+        commitIntervalMs: 100,
+      });
+      const outcomes: string[] = [];
+      // The second write of each row is in a later group.
+      for (let index = 0; index < 16; index++) {
+        const key = `row-${index % 8}`;
+        void committer
+          .write([
+            {
+              kind: 'put',
+              key,
+              value: {writeToken: `token-${index}`},
+              expectedRevision: 0,
+            },
+          ])
+          .then(({kind}) => {
+            outcomes[index] = kind;
+          });
+      }
+      await clock.advance(1_000);
+      const first = Array.from({length: 8}, () => 'written');
+      const second = Array.from({length: 8}, () => 'conflict');
+      first[3] = 'unavailable';
+      second[3] = 'unavailable';
+      expect(outcomes).to.deep.equal([...first, ...second]);
+      expect(committer.isUnavailable()).to.equal(false);
+    });
+
     it('groups 590 writes into at most 4 transactions', async () => {
       const clock = VirtualClock.create();
       const table = MemoryTable.create(clock);
