--- a/packages/experiments/src/coordinator_benchmark.ts
+++ b/packages/experiments/src/coordinator_benchmark.ts
@@ -81,7 +81,7 @@
   ['applyReport', 'reports'],
   ['learn', 'learning'],
   ['decide', 'CPU limits'],
-  ['createProgressWrites', 'rows'],
+  ['createProgressChanges', 'rows'],
   ['addEvent', 'events'],
   ['startRun', 'start commands'],
 ]);
