--- a/packages/experiments/test/odd_rows.test.ts
+++ b/packages/experiments/test/odd_rows.test.ts
@@ -45,6 +45,12 @@
   {table: 'mustardlug-jobs', part: getJobPart('odd'), key: 'odd'},
   {table: 'mustardlug-jobs', part: 'other', key: 'odd'},
   {table: 'mustardlug-progress', part: COORDINATOR_PART, key: 'odd'},
+  {table: 'mustardlug-progress-parts', part: COORDINATOR_PART, key: 'odd'},
+  {
+    table: 'mustardlug-progress-parts',
+    part: COORDINATOR_PART,
+    key: 'odd/0/1.1/0',
+  },
   {table: 'mustardlug-effects', part: COORDINATOR_PART, key: 'odd'},
   {table: 'mustardlug-lease-bounds', part: COORDINATOR_PART, key: 'odd'},
   {table: 'mustardlug-lease-bounds', part: COORDINATOR_PART, key: 'worker-1'},
