--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -236,6 +236,10 @@
     let answer = {status: 0};
     for (let index = 0; index < tries; index++) {
       const running = this.nodes.filter(({child}) => child !== undefined);
+      if (running.length === 0) {
+        await sleep(200);
+        continue;
+      }
       const node = running[(this.turn = (this.turn ?? 0) + 1) % running.length];
       answer = await this.call(node, method, path, {body});
       this.record.add('answer', {
--- a/review/lib-2/worker.js
+++ b/review/lib-2/worker.js
@@ -194,10 +194,23 @@
     const expected = request.headers['expected-instance'];
     if (expected !== undefined && expected !== this.id) return answer(421);
     const body = JSON.parse(text === '' ? '{}' : text);
+    // An order that is left unanswered and carried out late, if this life still is.
+    const lateMs = this.fleet.drawLateMs?.(request.url, this);
+    if (lateMs !== undefined) {
+      setTimeout(() => {
+        if (this.isUp && this.bornMs === bornMs)
+          this.carryOut(request.url, body, () => undefined);
+      }, lateMs);
+      return;
+    }
+    await this.carryOut(request.url, body, answer);
+  }
+
+  async carryOut(url, body, answer) {
     const fence = body.fencing_token ?? 0;
     if (fence < this.fence) return answer(409, {reason: 'fence'});
     this.fence = fence;
-    switch (request.url) {
+    switch (url) {
       case '/v1/run-start': {
         const reason = this.start(body);
         return reason === undefined ? answer(200) : answer(409, {reason});
