--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -16,6 +16,7 @@
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {dirname, join} from 'node:path';
+import {setTimeout} from 'node:timers';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {performance} from 'node:perf_hooks';
@@ -55,6 +56,9 @@
   notice_ms: 4_500,
 };
 
+/** A script ends before the 120 s that it may take. */
+const LIMIT_MS = 110_000;
+
 export const HEARTBEAT_MS = 1_500;
 
 /** Writes what was sent, answered and run, with the time since the start. */
@@ -317,9 +321,17 @@
  * @param run - Returns the reasons why the rule was broken.
  */
 export async function runCase(options, run) {
-  const deployment = await Deployment.create(options);
+  const fail = error => {
+    console.log(`the case could not run: ${error?.stack ?? error}`);
+    process.exit(2);
+  };
+  process.on('uncaughtException', fail);
+  process.on('unhandledRejection', fail);
+  setTimeout(() => fail(`it took over ${LIMIT_MS} ms`), LIMIT_MS).unref();
+  let deployment;
   let status = 2;
   try {
+    deployment = await Deployment.create(options);
     const broken = await run(deployment, process.env.TROUBLE !== '0');
     for (const reason of broken) {
       deployment.record.add('BROKEN', {reason});
@@ -328,10 +340,10 @@
     status = broken.length > 0 ? 1 : 0;
     deployment.record.add('result', {status});
   } catch (error) {
-    deployment.record.add('not-run', {error: String(error?.stack ?? error)});
+    deployment?.record.add('not-run', {error: String(error?.stack ?? error)});
     console.log(`the case could not run: ${error?.stack ?? error}`);
   } finally {
-    await deployment.close();
+    await deployment?.close();
   }
   console.log(['the rule held', 'the rule was broken', 'not run'][status]);
   process.exit(status);
--- a/review/lib-2/worker.js
+++ b/review/lib-2/worker.js
@@ -10,7 +10,6 @@
 const MAX_ENDS = 500;
 const MAX_WAIT_MS = 2_000;
 const MISSED_HEARTBEATS = 3;
-const CHECKPOINT_MS = 500;
 
 /** What all workers of a deployment share: the behaviour of tasks, gangs and the record. */
 export class Fleet {
@@ -184,9 +183,9 @@
     } catch {
       return;
     }
-    if (!this.isUp || this.isCut || this.bornMs !== bornMs) return;
+    if (!this.isUp || this.bornMs !== bornMs) return;
     const answer = (status, fields = {}) => {
-      if (!this.isUp || this.isCut || this.bornMs !== bornMs) return;
+      if (!this.isUp || this.bornMs !== bornMs) return;
       const stamp = {clock_ms: this.getClockMs(), born: this.bornMs};
       const body = JSON.stringify({...stamp, ...fields});
       response.writeHead(status, {'content-type': 'application/json'});
@@ -195,25 +194,10 @@
     const expected = request.headers['expected-instance'];
     if (expected !== undefined && expected !== this.id) return answer(421);
     const body = JSON.parse(text === '' ? '{}' : text);
-    // An order that is left unanswered and carried out late, if this life still is.
-    const lateMs = this.fleet.drawLateMs?.(request.url, this);
-    if (lateMs !== undefined) {
-      // Its time counts from its arrival.
-      if (body.deadline_ms !== undefined) body.deadline_ms += lateMs;
-      setTimeout(() => {
-        if (this.isUp && this.bornMs === bornMs)
-          this.carryOut(request.url, body, () => undefined);
-      }, lateMs);
-      return;
-    }
-    await this.carryOut(request.url, body, answer);
-  }
-
-  async carryOut(url, body, answer) {
     const fence = body.fencing_token ?? 0;
     if (fence < this.fence) return answer(409, {reason: 'fence'});
     this.fence = fence;
-    switch (url) {
+    switch (request.url) {
       case '/v1/run-start': {
         const reason = this.start(body);
         return reason === undefined ? answer(200) : answer(409, {reason});
@@ -236,7 +220,7 @@
     }
   }
 
-  start({task, run: number, deadline_ms: deadlineMs, saved = ''}) {
+  start({task, run: number, deadline_ms: deadlineMs}) {
     const present = this.runs.get(task);
     if (present?.number === number && !present.isStopping) return undefined;
     if (deadlineMs <= this.getClockMs()) return 'late';
@@ -256,10 +240,7 @@
       isWorking: (behaviour.gangSize ?? 0) === 0,
     };
     this.runs.set(task, run);
-    // Work that `saved` tells of is not done again.
-    run.saved = saved;
-    run.savedMs = (Number.parseInt(saved, 16) || 0) * CHECKPOINT_MS;
-    this.log('run-began', {task, run: number, saved});
+    this.log('run-began', {task, run: number});
     if (run.gangSize > 0) this.fleet.joinGang(run);
     else this.scheduleEnd(run);
     return undefined;
@@ -267,18 +248,7 @@
 
   scheduleEnd(run) {
     if (!Number.isFinite(run.ms)) return;
-    run.workingMs = performance.now();
-    const leftMs = Math.max(0, run.ms - run.savedMs);
-    run.timer = setTimeout(() => this.endRun(run, run.how), leftMs);
-  }
-
-  /** Gets the progress that a run has saved: a new value with each 0.5 s of work. */
-  getSaved(run) {
-    if (!run.isCheckpointing) return '';
-    if (run.workingMs === undefined) return run.saved;
-    const workMs = run.savedMs + performance.now() - run.workingMs;
-    const count = Math.floor(workMs / CHECKPOINT_MS);
-    return count === 0 ? '' : count.toString(16).padStart(16, '0');
+    run.timer = setTimeout(() => this.endRun(run, run.how), run.ms);
   }
 
   hasRoom({cpu = 0, memMb = 0, gpu = 0}) {
@@ -341,13 +311,7 @@
     this.runs.delete(run.task);
     const closed = this.closedRuns.get(run.task) ?? 0;
     this.closedRuns.set(run.task, Math.max(closed, run.number));
-    this.ended.push([
-      ++this.number,
-      run.task,
-      run.number,
-      how,
-      this.getSaved(run),
-    ]);
+    this.ended.push([++this.number, run.task, run.number, how, '']);
     this.log('run-ended', {task: run.task, run: run.number, how});
     for (const wake of [...this.waiters]) wake();
     if (run.gangSize > 0) this.fleet.leaveGang(run, how);
@@ -356,9 +320,8 @@
   toRow(run) {
     const ageMs = performance.now() - run.startedMs;
     const percent = Math.floor((100 * ageMs) / run.ms);
-    const saved = this.getSaved(run);
     return run.lasts
-      ? [run.task, run.number, saved, run.isWorking ? 100 : 0, 1]
-      : [run.task, run.number, saved, Math.min(99, percent), run.cpu ?? 0];
+      ? [run.task, run.number, '', run.isWorking ? 100 : 0, 1]
+      : [run.task, run.number, '', Math.min(99, percent), run.cpu ?? 0];
   }
 }
