Fence the calls to former worker processes

Cause: what a worker was told in one life bound the next one. The fencing token was that of the term, so that a new process executed calls that were meant for the former one, at once or seconds later; the expiry in them counts on the former clock, so that each gave it a lease of max_hold_ms. The coordinator knew of the last such lease only, and its successor took 5.45 s from the first response for the longest one.

Change: each process of a worker has a fencing token of its own. The token rises with each process that reports or registers, and the process gets no runs before it has executed a call with its token; until then, and for the longest lease after it, the worker counts as holding the longest lease. The number of a term is its highest token, a thousand above that of the term before, so that earlier builds go on above it; run numbers are counted apart. A successor takes a worker for holding the longest lease, counted from its first response, unless a stored run shows that the process was fenced before.

--- a/packages/coordination/src/commit_log.ts
+++ b/packages/coordination/src/commit_log.ts
@@ -24,22 +24,41 @@
 
 /** Stored term of the coordinator. */
 export interface TermRow {
+  /**
+   * Number of the term, which is its highest fencing token: a coordinator of an earlier
+   * build takes the next number as its only token.
+   */
   readonly term: number;
   readonly holder: string;
   /** Number of the last commit of this term. Identifies the commits of this log. */
   readonly commitNumber: number;
   /** Whether the stored bounds of leases hold for this term; absent in rows of earlier builds. */
   readonly keepsLeaseBounds?: boolean;
+  /** Position of the range of run numbers of the term; absent in rows of earlier builds, where it is the term. */
+  readonly runRange?: number;
+  /**
+   * Whether the stored runs tell which worker processes reject all calls to the previous
+   * ones; absent in rows of earlier builds.
+   */
+  readonly fencesProcesses?: boolean;
 }
 
 /** Limit of the term, so that its run numbers remain exact. */
 const MAX_TERM = 1_000_000_000;
 
+/**
+ * Number of fencing tokens of a term. Each process of a worker gets one of its own, so
+ * that a worker may restart as often in one term.
+ */
+const TOKENS_PER_TERM = 1_000;
+
 const termSchema: z.ZodType<TermRow> = z.object({
   term: z.number().int().nonnegative().max(MAX_TERM),
   holder: z.string(),
   commitNumber: z.number().int().nonnegative(),
   keepsLeaseBounds: z.boolean().optional(),
+  runRange: z.number().int().positive().max(MAX_TERM).optional(),
+  fencesProcesses: z.boolean().optional(),
 });
 
 /** A commit that is rejected has not taken effect, or does so before the next one. */
@@ -106,15 +125,21 @@
   /** Last time of the store whose call was sent at a known monotonic time. */
   private lastStoreTime: {storeMs: number; sentMs: number} | undefined;
   private areLeaseBoundsKept: boolean;
+  private areProcessesFenced: boolean;
 
   private constructor(
     private readonly options: CommitLogOptions,
     readonly term: number,
+    /** Position of the range of run numbers of the term. */
+    readonly runRange: number,
     private termVersion: number,
     private readonly predecessor: TermRow | undefined,
     private readonly previous: PreviousTerm | undefined,
+    /** Whether no term has left a row, so that no worker can have been called before. */
+    readonly isFirstTerm: boolean,
   ) {
     this.areLeaseBoundsKept = this.hasPredecessorKeptLeaseBounds();
+    this.areProcessesFenced = this.hasPredecessorFencedProcesses();
   }
 
   /**
@@ -130,9 +155,18 @@
   ): CommitLog {
     const predecessor = CommitLog.readTermRow(snapshot).unwrapOr(undefined);
     const minTerm = previous?.minTerm ?? 0;
-    const term = Math.max(predecessor?.term ?? 0, minTerm) + 1;
-    const version = snapshot.rows.at(0)?.version ?? ABSENT_VERSION;
-    const log = new CommitLog(options, term, version, predecessor, previous);
+    const previousNumber = Math.max(predecessor?.term ?? 0, minTerm);
+    const row = snapshot.rows.at(0);
+    const version = row?.version ?? ABSENT_VERSION;
+    const log = new CommitLog(
+      options,
+      previousNumber + TOKENS_PER_TERM,
+      (predecessor?.runRange ?? previousNumber) + 1,
+      version,
+      predecessor,
+      previous,
+      row === undefined && previous?.statusRow === undefined,
+    );
     const {storeMs} = snapshot;
     if (previous !== undefined)
       log.lastStoreTime = {storeMs, sentMs: previous.sentMs};
@@ -177,6 +211,24 @@
     this.areLeaseBoundsKept = true;
   }
 
+  /** Gets the lowest fencing token of the term, above all those of earlier terms. */
+  getFirstFencingToken(): number {
+    return this.term - TOKENS_PER_TERM + 1;
+  }
+
+  /**
+   * Declares that each stored run was placed on a process that rejects all calls to the
+   * previous ones, and that the end of the leases of these calls is stored with it.
+   */
+  declareProcessesFenced(): void {
+    this.areProcessesFenced = true;
+  }
+
+  /** Checks whether the stored runs of earlier terms tell which processes were fenced. */
+  hasPredecessorFencedProcesses(): boolean {
+    return this.predecessor?.fencesProcesses ?? this.isFirstTerm;
+  }
+
   /** Checks whether the stored bounds of leases held for the previous term. */
   hasPredecessorKeptLeaseBounds(): boolean {
     return this.predecessor?.keepsLeaseBounds ?? false;
@@ -301,6 +353,8 @@
       holder: this.options.holder,
       commitNumber: this.commitNumber,
       keepsLeaseBounds: this.areLeaseBoundsKept,
+      runRange: this.runRange,
+      fencesProcesses: this.areProcessesFenced,
     };
     return this.options.store.commit({
       conditions: [
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -50,6 +50,7 @@
 import {InvalidRowReporter} from './invalid_row_reporter.js';
 import {ProgressRecord, ProgressTables} from './job_index.js';
 import {JobTracker} from './job_tracker.js';
+import {FencingTokens} from './fencing_tokens.js';
 import {LeaseBounds} from './lease_bounds.js';
 import {LeaseLimit} from './lease_limit.js';
 import {JobRetention} from './job_retention.js';
@@ -81,6 +82,7 @@
 import {AssignedRun} from './worker_load.js';
 import {WorkerDecoder, WorkerPool} from './worker_pool.js';
 import {
+  getLongestLeaseValidityMs,
   MIN_LEASE_VALIDITY_MS,
   SessionListener,
   WorkerSession,
@@ -128,6 +130,8 @@
   | 'isolated'
   /** The store rejects what the term has to store. */
   | 'rejected'
+  /** A worker has restarted more often than the term has fencing tokens. */
+  | 'tokens-used-up'
   /** An unexpected error left the state of the term incomplete. */
   | 'failed';
 
@@ -255,7 +259,7 @@
     this.passTimes = PassTimes.create(clock);
     this.round = PlacementRound.create(clock);
     this.ownDelay = OwnDelay.create(clock, options.onWork);
-    this.runNumbers = RunNumbers.create(commitLog.term);
+    this.runNumbers = RunNumbers.create(commitLog.runRange);
     this.waitReporter = WaitReporter.create({
       events,
       explain: waiting => this.explainWait(waiting),
@@ -274,7 +278,12 @@
       workerClient: options.workerClient,
       decodeWorker: options.decodeWorker,
       listener: this,
-      fencingToken: commitLog.term,
+      fencingTokens: FencingTokens.create(
+        commitLog.getFirstFencingToken(),
+        commitLog.term,
+      ),
+      areStoredProcessesFenced: commitLog.hasPredecessorFencedProcesses(),
+      isFirstTerm: commitLog.isFirstTerm,
       maxLeaseMs: options.maxLeaseMs,
       isTermConfirmed: () => this.checkTerm(),
       areRegistrationsCurrent: () => this.areRegistrationsCurrent(),
@@ -547,6 +556,15 @@
     this.finish('superseded');
   }
 
+  onFencingTokensUsedUp(): void {
+    this.finish('tokens-used-up');
+  }
+
+  onLongLease(session: WorkerSession): void {
+    for (const {run} of session.load.getRuns())
+      this.recordLongLease(session, run);
+  }
+
   onLeasesSuspended(session: WorkerSession, leaseEndMs: number): void {
     this.leaseBounds.setLeaseEnd(session.getId(), leaseEndMs);
     this.schedulePass();
@@ -1114,6 +1132,7 @@
   private tick(): void {
     if (!this.checkTerm()) return;
     const nowMs = this.options.clock.getMonotonicMs();
+    this.declareProcessesFenced(nowMs);
     for (const assigned of this.workerPool.getExpiredOrphans(nowMs))
       this.guard('the loss of a run', () => this.releaseOrphan(assigned));
     this.schedulePass();
@@ -1131,6 +1150,14 @@
     });
   }
 
+  /** Declares that the calls of an earlier build, which fenced no processes, have had their effect. */
+  private declareProcessesFenced(nowMs: number): void {
+    const {commitLog, maxLeaseMs} = this.options;
+    const endMs = this.leaseLimit.getLatestPreviousEndMs();
+    if (nowMs >= endMs + getLongestLeaseValidityMs(maxLeaseMs))
+      commitLog.declareProcessesFenced();
+  }
+
   private releaseOrphan(assigned: AssignedRun): void {
     const reason = 'the worker was lost before this term';
     this.jobTracker.recordStartCrash({assigned, isAttributed: false, reason});
--- a/packages/coordination/src/run_numbers.ts
+++ b/packages/coordination/src/run_numbers.ts
@@ -16,14 +16,14 @@
    */
   private readonly countsByStep = new WeakMap<StepState, Map<string, number>>();
 
-  private constructor(private readonly term: number) {}
+  private constructor(private readonly range: number) {}
 
   /**
    * Creates the numbers of a term without any run.
-   * @param term - Number of the term, from 1.
+   * @param range - Position of its range of numbers, from 1.
    */
-  static create(term: number): RunNumbers {
-    return new RunNumbers(term);
+  static create(range: number): RunNumbers {
+    return new RunNumbers(range);
   }
 
   /**
@@ -33,7 +33,7 @@
    */
   allocate(step: StepState, taskName: string): number {
     const count = this.addToCount(step, taskName, 1);
-    return (this.term - 1) * RUNS_PER_TERM + count;
+    return (this.range - 1) * RUNS_PER_TERM + count;
   }
 
   /**
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -14,6 +14,7 @@
   runGuarded,
 } from '@mustardlug/telemetry/guarded_call';
 import {Result} from 'neverthrow';
+import {FencingTokens} from './fencing_tokens.js';
 import {LeaseBounds} from './lease_bounds.js';
 import {LeaseLimit, UNDECLARED_LEASE_MS} from './lease_limit.js';
 import {getTaskName} from './task_names.js';
@@ -34,8 +35,11 @@
   readonly workerClient: JobWorkerClient;
   readonly decodeWorker: WorkerDecoder;
   readonly listener: SessionListener;
-  /** Term of the coordinator. */
-  readonly fencingToken: number;
+  readonly fencingTokens: FencingTokens;
+  /** Whether stored runs tell which processes rejected the calls to former ones. */
+  readonly areStoredProcessesFenced: boolean;
+  /** Whether no worker was called before this term. */
+  readonly isFirstTerm: boolean;
   /** Maximum lease duration that the platform grants, in milliseconds. */
   readonly maxLeaseMs: number;
   /** Checks whether the term still holds, so that runs may be started. */
@@ -67,6 +71,8 @@
   private readonly orphanedRuns = new Map<AssignedRun, number>();
   /** Monotonic time by which leases of earlier terms have expired that last longer than declared, by worker ID. */
   private readonly longLeaseEndsMs = new Map<string, number>();
+  /** Worker processes on which earlier terms have placed runs, and which reject calls to former ones. */
+  private readonly fencedProcesses = new Set<string>();
 
   private constructor(private readonly options: WorkerPoolOptions) {}
 
@@ -134,6 +140,7 @@
       if (!session.isObsolete(retentionMs)) continue;
       session.stop();
       this.sessions.delete(workerId);
+      this.options.fencingTokens.recordEnd(workerId, session.getFencingToken());
       endedIds.push(workerId);
     }
     return endedIds;
@@ -229,25 +236,29 @@
   }
 
   private addSession(record: WorkerRecord): void {
-    const {clock, workerClient, listener, fencingToken, leaseLimit} =
+    const {clock, workerClient, listener, fencingTokens, leaseLimit} =
       this.options;
+    const {workerId} = record;
     const session = WorkerSession.create({
       clock,
       client: workerClient,
       listener,
-      fencingToken,
+      firstFencingToken: fencingTokens.getFirstToken(workerId),
+      lastFencingToken: fencingTokens.lastToken,
       record,
       maxLeaseMs: this.options.maxLeaseMs,
       isTermConfirmed: this.options.isTermConfirmed,
       areRegistrationsCurrent: this.options.areRegistrationsCurrent,
       isStoreResponding: this.options.isStoreResponding,
-      previousLeaseEndMs: this.getPreviousLeaseEndMs(record.workerId),
+      previousLeaseEndMs: this.getPreviousLeaseEndMs(workerId),
+      getLongLeaseEndMs: processStartMs =>
+        this.getLongLeaseEndMs(workerId, processStartMs),
       getLeaseLimitMs: () => leaseLimit.getEndMs(),
       startWindow: this.options.startWindow,
       ownDelay: this.options.ownDelay,
-      leaseBoundMs: this.options.leaseBounds.getLeaseEndMs(record.workerId),
+      leaseBoundMs: this.options.leaseBounds.getLeaseEndMs(workerId),
     });
-    this.sessions.set(record.workerId, session);
+    this.sessions.set(workerId, session);
     this.adoptOrphans(session);
     void this.runSession(session);
   }
@@ -268,7 +279,9 @@
   }
 
   private recordLongLease({run}: AssignedRun): void {
-    const {workerId, longLeaseEndStoreMs} = run;
+    const {workerId, workerStartMs, longLeaseEndStoreMs} = run;
+    if (this.options.areStoredProcessesFenced)
+      this.fencedProcesses.add(getProcessKey(workerId, workerStartMs));
     if (longLeaseEndStoreMs === undefined) return;
     const {leaseLimit} = this.options;
     const endMs = leaseLimit.getPreviousEndMs(longLeaseEndStoreMs);
@@ -276,6 +289,20 @@
     this.longLeaseEndsMs.set(workerId, Math.max(knownMs, endMs));
   }
 
+  /**
+   * Gets the monotonic time by which the leases have expired that a process holds from
+   * calls to former ones, or `undefined` if no earlier term has placed a run there.
+   */
+  private getLongLeaseEndMs(
+    workerId: string,
+    processStartMs: number,
+  ): number | undefined {
+    if (this.options.isFirstTerm) return -Infinity;
+    const key = getProcessKey(workerId, processStartMs);
+    if (!this.fencedProcesses.has(key)) return undefined;
+    return this.longLeaseEndsMs.get(workerId) ?? -Infinity;
+  }
+
   /** Gets the monotonic time by which the leases of earlier terms of a worker have expired. */
   private getPreviousLeaseEndMs(workerId: string): number {
     const longLeaseEndMs = this.longLeaseEndsMs.get(workerId) ?? -Infinity;
@@ -336,6 +363,10 @@
   }
 }
 
+function getProcessKey(workerId: string, processStartMs: number): string {
+  return `${workerId}/${processStartMs}`;
+}
+
 /** Gets the runs of restored jobs. */
 function* getAssignedRuns(jobs: Iterable<JobState>): Generator<AssignedRun> {
   for (const job of jobs) {
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -14,6 +14,7 @@
 } from '@mustardlug/platform/job_worker_client';
 import {Result} from 'neverthrow';
 import {CallCounts, CallHistory, WorkerCall} from './call_history.js';
+import {ProcessFence} from './process_fence.js';
 import {ReportTimes} from './report_times.js';
 import {StartBackoff} from './start_backoff.js';
 import {OwnDelay} from './own_delay.js';
@@ -27,6 +28,7 @@
   | 'draining'
   | 'unresponsive'
   | 'other-process'
+  | 'unfenced-process'
   | 'unknown-runs'
   | 'out-of-capacity'
   | 'starts-failed'
@@ -108,6 +110,10 @@
   ): void;
   /** Called when the worker has seen a higher fencing token. */
   onFenced(session: WorkerSession): void;
+  /** Called when the worker has restarted more often than the term has fencing tokens. */
+  onFencingTokensUsedUp(session: WorkerSession): void;
+  /** Called when the process may hold a longer lease than granted, from a call to a former one. */
+  onLongLease(session: WorkerSession): void;
   /**
    * Called when the worker does not respond and has runs. No lease is granted any
    * more until `resumeLeases` is called.
@@ -120,7 +126,10 @@
   readonly clock: Clock;
   readonly client: JobWorkerClient;
   readonly listener: SessionListener;
-  readonly fencingToken: number;
+  /** Lowest fencing token for the calls of the session. */
+  readonly firstFencingToken: number;
+  /** Highest fencing token of the term. */
+  readonly lastFencingToken: number;
   readonly record: WorkerRecord;
   /** Maximum lease duration that the platform grants, in milliseconds. */
   readonly maxLeaseMs: number;
@@ -132,6 +141,11 @@
   readonly isStoreResponding: () => boolean;
   /** Monotonic time by which all leases of earlier terms have expired. */
   readonly previousLeaseEndMs: number;
+  /**
+   * Gets the monotonic time by which the leases have expired that a process may hold
+   * from calls to former ones, or `undefined` if earlier terms have not stored it.
+   */
+  readonly getLongLeaseEndMs: (processStartMs: number) => number | undefined;
   /** Gets the monotonic time by which all leases of this term must have expired. */
   readonly getLeaseLimitMs: () => number;
   /** Start commands in progress to all workers. */
@@ -265,6 +279,7 @@
   readonly load: WorkerLoad;
   private record: WorkerRecord;
   private processStartMs: number;
+  private readonly fence: ProcessFence;
   private isStopped = false;
   private isRegistered = true;
   private readonly createdMs: number;
@@ -289,7 +304,7 @@
   /** Unexpected error while a report was applied. */
   private reportError: Error | undefined;
   private workerClock: {clockMs: number; receivedMs: number} | undefined;
-  /** Expiry of the last lease that a renewal granted since the last report, on the worker's clock. */
+  /** Expiry of the lease that renewals have granted since the last report, on the worker's clock. */
   private grantedUntilMs: number | undefined;
   /** Whether the next renewal has to grant a longer lease than that in progress. */
   private isExtensionDue = false;
@@ -322,6 +337,11 @@
   private constructor(private readonly options: WorkerSessionOptions) {
     this.record = options.record;
     this.processStartMs = options.record.startMs;
+    this.fence = ProcessFence.create({
+      firstToken: options.firstFencingToken,
+      lastToken: options.lastFencingToken,
+      startMs: options.record.startMs,
+    });
     this.load = WorkerLoad.create(options.record.capacity);
     const {clock, previousLeaseEndMs, leaseBoundMs} = options;
     this.startBackoff = StartBackoff.create(clock);
@@ -348,6 +368,11 @@
     return this.record;
   }
 
+  /** Gets the fencing token of the calls to the worker. */
+  getFencingToken(): number {
+    return this.fence.getToken();
+  }
+
   /** Gets the start time of the current worker process, in milliseconds since the Unix epoch. */
   getProcessStartMs(): number {
     return this.processStartMs;
@@ -363,6 +388,7 @@
     this.record = record;
     this.isRegistered = true;
     this.load.setCapacity(record.capacity);
+    if (this.hasResponded) this.fenceRegisteredProcess();
     if (isSignOfLife) this.endRetryDelay();
   }
 
@@ -414,6 +440,7 @@
     if (!this.isResponding()) return 'unresponsive';
     // The registration of another process may have other labels or capacity.
     if (this.record.startMs !== this.processStartMs) return 'other-process';
+    if (!this.fence.isFenced()) return 'unfenced-process';
     if (this.hasUnknownRuns) return 'unknown-runs';
     if (this.isOutOfCapacity) return 'out-of-capacity';
     if (this.startBackoff.isPaused()) return 'starts-failed';
@@ -608,6 +635,7 @@
       if (this.hasUnknownRuns || !this.load.isWithinCapacity()) break;
       if (attempt === 1) this.recordFirstStart(assigned, storedMs);
       const sentMs = this.options.clock.getMonotonicMs();
+      const fencingToken = this.fence.getToken();
       const outcome = await this.sendStart(assigned);
       if (!this.isCurrent(assigned)) return;
       if (run.workerStartMs !== workerStartMs) return;
@@ -628,7 +656,7 @@
         await this.waitForReport(assigned, sentMs);
         continue;
       }
-      if (error.reason === 'lapsed') continue;
+      if (error.reason === 'lapsed' || this.isFormer(fencingToken)) continue;
       await this.handleRefusal(assigned, error.reason);
       return;
     }
@@ -651,6 +679,7 @@
     run.isStopping = true;
     while (!this.isStopped && this.isCurrent(assigned)) {
       const {workerStartMs} = run;
+      const fencingToken = this.fence.getToken();
       const outcome = await this.track(
         this.options.client.stopRun(this.createRunCommand(assigned)),
       );
@@ -662,7 +691,7 @@
       }
       const {error} = outcome;
       if (error.kind === 'worker-refusal') {
-        if (error.reason === 'fenced') {
+        if (error.reason === 'fenced' && !this.isFormer(fencingToken)) {
           this.options.listener.onFenced(this);
           return;
         }
@@ -695,6 +724,7 @@
     try {
       while (!this.isStopped && this.isCurrent(assigned)) {
         const {cpuLimitPercent: percent, workerStartMs} = run;
+        const fencingToken = this.fence.getToken();
         const outcome = await this.track(
           this.options.client.setRunCpuLimit({
             ...this.createRunCommand(assigned),
@@ -710,7 +740,11 @@
           continue;
         }
         const {error} = outcome;
-        if (error.kind === 'worker-refusal' && error.reason !== 'unhealthy') {
+        const isFinal =
+          error.kind === 'worker-refusal' &&
+          error.reason !== 'unhealthy' &&
+          !this.isFormer(fencingToken);
+        if (isFinal) {
           if (error.reason === 'fenced') this.options.listener.onFenced(this);
           return;
         }
@@ -751,7 +785,8 @@
   }
 
   private sendRenewal(): WorkerCall {
-    const {client, fencingToken} = this.options;
+    const {client} = this.options;
+    const fencingToken = this.fence.getToken();
     const hasUnacknowledgedEnds =
       this.processedSequence > this.acknowledgedSequence;
     const isReportOnly = !this.mayRenewLease();
@@ -774,7 +809,7 @@
     this.openRenewalCount++;
     this.lastRenewal = call;
     this.unreportedRenewal ??= call;
-    void this.handleRenewal(call, pending);
+    void this.handleRenewal(call, fencingToken, pending);
     return call;
   }
 
@@ -786,12 +821,13 @@
 
   /**
    * Checks whether a renewal may extend the lease and acknowledge ends. Without a
-   * recent report, another process may respond, to which neither the clock nor the
-   * sequence numbers of the previous one apply.
+   * recent report, or once another process has registered, one may respond to which
+   * neither the clock nor the sequence numbers of the previous one apply.
    */
   private mayRenewLease(): boolean {
     if (this.workerClock === undefined || this.isLastRenewalRefused)
       return false;
+    if (!this.fence.isLatest(this.processStartMs)) return false;
     if (this.isSilent() || this.areLeasesSuspended) return false;
     return this.options.isTermConfirmed();
   }
@@ -828,6 +864,7 @@
 
   private async handleRenewal(
     call: WorkerCall,
+    fencingToken: number,
     pending: Promise<Result<LeaseReport, JobWorkerError>>,
   ): Promise<void> {
     const outcome = await this.track(pending, call);
@@ -836,7 +873,7 @@
     if (outcome.isOk()) {
       try {
         if (!this.isOvertaken(outcome.value, call))
-          this.applyReport(outcome.value, call);
+          this.applyReport(outcome.value, call, fencingToken);
       } catch (error) {
         this.reportError = error as Error;
       }
@@ -844,7 +881,7 @@
       return;
     }
     const {error} = outcome;
-    if (error.kind === 'worker-refusal') {
+    if (error.kind === 'worker-refusal' && !this.isFormer(fencingToken)) {
       this.isLastRenewalRefused = true;
       if (error.reason === 'fenced') this.options.listener.onFenced(this);
     }
@@ -887,13 +924,17 @@
     return Math.floor(clockMs + (nowMs - receivedMs) + leaseMs);
   }
 
-  private applyReport(report: LeaseReport, call: WorkerCall): void {
+  private applyReport(
+    report: LeaseReport,
+    call: WorkerCall,
+    fencingToken: number,
+  ): void {
     const {sentMs} = call;
     const receivedMs = this.options.clock.getMonotonicMs();
     if (this.isOtherProcess(report.startMs)) this.reportLoss(true);
     this.workerClock = {clockMs: report.clockMs, receivedMs};
     this.lastResponseMs = receivedMs;
-    if (!this.hasResponded) this.limitPreviousTermLeases(receivedMs);
+    const isFirstReport = !this.hasResponded;
     this.hasResponded = true;
     this.hasLastRenewalFailed = false;
     this.isLastRenewalRefused = false;
@@ -903,7 +944,15 @@
     this.retryDelayMs = RENEWAL_RETRY_MS;
     this.isOutOfCapacity = false;
     this.hasListedEnds = report.ended.length > 0;
+    const fenceReport = this.fence.recordReport(
+      report.startMs,
+      fencingToken,
+      report.startMs !== this.processStartMs,
+    );
     this.recordProcess(report);
+    if (isFirstReport) this.limitPreviousTermLeases(report.startMs);
+    else if (fenceReport !== 'unchanged') this.extendToLongestLease();
+    this.checkFencingTokens();
     this.grantedUntilMs = undefined;
     const {clockMs} = report;
     const reportedMs = this.reportTimes.addReport({
@@ -925,16 +974,60 @@
     return (lastRenewal?.number ?? 0) > number ? lastRenewal : undefined;
   }
 
-  /** A worker that has accepted this term accepts no further leases of earlier terms. */
-  private limitPreviousTermLeases(nowMs: number): void {
-    this.leaseEndMs = Math.min(this.leaseEndMs, nowMs + MAX_LEASE_VALIDITY_MS);
+  /**
+   * A worker that has accepted this term accepts no further leases of earlier terms. It
+   * may hold the longest one, unless its process is known to have been fenced before.
+   */
+  private limitPreviousTermLeases(processStartMs: number): void {
+    const longLeaseEndMs = this.options.getLongLeaseEndMs(processStartMs);
+    if (longLeaseEndMs === undefined) {
+      this.leaseEndMs = -Infinity;
+      this.extendToLongestLease();
+      return;
+    }
+    const nowMs = this.options.clock.getMonotonicMs();
+    const endMs = Math.max(nowMs + MAX_LEASE_VALIDITY_MS, longLeaseEndMs);
+    this.leaseEndMs = Math.min(this.leaseEndMs, endMs);
+  }
+
+  /**
+   * Extends the time for which runs are kept to that of a lease whose expiry counts on the
+   * clock of a former process, and which the worker has shortened to its maximum.
+   */
+  private extendToLongestLease(): void {
+    const {clock, maxLeaseMs, listener} = this.options;
+    const durationMs = getLongestLeaseValidityMs(maxLeaseMs);
+    this.extendLeaseEnd(clock.getMonotonicMs() + durationMs);
+    listener.onLongLease(this);
+  }
+
+  /**
+   * Fences the calls to former processes with the next call, once another process has
+   * registered. It may execute their start commands before that, or while it is cut off.
+   */
+  private fenceRegisteredProcess(): void {
+    if (!this.fence.recordRegistration(this.record.startMs)) return;
+    const hasOpenStarts = [...this.load.getRuns()].some(
+      ({run}) => run.openStarts > 0,
+    );
+    if (hasOpenStarts) this.extendToLongestLease();
+    this.checkFencingTokens();
+  }
+
+  private checkFencingTokens(): void {
+    if (this.fence.isUsedUp())
+      this.options.listener.onFencingTokensUsedUp(this);
+  }
+
+  /** Checks whether a refused call was meant for a former process, so that the refusal tells nothing of the term. */
+  private isFormer(fencingToken: number): boolean {
+    return fencingToken < this.fence.getToken();
   }
 
   private recordProcess(report: LeaseReport): void {
     const {startMs: processStartMs} = report;
     if (processStartMs === this.processStartMs) return;
     const previousStartMs = this.processStartMs;
-    this.extendLeaseToOtherProcess(report);
     this.processStartMs = processStartMs;
     this.startBackoff.reset();
     this.reportTimes.reset();
@@ -944,16 +1037,6 @@
     this.options.listener.onProcessRestarted(this, previousStartMs);
   }
 
-  /** A process may have executed the renewal of a lease that was counted on the clock of the previous one. */
-  private extendLeaseToOtherProcess({clockMs}: LeaseReport): void {
-    if (this.grantedUntilMs === undefined) return;
-    const {clock, maxLeaseMs} = this.options;
-    const leaseMs = Math.min(this.grantedUntilMs - clockMs, maxLeaseMs);
-    this.extendLeaseEnd(
-      clock.getMonotonicMs() + leaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS,
-    );
-  }
-
   /**
    * A new worker process does not continue the runs of the previous one. It may
    * however execute a start command that was meant for that one, unless the run
@@ -1124,7 +1207,7 @@
 
   /** Stops a run of a task that is not known, such as one of a job whose records were deleted. */
   private async stopUnknownRun(running: RunningRun): Promise<void> {
-    const {clock, client, fencingToken} = this.options;
+    const {clock, client} = this.options;
     const {taskName, runNumber} = running;
     const key = getRunKey(taskName, runNumber);
     const nowMs = clock.getMonotonicMs();
@@ -1133,7 +1216,12 @@
     this.unknownRunStopTimes.set(key, nowMs);
     const worker = this.record;
     await this.track(
-      client.stopRun({worker, taskName, runNumber, fencingToken}),
+      client.stopRun({
+        worker,
+        taskName,
+        runNumber,
+        fencingToken: this.fence.getToken(),
+      }),
     );
   }
 
@@ -1324,7 +1412,7 @@
       worker: this.record,
       taskName: assigned.taskName,
       runNumber: assigned.run.runNumber,
-      fencingToken: this.options.fencingToken,
+      fencingToken: this.fence.getToken(),
     };
   }
 
@@ -1375,6 +1463,15 @@
   }
 }
 
+/**
+ * Gets the upper bound for the time that a lease of the maximum duration keeps runs
+ * going, on the coordinator's clock.
+ * @param maxLeaseMs - Maximum lease duration that the platform grants.
+ */
+export function getLongestLeaseValidityMs(maxLeaseMs: number): number {
+  return maxLeaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
+}
+
 /** Checks whether a run of this term was still to be started when it was given up. */
 function isUnstarted({job, task, run}: AssignedRun): boolean {
   if (run.isConfirmed || run.isAdopted) return false;
--- a/packages/coordination/test/commit_log.test.ts
+++ b/packages/coordination/test/commit_log.test.ts
@@ -45,7 +45,9 @@
     const first = await fixture.createLog('node-1');
     await fixture.runUntilSettled(fixture.commit(first, 'one'));
     const second = await fixture.createLog('node-2');
-    expect(second.term).to.equal(first.term + 1);
+    expect(second.getFirstFencingToken()).to.equal(first.term + 1);
+    expect(second.term).to.be.above(second.getFirstFencingToken());
+    expect(second.runRange).to.equal(first.runRange + 1);
     expect(
       await fixture.runUntilSettled(fixture.commit(second, 'two')),
     ).to.equal('committed');
--- a/packages/coordination/test/late_reports.test.ts
+++ b/packages/coordination/test/late_reports.test.ts
@@ -114,6 +114,8 @@
     onUnknownRun: ignore,
     onCommandUnanswered: ignore,
     onFenced: ignore,
+    onFencingTokensUsedUp: () => undefined,
+    onLongLease: () => undefined,
     onLeasesSuspended: ignore,
   };
   // Other workers, so that one may be quarantined.
@@ -123,7 +125,9 @@
     clock,
     client,
     listener,
-    fencingToken: 1,
+    firstFencingToken: 1,
+    lastFencingToken: 1_000,
+    getLongLeaseEndMs: () => -Infinity,
     record: RECORD,
     maxLeaseMs: 10_000,
     isTermConfirmed: () => true,
--- a/packages/coordination/test/renewal_bursts.test.ts
+++ b/packages/coordination/test/renewal_bursts.test.ts
@@ -82,13 +82,17 @@
     onUnknownRun: ignore,
     onCommandUnanswered: ignore,
     onFenced: ignore,
+    onFencingTokensUsedUp: () => undefined,
+    onLongLease: () => undefined,
     onLeasesSuspended: ignore,
   };
   return WorkerSession.create({
     clock,
     client,
     listener,
-    fencingToken: 1,
+    firstFencingToken: 1,
+    lastFencingToken: 1_000,
+    getLongLeaseEndMs: () => -Infinity,
     record: RECORD,
     maxLeaseMs: 10_000,
     isTermConfirmed: () => true,
--- a/packages/coordination/test/simultaneous_losses.test.ts
+++ b/packages/coordination/test/simultaneous_losses.test.ts
@@ -95,13 +95,17 @@
     onUnknownRun: ignore,
     onCommandUnanswered: ignore,
     onFenced: ignore,
+    onFencingTokensUsedUp: () => undefined,
+    onLongLease: () => undefined,
     onLeasesSuspended: ignore,
   };
   return WorkerSession.create({
     clock,
     client,
     listener,
-    fencingToken: 1,
+    firstFencingToken: 1,
+    lastFencingToken: 1_000,
+    getLongLeaseEndMs: () => -Infinity,
     record: createRecord(workerId),
     maxLeaseMs: 10_000,
     isTermConfirmed: () => true,
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -20,6 +20,7 @@
 import {AssignedRun} from '../src/worker_load.js';
 import {WorkerPool} from '../src/worker_pool.js';
 import {SessionListener} from '../src/worker_session.js';
+import {FencingTokens} from '../src/fencing_tokens.js';
 import {LeaseBounds} from '../src/lease_bounds.js';
 import {LeaseLimit} from '../src/lease_limit.js';
 import {ScriptedJobWorkerClient} from './scripted_job_worker_client.js';
@@ -116,9 +117,13 @@
       onUnknownRun: () => undefined,
       onCommandUnanswered: () => undefined,
       onFenced: () => undefined,
+      onFencingTokensUsedUp: () => undefined,
+      onLongLease: () => undefined,
       onLeasesSuspended: () => undefined,
     },
-    fencingToken: 1,
+    fencingTokens: FencingTokens.create(1, 1_000),
+    areStoredProcessesFenced: false,
+    isFirstTerm: true,
     maxLeaseMs: 10_000,
     isTermConfirmed: () => true,
     areRegistrationsCurrent: () => true,
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -101,6 +101,8 @@
       onUnknownRun: () => this.reportedRun,
       onCommandUnanswered: () => undefined,
       onFenced: () => this.fencedCount++,
+      onFencingTokensUsedUp: () => undefined,
+      onLongLease: () => undefined,
       onLeasesSuspended: (_session, leaseEndMs) =>
         this.suspendedLeaseEndsMs.push(leaseEndMs),
     };
@@ -108,7 +110,9 @@
       clock: this.clock,
       client: this.client,
       listener,
-      fencingToken: 1,
+      firstFencingToken: 1,
+      lastFencingToken: 1_000,
+      getLongLeaseEndMs: () => -Infinity,
       record: RECORD,
       maxLeaseMs: 10_000,
       isTermConfirmed: () => this.isTermConfirmed,
