Wait for open starts of a former worker process only with the runs they concern

Cause: once another process of a silent worker has registered, it may execute a start command that was meant for the former one, under the longest lease. The whole worker was taken for holding that lease, and a bound that was stored for its leases before could be shorter.

--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -28,6 +28,11 @@
    * which rejects all of them from then on. Absent until one was sent.
    */
   startLeaseUntilMs?: number;
+  /**
+   * Monotonic time by which a registered process that has not reported has ended the run,
+   * if it has executed an open start command for the former one.
+   */
+  openStartLeaseEndMs?: number;
   /** Monotonic time since which the task could be placed; absent if it was not placed by this term. */
   placeableMs?: number;
   /** Time of the first report that lists the run, on the clock of the worker process. */
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -115,8 +115,8 @@
   /** Called when the process may hold a longer lease than granted, from a call to a former one. */
   onLongLease(session: WorkerSession): void;
   /**
-   * Called when the worker does not respond and has runs. No lease is granted any
-   * more until `resumeLeases` is called.
+   * Called when the worker does not respond and has runs, and again when its leases may
+   * last longer. No lease is granted any more until `resumeLeases` is called.
    * @param leaseEndMs - Monotonic time by which all leases have expired.
    */
   onLeasesSuspended(session: WorkerSession, leaseEndMs: number): void;
@@ -580,9 +580,7 @@
     } else if (this.getSilenceMs() < FIRST_RESPONSE_TIMEOUT_MS) {
       return;
     }
-    this.areLeasesSuspended = true;
-    this.suspensionCount++;
-    this.options.listener.onLeasesSuspended(this, this.leaseEndMs);
+    this.suspendLeases();
   }
 
   /**
@@ -813,6 +811,23 @@
     return call;
   }
 
+  private suspendLeases(): void {
+    this.areLeasesSuspended = true;
+    this.suspensionCount++;
+    this.options.listener.onLeasesSuspended(this, this.getLastLeaseEndMs());
+  }
+
+  /**
+   * Gets the monotonic time by which all leases have expired, including that of a
+   * registered process that executes an open start command.
+   */
+  private getLastLeaseEndMs(): number {
+    let endMs = this.leaseEndMs;
+    for (const {openStartLeaseEndMs = endMs} of this.load.getRuns())
+      endMs = Math.max(endMs, openStartLeaseEndMs);
+    return endMs;
+  }
+
   private getPollTimeoutMs(): number {
     return this.calls.isLossy() || this.isLeaseLimited()
       ? SHORT_POLL_TIMEOUT_MS
@@ -1007,11 +1022,16 @@
    */
   private fenceRegisteredProcess(): void {
     if (!this.fence.recordRegistration(this.record.startMs)) return;
-    const hasOpenStarts = [...this.load.getRuns()].some(
+    this.checkFencingTokens();
+    const {clock, maxLeaseMs} = this.options;
+    const endMs =
+      clock.getMonotonicMs() + getLongestLeaseValidityMs(maxLeaseMs);
+    const openRuns = [...this.load.getRuns()].filter(
       ({run}) => run.openStarts > 0,
     );
-    if (hasOpenStarts) this.extendToLongestLease();
-    this.checkFencingTokens();
+    if (openRuns.length === 0) return;
+    for (const assigned of openRuns) assigned.openStartLeaseEndMs = endMs;
+    if (this.areLeasesSuspended) this.suspendLeases();
   }
 
   private checkFencingTokens(): void {
@@ -1051,6 +1071,7 @@
         continue;
       }
       run.workerStartMs = this.processStartMs;
+      assigned.openStartLeaseEndMs = undefined;
       assigned.commandResponseMs = undefined;
       assigned.startLeaseUntilMs = undefined;
       assigned.firstListedClockMs = undefined;
@@ -1160,11 +1181,15 @@
   }
 
   private dropExpiredRuns(): void {
-    if (this.options.clock.getMonotonicMs() < this.leaseEndMs) return;
-    if (!this.hasLastRenewalFailed || this.load.getRunCount() === 0) return;
+    const nowMs = this.options.clock.getMonotonicMs();
+    if (nowMs < this.leaseEndMs || !this.hasLastRenewalFailed) return;
     if (this.getSilenceMs() < MIN_GIVE_UP_AGE_MS) return;
+    const expiredRuns = [...this.load.getRuns()].filter(
+      ({openStartLeaseEndMs = -Infinity}) => nowMs >= openStartLeaseEndMs,
+    );
+    if (expiredRuns.length === 0) return;
     this.reportLoss(false);
-    for (const assigned of [...this.load.getRuns()])
+    for (const assigned of expiredRuns)
       this.dropRun(assigned, 'its lease expired');
   }
 
