Log the end of a worker's leases with what determines it

The events showed a run given up because "its lease expired", whatever that time was based on, so that a lease unknown to a successor and a late call of a former process looked the same.

Cause: the end of a worker's leases was a bare time. No event told it, nor that the first response in a term cuts the wait for leases of earlier terms short, nor which process executed a start.

Change, without any of logic: LeaseEnd holds the time with its source and what it would be without limits. `run-lost` tells all three, and is also recorded for runs of workers that are not registered, which had none. `worker-restarted` tells by how much the leases were extended. `term-accepted` is new, one for each worker and term: process, worker clock, lease end with and without the limit. `run-process-changed` is new: a process lists a run that was placed on another one. No event for renewals; the counter of events by name covers restarts and lost runs, so no new metric.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -14,6 +14,7 @@
 import {
   EndedRun,
   JobWorkerClient,
+  LeaseReport,
   RefusalReason,
   RunningRun,
 } from '@mustardlug/platform/job_worker_client';
@@ -37,7 +38,9 @@
 import {DoubtfulCrashes} from './doubtful_crashes.js';
 import {
   countUnregistered,
+  formatExpiry,
   formatFleetLoad,
+  formatLeaseEnd,
   formatMaxStarts,
   formatOrphanedRuns,
   formatPassTimes,
@@ -434,7 +437,7 @@
     this.options.events.addEvent('run-lost', {
       taskId: assigned.taskName,
       workerId: session.getId(),
-      detail: `${formatRun(assigned.run)}: ${reason}; the worker's process is ${session.getProcessStartMs()}, its last response is ${session.getResponseAgeMs()} ms old`,
+      detail: `${formatRun(assigned.run)}: ${reason}; the worker's process is ${session.getProcessStartMs()}, its last response is ${session.getResponseAgeMs()} ms old; ${this.formatLeaseEnd(session)}`,
     });
     this.admissionControl.recordRunEnd(assigned, false);
     this.releaseRun(assigned);
@@ -472,10 +475,35 @@
     });
   }
 
-  onProcessRestarted(session: WorkerSession, previousStartMs: number): void {
+  onFirstResponse(session: WorkerSession, report: LeaseReport): void {
+    this.options.events.addEvent('term-accepted', {
+      workerId: session.getId(),
+      detail: `process ${report.startMs}, its clock ${Math.round(report.clockMs)}; ${this.formatLeaseEnd(session)}`,
+    });
+  }
+
+  onProcessRestarted(
+    session: WorkerSession,
+    previousStartMs: number,
+    previousLeaseEndMs: number,
+  ): void {
+    const extendedMs = Math.round(session.getLeaseEndMs() - previousLeaseEndMs);
     this.options.events.addEvent('worker-restarted', {
       workerId: session.getId(),
-      detail: `process ${session.getProcessStartMs()} after ${previousStartMs}, ${session.load.getRunCount()} runs assigned, registration of process ${session.getRecord().startMs}`,
+      detail: `process ${session.getProcessStartMs()} after ${previousStartMs}, ${session.load.getRunCount()} runs assigned, registration of process ${session.getRecord().startMs}; ${this.formatLeaseEnd(session)}, ${extendedMs} ms later than before`,
+    });
+  }
+
+  onRunProcessChanged(
+    session: WorkerSession,
+    {taskName, run}: AssignedRun,
+    report: LeaseReport,
+    placedStartMs: number,
+  ): void {
+    this.options.events.addEvent('run-process-changed', {
+      taskId: taskName,
+      workerId: session.getId(),
+      detail: `run ${run.runNumber} was placed on process ${placedStartMs}, listed by process ${report.startMs}, its clock ${Math.round(report.clockMs)}`,
     });
   }
 
@@ -1044,6 +1072,11 @@
     return placeableMs;
   }
 
+  private formatLeaseEnd(session: WorkerSession): string {
+    const nowMs = this.options.clock.getMonotonicMs();
+    return formatLeaseEnd(session.getLeaseEnd(), nowMs);
+  }
+
   /** Records with a run that its worker may hold a lease of which the status does not tell. */
   private recordLongLease(session: WorkerSession, run: TaskRun): void {
     const leaseEndMs = session.getLeaseEndMs();
@@ -1133,6 +1166,13 @@
 
   private releaseOrphan(assigned: AssignedRun): void {
     const reason = 'the worker was lost before this term';
+    const nowMs = this.options.clock.getMonotonicMs();
+    const endMs = this.workerPool.getOrphanedRuns().get(assigned) ?? nowMs;
+    this.options.events.addEvent('run-lost', {
+      taskId: assigned.taskName,
+      workerId: assigned.run.workerId,
+      detail: `${formatRun(assigned.run)}: ${reason}; leases ${formatExpiry(endMs, nowMs)}`,
+    });
     this.jobTracker.recordStartCrash({assigned, isAttributed: false, reason});
     this.releaseRun(assigned);
     this.workerPool.removeOrphan(assigned);
--- a/packages/coordination/src/fleet_report.ts
+++ b/packages/coordination/src/fleet_report.ts
@@ -2,6 +2,7 @@
 
 import {JobState, TaskRun} from '@mustardlug/jobs/job_state';
 import {QueueLoad} from './coordinator_status.js';
+import {LeaseEnd} from './lease_end.js';
 import {PassTimes} from './pass_times.js';
 import {isWaitingTask, PlacedStep} from './placement_pass.js';
 import {isSuspected} from './start_crashes.js';
@@ -228,6 +229,31 @@
   return Math.round(millis / CPU_MILLIS_PER_CORE);
 }
 
+/**
+ * Formats when the leases of a worker expire, what determines this time, and when they
+ * would without limits.
+ * @param leaseEnd - End of the leases.
+ * @param nowMs - Monotonic time.
+ */
+export function formatLeaseEnd(leaseEnd: LeaseEnd, nowMs: number): string {
+  const {endMs, source, unlimitedEndMs} = leaseEnd;
+  const text = `leases ${formatExpiry(endMs, nowMs)} by ${source}`;
+  if (unlimitedEndMs <= endMs) return text;
+  return `${text}, unlimited ${formatExpiry(unlimitedEndMs, nowMs)}`;
+}
+
+/**
+ * Formats when leases expire.
+ * @param endMs - Monotonic time at which they have expired.
+ * @param nowMs - Monotonic time.
+ */
+export function formatExpiry(endMs: number, nowMs: number): string {
+  const remainingMs = Math.round(endMs - nowMs);
+  return remainingMs > 0
+    ? `expire in ${remainingMs} ms`
+    : `expired ${-remainingMs} ms ago`;
+}
+
 /**
  * Formats a run: its number, the worker process that it was sent to, and what
  * is known of it.
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -30,6 +30,8 @@
   startLeaseUntilMs?: number;
   /** Monotonic time since which the task could be placed; absent if it was not placed by this term. */
   placeableMs?: number;
+  /** Start time of the process that the run was placed on, if it is another one than that of the run. */
+  placedStartMs?: number;
   /** Time of the first report that lists the run, on the clock of the worker process. */
   firstListedClockMs?: number;
 }
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -332,7 +332,12 @@
       ? this.getPreviousLeaseEndMs(session.getId())
       : leaseLimit.getLatestPreviousEndMs();
     const boundMs = leaseBounds.getLeaseEndMs(session.getId()) ?? Infinity;
-    session.extendLeaseEnd(Math.min(endMs, boundMs));
+    if (boundMs < endMs) session.extendLeaseEnd(boundMs, 'stored-bound');
+    else
+      session.extendLeaseEnd(
+        endMs,
+        isSameProcess ? 'earlier-terms' : 'other-process',
+      );
   }
 }
 
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -14,6 +14,7 @@
 } from '@mustardlug/platform/job_worker_client';
 import {Result} from 'neverthrow';
 import {CallCounts, CallHistory, WorkerCall} from './call_history.js';
+import {LeaseEnd, LeaseEndSource} from './lease_end.js';
 import {ReportTimes} from './report_times.js';
 import {StartBackoff} from './start_backoff.js';
 import {OwnDelay} from './own_delay.js';
@@ -90,8 +91,33 @@
   ): void;
   /** Called when a run has certainly not started and cannot start any more. */
   onRunNotStarted(assigned: AssignedRun): void;
-  /** Called when a report comes from another process than the previous one. */
-  onProcessRestarted(session: WorkerSession, previousStartMs: number): void;
+  /**
+   * Called at the first response of the worker in this term.
+   * @param report - The response, which is not applied yet.
+   */
+  onFirstResponse(session: WorkerSession, report: LeaseReport): void;
+  /**
+   * Called when a report comes from another process than the previous one.
+   * @param previousStartMs - Start time of the previous process.
+   * @param previousLeaseEndMs - Monotonic time by which its leases have expired, which
+   *     may be earlier than for the new process.
+   */
+  onProcessRestarted(
+    session: WorkerSession,
+    previousStartMs: number,
+    previousLeaseEndMs: number,
+  ): void;
+  /**
+   * Called when a process lists a run for the first time that was placed on another one.
+   * @param report - The report that lists it.
+   * @param placedStartMs - Start time of the process that the run was placed on.
+   */
+  onRunProcessChanged(
+    session: WorkerSession,
+    assigned: AssignedRun,
+    report: LeaseReport,
+    placedStartMs: number,
+  ): void;
   /**
    * Called when the worker reports a run that is not assigned to it.
    * @returns The run with its task, or `undefined` if no such task is known.
@@ -293,8 +319,8 @@
   private grantedUntilMs: number | undefined;
   /** Whether the next renewal has to grant a longer lease than that in progress. */
   private isExtensionDue = false;
-  /** Monotonic time at which all leases have expired, including those of earlier terms. */
-  private leaseEndMs: number;
+  /** When all leases have expired, including those of earlier terms. */
+  private leaseEnd: LeaseEnd;
   private areLeasesSuspended: boolean;
   /** Number of times that leases were suspended. */
   private suspensionCount = 0;
@@ -328,7 +354,7 @@
     this.calls = CallHistory.create(clock, options.startWindow.eventLoopDelay);
     this.createdMs = clock.getMonotonicMs();
     this.areLeasesSuspended = leaseBoundMs !== undefined;
-    this.leaseEndMs = Math.min(previousLeaseEndMs, leaseBoundMs ?? Infinity);
+    this.leaseEnd = LeaseEnd.create(previousLeaseEndMs, leaseBoundMs);
   }
 
   /**
@@ -389,7 +415,8 @@
   isObsolete(retentionMs: number): boolean {
     if (this.isRegistered || !this.hasLastRenewalFailed) return false;
     if (this.load.getRunCount() > 0) return false;
-    if (this.options.clock.getMonotonicMs() < this.leaseEndMs) return false;
+    if (this.options.clock.getMonotonicMs() < this.getLeaseEndMs())
+      return false;
     return this.getSilenceMs() >= retentionMs;
   }
 
@@ -423,14 +450,20 @@
   /**
    * Extends the time for which runs are kept if the worker does not respond.
    * @param leaseEndMs - Monotonic time by which all leases have expired.
+   * @param source - What determines this time.
    */
-  extendLeaseEnd(leaseEndMs: number): void {
-    this.leaseEndMs = Math.max(this.leaseEndMs, leaseEndMs);
+  extendLeaseEnd(leaseEndMs: number, source: LeaseEndSource): void {
+    this.leaseEnd = this.leaseEnd.extend(leaseEndMs, source);
   }
 
   /** Gets the monotonic time from which runs are given up if the worker does not respond. */
   getLeaseEndMs(): number {
-    return this.leaseEndMs;
+    return this.leaseEnd.endMs;
+  }
+
+  /** Gets when all leases have expired, with what determines it. */
+  getLeaseEnd(): LeaseEnd {
+    return this.leaseEnd;
   }
 
   /** Gets the time since the last response to a lease renewal; infinite before the first one. */
@@ -555,7 +588,7 @@
     }
     this.areLeasesSuspended = true;
     this.suspensionCount++;
-    this.options.listener.onLeasesSuspended(this, this.leaseEndMs);
+    this.options.listener.onLeasesSuspended(this, this.getLeaseEndMs());
   }
 
   /**
@@ -879,7 +912,10 @@
       0,
       Math.min(LEASE_MS, maxLeaseMs, remainingMs / CLOCK_DRIFT_FACTOR),
     );
-    this.extendLeaseEnd(nowMs + leaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS);
+    this.extendLeaseEnd(
+      nowMs + leaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS,
+      'grant',
+    );
     const {clockMs, receivedMs} = this.workerClock ?? {
       clockMs: 0,
       receivedMs: nowMs,
@@ -893,7 +929,7 @@
     if (this.isOtherProcess(report.startMs)) this.reportLoss(true);
     this.workerClock = {clockMs: report.clockMs, receivedMs};
     this.lastResponseMs = receivedMs;
-    if (!this.hasResponded) this.limitPreviousTermLeases(receivedMs);
+    if (!this.hasResponded) this.limitPreviousTermLeases(report, receivedMs);
     this.hasResponded = true;
     this.hasLastRenewalFailed = false;
     this.isLastRenewalRefused = false;
@@ -926,14 +962,19 @@
   }
 
   /** A worker that has accepted this term accepts no further leases of earlier terms. */
-  private limitPreviousTermLeases(nowMs: number): void {
-    this.leaseEndMs = Math.min(this.leaseEndMs, nowMs + MAX_LEASE_VALIDITY_MS);
+  private limitPreviousTermLeases(report: LeaseReport, nowMs: number): void {
+    this.leaseEnd = this.leaseEnd.limit(
+      nowMs + MAX_LEASE_VALIDITY_MS,
+      'first-response',
+    );
+    this.options.listener.onFirstResponse(this, report);
   }
 
   private recordProcess(report: LeaseReport): void {
     const {startMs: processStartMs} = report;
     if (processStartMs === this.processStartMs) return;
     const previousStartMs = this.processStartMs;
+    const previousEndMs = this.getLeaseEndMs();
     this.extendLeaseToOtherProcess(report);
     this.processStartMs = processStartMs;
     this.startBackoff.reset();
@@ -941,7 +982,11 @@
     this.processedSequence = 0;
     this.unacknowledgedEnds = [];
     this.acknowledgedSequence = 0;
-    this.options.listener.onProcessRestarted(this, previousStartMs);
+    this.options.listener.onProcessRestarted(
+      this,
+      previousStartMs,
+      previousEndMs,
+    );
   }
 
   /** A process may have executed the renewal of a lease that was counted on the clock of the previous one. */
@@ -951,6 +996,7 @@
     const leaseMs = Math.min(this.grantedUntilMs - clockMs, maxLeaseMs);
     this.extendLeaseEnd(
       clock.getMonotonicMs() + leaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS,
+      'other-process',
     );
   }
 
@@ -967,6 +1013,7 @@
         this.dropRun(assigned, 'the worker was restarted');
         continue;
       }
+      assigned.placedStartMs ??= run.workerStartMs;
       run.workerStartMs = this.processStartMs;
       assigned.commandResponseMs = undefined;
       assigned.startLeaseUntilMs = undefined;
@@ -987,9 +1034,12 @@
         void this.stopUnknownRun(running);
         continue;
       }
-      if (assigned.run.workerStartMs !== report.startMs)
+      if (assigned.run.workerStartMs !== report.startMs) {
         assigned.firstListedClockMs = undefined;
+        assigned.placedStartMs ??= assigned.run.workerStartMs;
+      }
       assigned.run.workerStartMs = report.startMs;
+      this.reportProcessChange(assigned, report);
       this.confirmListedRun(assigned, reportedMs);
       assigned.run.progressPercent = running.progressPercent;
       assigned.run.progressAgeMs = Math.max(
@@ -1015,6 +1065,17 @@
     }
   }
 
+  private reportProcessChange(
+    assigned: AssignedRun,
+    report: LeaseReport,
+  ): void {
+    const {placedStartMs, firstListedClockMs} = assigned;
+    if (placedStartMs === undefined || placedStartMs === report.startMs) return;
+    if (firstListedClockMs !== undefined) return;
+    const {listener} = this.options;
+    listener.onRunProcessChanged(this, assigned, report, placedStartMs);
+  }
+
   /** Confirms a run that may have started as late as this report if its start was not answered. */
   private confirmListedRun(assigned: AssignedRun, reportedMs: number): void {
     const {run} = assigned;
@@ -1077,7 +1138,7 @@
   }
 
   private dropExpiredRuns(): void {
-    if (this.options.clock.getMonotonicMs() < this.leaseEndMs) return;
+    if (this.options.clock.getMonotonicMs() < this.getLeaseEndMs()) return;
     if (!this.hasLastRenewalFailed || this.load.getRunCount() === 0) return;
     if (this.getSilenceMs() < MIN_GIVE_UP_AGE_MS) return;
     this.reportLoss(false);
--- a/packages/coordination/test/fleet_report.test.ts
+++ b/packages/coordination/test/fleet_report.test.ts
@@ -1,6 +1,11 @@
 import {expect} from 'chai';
 import {getWaitingSteps} from '../src/placement_pass.js';
-import {formatRestoredJobs, formatTrials} from '../src/fleet_report.js';
+import {
+  formatLeaseEnd,
+  formatRestoredJobs,
+  formatTrials,
+} from '../src/fleet_report.js';
+import {LeaseEnd} from '../src/lease_end.js';
 import {SAMPLE_QUEUE} from '@mustardlug/standins/sample_jobs';
 import {
   addTaskRun,
@@ -25,6 +30,19 @@
   });
 });
 
+describe('formatLeaseEnd', () => {
+  it('names the time and what determines it', () => {
+    const leaseEnd = LeaseEnd.create(9_000);
+    expect(formatLeaseEnd(leaseEnd, 1_000)).to.equal(
+      'leases expire in 8000 ms by earlier-terms',
+    );
+    const limited = leaseEnd.limit(5_450.4, 'first-response');
+    expect(formatLeaseEnd(limited, 5_462)).to.equal(
+      'leases expired 12 ms ago by first-response, unlimited expire in 3538 ms',
+    );
+  });
+});
+
 describe('formatTrials', () => {
   it('counts the suspected tasks that wait and the jobs without a run', () => {
     const jobs = [1, 2, 3].map(() =>
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -8,6 +8,7 @@
   WorkerRecord,
 } from '@mustardlug/platform/job_worker_client';
 import {expect} from 'chai';
+import {LeaseEnd} from '../src/lease_end.js';
 import {AssignedRun} from '../src/worker_load.js';
 import {
   MAX_LEASE_VALIDITY_MS,
@@ -50,6 +51,9 @@
 /** Time after which a worker counts as not responding. */
 const SILENCE_MS = 2_500;
 
+/** Time in which a renewal without a response is repeated. */
+const RENEWAL_RETRY_MS = 200;
+
 /** Time in which a renewal completes and the next stop command is not due yet. */
 const RENEWAL_MS = 50;
 
@@ -74,6 +78,12 @@
   fencedCount = 0;
   /** Expiry of the leases at each suspension. */
   readonly suspendedLeaseEndsMs: number[] = [];
+  /** End of the leases at each first response. */
+  readonly firstLeaseEnds: LeaseEnd[] = [];
+  /** By how much each restart extended the leases. */
+  readonly restartExtensionsMs: number[] = [];
+  /** Number of each run that is listed by another process, the process that it was placed on, and that one. */
+  readonly changedProcesses: number[][] = [];
   areRegistrationsCurrent = true;
   isStoreResponding = true;
   isTermConfirmed = true;
@@ -95,7 +105,14 @@
       onRunProven: assigned => this.provenRuns.push(assigned),
       onStartRefused: () => undefined,
       onRunNotStarted: assigned => this.releasedRuns.push(assigned),
-      onProcessRestarted: () => undefined,
+      onFirstResponse: session =>
+        this.firstLeaseEnds.push(session.getLeaseEnd()),
+      onProcessRestarted: (session, _previousStartMs, previousLeaseEndMs) =>
+        this.restartExtensionsMs.push(
+          session.getLeaseEndMs() - previousLeaseEndMs,
+        ),
+      onRunProcessChanged: (_session, {run}, {startMs}, placedStartMs) =>
+        this.changedProcesses.push([run.runNumber, placedStartMs, startMs]),
       onCheckpointOmitted: (_assigned, length) =>
         this.omittedCheckpointLengths.push(length),
       onUnknownRun: () => this.reportedRun,
@@ -174,6 +191,69 @@
     session.stop();
   });
 
+  // Two runs of a task looked alike in the log, whatever the wait for the first one was based on.
+  describe('telling what determines the end of its leases', () => {
+    it('reports the first response in a term once, with the limit that it sets', async () => {
+      const fixture = SessionFixture.create();
+      const {session, clock} = fixture;
+      const previousEndMs = clock.getMonotonicMs() + 3 * MAX_LEASE_VALIDITY_MS;
+      session.extendLeaseEnd(previousEndMs, 'earlier-terms');
+      void session.run();
+      await fixture.report();
+      await fixture.report();
+      expect(session.getLeaseEnd().source).to.equal('grant');
+      expect(session.getLeaseEnd().unlimitedEndMs).to.equal(previousEndMs);
+      expect(fixture.firstLeaseEnds).to.have.length(1);
+      const [firstEnd] = fixture.firstLeaseEnds;
+      expect(firstEnd.source).to.equal('first-response');
+      expect(firstEnd.endMs).to.be.below(previousEndMs);
+      expect(firstEnd.unlimitedEndMs).to.equal(previousEndMs);
+      session.stop();
+    });
+
+    it('reports by how much a restart extends the leases', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client} = fixture;
+      void session.run();
+      await fixture.report({clockMs: 60_000});
+      client.report = undefined;
+      await fixture.clock.advance(RENEWAL_MS);
+      const previousEndMs = session.getLeaseEndMs();
+      client.report = createReport({startMs: PROCESS_START_MS + 1});
+      await fixture.clock.advance(RENEWAL_RETRY_MS);
+      expect(session.getLeaseEnd().source).to.equal('other-process');
+      expect(fixture.restartExtensionsMs).to.deep.equal([
+        session.getLeaseEndMs() - previousEndMs,
+      ]);
+      expect(fixture.restartExtensionsMs[0]).to.be.above(0);
+      session.stop();
+    });
+
+    it('reports once that a later process lists a run', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned} = fixture;
+      void session.run();
+      await fixture.report();
+      client.startResponses.push('none');
+      void session.startRun(assigned);
+      await clock.advance(0);
+      // The first report of the next process precedes its execution of the start command.
+      const startMs = PROCESS_START_MS + 1;
+      for (let count = 0; count < 50; count++)
+        client.stopResponses.push('none');
+      await fixture.report({startMs});
+      expect(fixture.changedProcesses).to.deep.equal([]);
+      const running = [createRunning(assigned)];
+      await fixture.report({startMs, running});
+      await fixture.report({startMs, running});
+      const {runNumber} = assigned.run;
+      expect(fixture.changedProcesses).to.deep.equal([
+        [runNumber, PROCESS_START_MS, startMs],
+      ]);
+      session.stop();
+    });
+  });
+
   // One long checkpoint cost its worker, and the work of its neighbours there.
   it('keeps the previous checkpoint of a task if the next one is too large, and its neighbours theirs', async () => {
     const fixture = SessionFixture.create();
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -321,7 +321,7 @@
   'run-lost': {
     number: 832,
     level: 'warn',
-    text: 'A run is known to have stopped, and no end was reported for it.',
+    text: 'A run is known to have stopped, and no end was reported for it; the detail tells when the leases of its worker expire and what determines this time.',
   },
   'checkpoint-omitted': {
     number: 851,
@@ -366,7 +366,17 @@
   'worker-restarted': {
     number: 841,
     level: 'warn',
-    text: 'A report came from another process of a worker than the one before.',
+    text: 'A report came from another process of a worker than the one before; the detail tells how long its leases may last.',
+  },
+  'term-accepted': {
+    number: 856,
+    level: 'info',
+    text: 'A worker responded for the first time in a term; the detail tells when its leases expire, and whether the response shortened the wait for those of earlier terms.',
+  },
+  'run-process-changed': {
+    number: 857,
+    level: 'warn',
+    text: 'A worker process lists a run that was placed on another one, whose start command it executed.',
   },
   'run-unknown': {
     number: 842,
