--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -14,6 +14,7 @@
 } from '@mustardlug/platform/job_worker_client';
 import {Result} from 'neverthrow';
 import {CallCounts, CallHistory, WorkerCall} from './call_history.js';
+import {LeaseEnd, LeaseEndSource} from './lease_end.js';
 import {ProcessFence} from './process_fence.js';
 import {ReportTimes} from './report_times.js';
 import {StartBackoff} from './start_backoff.js';
@@ -92,8 +93,33 @@
   ): void;
   /** Called when a run has certainly not started and cannot start any more. */
   onRunNotStarted(assigned: AssignedRun): void;
-  /** Called when a report comes from another process than the previous one. */
-  onProcessRestarted(session: WorkerSession, previousStartMs: number): void;
+  /**
+   * Called at the first response of the worker in this term.
+   * @param report - The response, which is not applied yet.
+   */
+  onFirstResponse(session: WorkerSession, report: LeaseReport): void;
+  /**
+   * Called when a report comes from another process than the previous one.
+   * @param previousStartMs - Start time of the previous process.
+   * @param previousLeaseEndMs - Monotonic time by which its leases have expired, which
+   *     may be earlier than for the new process.
+   */
+  onProcessRestarted(
+    session: WorkerSession,
+    previousStartMs: number,
+    previousLeaseEndMs: number,
+  ): void;
+  /**
+   * Called when a process lists a run for the first time that was placed on another one.
+   * @param report - The report that lists it.
+   * @param placedStartMs - Start time of the process that the run was placed on.
+   */
+  onRunProcessChanged(
+    session: WorkerSession,
+    assigned: AssignedRun,
+    report: LeaseReport,
+    placedStartMs: number,
+  ): void;
   /**
    * Called when the worker reports a run that is not assigned to it.
    * @returns The run with its task, or `undefined` if no such task is known.
@@ -308,8 +334,8 @@
   private grantedUntilMs: number | undefined;
   /** Whether the next renewal has to grant a longer lease than that in progress. */
   private isExtensionDue = false;
-  /** Monotonic time at which all leases have expired, including those of earlier terms. */
-  private leaseEndMs: number;
+  /** When all leases have expired, including those of earlier terms. */
+  private leaseEnd: LeaseEnd;
   private areLeasesSuspended: boolean;
   /** Number of times that leases were suspended. */
   private suspensionCount = 0;
@@ -348,7 +374,7 @@
     this.calls = CallHistory.create(clock, options.startWindow.eventLoopDelay);
     this.createdMs = clock.getMonotonicMs();
     this.areLeasesSuspended = leaseBoundMs !== undefined;
-    this.leaseEndMs = Math.min(previousLeaseEndMs, leaseBoundMs ?? Infinity);
+    this.leaseEnd = LeaseEnd.create(previousLeaseEndMs, leaseBoundMs);
   }
 
   /**
@@ -368,6 +394,11 @@
     return this.record;
   }
 
+  /** Checks whether the process that reported last rejects all calls to former ones. */
+  isProcessFenced(): boolean {
+    return this.fence.isFenced();
+  }
+
   /** Gets the fencing token of the calls to the worker. */
   getFencingToken(): number {
     return this.fence.getToken();
@@ -415,7 +446,8 @@
   isObsolete(retentionMs: number): boolean {
     if (this.isRegistered || !this.hasLastRenewalFailed) return false;
     if (this.load.getRunCount() > 0) return false;
-    if (this.options.clock.getMonotonicMs() < this.leaseEndMs) return false;
+    if (this.options.clock.getMonotonicMs() < this.getLeaseEndMs())
+      return false;
     return this.getSilenceMs() >= retentionMs;
   }
 
@@ -450,14 +482,20 @@
   /**
    * Extends the time for which runs are kept if the worker does not respond.
    * @param leaseEndMs - Monotonic time by which all leases have expired.
+   * @param source - What determines this time.
    */
-  extendLeaseEnd(leaseEndMs: number): void {
-    this.leaseEndMs = Math.max(this.leaseEndMs, leaseEndMs);
+  extendLeaseEnd(leaseEndMs: number, source: LeaseEndSource): void {
+    this.leaseEnd = this.leaseEnd.extend(leaseEndMs, source);
   }
 
   /** Gets the monotonic time from which runs are given up if the worker does not respond. */
   getLeaseEndMs(): number {
-    return this.leaseEndMs;
+    return this.leaseEnd.endMs;
+  }
+
+  /** Gets when all leases have expired, with what determines it. */
+  getLeaseEnd(): LeaseEnd {
+    return this.leaseEnd;
   }
 
   /** Gets the time since the last response to a lease renewal; infinite before the first one. */
@@ -822,7 +860,7 @@
    * registered process that executes an open start command.
    */
   private getLastLeaseEndMs(): number {
-    let endMs = this.leaseEndMs;
+    let endMs = this.getLeaseEndMs();
     for (const {openStartLeaseEndMs = endMs} of this.load.getRuns())
       endMs = Math.max(endMs, openStartLeaseEndMs);
     return endMs;
@@ -931,7 +969,10 @@
       0,
       Math.min(LEASE_MS, maxLeaseMs, remainingMs / CLOCK_DRIFT_FACTOR),
     );
-    this.extendLeaseEnd(nowMs + leaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS);
+    this.extendLeaseEnd(
+      nowMs + leaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS,
+      'grant',
+    );
     const {clockMs, receivedMs} = this.workerClock ?? {
       clockMs: 0,
       receivedMs: nowMs,
@@ -959,15 +1000,11 @@
     this.retryDelayMs = RENEWAL_RETRY_MS;
     this.isOutOfCapacity = false;
     this.hasListedEnds = report.ended.length > 0;
-    const fenceReport = this.fence.recordReport(
-      report.startMs,
-      fencingToken,
-      report.startMs !== this.processStartMs,
-    );
-    this.recordProcess(report);
-    if (isFirstReport) this.limitPreviousTermLeases(report.startMs);
-    else if (fenceReport !== 'unchanged') this.extendToLongestLease();
-    this.checkFencingTokens();
+    const previousEndMs = this.getLeaseEndMs();
+    const isFenceUnchanged = this.updateFence(report, fencingToken);
+    if (isFirstReport) this.limitPreviousTermLeases(report);
+    else if (!isFenceUnchanged) this.extendToLongestLease();
+    this.recordProcess(report, previousEndMs);
     this.grantedUntilMs = undefined;
     const {clockMs} = report;
     const reportedMs = this.reportTimes.addReport({
@@ -993,16 +1030,17 @@
    * A worker that has accepted this term accepts no further leases of earlier terms. It
    * may hold the longest one, unless its process is known to have been fenced before.
    */
-  private limitPreviousTermLeases(processStartMs: number): void {
-    const longLeaseEndMs = this.options.getLongLeaseEndMs(processStartMs);
-    if (longLeaseEndMs === undefined) {
-      this.leaseEndMs = -Infinity;
-      this.extendToLongestLease();
-      return;
-    }
-    const nowMs = this.options.clock.getMonotonicMs();
-    const endMs = Math.max(nowMs + MAX_LEASE_VALIDITY_MS, longLeaseEndMs);
-    this.leaseEndMs = Math.min(this.leaseEndMs, endMs);
+  private limitPreviousTermLeases(report: LeaseReport): void {
+    const {clock, maxLeaseMs, listener} = this.options;
+    const nowMs = clock.getMonotonicMs();
+    const longLeaseEndMs = this.options.getLongLeaseEndMs(report.startMs);
+    const endMs =
+      longLeaseEndMs === undefined
+        ? nowMs + getLongestLeaseValidityMs(maxLeaseMs)
+        : Math.max(nowMs + MAX_LEASE_VALIDITY_MS, longLeaseEndMs);
+    this.leaseEnd = this.leaseEnd.limit(endMs, 'first-response');
+    if (longLeaseEndMs === undefined) this.extendToLongestLease();
+    listener.onFirstResponse(this, report);
   }
 
   /**
@@ -1012,7 +1050,7 @@
   private extendToLongestLease(): void {
     const {clock, maxLeaseMs, listener} = this.options;
     const durationMs = getLongestLeaseValidityMs(maxLeaseMs);
-    this.extendLeaseEnd(clock.getMonotonicMs() + durationMs);
+    this.extendLeaseEnd(clock.getMonotonicMs() + durationMs, 'other-process');
     listener.onLongLease(this);
   }
 
@@ -1034,6 +1072,18 @@
     if (this.areLeasesSuspended) this.suspendLeases();
   }
 
+  /** Returns whether the process was known to reject calls to former ones before this report. */
+  private updateFence({startMs}: LeaseReport, fencingToken: number): boolean {
+    const isOtherProcess = startMs !== this.processStartMs;
+    const fenceReport = this.fence.recordReport(
+      startMs,
+      fencingToken,
+      isOtherProcess,
+    );
+    this.checkFencingTokens();
+    return fenceReport === 'unchanged';
+  }
+
   private checkFencingTokens(): void {
     if (this.fence.isUsedUp())
       this.options.listener.onFencingTokensUsedUp(this);
@@ -1044,7 +1094,7 @@
     return fencingToken < this.fence.getToken();
   }
 
-  private recordProcess(report: LeaseReport): void {
+  private recordProcess(report: LeaseReport, previousEndMs: number): void {
     const {startMs: processStartMs} = report;
     if (processStartMs === this.processStartMs) return;
     const previousStartMs = this.processStartMs;
@@ -1054,7 +1104,11 @@
     this.processedSequence = 0;
     this.unacknowledgedEnds = [];
     this.acknowledgedSequence = 0;
-    this.options.listener.onProcessRestarted(this, previousStartMs);
+    this.options.listener.onProcessRestarted(
+      this,
+      previousStartMs,
+      previousEndMs,
+    );
   }
 
   /**
@@ -1070,6 +1124,7 @@
         this.dropRun(assigned, 'the worker was restarted');
         continue;
       }
+      assigned.placedStartMs ??= run.workerStartMs;
       run.workerStartMs = this.processStartMs;
       assigned.openStartLeaseEndMs = undefined;
       assigned.commandResponseMs = undefined;
@@ -1091,9 +1146,12 @@
         void this.stopUnknownRun(running);
         continue;
       }
-      if (assigned.run.workerStartMs !== report.startMs)
+      if (assigned.run.workerStartMs !== report.startMs) {
         assigned.firstListedClockMs = undefined;
+        assigned.placedStartMs ??= assigned.run.workerStartMs;
+      }
       assigned.run.workerStartMs = report.startMs;
+      this.reportProcessChange(assigned, report);
       this.confirmListedRun(assigned, reportedMs);
       assigned.run.progressPercent = running.progressPercent;
       assigned.run.progressAgeMs = Math.max(
@@ -1119,6 +1177,17 @@
     }
   }
 
+  private reportProcessChange(
+    assigned: AssignedRun,
+    report: LeaseReport,
+  ): void {
+    const {placedStartMs, firstListedClockMs} = assigned;
+    if (placedStartMs === undefined || placedStartMs === report.startMs) return;
+    if (firstListedClockMs !== undefined) return;
+    const {listener} = this.options;
+    listener.onRunProcessChanged(this, assigned, report, placedStartMs);
+  }
+
   /** Confirms a run that may have started as late as this report if its start was not answered. */
   private confirmListedRun(assigned: AssignedRun, reportedMs: number): void {
     const {run} = assigned;
@@ -1182,7 +1251,7 @@
 
   private dropExpiredRuns(): void {
     const nowMs = this.options.clock.getMonotonicMs();
-    if (nowMs < this.leaseEndMs || !this.hasLastRenewalFailed) return;
+    if (nowMs < this.getLeaseEndMs() || !this.hasLastRenewalFailed) return;
     if (this.getSilenceMs() < MIN_GIVE_UP_AGE_MS) return;
     const expiredRuns = [...this.load.getRuns()].filter(
       ({openStartLeaseEndMs = -Infinity}) => nowMs >= openStartLeaseEndMs,
