Take no process for fenced because a run was moved to it

Callers could still see a task run twice after a takeover (found by a scripted test of each order, on the state before): a run whose start had got no response was moved to the next process of its worker before that had executed a call with its own fencing token, and stored with it. The successor took the process for fenced, and waited 5.45 s from its first response, although late calls of its predecessor had given the process the longest lease.

Change: while the process is not fenced, its runs are stored with an unknown end of its leases, which is no proof for a successor. An earlier build reads it as later than the longest wait.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -8,6 +8,7 @@
   StepState,
   TaskRun,
   TaskState,
+  UNKNOWN_LEASE_END_STORE_MS,
 } from '@mustardlug/jobs/job_state';
 import {getPartKeyRange} from '@mustardlug/jobs/progress_parts';
 import {DeploymentConfig} from '@mustardlug/jobs/queue_config';
@@ -1097,11 +1098,18 @@
 
   /**
    * Records with a run that its worker may hold a lease of which the status does not tell.
+   * Without such a record, a successor takes the process of the run for fenced.
    */
   private recordLongLease(session: WorkerSession, run: TaskRun): void {
+    if (!session.isProcessFenced()) {
+      run.longLeaseEndStoreMs = UNKNOWN_LEASE_END_STORE_MS;
+      return;
+    }
     const leaseEndMs = session.getLeaseEndMs();
     const endStoreMs = this.leaseLimit.getLongLeaseEndStoreMs(leaseEndMs);
-    if (endStoreMs !== undefined) run.longLeaseEndStoreMs = endStoreMs;
+    const isReplaced = run.longLeaseEndStoreMs === UNKNOWN_LEASE_END_STORE_MS;
+    if (endStoreMs !== undefined || isReplaced)
+      run.longLeaseEndStoreMs = endStoreMs;
   }
 
   private startRun(session: WorkerSession, assigned: AssignedRun): void {
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -2,7 +2,11 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {AppError} from '@mustardlug/base/errors';
-import {JobState, TaskState} from '@mustardlug/jobs/job_state';
+import {
+  JobState,
+  TaskState,
+  UNKNOWN_LEASE_END_STORE_MS,
+} from '@mustardlug/jobs/job_state';
 import {
   JobWorkerClient,
   WorkerRecord,
@@ -280,7 +284,10 @@
 
   private recordLongLease({run}: AssignedRun): void {
     const {workerId, workerStartMs, longLeaseEndStoreMs} = run;
-    if (this.options.areStoredProcessesFenced)
+    const isFenced =
+      this.options.areStoredProcessesFenced &&
+      longLeaseEndStoreMs !== UNKNOWN_LEASE_END_STORE_MS;
+    if (isFenced)
       this.fencedProcesses.add(getProcessKey(workerId, workerStartMs));
     if (longLeaseEndStoreMs === undefined) return;
     const {leaseLimit} = this.options;
--- a/packages/jobs/src/job_state.ts
+++ b/packages/jobs/src/job_state.ts
@@ -16,6 +16,9 @@
 /** Maximum number of bytes of a UTF-16 code unit in JSON. */
 const MAX_JSON_CHARACTER_BYTES = 6;
 
+/** End of leases that is not known. An earlier build takes it for later than the longest wait. */
+export const UNKNOWN_LEASE_END_STORE_MS = Number.MAX_SAFE_INTEGER;
+
 /** One run of a task on a worker. */
 export interface TaskRun {
   readonly runNumber: number;
@@ -45,7 +48,8 @@
   isProven: boolean;
   /**
    * Time of the store by which all leases of the worker have expired, if that is later
-   * than the coordinator's status declares for all workers.
+   * than the coordinator's status declares for all workers; `UNKNOWN_LEASE_END_STORE_MS`
+   * if its process may still execute calls to former ones.
    */
   longLeaseEndStoreMs?: number;
   /** Whether a stop was requested; the end of the run then does not count as a failure. */
