Stand-ins: hold calls for the next process, vary its clock and the longest lease

Callers saw tasks run twice after restarts that no stand-in could replay: a call that arrives while a worker is down was always lost in the model, the clock of each process started at 0, and the longest lease was 10 s.

Change: a call to a worker that is down can be held, so that the next process executes it whether or not the caller still waits (holdMs); the clock of the next process can go on or be far ahead; the harness takes the longest lease as an option. All of it is off by default.

--- a/packages/experiments/src/job_harness.ts
+++ b/packages/experiments/src/job_harness.ts
@@ -20,6 +20,7 @@
 import {WorkerRecord} from '@mustardlug/platform/job_worker_client';
 import {
   JobWorkerModel,
+  ProcessClock,
   WorkerKind,
 } from '@mustardlug/standins/job_worker_model';
 import {
@@ -48,8 +49,8 @@
 /** Table in which the harness registers workers. */
 export const WORKER_TABLE = 'workers';
 
-/** Maximum lease duration that workers grant. */
-const MAX_LEASE_MS = 10_000;
+/** Maximum lease duration that workers grant by default. */
+const DEFAULT_MAX_LEASE_MS = 10_000;
 
 /** Retention period of ended jobs. */
 const ENDED_JOB_RETENTION_MS = 120_000;
@@ -115,6 +116,8 @@
   readonly sink?: EventSink;
   /** Seed of the random losses and delays of calls to workers. */
   readonly seed?: number;
+  /** Maximum lease duration that workers grant; `DEFAULT_MAX_LEASE_MS` if absent. */
+  readonly maxLeaseMs?: number;
   /** Speed of the clock of each worker; 0.98 is 2 % slow. */
   readonly workerClockRate?: number;
   /** Gets the properties of a worker that differ from the default. */
@@ -128,6 +131,8 @@
   readonly delayMs: number;
   /** Properties of the next process that differ from those of the previous one. */
   readonly kind?: WorkerKind;
+  /** Clock of the next process; by default it starts anew. */
+  readonly clock?: ProcessClock;
   /** Registration of the next process; by default it registers when it starts. */
   readonly registration?: 'current' | 'outdated' | 'removed';
 }
@@ -255,7 +260,7 @@
           workerTable: WORKER_TABLE,
           decodeWorker: decodeRegistration,
           getConfig: () => this.getConfig(),
-          maxLeaseMs: MAX_LEASE_MS,
+          maxLeaseMs: this.getMaxLeaseMs(),
           keepEndedMs: ENDED_JOB_RETENTION_MS,
           events,
           onWork: (kind, count) =>
@@ -324,7 +329,7 @@
     if (restart.registration === 'removed') this.unregister(workerId);
     this.clock.setTimer(restart.delayMs, () => {
       if (worker.isUp()) return;
-      worker.restart(restart.kind);
+      worker.restart(restart.kind, restart.clock);
       if ((restart.registration ?? 'current') === 'current')
         this.register(workerId);
     });
@@ -571,7 +576,7 @@
       onTaskCrash: () => this.scheduleRecovery(worker, recovery),
       observer: this.checker,
       performanceModel: this.options.performanceModel,
-      maxLeaseMs: MAX_LEASE_MS,
+      maxLeaseMs: this.getMaxLeaseMs(),
       clockRate: this.options.workerClockRate,
       getTaskNeeds: this.options.guardsCapacity?.(record.workerId)
         ? taskName => this.getCountedNeeds(taskName)
@@ -635,6 +640,10 @@
     return step.isFiller ? {...step.needs, cpuMillis: 0} : step.needs;
   }
 
+  private getMaxLeaseMs(): number {
+    return this.options.maxLeaseMs ?? DEFAULT_MAX_LEASE_MS;
+  }
+
   private getConfig(): DeploymentConfig {
     return {
       version: 1,
--- a/packages/standins/src/job_worker_model.ts
+++ b/packages/standins/src/job_worker_model.ts
@@ -40,6 +40,12 @@
   Pick<WorkerRecord, 'capacity' | 'labels' | 'rack'>
 >;
 
+/**
+ * Clock of a process that is not the first one of its worker: it starts at 0, goes on
+ * from the clock of the previous process, or is far ahead of it.
+ */
+export type ProcessClock = 'anew' | 'continued' | 'ahead';
+
 export interface JobWorkerModelOptions {
   readonly clock: Clock;
   readonly record: WorkerRecord;
@@ -158,6 +164,9 @@
 /** Difference between the start times of two consecutive processes of a worker. */
 const PROCESS_START_STEP_MS = 1_000;
 
+/** Time by which a clock is ahead of that of the previous process. */
+const CLOCK_JUMP_MS = 3_600_000;
+
 /** State machine of one worker. */
 export class JobWorkerModel {
   readonly behavior: JobWorkerBehavior = {
@@ -227,12 +236,15 @@
   /**
    * Restarts the worker under the same id, without its previous state.
    * @param kind - Properties that differ from those of the previous process.
+   * @param clock - Clock of the next process.
    */
-  restart(kind: WorkerKind = {}): void {
+  restart(kind: WorkerKind = {}, clock: ProcessClock = 'anew'): void {
     this.isDown = false;
     const startMs = this.record.startMs + PROCESS_START_STEP_MS;
     this.record = {...this.record, ...kind, startMs};
-    this.clockStartMs = this.options.clock.getMonotonicMs();
+    if (clock === 'anew')
+      this.clockStartMs = this.options.clock.getMonotonicMs();
+    else if (clock === 'ahead') this.clockStartMs -= CLOCK_JUMP_MS;
     this.closedRuns.clear();
     this.endedRuns = [];
     this.sequence = 0;
@@ -326,7 +338,7 @@
     };
   }
 
-  /** Gets the time of the worker's own clock, which starts with its process. */
+  /** Gets the time of the worker's own clock. */
   getClockMs(): number {
     const elapsedMs = this.options.clock.getMonotonicMs() - this.clockStartMs;
     return elapsedMs * this.getClockRate();
--- a/packages/standins/src/model_job_worker_client.ts
+++ b/packages/standins/src/model_job_worker_client.ts
@@ -46,6 +46,11 @@
   shiftsLateLeases: boolean;
   /** Whether calls that are executed late reach a process that was started after they were sent. */
   reachesNextProcess: boolean;
+  /**
+   * Maximum time for which a call to a worker that is down is held, so that its next
+   * process executes it; at 0, the call is lost.
+   */
+  holdMs: number;
   /** Number of next commands that are executed but whose response is lost. */
   loseNextAnswers: number;
 }
@@ -65,6 +70,7 @@
     maxLateMs: 0,
     shiftsLateLeases: false,
     reachesNextProcess: false,
+    holdMs: 0,
     loseNextAnswers: 0,
   };
 }
@@ -98,6 +104,10 @@
 /** Time beyond the requested wait after which a lease renewal times out. */
 const RENEWAL_TIMEOUT_MARGIN_MS = 500;
 
+/** Range of the interval at which a held call tries to reach the worker. */
+const MIN_HOLD_RETRY_MS = 5;
+const MAX_HOLD_RETRY_MS = 100;
+
 /** Worker client that calls the models directly, in virtual time. */
 export class ModelJobWorkerClient extends JobWorkerClient {
   /** Number of calls by worker ID. */
@@ -126,7 +136,7 @@
   override async renewLease(
     request: LeaseRenewal,
   ): Promise<Result<LeaseReport, JobWorkerError>> {
-    const {clock, faults} = this.options;
+    const {clock} = this.options;
     const {worker: address, waitMs} = request;
     this.countCall(address);
     const timeoutMs = waitMs + RENEWAL_TIMEOUT_MARGIN_MS;
@@ -141,10 +151,21 @@
       return this.simulateTimeout(timeoutMs);
     }
     const worker = this.findRunningWorker(address);
-    if (worker === undefined) return this.simulateTimeout(timeoutMs);
+    if (worker === undefined)
+      return this.hold(address, timeoutMs, next =>
+        this.executeRenewal(next, request),
+      );
+    return this.executeRenewal(worker, request);
+  }
+
+  private async executeRenewal(
+    worker: JobWorkerModel,
+    request: LeaseRenewal,
+  ): Promise<Result<LeaseReport, JobWorkerError>> {
+    const {clock, faults} = this.options;
     const report = await worker.renew(request);
     await clock.sleep(ONE_WAY_DELAY_MS);
-    const isAnswered = report !== undefined && this.canReceive(address);
+    const isAnswered = report !== undefined && this.canReceive(request.worker);
     if (!isAnswered || this.isLost(faults.lossProbability))
       return this.simulateTimeout(RENEWAL_TIMEOUT_MARGIN_MS);
     await this.waitUntilResumed();
@@ -185,7 +206,7 @@
       timing: CallTiming,
     ) => RunCommandOutcome | undefined,
   ): Promise<Result<void, JobWorkerError>> {
-    const {clock, faults} = this.options;
+    const {clock} = this.options;
     this.countCall(address);
     await clock.sleep(ONE_WAY_DELAY_MS);
     if (!this.canSend(address)) return this.simulateTimeout(COMMAND_TIMEOUT_MS);
@@ -194,8 +215,24 @@
       return this.simulateTimeout(COMMAND_TIMEOUT_MS);
     }
     const worker = this.findRunningWorker(address);
-    if (worker === undefined) return this.simulateTimeout(COMMAND_TIMEOUT_MS);
-    const outcome = execute(worker, {delayMs: 0, leaseShiftMs: 0});
+    if (worker === undefined) {
+      const sentMs = clock.getMonotonicMs();
+      return this.hold(address, COMMAND_TIMEOUT_MS, next => {
+        const delayMs = clock.getMonotonicMs() - sentMs;
+        return this.respond(address, execute(next, {delayMs, leaseShiftMs: 0}));
+      });
+    }
+    return this.respond(
+      address,
+      execute(worker, {delayMs: 0, leaseShiftMs: 0}),
+    );
+  }
+
+  private async respond(
+    address: JobWorkerAddress,
+    outcome: RunCommandOutcome | undefined,
+  ): Promise<Result<void, JobWorkerError>> {
+    const {clock, faults} = this.options;
     if (outcome === undefined) return this.simulateTimeout(COMMAND_TIMEOUT_MS);
     if (faults.loseNextAnswers > 0) {
       faults.loseNextAnswers--;
@@ -220,9 +257,8 @@
       return false;
     if (faults.requestBlockedWorkers.has(workerId)) return false;
     if (this.isLost(faults.lossProbability)) return false;
-    return (
-      faults.reachesNextProcess || this.findRunningWorker(address) !== undefined
-    );
+    if (faults.reachesNextProcess || faults.holdMs > 0) return true;
+    return this.findRunningWorker(address) !== undefined;
   }
 
   private canReceive({workerId}: JobWorkerAddress): boolean {
@@ -268,6 +304,37 @@
     });
   }
 
+  /**
+   * Holds a call to a worker that is down until its next process executes it. The caller
+   * may have given up by then.
+   */
+  private hold<T>(
+    address: JobWorkerAddress,
+    timeoutMs: number,
+    execute: (worker: JobWorkerModel) => Promise<Result<T, JobWorkerError>>,
+  ): Promise<Result<T, JobWorkerError>> {
+    const timeout = this.simulateTimeout<T>(timeoutMs);
+    if (this.options.faults.holdMs === 0) return timeout;
+    const response = this.waitForNextProcess(address).then(worker =>
+      worker === undefined ? timeout : execute(worker),
+    );
+    return Promise.race([timeout, response]);
+  }
+
+  private async waitForNextProcess(
+    address: JobWorkerAddress,
+  ): Promise<JobWorkerModel | undefined> {
+    const {clock, faults, random} = this.options;
+    const endMs = clock.getMonotonicMs() + faults.holdMs;
+    const spreadMs = MAX_HOLD_RETRY_MS - MIN_HOLD_RETRY_MS;
+    while (clock.getMonotonicMs() < endMs) {
+      await clock.sleep(MIN_HOLD_RETRY_MS + random.getIndex(spreadMs));
+      const worker = this.findRunningWorker(address);
+      if (worker !== undefined) return worker;
+    }
+    return undefined;
+  }
+
   private findRunningWorker({
     workerId,
   }: JobWorkerAddress): JobWorkerModel | undefined {
--- a/packages/standins/test/job_worker_model.test.ts
+++ b/packages/standins/test/job_worker_model.test.ts
@@ -102,3 +102,23 @@
     expect(worker.isUp()).to.equal(true);
   });
 });
+
+describe('JobWorkerModel that restarts', () => {
+  it('reads a clock that starts anew, goes on or is ahead', async () => {
+    const {clock, worker} = new CrashScenario(undefined);
+    await clock.advance(20_000);
+    for (const [processClock, isAhead] of [
+      ['continued', false],
+      ['ahead', true],
+    ] as const) {
+      const previousMs = worker.getClockMs();
+      worker.crash();
+      worker.restart({}, processClock);
+      expect(worker.getClockMs() > previousMs + 60_000).to.equal(isAhead);
+      expect(worker.getClockMs()).to.be.at.least(previousMs);
+    }
+    worker.crash();
+    worker.restart();
+    expect(worker.getClockMs()).to.equal(0);
+  });
+});
