Allow for late calls while a worker process is not fenced

Change: until the process is fenced, and for a registered process that may execute open starts, the wait allows for calls that are executed 5 s late. Once it is fenced, the longest lease counts from that report as before, so that usual restarts wait no longer.

--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -15,7 +15,7 @@
 import {Result} from 'neverthrow';
 import {CallCounts, CallHistory, WorkerCall} from './call_history.js';
 import {LeaseEnd, LeaseEndSource} from './lease_end.js';
-import {ProcessFence} from './process_fence.js';
+import {FenceReport, ProcessFence} from './process_fence.js';
 import {ReportTimes} from './report_times.js';
 import {StartBackoff} from './start_backoff.js';
 import {OwnDelay} from './own_delay.js';
@@ -234,6 +234,12 @@
 export const MAX_LEASE_VALIDITY_MS =
   LEASE_MS * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
 
+/**
+ * Time after which a call without a response is taken to be executed no more. Matters
+ * only for calls to a former process while the next one has not been fenced.
+ */
+const MAX_CALL_DELAY_MS = 5_000;
+
 /** Duration of the shortest lease that is worth granting; covers a renewal. */
 const MIN_LEASE_MS = 200;
 
@@ -1001,9 +1007,10 @@
     this.isOutOfCapacity = false;
     this.hasListedEnds = report.ended.length > 0;
     const previousEndMs = this.getLeaseEndMs();
-    const isFenceUnchanged = this.updateFence(report, fencingToken);
+    const fenceReport = this.updateFence(report, fencingToken);
     if (isFirstReport) this.limitPreviousTermLeases(report);
-    else if (!isFenceUnchanged) this.extendToLongestLease();
+    else if (fenceReport === 'fenced') this.limitToLongestLease();
+    else if (fenceReport === 'unfenced') this.extendToLateLease();
     this.recordProcess(report, previousEndMs);
     this.grantedUntilMs = undefined;
     const {clockMs} = report;
@@ -1031,27 +1038,41 @@
    * may hold the longest one, unless its process is known to have been fenced before.
    */
   private limitPreviousTermLeases(report: LeaseReport): void {
-    const {clock, maxLeaseMs, listener} = this.options;
-    const nowMs = clock.getMonotonicMs();
-    const longLeaseEndMs = this.options.getLongLeaseEndMs(report.startMs);
-    const endMs =
-      longLeaseEndMs === undefined
-        ? nowMs + getLongestLeaseValidityMs(maxLeaseMs)
-        : Math.max(nowMs + MAX_LEASE_VALIDITY_MS, longLeaseEndMs);
-    this.leaseEnd = this.leaseEnd.limit(endMs, 'first-response');
-    if (longLeaseEndMs === undefined) this.extendToLongestLease();
+    const {clock, listener, getLongLeaseEndMs} = this.options;
+    const longLeaseEndMs = getLongLeaseEndMs(report.startMs);
+    if (longLeaseEndMs === undefined) {
+      this.limitToLongestLease();
+    } else {
+      const grantEndMs = clock.getMonotonicMs() + MAX_LEASE_VALIDITY_MS;
+      const endMs = Math.max(grantEndMs, longLeaseEndMs);
+      this.leaseEnd = this.leaseEnd.limit(endMs, 'first-response');
+    }
     listener.onFirstResponse(this, report);
   }
 
   /**
-   * Extends the time for which runs are kept to that of a lease whose expiry counts on the
-   * clock of a former process, and which the worker has shortened to its maximum.
+   * Takes the worker for holding the longest lease from now on: its process has executed
+   * calls to former ones, whose expiry counts on their clocks, but accepts no more of them.
    */
-  private extendToLongestLease(): void {
-    const {clock, maxLeaseMs, listener} = this.options;
-    const durationMs = getLongestLeaseValidityMs(maxLeaseMs);
-    this.extendLeaseEnd(clock.getMonotonicMs() + durationMs, 'other-process');
-    listener.onLongLease(this);
+  private limitToLongestLease(): void {
+    const endMs = this.getLongestLeaseEndMs();
+    this.leaseEnd = this.leaseEnd
+      .limit(endMs, 'other-process')
+      .extend(endMs, 'other-process');
+    this.options.listener.onLongLease(this);
+  }
+
+  /** Takes the worker for holding the longest lease from a call to a former process that is still to be executed. */
+  private extendToLateLease(): void {
+    const endMs = this.getLongestLeaseEndMs() + MAX_CALL_DELAY_MS;
+    this.extendLeaseEnd(endMs, 'other-process');
+    this.options.listener.onLongLease(this);
+  }
+
+  /** Gets the monotonic time by which a lease of the maximum duration has expired that is granted now. */
+  private getLongestLeaseEndMs(): number {
+    const {clock, maxLeaseMs} = this.options;
+    return clock.getMonotonicMs() + getLongestLeaseValidityMs(maxLeaseMs);
   }
 
   /**
@@ -1061,9 +1082,7 @@
   private fenceRegisteredProcess(): void {
     if (!this.fence.recordRegistration(this.record.startMs)) return;
     this.checkFencingTokens();
-    const {clock, maxLeaseMs} = this.options;
-    const endMs =
-      clock.getMonotonicMs() + getLongestLeaseValidityMs(maxLeaseMs);
+    const endMs = this.getLongestLeaseEndMs() + MAX_CALL_DELAY_MS;
     const openRuns = [...this.load.getRuns()].filter(
       ({run}) => run.openStarts > 0,
     );
@@ -1072,8 +1091,10 @@
     if (this.areLeasesSuspended) this.suspendLeases();
   }
 
-  /** Returns whether the process was known to reject calls to former ones before this report. */
-  private updateFence({startMs}: LeaseReport, fencingToken: number): boolean {
+  private updateFence(
+    {startMs}: LeaseReport,
+    fencingToken: number,
+  ): FenceReport {
     const isOtherProcess = startMs !== this.processStartMs;
     const fenceReport = this.fence.recordReport(
       startMs,
@@ -1081,7 +1102,7 @@
       isOtherProcess,
     );
     this.checkFencingTokens();
-    return fenceReport === 'unchanged';
+    return fenceReport;
   }
 
   private checkFencingTokens(): void {
