Tell from the response to a start which worker process has executed it

Callers could see a task run twice without any late or lost call: a run that was placed in the up to 1.5 s in which the restart of its worker had not been noticed was started by the next process, whose lease then counted on the former clock.

Cause: the response tells the time of the worker's clock, which was not read.

Change: a response whose clock is behind that of the last report comes from another process. The token rises, the wait becomes that of the longest lease, and the run is stored without proof that its process was fenced. Event start-on-other-clock.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -589,6 +589,20 @@
     this.finish('tokens-used-up');
   }
 
+  onOtherClock(
+    session: WorkerSession,
+    assigned: AssignedRun,
+    clockMs: number,
+  ): void {
+    this.options.events.addEvent('start-on-other-clock', {
+      taskId: assigned.taskName,
+      workerId: session.getId(),
+      detail: `${formatRun(assigned.run)}: the clock of the process that executed it is ${Math.round(clockMs)}; ${this.formatLeaseEnd(session)}`,
+    });
+    this.jobTracker.markChanged(assigned.job);
+    this.schedulePass();
+  }
+
   onLongLease(session: WorkerSession): void {
     for (const {run} of session.load.getRuns())
       this.recordLongLease(session, run);
--- a/packages/coordination/src/process_fence.ts
+++ b/packages/coordination/src/process_fence.ts
@@ -24,8 +24,8 @@
 /** Chooses the fencing token of the calls to one worker, and knows whether its process has seen it. */
 export class ProcessFence {
   private token: number;
-  /** Latest process that is known, by its report or its registration. */
-  private latestStartMs: number;
+  /** Latest process by its report or its registration; undefined if neither tells its start time. */
+  private latestStartMs: number | undefined;
   /** Whether the worker has reported in this term. Before, it is only asked for reports. */
   private hasReported = false;
   private isProcessFenced = false;
@@ -78,6 +78,11 @@
     return true;
   }
 
+  /** Records that another process has executed a call, which has not reported. */
+  recordUnknownProcess(): void {
+    this.recordProcess(undefined);
+  }
+
   /**
    * Records a report.
    * @param startMs - Start time of the process that reported.
@@ -100,7 +105,7 @@
     return this.isProcessFenced ? 'unchanged' : 'unfenced';
   }
 
-  private recordProcess(startMs: number): void {
+  private recordProcess(startMs: number | undefined): void {
     this.latestStartMs = startMs;
     if (!this.hasReported) return;
     this.isProcessFenced = false;
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -9,6 +9,7 @@
   RefusalReason,
   RunCommand,
   RunningRun,
+  StartReceipt,
   WorkerRecord,
   JobWorkerError,
 } from '@mustardlug/platform/job_worker_client';
@@ -140,6 +141,16 @@
   onFencingTokensUsedUp(session: WorkerSession): void;
   /** Called when the process may hold a longer lease than granted, from a call to a former one. */
   onLongLease(session: WorkerSession): void;
+  /**
+   * Called when the response to a start command shows that a process has executed it
+   * whose clock is behind that of the process it was meant for.
+   * @param clockMs - Time of its clock.
+   */
+  onOtherClock(
+    session: WorkerSession,
+    assigned: AssignedRun,
+    clockMs: number,
+  ): void;
   /**
    * Called when the worker does not respond and has runs, and again when its leases may
    * last longer. No lease is granted any more until `resumeLeases` is called.
@@ -227,6 +238,9 @@
 /** Allowance for a worker clock that runs slow. The platform's contract permits 2 %. */
 const CLOCK_DRIFT_FACTOR = 1.03;
 
+/** Allowance for clock readings in whole milliseconds. */
+const CLOCK_ROUNDING_MS = 1;
+
 /** Allowance for the time that a worker takes to handle a command. */
 const LEASE_MARGIN_MS = 300;
 
@@ -303,6 +317,13 @@
 /** Minimum time between two stop commands for the same unknown run. */
 const UNKNOWN_RUN_STOP_INTERVAL_MS = 500;
 
+/** Time of a worker's clock in a report. */
+interface ClockReading {
+  readonly clockMs: number;
+  /** Monotonic time at which the report was received. */
+  readonly receivedMs: number;
+}
+
 /** What became of a renewal by the time that the next one may be sent. */
 type RenewalProgress = 'reported' | 'failed' | 'overdue';
 
@@ -335,7 +356,7 @@
   private endRenewalWait: ((progress: RenewalProgress) => void) | undefined;
   /** Unexpected error while a report was applied. */
   private reportError: Error | undefined;
-  private workerClock: {clockMs: number; receivedMs: number} | undefined;
+  private workerClock: ClockReading | undefined;
   /** Expiry of the lease that renewals have granted since the last report, on the worker's clock. */
   private grantedUntilMs: number | undefined;
   /** Whether the next renewal has to grant a longer lease than that in progress. */
@@ -1400,8 +1421,9 @@
 
   private async sendStart(
     assigned: AssignedRun,
-  ): Promise<Result<void, JobWorkerError>> {
+  ): Promise<Result<StartReceipt, JobWorkerError>> {
     const {run, job, task} = assigned;
+    const {processStartMs, workerClock} = this;
     const leaseUntilMs = this.grantLease();
     assigned.startLeaseUntilMs = Math.max(
       assigned.startLeaseUntilMs ?? -Infinity,
@@ -1426,6 +1448,12 @@
       isAnswered ? clock.getMonotonicMs() - command.sentMs : undefined,
     );
     if (isAnswered) ownDelay.recordSince('answered', command.sentMs);
+    const clockMs = getResponseClock(outcome);
+    const isOtherClock =
+      clockMs !== undefined &&
+      processStartMs === this.processStartMs &&
+      clockMs < getMinClock(workerClock, command.sentMs);
+    if (isOtherClock) this.recordOtherClock(assigned, clockMs);
     const isSettled =
       isAnswered ||
       (outcome.error.kind === 'unavailable' &&
@@ -1434,6 +1462,17 @@
     return outcome;
   }
 
+  /**
+   * Records that another process has executed a start command, under a lease whose expiry
+   * counts on the clock of the process that reported last.
+   */
+  private recordOtherClock(assigned: AssignedRun, clockMs: number): void {
+    this.fence.recordUnknownProcess();
+    this.checkFencingTokens();
+    this.extendToLateLease();
+    this.options.listener.onOtherClock(this, assigned, clockMs);
+  }
+
   /** Checks whether a run has yet to be started on the process that it was placed on. */
   private shouldStart(assigned: AssignedRun, workerStartMs: number): boolean {
     if (this.isStopped || !this.isCurrent(assigned)) return false;
@@ -1443,9 +1482,10 @@
     return run.workerStartMs === workerStartMs;
   }
 
-  /** Checks whether the registration still permits starts on a worker process. */
+  /** Checks whether starts may be sent to a worker process by its registration, and by what is known of later ones. */
   private isRegisteredForStarts(workerStartMs: number): boolean {
     const {isDraining, startMs} = this.record;
+    if (!this.fence.isLatest(workerStartMs)) return false;
     return !isDraining && startMs === workerStartMs;
   }
 
@@ -1587,6 +1627,26 @@
   return maxLeaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
 }
 
+/** Gets the time of the worker's clock in the response to a start command, if it tells. */
+function getResponseClock(
+  outcome: Result<StartReceipt, JobWorkerError>,
+): number | undefined {
+  if (outcome.isOk()) return outcome.value.clockMs;
+  const {error} = outcome;
+  return error.kind === 'worker-refusal' ? error.clockMs : undefined;
+}
+
+/**
+ * Gets the earliest time that the clock of a reading may have later.
+ * @param reading - Last reading, if there is one.
+ * @param nowMs - Monotonic time.
+ */
+function getMinClock(reading: ClockReading | undefined, nowMs: number): number {
+  if (reading === undefined) return -Infinity;
+  const elapsedMs = (nowMs - reading.receivedMs) / CLOCK_DRIFT_FACTOR;
+  return Math.floor(reading.clockMs + elapsedMs) - CLOCK_ROUNDING_MS;
+}
+
 /** Checks whether a run of this term was still to be started when it was given up. */
 function isUnstarted({job, task, run}: AssignedRun): boolean {
   if (run.isConfirmed || run.isAdopted) return false;
--- a/packages/coordination/test/late_reports.test.ts
+++ b/packages/coordination/test/late_reports.test.ts
@@ -5,6 +5,7 @@
   LeaseRenewal,
   LeaseReport,
   RunningRun,
+  StartReceipt,
   StartRunCommand,
   WorkerRecord,
 } from '@mustardlug/platform/job_worker_client';
@@ -53,9 +54,9 @@
 
   override async startRun(
     command: StartRunCommand,
-  ): Promise<Result<void, JobWorkerError>> {
+  ): Promise<Result<StartReceipt, JobWorkerError>> {
     this.startTimesMs.set(command, this.clock.getMonotonicMs());
-    return ok(undefined);
+    return ok({clockMs: undefined});
   }
 
   override async renewLease({
@@ -118,6 +119,7 @@
     onFenced: ignore,
     onFencingTokensUsedUp: () => undefined,
     onLongLease: () => undefined,
+    onOtherClock: () => undefined,
     onLeasesSuspended: ignore,
   };
   // Other workers, so that one may be quarantined.
--- a/packages/coordination/test/renewal_bursts.test.ts
+++ b/packages/coordination/test/renewal_bursts.test.ts
@@ -4,6 +4,7 @@
   JobWorkerError,
   LeaseRenewal,
   LeaseReport,
+  StartReceipt,
   StartRunCommand,
   WorkerRecord,
 } from '@mustardlug/platform/job_worker_client';
@@ -59,7 +60,7 @@
 
   override async startRun(
     command: StartRunCommand,
-  ): Promise<Result<void, JobWorkerError>> {
+  ): Promise<Result<StartReceipt, JobWorkerError>> {
     this.startCommands.push(command);
     await this.clock.sleep(START_LIMIT_MS);
     return err(createUnavailableError('no response', true));
@@ -86,6 +87,7 @@
     onFenced: ignore,
     onFencingTokensUsedUp: () => undefined,
     onLongLease: () => undefined,
+    onOtherClock: () => undefined,
     onLeasesSuspended: ignore,
   };
   return WorkerSession.create({
--- a/packages/coordination/test/scripted_job_worker_client.ts
+++ b/packages/coordination/test/scripted_job_worker_client.ts
@@ -9,6 +9,7 @@
   LeaseReport,
   RefusalReason,
   RunCommand,
+  StartReceipt,
   StartRunCommand,
 } from '@mustardlug/platform/job_worker_client';
 import {err, ok, Result} from 'neverthrow';
@@ -25,6 +26,8 @@
   readonly stopCommands: RunCommand[] = [];
   readonly cpuLimitCommands: CpuLimitCommand[] = [];
   readonly renewals: LeaseRenewal[] = [];
+  /** Time of the worker's clock in responses to start commands. */
+  startClockMs: number | undefined;
   /** Delays the next response to a start command until it is resolved. */
   startGate: Promise<void> | undefined;
   /** Delays the next response to a stop command until it is resolved. */
@@ -46,13 +49,18 @@
 
   override async startRun(
     command: StartRunCommand,
-  ): Promise<Result<void, JobWorkerError>> {
+  ): Promise<Result<StartReceipt, JobWorkerError>> {
     this.startCommands.push(command);
     const response = this.startResponses.shift() ?? 'done';
     const gate = this.startGate;
     this.startGate = undefined;
     await gate;
-    return toResult(response);
+    const clockMs = this.startClockMs;
+    return toResult(response)
+      .map(() => ({clockMs}))
+      .mapErr(error =>
+        error.kind === 'worker-refusal' ? {...error, clockMs} : error,
+      );
   }
 
   override async stopRun(
--- a/packages/coordination/test/simultaneous_losses.test.ts
+++ b/packages/coordination/test/simultaneous_losses.test.ts
@@ -99,6 +99,7 @@
     onFenced: ignore,
     onFencingTokensUsedUp: () => undefined,
     onLongLease: () => undefined,
+    onOtherClock: () => undefined,
     onLeasesSuspended: ignore,
   };
   return WorkerSession.create({
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -121,6 +121,7 @@
       onFenced: () => undefined,
       onFencingTokensUsedUp: () => undefined,
       onLongLease: () => undefined,
+      onOtherClock: () => undefined,
       onLeasesSuspended: () => undefined,
     },
     fencingTokens: FencingTokens.create(1, 1_000),
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -123,6 +123,7 @@
       onFenced: () => this.fencedCount++,
       onFencingTokensUsedUp: () => undefined,
       onLongLease: () => undefined,
+      onOtherClock: () => undefined,
       onLeasesSuspended: (_session, leaseEndMs) =>
         this.suspendedLeaseEndsMs.push(leaseEndMs),
     };
@@ -399,6 +400,41 @@
     session.stop();
   });
 
+  describe('a response to a start command', () => {
+    for (const refusal of [undefined, 'superseded', 'no-room'] as const) {
+      it(`tells that another process holds the longest lease if its clock is behind (${refusal ?? 'done'})`, async () => {
+        const fixture = SessionFixture.create();
+        const {session, client, clock, assigned} = fixture;
+        void session.run();
+        await fixture.report({clockMs: 60_000});
+        const fencingToken = session.getFencingToken();
+        if (refusal !== undefined) client.startResponses.push(refusal);
+        client.startClockMs = 700;
+        const answeredMs = clock.getMonotonicMs();
+        void session.startRun(assigned);
+        await clock.advance(0);
+        expect(session.getFencingToken()).to.equal(fencingToken + 1);
+        expect(session.findExclusion()).to.equal('unfenced-process');
+        expect(session.getLeaseEndMs()).to.be.at.least(answeredMs + 10_000);
+        session.stop();
+      });
+    }
+
+    it('tells nothing if its clock is that of the process', async () => {
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned} = fixture;
+      void session.run();
+      await fixture.report({clockMs: 60_000});
+      const fencingToken = session.getFencingToken();
+      client.startClockMs = 61_000;
+      void session.startRun(assigned);
+      await clock.advance(0);
+      expect(session.getFencingToken()).to.equal(fencingToken);
+      expect(session.isProcessFenced()).to.equal(true);
+      session.stop();
+    });
+  });
+
   describe('startRun', () => {
     const refusals: RefusalReason[] = ['unhealthy', 'no-room', 'no-ticket'];
     for (const refusal of refusals) {
--- a/packages/platform/src/job_worker_client.ts
+++ b/packages/platform/src/job_worker_client.ts
@@ -87,6 +87,12 @@
   readonly ticket?: string;
 }
 
+/** Response to a start command. */
+export interface StartReceipt {
+  /** Time of the worker's clock, if the response tells it. */
+  readonly clockMs: number | undefined;
+}
+
 /** Identifies a run on a worker. */
 export interface RunCommand {
   readonly worker: JobWorkerAddress;
@@ -123,6 +129,8 @@
   readonly kind: 'worker-refusal';
   readonly reason: RefusalReason;
   readonly message: string;
+  /** Time of the worker's clock, if the response tells it. */
+  readonly clockMs?: number;
 }
 
 /** Errors of a worker call. */
@@ -144,7 +152,7 @@
    */
   abstract startRun(
     command: StartRunCommand,
-  ): Promise<Result<void, JobWorkerError>>;
+  ): Promise<Result<StartReceipt, JobWorkerError>>;
 
   /**
    * Stops a run, or prevents it from starting later. Idempotent.
--- a/packages/standins/src/model_job_worker_client.ts
+++ b/packages/standins/src/model_job_worker_client.ts
@@ -12,6 +12,7 @@
   LeaseRenewal,
   CpuLimitCommand,
   RunCommand,
+  StartReceipt,
   StartRunCommand,
   JobWorkerAddress,
   JobWorkerError,
@@ -175,12 +176,24 @@
 
   override startRun(
     command: StartRunCommand,
-  ): Promise<Result<void, JobWorkerError>> {
-    return this.send(command.worker, (worker, {delayMs, leaseShiftMs}) =>
-      worker.start(
-        {...command, leaseUntilMs: command.leaseUntilMs + leaseShiftMs},
-        delayMs,
-      ),
+  ): Promise<Result<StartReceipt, JobWorkerError>> {
+    let clockMs: number | undefined;
+    const pending = this.send(
+      command.worker,
+      (worker, {delayMs, leaseShiftMs}) => {
+        clockMs = worker.getClockMs();
+        return worker.start(
+          {...command, leaseUntilMs: command.leaseUntilMs + leaseShiftMs},
+          delayMs,
+        );
+      },
+    );
+    return pending.then(outcome =>
+      outcome
+        .map(() => ({clockMs}))
+        .mapErr(error =>
+          error.kind === 'worker-refusal' ? {...error, clockMs} : error,
+        ),
     );
   }
 
--- a/packages/standins/src/processor_model.ts
+++ b/packages/standins/src/processor_model.ts
@@ -8,6 +8,7 @@
   LeaseRenewal,
   LeaseReport,
   RunCommand,
+  StartReceipt,
   StartRunCommand,
 } from '@mustardlug/platform/job_worker_client';
 import {
@@ -152,7 +153,7 @@
 
   override startRun(
     command: StartRunCommand,
-  ): Promise<Result<void, JobWorkerError>> {
+  ): Promise<Result<StartReceipt, JobWorkerError>> {
     return this.processor.handle(() => this.client.startRun(command));
   }
 
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -378,6 +378,11 @@
     level: 'warn',
     text: 'A worker process lists a run that was placed on another one, whose start command it executed.',
   },
+  'start-on-other-clock': {
+    number: 858,
+    level: 'warn',
+    text: 'The response to a start command shows an earlier time than the worker has reported, so that another process has executed it.',
+  },
   'run-unknown': {
     number: 842,
     level: 'warn',
