--- a/packages/dev/src/simulated_worker.ts
+++ b/packages/dev/src/simulated_worker.ts
@@ -8,6 +8,7 @@
 import {
   LeaseRelease,
   LeaseRequest,
+  LeaseToken,
   WorkerCommand,
 } from '@mustardlug/platform/worker_client';
 import {WorkerModel} from '@mustardlug/standins/worker_model';
@@ -118,11 +119,10 @@
       );
     });
     app.post('/agent/v1/commands', async context => {
-      const {epoch, commands} = (await context.req.json()) as {
-        epoch: number;
+      const {commands, ...token} = (await context.req.json()) as LeaseToken & {
         commands: WorkerCommand[];
       };
-      return model.runCommands(epoch, commands).match(
+      return model.runCommands(token, commands).match(
         outcomes => context.json({outcomes}),
         error => context.json({reason: error.message}, HTTP_CONFLICT),
       );
@@ -133,9 +133,12 @@
 
   private async handleLeasedRequest(context: Context): Promise<Response> {
     const {model} = this.options;
-    const epoch = Number(context.req.header('x-lease-epoch'));
+    const token: LeaseToken = {
+      bootId: context.req.header('x-lease-boot'),
+      epoch: Number(context.req.header('x-lease-epoch')),
+    };
     const service = context.req.header('x-service') ?? '';
-    const admission = model.beginRequest(epoch, service);
+    const admission = model.beginRequest(token, service);
     if (admission.isErr()) {
       context.header('x-worker-refusal', admission.error.message);
       return context.json({reason: admission.error.message}, HTTP_CONFLICT);
--- a/packages/entry/src/header_filter.ts
+++ b/packages/entry/src/header_filter.ts
@@ -14,6 +14,7 @@
   'content-length',
   'expect',
   'x-request-id',
+  'x-lease-boot',
   'x-lease-epoch',
   'x-service',
   'x-mustardlug-outcome',
--- a/packages/entry/src/undici_upstream.ts
+++ b/packages/entry/src/undici_upstream.ts
@@ -3,6 +3,7 @@
 import {Dispatcher, Pool} from 'undici';
 import {createTimeoutSignal} from '@mustardlug/base/timeout_signal';
 import {WorkerLease} from '@mustardlug/membership/worker_lease';
+import {LeaseToken} from '@mustardlug/platform/worker_client';
 import {MAX_BODY_BYTES} from '@mustardlug/protocol/messages';
 import {
   Upstream,
@@ -34,7 +35,7 @@
 
 interface WorkerPool {
   readonly pool: Pool;
-  readonly epoch: number;
+  readonly token: LeaseToken;
 }
 
 /** Sends requests through one connection pool for each leased worker. */
@@ -62,6 +63,7 @@
           isFault: false,
         };
       }
+      const {bootId, epoch} = lease.getToken();
       const response = await this.getPool(lease).request({
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
@@ -69,8 +71,10 @@
           ...request.headers,
           'x-request-id',
           request.id,
+          'x-lease-boot',
+          bootId,
           'x-lease-epoch',
-          String(lease.getEpoch()),
+          String(epoch),
           'x-service',
           request.service,
         ],
@@ -103,8 +107,12 @@
 
   private getPool(lease: WorkerLease): Pool {
     const {workerId, host, port} = lease.address;
+    const token = lease.getToken();
     const existing = this.pools.get(workerId);
-    if (existing?.epoch === lease.getEpoch()) return existing.pool;
+    const isSameLease =
+      existing?.token.bootId === token.bootId &&
+      existing.token.epoch === token.epoch;
+    if (isSameLease) return existing.pool;
     this.closePool(workerId);
     const pool = new Pool(`http://${host}:${port}`, {
       connections: CONNECTIONS_PER_WORKER,
@@ -114,7 +122,7 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    this.pools.set(workerId, {pool, epoch: lease.getEpoch()});
+    this.pools.set(workerId, {pool, token});
     return pool;
   }
 }
--- a/packages/experiments/src/request_harness.ts
+++ b/packages/experiments/src/request_harness.ts
@@ -15,6 +15,7 @@
 import {GroupCommitter} from '@mustardlug/platform/group_committer';
 import {CountingTokenSource} from '@mustardlug/platform/token_source';
 import {RetryingCommitter} from '@mustardlug/platform/retrying_committer';
+import {LeaseToken} from '@mustardlug/platform/worker_client';
 import {MessageCodec} from '@mustardlug/protocol/message_codec';
 import {
   HandoverMessage,
@@ -33,6 +34,7 @@
 import {MemoryTable} from '@mustardlug/standins/memory_table';
 import {ModelWorkerClient} from '@mustardlug/standins/model_worker_client';
 import {NodeClock} from '@mustardlug/standins/node_clock';
+import {OffsetClock} from '@mustardlug/standins/offset_clock';
 import {RemoteTable} from '@mustardlug/standins/remote_table';
 import {WorkerModel} from '@mustardlug/standins/worker_model';
 import {HolderDirectory} from '@mustardlug/routing/holder_directory';
@@ -336,7 +338,7 @@
       const {clock} = this.harness;
       const {workerId} = lease.address;
       clock.setTimer(WORKER_DELAY_MS, () =>
-        this.harness.runOnWorker(workerId, lease.getEpoch(), request, settle),
+        this.harness.runOnWorker(workerId, lease.getToken(), request, settle),
       );
     });
   }
@@ -372,6 +374,7 @@
   private readonly inProgress = new Map<string, number>();
   private stepHook: ((step: RequestStep, node: EntryNode) => void) | undefined;
   private startedCount = 0;
+  private bootCount = 0;
 
   constructor(readonly options: RequestHarnessOptions) {
     this.random = RandomSource.create(options.seed);
@@ -499,7 +502,7 @@
   /** Executes a request on the upstream of a worker. */
   runOnWorker(
     workerId: string,
-    epoch: number | undefined,
+    token: LeaseToken | undefined,
     request: UpstreamRequest,
     settle: (result: UpstreamResult) => void,
   ): void {
@@ -510,13 +513,13 @@
       settle({kind: 'not-run', reason: 'connection refused', isFault: true});
       return;
     }
-    if (!this.beginRequest(model, epoch, settle)) return;
+    if (!this.beginRequest(model, token, settle)) return;
     this.recordRun(workerId, request);
     if (behavior.isSilent) return;
     const timeMs =
       behavior.serviceTimeMs * (0.4 + this.random.getExponential(0.6));
     this.clock.setTimer(timeMs, () => {
-      if (epoch !== undefined) model.endRequest();
+      if (token !== undefined) model.endRequest();
       this.inProgress.set(workerId, (this.inProgress.get(workerId) ?? 1) - 1);
       this.reportUpstreamDone(workerId);
       settle({
@@ -530,16 +533,16 @@
 
   private beginRequest(
     model: WorkerModel,
-    epoch: number | undefined,
+    token: LeaseToken | undefined,
     settle: (result: UpstreamResult) => void,
   ): boolean {
-    if (epoch === undefined) {
+    if (token === undefined) {
       const inProgress = this.inProgress.get(model.workerId) ?? 0;
       if (inProgress < this.getService().slotsPerReplica) return true;
       settle({kind: 'not-run', reason: 'no free slot', isFault: false});
       return false;
     }
-    const begun = model.beginRequest(epoch, SERVICE);
+    const begun = model.beginRequest(token, SERVICE);
     if (begun.isOk()) return true;
     settle({kind: 'not-run', reason: begun.error.message, isFault: false});
     return false;
@@ -568,16 +571,28 @@
     );
   }
 
-  private addWorker(workerId: string): void {
+  /**
+   * Boots a worker anew, with its service; requests that the former boot executes still complete.
+   * @param workerId - Id of the worker.
+   * @param wallOffsetMs - Time by which its wall clock is ahead.
+   */
+  rebootWorker(workerId: string, wallOffsetMs: number): void {
+    this.models.get(workerId)?.destroy();
+    this.addWorker(workerId, wallOffsetMs);
+  }
+
+  private addWorker(workerId: string, wallOffsetMs = 0): void {
     const size = {cores: 8, memoryMb: 8_000, accelerators: 0};
-    const model = WorkerModel.create(workerId, 'boot-1', size, this.clock);
+    const bootId = `boot-${++this.bootCount}`;
+    const clock = OffsetClock.create(this.clock, wallOffsetMs);
+    const model = WorkerModel.create(workerId, bootId, size, clock);
     const lease = model.requestLease({
       scope: 'tasks',
       holderId: 'scheduler',
       ttlMs: Number.MAX_SAFE_INTEGER,
     });
     const service = this.getService();
-    model.runCommands(lease._unsafeUnwrap().epoch, [
+    model.runCommands(lease._unsafeUnwrap(), [
       {
         kind: 'start',
         start: {
--- a/packages/experiments/src/scheduler_harness.ts
+++ b/packages/experiments/src/scheduler_harness.ts
@@ -25,6 +25,7 @@
 import {MemoryTable} from '@mustardlug/standins/memory_table';
 import {ModelWorkerClient} from '@mustardlug/standins/model_worker_client';
 import {NodeClock} from '@mustardlug/standins/node_clock';
+import {OffsetClock} from '@mustardlug/standins/offset_clock';
 import {RemoteTable} from '@mustardlug/standins/remote_table';
 import {WorkerModel, WorkerCapacity} from '@mustardlug/standins/worker_model';
 import {PlacementPolicy} from '@mustardlug/scheduling/placement_policy';
@@ -111,6 +112,8 @@
   }> = [];
   /** Time after which attempts of a service or job crash their worker, by name. */
   readonly crashDelayMsByName = new Map<string, number>();
+  /** Time by which the wall clock of a worker is ahead from its next boot on, by worker. */
+  readonly wallOffsetsMs = new Map<string, number>();
   /** Crashes of workers, in order. */
   readonly crashes: WorkerCrash[] = [];
   /** Workers on the platform's VM list. */
@@ -150,7 +153,9 @@
     const bootId = `boot-${++this.startedCount}`;
     const previous = this.models.get(workerId);
     if (previous !== undefined) this.removedModels.push(previous);
-    const model = WorkerModel.create(workerId, bootId, size, this.clock);
+    const wallOffsetMs = this.wallOffsetsMs.get(workerId) ?? 0;
+    const clock = OffsetClock.create(this.clock, wallOffsetMs);
+    const model = WorkerModel.create(workerId, bootId, size, clock);
     model.behavior.getCrashDelayMs = name => this.crashDelayMsByName.get(name);
     model.behavior.onCrash = () => this.crashWorker(workerId);
     this.models.set(workerId, model);
@@ -190,8 +195,17 @@
     this.publishMembership();
   }
 
-  /** Crashes a worker, which stays on the VM list and boots again. */
-  crashWorker(workerId: string): void {
+  /**
+   * Crashes a worker, which stays on the VM list and boots again.
+   * @param workerId - Id of the worker.
+   * @param rebootMs - Time from the crash to the next boot.
+   * @param onBoot - Called before the next boot.
+   */
+  crashWorker(
+    workerId: string,
+    rebootMs = REBOOT_MS,
+    onBoot?: () => void,
+  ): void {
     const model = this.models.get(workerId);
     const vm = this.vms.find(({id}) => id === workerId);
     if (model === undefined || vm === undefined) return;
@@ -199,9 +213,10 @@
     model.destroy();
     this.removedModels.push(model);
     this.models.delete(workerId);
-    this.clock.setTimer(REBOOT_MS, () => {
-      const isRemoved = !this.vms.some(({id}) => id === workerId);
-      if (!isRemoved) this.addWorker(workerId, vm.rack, vm);
+    this.clock.setTimer(rebootMs, () => {
+      if (!this.vms.some(({id}) => id === workerId)) return;
+      onBoot?.();
+      this.addWorker(workerId, vm.rack, vm);
     });
   }
 
@@ -214,11 +229,16 @@
     const reportStep = (step: TaskStep, count: number) => {
       if (count > 0) this.stepHook?.(step, node);
     };
-    const workerClient = ModelWorkerClient.create(this.models, clock, {
-      onSend: commands => reportStep('start-sent', countStarts(commands)),
-      onExecuted: commands =>
-        reportStep('start-executed', countStarts(commands)),
-    });
+    const workerClient = ModelWorkerClient.create(
+      this.models,
+      clock,
+      {
+        onSend: commands => reportStep('start-sent', countStarts(commands)),
+        onExecuted: commands =>
+          reportStep('start-executed', countStarts(commands)),
+      },
+      this.clock,
+    );
     const table = RemoteTable.create(this.table, clock, {
       onSend: operations => {
         reportStep('bind-sent', countRecordsInState(operations, 'bound'));
--- a/packages/experiments/test/attempt_identity.test.ts
+++ b/packages/experiments/test/attempt_identity.test.ts
@@ -46,14 +46,14 @@
   const [{workerClient}] = harness.nodes;
   const runCommands = workerClient.runCommands.bind(workerClient);
   const lateWorkers: WorkerModel[] = [];
-  workerClient.runCommands = async (address, epoch, commands) => {
+  workerClient.runCommands = async (address, token, commands) => {
     const model = harness.models.get(address.workerId);
     const hasStart = commands.some(({kind}) => kind === 'start');
     if (!hasStart || model === undefined || lateWorkers.length > 0)
-      return runCommands(address, epoch, commands);
+      return runCommands(address, token, commands);
     lateWorkers.push(model);
     harness.clock.setTimer(LATE_MS, () => {
-      model.runCommands(epoch, commands);
+      model.runCommands(token, commands);
     });
     return err(createUnavailableError('the response was lost', true));
   };
--- a/packages/experiments/test/lease_fencing.test.ts
+++ b/packages/experiments/test/lease_fencing.test.ts
@@ -1,3 +1,4 @@
+import {VirtualClock} from '@mustardlug/base/virtual_clock';
 import {createUnavailableError} from '@mustardlug/base/errors';
 import {WorkerModel} from '@mustardlug/standins/worker_model';
 import {expect} from 'chai';
@@ -11,6 +12,9 @@
 
 const SEED = 7;
 
+/** Wall time at which the workers of a harness boot first. */
+const FIRST_BOOT_WALL_MS = VirtualClock.create().getWallMs();
+
 function createHarness(schedulers: number, workers: number): SchedulerHarness {
   return SchedulerHarness.create({
     seed: SEED,
@@ -33,13 +37,13 @@
 ): () => void {
   const runCommands = workerClient.runCommands.bind(workerClient);
   let execute: (() => void) | undefined;
-  workerClient.runCommands = async (address, epoch, commands) => {
+  workerClient.runCommands = async (address, token, commands) => {
     const model = harness.models.get(address.workerId);
     const hasStart = commands.some(({kind}) => kind === 'start');
     if (!hasStart || model === undefined || execute !== undefined)
-      return runCommands(address, epoch, commands);
+      return runCommands(address, token, commands);
     execute = () => {
-      harness.models.get(address.workerId)?.runCommands(epoch, commands);
+      harness.models.get(address.workerId)?.runCommands(token, commands);
     };
     onHeld(model);
     return err(createUnavailableError('the response was lost', true));
@@ -48,7 +52,8 @@
 }
 
 describe('a start command for an earlier boot of a worker', () => {
-  it('has no effect on the next boot', async () => {
+  /** Executes a start command on the next boot of its worker, while the task runs on another worker. */
+  async function executeOnNextBoot(getWallMs: (nowMs: number) => number) {
     const harness = createHarness(1, 2);
     let worker: WorkerModel | undefined;
     const executeLate = holdNextStart(harness, harness.nodes[0], model => {
@@ -58,13 +63,20 @@
     await harness.clock.advance(15_000);
     expect(harness.countTasks('bound')).to.equal(1);
     worker!.destroy();
+    const nowMs = harness.clock.getWallMs();
+    harness.wallOffsetsMs.set(worker!.workerId, getWallMs(nowMs) - nowMs);
     harness.addWorker(worker!.workerId, 'rack-0');
     await harness.clock.advance(5_000);
     executeLate();
     expect(harness.getDuplicateRuns()).to.deep.equal([]);
     await harness.clock.advance(60_000);
     expect(harness.countTasks('done')).to.equal(1);
-  });
+  }
+
+  it('has no effect on the next boot', () => executeOnNextBoot(nowMs => nowMs));
+
+  it('has no effect on the next boot if the wall clock starts anew, so that epochs are equal', () =>
+    executeOnNextBoot(() => FIRST_BOOT_WALL_MS));
 });
 
 describe('a scheduler that takes a lease over', () => {
--- a/packages/experiments/test/requests_under_leases.test.ts
+++ b/packages/experiments/test/requests_under_leases.test.ts
@@ -47,8 +47,8 @@
   if (model === undefined) return admitted;
   model.behavior.isLeaving = true;
   const begin = model.beginRequest.bind(model);
-  model.beginRequest = (epoch, service) =>
-    begin(epoch, service).map(() => {
+  model.beginRequest = (token, service) =>
+    begin(token, service).map(() => {
       admitted.push(service);
     });
   return admitted;
@@ -256,6 +256,32 @@
     expect(response?.outcome).to.equal('unknown');
   });
 
+  it('are not executed by the next boot of a worker, whose wall clock starts anew so that epochs are equal', async () => {
+    const harness = createHarness(1, 1);
+    const firstBootMs = harness.clock.getWallMs();
+    await harness.clock.advance(SETTLE_MS);
+    const [node] = harness.nodes;
+    const runOnWorker = harness.runOnWorker.bind(harness);
+    const late: Array<() => void> = [];
+    harness.runOnWorker = (...call) => {
+      late.push(() => runOnWorker(...call));
+    };
+    let outcome: string | undefined;
+    void harness.sendRequest(node, 'late').then(response => {
+      ({outcome} = response);
+    });
+    await harness.clock.advance(harness.getService().deadlineMs);
+    expect(outcome).to.equal('unknown');
+    harness.rebootWorker('worker-a-0', firstBootMs - harness.clock.getWallMs());
+    await harness.clock.advance(SETTLE_MS);
+    expect(node.leases.getLease('worker-a-0')?.getStatus().bootId).to.equal(
+      'boot-2',
+    );
+    for (const execute of late) execute();
+    expect(late).to.have.length(1);
+    expect(harness.runCountsByBody.has('late')).to.equal(false);
+  });
+
   it('immediately refuses requests that cannot meet their deadline, with a retry delay', async () => {
     const harness = createHarness(1, 1);
     await harness.clock.advance(SETTLE_MS);
--- a/packages/membership/src/lease_manager.ts
+++ b/packages/membership/src/lease_manager.ts
@@ -308,7 +308,7 @@
       scope,
       holderId,
       ttlMs: timing.ttlMs,
-      epoch: lease.getEpoch(),
+      ...lease.getToken(),
       knownReport: lease.getStatus().reportNumber,
       withUsage:
         this.options.shouldRequestUsage?.(lease.address.workerId) ?? false,
@@ -317,6 +317,11 @@
     const isRefused = renewed.isErr() && renewed.error.kind === 'refused';
     tracked.isUnanswered = renewed.isErr() && !isRefused;
     if (renewed.isOk()) {
+      if (renewed.value.bootId !== lease.getToken().bootId) {
+        // An agent of an earlier version compares only the epoch.
+        this.dropLease(tracked, 'the worker was restarted');
+        return true;
+      }
       lease.extend(sentAtMs, timing.ttlMs, renewed.value);
       this.options.listener.onRenewed(lease);
       await this.handOverIfPreferred(tracked, lease, renewed.value);
@@ -357,7 +362,7 @@
     await this.options.client.releaseLease(tracked.address, {
       scope: this.options.scope,
       holderId: this.options.holderId,
-      epoch: lease.getEpoch(),
+      ...lease.getToken(),
     });
   }
 
--- a/packages/membership/src/worker_lease.ts
+++ b/packages/membership/src/worker_lease.ts
@@ -4,6 +4,7 @@
 import {
   AttemptId,
   AttemptReport,
+  LeaseToken,
   WorkerAddress,
   WorkerStatus,
 } from '@mustardlug/platform/worker_client';
@@ -43,11 +44,17 @@
     return new WorkerLease(address, clock, status);
   }
 
-  /** Gets the lease epoch (fencing token), which commands and requests must carry. */
+  /** Gets the lease epoch (fencing token), which increases within a boot of the worker. */
   getEpoch(): number {
     return this.status.epoch;
   }
 
+  /** Gets the identity of the lease, which commands and requests must carry. */
+  getToken(): Required<LeaseToken> {
+    const {bootId, epoch} = this.status;
+    return {bootId, epoch};
+  }
+
   /** Gets the worker status as of the last grant or renewal, with all attempts. */
   getStatus(): WorkerStatus {
     return this.status;
--- a/packages/platform/src/http_worker_client.ts
+++ b/packages/platform/src/http_worker_client.ts
@@ -11,6 +11,7 @@
   CommandOutcome,
   LeaseRelease,
   LeaseRequest,
+  LeaseToken,
   WorkerAddress,
   WorkerClient,
   WorkerCommand,
@@ -61,10 +62,10 @@
 
   override async runCommands(
     address: WorkerAddress,
-    epoch: number,
+    {bootId, epoch}: LeaseToken,
     commands: readonly WorkerCommand[],
   ): Promise<Result<CommandOutcome[], WorkerError>> {
-    const body = {epoch, commands};
+    const body = {bootId, epoch, commands};
     const response = await this.post(address, 'commands', body, outcomesSchema);
     return response.map(value => value.outcomes);
   }
--- a/packages/platform/src/worker_client.ts
+++ b/packages/platform/src/worker_client.ts
@@ -4,6 +4,9 @@
  * - A worker grants the lease of each scope to one holder at a time, under a
  *   monotonically increasing epoch, and refuses commands and requests with a
  *   lower epoch.
+ * - A renewal, release, command or request that names another boot is refused:
+ *   epochs of two boots may be equal, as the clock may be set back between them.
+ *   Messages of earlier versions name no boot; the epoch alone counts for them.
  * - An attempt is started at most once, runs until it ends or is stopped, and
  *   stays listed until its end is acknowledged.
  * - A stop command for an attempt that is not there is refused, and the attempt
@@ -121,12 +124,18 @@
   readonly port: number;
 }
 
+/** Identifies a granted lease of a worker; its commands and requests carry it. */
+export interface LeaseToken {
+  /** Boot that granted the lease; absent in messages of earlier versions. */
+  readonly bootId?: string;
+  readonly epoch: number;
+}
+
 /** Requests a lease, or renews it if `epoch` is given. */
-export interface LeaseRequest {
+export interface LeaseRequest extends Partial<LeaseToken> {
   readonly scope: LeaseScope;
   readonly holderId: string;
   readonly ttlMs: number;
-  readonly epoch?: number;
   /** Last report that the holder received. The worker then reports only the changes since. */
   readonly knownReport?: number;
   /** Whether to report usage. */
@@ -134,10 +143,9 @@
 }
 
 /** Releases a lease. */
-export interface LeaseRelease {
+export interface LeaseRelease extends LeaseToken {
   readonly scope: LeaseScope;
   readonly holderId: string;
-  readonly epoch: number;
 }
 
 /** Starts an attempt. */
@@ -210,12 +218,12 @@
   /**
    * Runs commands under the `tasks` lease.
    * @param address - Worker to call.
-   * @param epoch - Epoch of the lease.
+   * @param token - Identity of the lease.
    * @param commands - Commands in execution order.
    */
   abstract runCommands(
     address: WorkerAddress,
-    epoch: number,
+    token: LeaseToken,
     commands: readonly WorkerCommand[],
   ): Promise<Result<CommandOutcome[], WorkerError>>;
 }
--- a/packages/scheduling/src/command_batcher.ts
+++ b/packages/scheduling/src/command_batcher.ts
@@ -65,7 +65,7 @@
     }
     const outcomes = await this.client.runCommands(
       lease.address,
-      lease.getEpoch(),
+      lease.getToken(),
       commands.map(({command}) => command),
     );
     for (const [index, {resolve}] of commands.entries()) {
--- a/packages/standins/src/worker_model.ts
+++ b/packages/standins/src/worker_model.ts
@@ -16,6 +16,7 @@
   LeaseRelease,
   LeaseRequest,
   LeaseScope,
+  LeaseToken,
   OwnerUsage,
   TASK_LEASE_MS,
   WorkerCommand,
@@ -164,6 +165,7 @@
    * @param request - Scope, holder and duration.
    */
   requestLease(request: LeaseRequest): Result<WorkerStatus, RefusedError> {
+    if (this.isOtherBoot(request)) return refuse('the worker was restarted');
     const lease = this.leases[request.scope];
     const nowMs = this.clock.getMonotonicMs();
     const isAvailable =
@@ -195,6 +197,7 @@
    * @param release - Lease to release.
    */
   releaseLease(release: LeaseRelease): Result<void, RefusedError> {
+    if (this.isOtherBoot(release)) return refuse('the worker was restarted');
     const lease = this.leases[release.scope];
     if (lease.epoch !== release.epoch) return refuse('the epoch is over');
     lease.holderId = undefined;
@@ -203,26 +206,30 @@
 
   /**
    * Executes commands of the holder of the `tasks` lease.
-   * @param epoch - Epoch of the lease.
+   * @param token - Identity of the lease.
    * @param commands - Commands in order.
    */
   runCommands(
-    epoch: number,
+    token: LeaseToken,
     commands: readonly WorkerCommand[],
   ): Result<CommandOutcome[], RefusedError> {
-    if (!this.isCurrentEpoch('tasks', epoch)) {
-      return refuse(`epoch ${epoch} is over`);
+    if (!this.isCurrentLease('tasks', token)) {
+      return refuse(`epoch ${token.epoch} is over or of another boot`);
     }
     return ok(commands.map(command => this.runCommand(command)));
   }
 
   /**
-   * Takes a request slot, if the epoch is current and a slot is free.
-   * @param epoch - Epoch that the request carries.
+   * Takes a request slot, if the lease is current and a slot is free.
+   * @param token - Identity of the lease that the request carries.
    * @param serviceName - Service that the request is for.
    */
-  beginRequest(epoch: number, serviceName: string): Result<void, RefusedError> {
-    if (!this.isCurrentEpoch('requests', epoch)) return refuse('stale epoch');
+  beginRequest(
+    token: LeaseToken,
+    serviceName: string,
+  ): Result<void, RefusedError> {
+    if (!this.isCurrentLease('requests', token))
+      return refuse('stale epoch or another boot');
     const replica = this.getReplicas().find(
       candidate => candidate.serviceName === serviceName,
     );
@@ -261,10 +268,17 @@
     return slowdown;
   }
 
-  private isCurrentEpoch(scope: LeaseScope, epoch: number): boolean {
+  private isOtherBoot({bootId}: Partial<LeaseToken>): boolean {
+    return bootId !== undefined && bootId !== this.bootId;
+  }
+
+  private isCurrentLease(scope: LeaseScope, token: LeaseToken): boolean {
+    if (this.isOtherBoot(token)) return false;
     const lease = this.leases[scope];
     const isHeld = lease.expiresAtMs > this.clock.getMonotonicMs();
-    return isHeld && lease.holderId !== undefined && lease.epoch === epoch;
+    return (
+      isHeld && lease.holderId !== undefined && lease.epoch === token.epoch
+    );
   }
 
   private runCommand(command: WorkerCommand): CommandOutcome {
--- a/tools/run_mutations.js
+++ b/tools/run_mutations.js
@@ -80,7 +80,7 @@
   {
     name: 'workers accept any lease epoch and leases never expire',
     file: 'standins/dist/src/worker_model.js',
-    find: 'return isHeld && lease.holderId !== undefined && lease.epoch === epoch;',
+    find: 'if (this.isOtherBoot(token))\n            return false;',
     replace: 'return true;',
     also: {
       file: 'membership/dist/src/worker_lease.js',
@@ -89,6 +89,13 @@
     },
     test: FENCING,
   },
+  {
+    name: 'calls that name another boot of a worker are executed',
+    file: 'standins/dist/src/worker_model.js',
+    find: 'return bootId !== undefined && bootId !== this.bootId;',
+    replace: 'return false;',
+    test: FENCING,
+  },
   {
     name: 'rows are not re-read after a lease is granted',
     file: 'scheduling/dist/src/task_scheduler.js',
