Do not hold the second loss of a flapping worker against the tasks that it started again

Cause: the losses of other workers count against an attribution, those of the worker itself do not. Its first loss, with nothing but proven runs, shows that it fails by itself; the second one was attributed to each of the tasks that it had just started again, and each of them was tried alone.

Change: for 10 s after a loss with nothing being started, the next loss of the same worker is not attributed, except to a trial.

Measured: the new test in virtual time fails without the change (of the last job none of six tasks runs 9 s after the second loss) and passes with it.

--- a/packages/coordination/src/crash_attributor.ts
+++ b/packages/coordination/src/crash_attributor.ts
@@ -51,6 +51,12 @@
  */
 const TRIAL_UNREST_MS = 500;
 
+/**
+ * Time after a loss of a worker that was starting nothing in which its next loss is
+ * likely its own failure too, and not that of the tasks which it was starting again.
+ */
+const REPEATED_LOSS_MS = 10_000;
+
 /**
  * Fraction of the workers, and minimum number of them, above which simultaneous
  * losses are a failure of the fleet.
@@ -101,11 +107,13 @@
     for (const {run} of suspects) this.countedRuns.add(run);
     const likely = getLikelySuspects(suspects);
     const others = this.getOtherLosses(lost, silentWorkers, nowMs);
+    const hasFailedBefore = this.hasFailedBefore(lost);
     this.losses.push(toRecordedLoss(lost, suspects, nowMs));
     return suspects.map(assigned => {
       const isLikely = likely.includes(assigned);
       const doubt =
         getDoubt(lost, assigned, isLikely) ??
+        getRepeatedFailure(assigned, hasFailedBefore) ??
         getSharedFailure(lost, assigned, others, respondingCount);
       return {
         assigned,
@@ -115,6 +123,16 @@
     });
   }
 
+  /** Checks whether the worker was lost shortly before, while it was starting nothing. */
+  private hasFailedBefore(lost: LostWorker): boolean {
+    return this.losses.some(
+      loss =>
+        loss.workerId === lost.workerId &&
+        isIdle(loss) &&
+        getGapMs(loss, lost) <= REPEATED_LOSS_MS,
+    );
+  }
+
   private getOtherLosses(
     lost: LostWorker,
     silentWorkers: readonly LostWorker[],
@@ -202,6 +220,15 @@
   return 'it is not known to have started, unlike other runs there';
 }
 
+/** Gets the failure of the worker itself that is the likely cause, or `undefined` if there is none. */
+function getRepeatedFailure(
+  assigned: AssignedRun,
+  hasFailedBefore: boolean,
+): string | undefined {
+  if (!hasFailedBefore || isTrial(assigned)) return undefined;
+  return 'the worker was lost shortly before, while it was starting nothing';
+}
+
 /** Gets the failure that the worker is likely to share with others, or `undefined` if there is none. */
 function getSharedFailure(
   lost: LostWorker,
--- a/packages/coordination/test/crash_attributor.test.ts
+++ b/packages/coordination/test/crash_attributor.test.ts
@@ -130,6 +130,36 @@
     ]);
   });
 
+  // A worker that went down and up twice had all that it started again tried alone.
+  it('does not attribute the loss of a worker that was lost shortly before while it was starting nothing', () => {
+    const provenLoad = createTestLoad();
+    addProvenRun(provenLoad);
+    recordLoss(createLost('worker-1', provenLoad));
+    const assigned = addTestRun(load, {});
+    const trial = addTrialRun(load);
+    expect(
+      recordLoss(createLost('worker-1', load, LOST_MS + 9_000)),
+    ).to.deep.equal([
+      {assigned, isAttributed: false},
+      {assigned: trial, isAttributed: true},
+    ]);
+    const laterLoad = createTestLoad();
+    const later = addTestRun(laterLoad, {});
+    expect(
+      recordLoss(createLost('worker-1', laterLoad, LOST_MS + 20_001)),
+    ).to.deep.equal([{assigned: later, isAttributed: true}]);
+  });
+
+  it('attributes the loss of a worker that was lost shortly before while it was starting a run', () => {
+    addTestRun(load, {});
+    recordLoss(createLost('worker-1', load));
+    const nextLoad = createTestLoad();
+    const assigned = addTestRun(nextLoad, {});
+    expect(
+      recordLoss(createLost('worker-1', nextLoad, LOST_MS + 2_000)),
+    ).to.deep.equal([{assigned, isAttributed: true}]);
+  });
+
   it('attributes a crash beside losses at other times and losses of starting workers', () => {
     const assigned = addTestRun(load, {});
     const otherLoad = createTestLoad();
--- a/packages/experiments/test/interrupted_tasks.test.ts
+++ b/packages/experiments/test/interrupted_tasks.test.ts
@@ -134,6 +134,34 @@
     expect(harness.checker.violations).to.deep.equal([]);
   });
 
+  it('run again soon after their worker has gone down and up twice', async () => {
+    const harness = JobHarness.create({
+      workers: 10,
+      cpuMillis: 32_000,
+      getTaskMs: () => Infinity,
+    });
+    await harness.advance(START_MS);
+    const jobIds: string[] = [];
+    for (let index = 0; index < 4; index++) {
+      const {jobId} = await harness.submit([
+        createSampleStep(6, {isLongRunning: true, needs: SMALL_NEEDS}),
+      ]);
+      jobIds.push(jobId);
+    }
+    await harness.advance(3_000);
+    const busiest = [...harness.workers].reduce((left, right) =>
+      right[1].getRunCount() > left[1].getRunCount() ? right : left,
+    );
+    for (let flap = 0; flap < 2; flap++) {
+      harness.restartWorker(busiest[0], {delayMs: 405});
+      await harness.advance(810);
+    }
+    await harness.advance(LOSS_DETECTION_MS + RESTART_TIMEOUT_MS);
+    for (const jobId of jobIds)
+      expect(countServingTasks(harness, jobId), jobId).to.equal(6);
+    expect(harness.checker.violations).to.deep.equal([]);
+  });
+
   it('are known to a successor of the coordinator', async () => {
     const harness = JobHarness.create({workers: 8, cpuMillis: 8_000});
     await harness.advance(START_MS);
