Reproduce tasks that run twice if a coordinator is lost before it has fenced a process

Callers would see a long task run twice: a worker starts again, its next process reports, the coordinator is lost before its calls with the next token arrive, and the worker is cut off soon after its successor has heard it.

Cause: a run whose start is open moves to the process that reports, before that process is fenced, and is stored so when the job changes. The successor takes each process of a stored run for fenced, and waits 5.45 s from the first response, or until 10.65 s after the first report, although late calls up to its own first one gave the process 10 s each.

--- a/packages/experiments/test/former_processes.test.ts
+++ b/packages/experiments/test/former_processes.test.ts
@@ -93,9 +93,9 @@
   }
 
   /** Restarts the worker, and waits until the coordinator has heard the next process. */
-  async restart(): Promise<void> {
+  async restart(registration?: 'outdated'): Promise<void> {
     const count = this.countEvents('worker-restarted');
-    this.harness.restartWorker(WORKER_ID, {delayMs: DOWN_MS});
+    this.harness.restartWorker(WORKER_ID, {delayMs: DOWN_MS, registration});
     await this.harness.advance(DOWN_MS);
     await this.waitUntil(() => this.countEvents('worker-restarted') > count);
   }
@@ -267,6 +267,28 @@
     await fleet.waitUntil(() => fleet.worker.getRunCount() > 0);
     await fleet.expectSingleRun();
   });
+
+  for (const call of ['start', 'renewal'] as const)
+    it(`is waited for if the predecessor was lost before it had fenced the process: ${call}`, async () => {
+      const fleet = await Fleet.create();
+      const {harness, worker} = fleet;
+      const {linkFaults} = fleet.getCoordinator();
+      await fleet.startTask();
+      if (call === 'renewal') await fleet.delayNext('renewNextLate', 3_900);
+      // The crash is recorded with the job of this run, which the next process may have started.
+      await fleet.delayNext('applyNextLate', call === 'start' ? 3_900 : 20_000);
+      const steps = [createSampleStep(1, {isLongRunning: true})];
+      harness.submitWithoutWaiting(steps, harness.getQueue());
+      await fleet.waitUntil(() => linkFaults.applyNextLate === 0);
+      await fleet.restart('outdated');
+      linkFaults.requestBlockedWorkers.add(WORKER_ID);
+      await harness.advance(2_000);
+      harness.register(WORKER_ID);
+      await harness.advance(600);
+      await fleet.takeOver();
+      await fleet.waitUntil(() => worker.getRunCount() > 0);
+      await fleet.expectSingleRun();
+    });
 });
 
 describe('a worker that restarts more often than a term has fencing tokens', () => {
