--- a/packages/experiments/test/waiting_tasks.test.ts
+++ b/packages/experiments/test/waiting_tasks.test.ts
@@ -10,6 +10,8 @@
 /** Cores of a worker, and so the most tasks of one core that it runs. */
 const WORKER_CORES = 8;
 const SEEDS = [1, 2, 3, 4];
+/** Maximum staleness of the VM list. */
+const VM_LIST_LAG_MS = 5_000;
 /** Time for which a release is waited for, far above the sum of all waits of one holder. */
 const RELEASE_LIMIT_MS = 180_000;
 
@@ -391,6 +393,45 @@
     }
   });
 
+  it('of a worker off the list does not run twice when the holder of its lease reads the list last', async () => {
+    for (const seed of SEEDS) {
+      const harness = SchedulerHarness.create({
+        seed,
+        schedulers: 2,
+        workers: 3,
+        document: createDocument({}),
+      });
+      await harness.clock.advance(10_000);
+      harness.submitJob(createJob(6, {expectedRunMs: 300_000}));
+      await harness.clock.advance(5_000);
+      const stale = harness.vms;
+      const [worker] = [...harness.models.values()].filter(
+        model => model.getRunningAttempts().length > 0,
+      );
+      const {workerId: gone} = worker;
+      const behind = harness.nodes.find(
+        ({leases}) => leases.getLease(gone) !== undefined,
+      )!;
+      harness.unlistWorker(gone);
+      behind.scheduler.setVms(
+        stale,
+        harness.nodes.map(({id}) => id),
+      );
+      behind.leases.setWorkers(
+        stale.map(({id, host, port}) => ({workerId: id, host, port})),
+      );
+      for (let ms = 0; ms < RELEASE_LIMIT_MS; ms += 100) {
+        await harness.clock.advance(100);
+        expect(harness.getDuplicateRuns(), `${ms} ms`).to.deep.equal([]);
+        if (ms === VM_LIST_LAG_MS) harness.publishMembership();
+      }
+      const bound = harness
+        .getTasks()
+        .filter(({state, workerId}) => state === 'bound' && workerId === gone);
+      expect(bound).to.deep.equal([]);
+    }
+  });
+
   it('of another domain is taken over although an own task fits on no worker of the domain', async () => {
     for (const seed of SEEDS) {
       const harness = SchedulerHarness.create({
--- a/packages/scheduling/src/gone_worker_tracker.ts
+++ b/packages/scheduling/src/gone_worker_tracker.ts
@@ -3,17 +3,27 @@
  *
  * The platform lists a VM until the VM has stopped. A worker counts as gone
  * once an up-to-date list misses it that was read the maximum list staleness
- * plus the duration of the task lease after the first one that missed it.
+ * plus the longest time for which a leased worker runs attempts after the first
+ * one that missed it: another scheduler may renew the lease until it has read
+ * the list, and the task lease counts from the end of that lease.
  * Whether the list could be read in between does not matter: a boot that tasks
  * are bound to was listed before, and a stopped one does not return.
  */
 
 import {Clock} from '@mustardlug/base/clock';
+import {DEFAULT_LEASE_TIMING} from '@mustardlug/membership/lease_manager';
 import {TASK_LEASE_MS} from '@mustardlug/platform/worker_client';
 
 /** Age above which the VM list is too old to conclude that a missing VM is gone. */
 const MAX_LIST_AGE_MS = 5_000;
 
+/** Time limit of a renewal that is on its way, and interval at which a worker checks its lease. */
+const RENEWAL_MARGIN_MS = 3_000;
+
+/** Longest time for which a worker runs attempts after the last renewal of its lease was sent. */
+export const MAX_UNRENEWED_RUN_MS =
+  RENEWAL_MARGIN_MS + DEFAULT_LEASE_TIMING.ttlMs + TASK_LEASE_MS;
+
 /** Tracks how long boots of workers have been missing from the VM list. */
 export class GoneWorkerTracker {
   private readonly unlistedSinceMs = new Map<string, number>();
@@ -30,7 +40,7 @@
    * @param listLagMs - Maximum staleness of the VM list.
    */
   static create(clock: Clock, listLagMs: number): GoneWorkerTracker {
-    return new GoneWorkerTracker(clock, listLagMs + TASK_LEASE_MS);
+    return new GoneWorkerTracker(clock, listLagMs + MAX_UNRENEWED_RUN_MS);
   }
 
   /** Records that the VM list has just been read, whether or not it changed. */
--- a/packages/scheduling/test/gone_worker_tracker.test.ts
+++ b/packages/scheduling/test/gone_worker_tracker.test.ts
@@ -1,10 +1,12 @@
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
-import {TASK_LEASE_MS} from '@mustardlug/platform/worker_client';
 import {expect} from 'chai';
-import {GoneWorkerTracker} from '../src/gone_worker_tracker.js';
+import {
+  GoneWorkerTracker,
+  MAX_UNRENEWED_RUN_MS,
+} from '../src/gone_worker_tracker.js';
 
 const LIST_LAG_MS = 5_000;
-const CONFIRMATION_MS = LIST_LAG_MS + TASK_LEASE_MS;
+const CONFIRMATION_MS = LIST_LAG_MS + MAX_UNRENEWED_RUN_MS;
 const CHECK_INTERVAL_MS = 1_000;
 
 describe(GoneWorkerTracker.name, () => {
