Wait longer for a run of a former term that a later process may start

Change: such a run waits 5 s longer if it is not proven; proven runs and other runs of the worker are given up as before.

--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -25,7 +25,11 @@
 import {OwnDelay} from './own_delay.js';
 import {StartWindow} from './start_window.js';
 import {AssignedRun} from './worker_load.js';
-import {SessionListener, WorkerSession} from './worker_session.js';
+import {
+  MAX_CALL_DELAY_MS,
+  SessionListener,
+  WorkerSession,
+} from './worker_session.js';
 
 /** Decodes a row of the platform's worker table. */
 export type WorkerDecoder = (
@@ -351,7 +355,8 @@
   /**
    * Assigns a run of an earlier term to the session of its worker. If the worker has
    * started again, its process may have executed calls to the previous one, whose leases
-   * do not count on its clock; while it does not respond, the longest wait applies.
+   * do not count on its clock; while it does not respond, the longest wait applies. A run
+   * that may not have started yet may be started by a late call.
    */
   private assignAdoptedRun(
     session: WorkerSession,
@@ -360,8 +365,11 @@
     session.load.addRun(assigned);
     if (session.hasAcceptedTerm()) return;
     const {leaseLimit, leaseBounds} = this.options;
-    const isSameProcess =
-      assigned.run.workerStartMs === session.getProcessStartMs();
+    const {run} = assigned;
+    const isSameProcess = run.workerStartMs === session.getProcessStartMs();
+    if (!isSameProcess && !run.isProven)
+      assigned.openStartLeaseEndMs =
+        leaseLimit.getLatestPreviousEndMs() + MAX_CALL_DELAY_MS;
     const endMs = isSameProcess
       ? this.getPreviousLeaseEndMs(session.getId())
       : leaseLimit.getLatestPreviousEndMs();
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -252,7 +252,7 @@
  * Time after which a call without a response is taken to be executed no more. Matters
  * only for calls to a former process while the next one has not been fenced.
  */
-const MAX_CALL_DELAY_MS = 5_000;
+export const MAX_CALL_DELAY_MS = 5_000;
 
 /** Duration of the shortest lease that is worth granting; covers a renewal. */
 const MIN_LEASE_MS = 200;
