Keep tasks that last off workers that may hold a long lease

Change: workers whose leases may end in over 8.5 s rank below all others for such tasks. They still get them if no other has room.

--- a/packages/coordination/src/worker_ranking.ts
+++ b/packages/coordination/src/worker_ranking.ts
@@ -15,6 +15,8 @@
   readonly labels: readonly string[];
   /** Whether fillers that may interfere with serving tasks can be added. */
   readonly acceptsFillers: boolean;
+  /** Whether the worker may hold a lease for which a long-running task would have to wait too long if it were lost now. */
+  readonly mayHoldLongLease?: boolean;
 }
 
 /** The step to place and the placement inputs that are common to its tasks. */
@@ -59,6 +61,9 @@
  */
 const NO_SERVING_TASK_SCORE = 2;
 
+/** Score, when a serving task is placed, of workers that may hold a long lease: below all others. */
+const LONG_LEASE_SCORE = -100;
+
 /** Score, less the CPU limit, of workers that can take a filler only under one: below all others. */
 const LIMITED_FILLER_SCORE = -1_000;
 
@@ -212,9 +217,13 @@
 ): Suitability | CandidateExclusion {
   const {isFiller, isLongRunning, image} = request.step.spec;
   if (isFiller) return getFillerSuitability(request, worker);
-  const score = isLongRunning
-    ? getServingScore(image ?? '', worker.load)
-    : -getFreeShare(worker.load);
+  if (!isLongRunning)
+    return {
+      score: -getFreeShare(worker.load),
+      cpuLimitPercent: UNLIMITED_PERCENT,
+    };
+  const leaseScore = worker.mayHoldLongLease ? LONG_LEASE_SCORE : 0;
+  const score = leaseScore + getServingScore(image ?? '', worker.load);
   return {score, cpuLimitPercent: UNLIMITED_PERCENT};
 }
 
--- a/packages/coordination/src/worker_supervisor.ts
+++ b/packages/coordination/src/worker_supervisor.ts
@@ -15,6 +15,12 @@
 import {AssignedRun} from './worker_load.js';
 import {SessionExclusion, WorkerSession} from './worker_session.js';
 
+/**
+ * Longest wait for the leases of a worker that long-running tasks there can take: they have
+ * to run again 9 s after their last run, of which 0.5 s pass until they are started.
+ */
+const MAX_LEASE_WAIT_MS = 8_500;
+
 export interface WorkerSupervisorOptions {
   readonly clock: Clock;
   readonly events: EventRecorder;
@@ -152,7 +158,16 @@
     if (!this.health.isUsable(workerId, nowMs)) return 'quarantined';
     const {rack, labels} = session.getRecord();
     const acceptsFillers = this.fillerController.canAddFillers(workerId, nowMs);
-    return {session, load: session.load, rack, labels, acceptsFillers};
+    const mayHoldLongLease =
+      session.getLeaseEndMs() - nowMs > MAX_LEASE_WAIT_MS;
+    return {
+      session,
+      load: session.load,
+      rack,
+      labels,
+      acceptsFillers,
+      mayHoldLongLease,
+    };
   }
 
   /**
--- a/packages/coordination/test/worker_ranking.test.ts
+++ b/packages/coordination/test/worker_ranking.test.ts
@@ -172,6 +172,15 @@
     expect(selectWorker({dataRack: 'rack-2'}, [far, near])).to.equal(near);
   });
 
+  it('avoids workers that may hold a long lease for serving tasks, if others have room', () => {
+    const long = createWorker(createTestLoad(), {mayHoldLongLease: true});
+    const other = createWorker(createTestLoad());
+    addTestRun(other.load, {...SERVING_FIELDS, image: 'other'});
+    expect(selectWorker(SERVING_FIELDS, [long, other])).to.equal(other);
+    expect(selectWorker(SERVING_FIELDS, [long])).to.equal(long);
+    expect(selectWorker({}, [long])).to.equal(long);
+  });
+
   it('groups serving tasks of one image on the same worker', () => {
     const same = createWorker(createTestLoad());
     addTestRun(same.load, {...SERVING_FIELDS, image: 'desk'});
