Raise the fencing token only when a registration changes to another process

Change: a registration counts only when it names another process than the one before it. Some names and comments are plainer.

--- a/packages/coordination/src/process_fence.ts
+++ b/packages/coordination/src/process_fence.ts
@@ -29,7 +29,7 @@
   /** Whether the worker has reported in this term. Before, it is only asked for reports. */
   private hasReported = false;
   private isProcessFenced = false;
-  private isRaiseDenied = false;
+  private areTokensUsedUp = false;
 
   private constructor(private readonly options: ProcessFenceOptions) {
     this.token = options.firstToken;
@@ -55,8 +55,8 @@
   }
 
   /** Checks whether a process needs a token above the highest one of the term. */
-  isUsedUp(): boolean {
-    return this.isRaiseDenied;
+  hasUsedUpTokens(): boolean {
+    return this.areTokensUsedUp;
   }
 
   /**
@@ -96,7 +96,7 @@
   ): FenceReport {
     if (isOtherProcess && !this.isLatest(startMs)) this.recordProcess(startMs);
     this.hasReported = true;
-    if (token === this.token && !this.isRaiseDenied) {
+    if (token === this.token && !this.areTokensUsedUp) {
       this.latestStartMs = startMs;
       if (this.isProcessFenced) return 'unchanged';
       this.isProcessFenced = true;
@@ -109,7 +109,7 @@
     this.latestStartMs = startMs;
     if (!this.hasReported) return;
     this.isProcessFenced = false;
-    if (this.token === this.options.lastToken) this.isRaiseDenied = true;
+    if (this.token === this.options.lastToken) this.areTokensUsedUp = true;
     else this.token++;
   }
 }
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -367,7 +367,9 @@
     const {leaseLimit, leaseBounds} = this.options;
     const {run} = assigned;
     const isSameProcess = run.workerStartMs === session.getProcessStartMs();
-    if (!isSameProcess && !run.isProven)
+    const mayBeStarted =
+      !isSameProcess || run.longLeaseEndStoreMs === UNKNOWN_LEASE_END_STORE_MS;
+    if (mayBeStarted && !run.isProven)
       assigned.openStartLeaseEndMs =
         leaseLimit.getLatestPreviousEndMs() + MAX_CALL_DELAY_MS;
     const endMs = isSameProcess
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -189,8 +189,8 @@
   readonly startWindow: StartWindow;
   readonly ownDelay: OwnDelay;
   /**
-   * The same for this worker, if a stored bound tells. Leases are then suspended at
-   * first.
+   * Monotonic time by which all leases of this worker have expired, if a stored bound
+   * tells. Leases are then suspended at first.
    */
   readonly leaseBoundMs: number | undefined;
 }
@@ -441,12 +441,12 @@
    * @param record - New registration of the same worker.
    */
   setRecord(record: WorkerRecord): void {
-    const isSignOfLife =
-      !this.isRegistered || record.startMs !== this.record.startMs;
+    const isOtherProcess = record.startMs !== this.record.startMs;
+    const isSignOfLife = !this.isRegistered || isOtherProcess;
     this.record = record;
     this.isRegistered = true;
     this.load.setCapacity(record.capacity);
-    if (this.hasResponded) this.fenceRegisteredProcess();
+    if (this.hasResponded && isOtherProcess) this.fenceRegisteredProcess();
     if (isSignOfLife) this.endRetryDelay();
   }
 
@@ -719,7 +719,8 @@
         await this.waitForReport(assigned, sentMs);
         continue;
       }
-      if (error.reason === 'lapsed' || this.isFormer(fencingToken)) continue;
+      if (error.reason === 'lapsed' || this.isForFormerProcess(fencingToken))
+        continue;
       await this.handleRefusal(assigned, error.reason);
       return;
     }
@@ -754,7 +755,10 @@
       }
       const {error} = outcome;
       if (error.kind === 'worker-refusal') {
-        if (error.reason === 'fenced' && !this.isFormer(fencingToken)) {
+        if (
+          error.reason === 'fenced' &&
+          !this.isForFormerProcess(fencingToken)
+        ) {
           this.options.listener.onFenced(this);
           return;
         }
@@ -806,7 +810,7 @@
         const isFinal =
           error.kind === 'worker-refusal' &&
           error.reason !== 'unhealthy' &&
-          !this.isFormer(fencingToken);
+          !this.isForFormerProcess(fencingToken);
         if (isFinal) {
           if (error.reason === 'fenced') this.options.listener.onFenced(this);
           return;
@@ -961,7 +965,10 @@
       return;
     }
     const {error} = outcome;
-    if (error.kind === 'worker-refusal' && !this.isFormer(fencingToken)) {
+    if (
+      error.kind === 'worker-refusal' &&
+      !this.isForFormerProcess(fencingToken)
+    ) {
       this.isLastRenewalRefused = true;
       if (error.reason === 'fenced') this.options.listener.onFenced(this);
     }
@@ -1030,8 +1037,8 @@
     const previousEndMs = this.getLeaseEndMs();
     const fenceReport = this.updateFence(report, fencingToken);
     if (isFirstReport) this.limitPreviousTermLeases(report);
-    else if (fenceReport === 'fenced') this.limitToLongestLease();
-    else if (fenceReport === 'unfenced') this.extendToLateLease();
+    else if (fenceReport === 'fenced') this.assumeLongestLease();
+    else if (fenceReport === 'unfenced') this.assumeLateLease();
     this.recordProcess(report, previousEndMs);
     this.grantedUntilMs = undefined;
     const {clockMs} = report;
@@ -1062,7 +1069,7 @@
     const {clock, listener, getLongLeaseEndMs} = this.options;
     const longLeaseEndMs = getLongLeaseEndMs(report.startMs);
     if (longLeaseEndMs === undefined) {
-      this.limitToLongestLease();
+      this.assumeLongestLease();
     } else {
       const grantEndMs = clock.getMonotonicMs() + MAX_LEASE_VALIDITY_MS;
       const endMs = Math.max(grantEndMs, longLeaseEndMs);
@@ -1075,7 +1082,7 @@
    * Takes the worker for holding the longest lease from now on: its process has executed
    * calls to former ones, whose expiry counts on their clocks, but accepts no more of them.
    */
-  private limitToLongestLease(): void {
+  private assumeLongestLease(): void {
     const endMs = this.getLongestLeaseEndMs();
     this.leaseEnd = this.leaseEnd
       .limit(endMs, 'other-process')
@@ -1084,7 +1091,7 @@
   }
 
   /** Takes the worker for holding the longest lease from a call to a former process that is still to be executed. */
-  private extendToLateLease(): void {
+  private assumeLateLease(): void {
     const endMs = this.getLongestLeaseEndMs() + MAX_CALL_DELAY_MS;
     this.extendLeaseEnd(endMs, 'other-process');
     this.options.listener.onLongLease(this);
@@ -1127,12 +1134,12 @@
   }
 
   private checkFencingTokens(): void {
-    if (this.fence.isUsedUp())
+    if (this.fence.hasUsedUpTokens())
       this.options.listener.onFencingTokensUsedUp(this);
   }
 
   /** Checks whether a refused call was meant for a former process, so that the refusal tells nothing of the term. */
-  private isFormer(fencingToken: number): boolean {
+  private isForFormerProcess(fencingToken: number): boolean {
     return fencingToken < this.fence.getToken();
   }
 
@@ -1156,7 +1163,7 @@
   /**
    * A new worker process does not continue the runs of the previous one. It may
    * however execute a start command that was meant for that one, unless the run
-   * is stopped first. Commands of earlier terms are rejected already.
+   * is stopped first.
    */
   private resolveRunsOfPreviousProcess(reportSentMs: number): void {
     for (const assigned of [...this.load.getRuns()]) {
@@ -1469,7 +1476,7 @@
   private recordOtherClock(assigned: AssignedRun, clockMs: number): void {
     this.fence.recordUnknownProcess();
     this.checkFencingTokens();
-    this.extendToLateLease();
+    this.assumeLateLease();
     this.options.listener.onOtherClock(this, assigned, clockMs);
   }
 
--- a/packages/coordination/test/process_fence.test.ts
+++ b/packages/coordination/test/process_fence.test.ts
@@ -74,9 +74,9 @@
   it('does not exceed the last token of the term', () => {
     const fence = createReportedFence(2);
     fence.recordReport(SECOND_START_MS, 1, true);
-    expect(fence.isUsedUp()).to.equal(false);
+    expect(fence.hasUsedUpTokens()).to.equal(false);
     fence.recordReport(THIRD_START_MS, 2, true);
-    expect(fence.isUsedUp()).to.equal(true);
+    expect(fence.hasUsedUpTokens()).to.equal(true);
     expect(fence.getToken()).to.equal(2);
     expect(fence.isFenced()).to.equal(false);
   });
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -199,7 +199,6 @@
     session.stop();
   });
 
-  // Two runs of a task looked alike in the log, whatever the wait for the first one was based on.
   describe('telling what determines the end of its leases', () => {
     it('reports the first response in a term once, with the limit that it sets', async () => {
       const fixture = SessionFixture.create();
@@ -400,6 +399,21 @@
     session.stop();
   });
 
+  it('uses no fencing token if the registration of a former process is repeated', async () => {
+    const fixture = SessionFixture.create();
+    const {session} = fixture;
+    void session.run();
+    await fixture.report();
+    await fixture.report({startMs: PROCESS_START_MS + 1});
+    const fencingToken = session.getFencingToken();
+    for (let count = 0; count < 3; count++) {
+      session.setRecord({...RECORD});
+      await fixture.report({startMs: PROCESS_START_MS + 1});
+    }
+    expect(session.getFencingToken()).to.equal(fencingToken);
+    session.stop();
+  });
+
   describe('a response to a start command', () => {
     for (const refusal of [undefined, 'superseded', 'no-room'] as const) {
       it(`tells that another process holds the longest lease if its clock is behind (${refusal ?? 'done'})`, async () => {
