--- a/packages/scheduling/src/gone_worker_tracker.ts
+++ b/packages/scheduling/src/gone_worker_tracker.ts
@@ -21,7 +21,7 @@
 const RENEWAL_MARGIN_MS = 3_000;
 
 /** Longest time for which a worker runs attempts after the last renewal of its lease was sent. */
-export const MAX_UNRENEWED_RUN_MS =
+const MAX_UNRENEWED_RUN_MS =
   RENEWAL_MARGIN_MS + DEFAULT_LEASE_TIMING.ttlMs + TASK_LEASE_MS;
 
 /** Tracks how long boots of workers have been missing from the VM list. */
--- a/packages/scheduling/test/gone_worker_tracker.test.ts
+++ b/packages/scheduling/test/gone_worker_tracker.test.ts
@@ -1,12 +1,15 @@
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
 import {expect} from 'chai';
-import {
-  GoneWorkerTracker,
-  MAX_UNRENEWED_RUN_MS,
-} from '../src/gone_worker_tracker.js';
+import {DEFAULT_LEASE_TIMING} from '@mustardlug/membership/lease_manager';
+import {TASK_LEASE_MS} from '@mustardlug/platform/worker_client';
+import {GoneWorkerTracker} from '../src/gone_worker_tracker.js';
 
 const LIST_LAG_MS = 5_000;
-const CONFIRMATION_MS = LIST_LAG_MS + MAX_UNRENEWED_RUN_MS;
+/** Time limit of a renewal that is on its way, and interval at which a worker checks its lease. */
+const RENEWAL_MARGIN_MS = 2_000 + 1_000;
+
+const CONFIRMATION_MS =
+  LIST_LAG_MS + RENEWAL_MARGIN_MS + DEFAULT_LEASE_TIMING.ttlMs + TASK_LEASE_MS;
 const CHECK_INTERVAL_MS = 1_000;
 
 describe(GoneWorkerTracker.name, () => {
