Keep the covariance of filler effects positive semidefinite

Cause: the limit of an input's variance lowered the diagonal of the covariance matrix alone. For inputs that change together the matrix then loses its positive definiteness, and the recursive least squares estimate diverges.

Change: the covariances of the input shrink with its variance.

--- a/packages/coordination/src/effect_estimator.ts
+++ b/packages/coordination/src/effect_estimator.ts
@@ -158,11 +158,23 @@
         covariance[start + column] = cell;
         covariance[column * capacity + row] = cell;
       }
-      // Without this limit, forgetting would make the variance of rare inputs grow without bound.
-      covariance[start + row] = Math.min(
-        covariance[start + row],
-        PRIOR_VARIANCE,
-      );
+    }
+    for (let row = 0; row < size; row++) this.limitVariance(row);
+  }
+
+  /**
+   * Limits the variance of an input, which forgetting would make grow without bound while
+   * it is rare. The covariances shrink with it: otherwise the matrix would not remain
+   * positive semidefinite for inputs that change together, and the estimates would diverge.
+   */
+  private limitVariance(position: number): void {
+    const {covariance, capacity} = this;
+    const variance = covariance[position * (capacity + 1)];
+    if (variance <= PRIOR_VARIANCE) return;
+    const factor = Math.sqrt(PRIOR_VARIANCE / variance);
+    for (let other = 0; other < this.effects.length; other++) {
+      covariance[position * capacity + other] *= factor;
+      covariance[other * capacity + position] *= factor;
     }
   }
 
--- a/packages/coordination/test/effect_estimator.test.ts
+++ b/packages/coordination/test/effect_estimator.test.ts
@@ -1,3 +1,4 @@
+import {RandomSource} from '@mustardlug/base/random_source';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {EffectEstimator} from '../src/effect_estimator.js';
@@ -62,4 +63,26 @@
     expect(estimator.isKnown('new')).to.equal(false);
     expect(estimator.isKnown('other')).to.equal(false);
   });
+
+  // Guards against estimates that diverge once the variances of inputs that always
+  // change together reach their limit, as for fillers that replace each other.
+  it('remains bounded for inputs that always replace each other', () => {
+    const estimator = EffectEstimator.create();
+    const random = RandomSource.create(7919);
+    const getAmount = () => (random.getFloat() - 0.5) * 0.2;
+    let largest = 0;
+    for (let index = 0; index < 8_000; index++) {
+      const amount = getAmount();
+      const inputs = [
+        {name: 'ending', amount},
+        {name: 'starting', amount: -amount},
+      ];
+      if (random.getFloat() < 0.02)
+        inputs.push({name: `rare-${index % 6}`, amount: getAmount()});
+      estimator.addSample(inputs, getAmount() / 4);
+      for (const {name} of inputs)
+        largest = Math.max(largest, estimator.getEffect(name));
+    }
+    expect(largest).to.be.lessThan(10);
+  });
 });
