Evacuate failure domains in the node program

Callers' operators saw: the rows `evacuate/ZONE` of table `op` had no effect; 2,014 to 3,210 starts in evacuated domains in one minute, counted from 5 s after the acknowledgement (docs/design/REQUIREMENTS.md).

Cause: no code read the rows.

A run that was placed is released without a mark on its task or a pause for its worker. Without the setting, rows are ignored. A start without a response that waits for leases now also checks the registration again once leases are granted.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -37,6 +37,7 @@
 import {QueueLoad, STATUS_ADDRESS} from './coordinator_status.js';
 import {CrashAttributor, LostWorker} from './crash_attributor.js';
 import {DoubtfulCrashes} from './doubtful_crashes.js';
+import {Evacuations} from './evacuations.js';
 import {
   countUnregistered,
   formatExpiry,
@@ -103,6 +104,8 @@
   readonly decodeWorker: WorkerDecoder;
   /** Gets the current configuration, or `undefined` if none has been received yet. */
   readonly getConfig: () => DeploymentConfig | undefined;
+  /** Evacuated failure domains, which this node follows in any term. */
+  readonly evacuations: Evacuations;
   /** Maximum lease duration that the platform grants, in milliseconds. */
   readonly maxLeaseMs: number;
   /** How long callers can query a job after it has ended. */
@@ -125,6 +128,8 @@
   readonly passMs: number;
   /** Jobs whose progress the store rejects. */
   readonly rejectedJobs: number;
+  /** Starts that were not sent in this term because of evacuations. */
+  readonly withheldStarts: number;
 }
 
 /** Reason for the end of a coordinator's term. */
@@ -248,6 +253,7 @@
   private isLoaded = false;
   private isReady = false;
   private electedMs = 0;
+  private withheldStartCount = 0;
   private lastPass: PlacementPass | undefined;
   private lastPassStartMs = -Infinity;
   private readonly passTimes: PassTimes;
@@ -291,6 +297,7 @@
       maxLeaseMs: options.maxLeaseMs,
       isTermConfirmed: () => this.checkTerm(),
       areRegistrationsCurrent: () => this.areRegistrationsCurrent(),
+      evacuations: options.evacuations,
       isStoreResponding: () => this.isStoreResponding(),
       leaseLimit: this.leaseLimit,
       startWindow: this.startWindow,
@@ -364,9 +371,12 @@
     const ended = new Promise<CoordinatorEndReason>(resolve => {
       this.resolveEnd = resolve;
     });
+    const {evacuations} = this.options;
+    evacuations.setListener(domains => this.handleEvacuations(domains));
     void this.endOnError('the stored state', this.loadState());
     this.scheduleTick();
     const end = await ended;
+    evacuations.setListener(undefined);
     this.heartbeat.stop();
     this.startWindow.stop();
     this.ownDelay.stop();
@@ -406,6 +416,7 @@
       maxStartCommands: this.startWindow.getLimit(),
       passMs: this.passTimes.getTotalMs(),
       rejectedJobs: this.rejectedJobs.getCount(),
+      withheldStarts: this.withheldStartCount,
     };
   }
 
@@ -577,6 +588,16 @@
     });
   }
 
+  onStartWithheld(session: WorkerSession, {taskName, run}: AssignedRun): void {
+    this.withheldStartCount++;
+    const {failureDomain} = session.getRecord();
+    this.options.events.addEvent('start-withheld', {
+      taskId: taskName,
+      workerId: session.getId(),
+      detail: `${formatRun(run)}: ${failureDomain} is evacuated`,
+    });
+  }
+
   onRunNotStarted(assigned: AssignedRun): void {
     this.releaseRun(assigned);
   }
@@ -728,6 +749,7 @@
     this.isLoaded = true;
     const detail = formatRestoredJobs(this.jobTracker.getActiveJobs());
     this.options.events.addEvent('state-restored', {detail});
+    this.reportEvacuations(this.options.evacuations.getDomains());
     const orphanedRuns = this.workerPool.getOrphanedRuns();
     if (orphanedRuns.size === 0) return;
     this.options.events.addEvent('runs-awaited', {
@@ -769,6 +791,29 @@
     this.schedulePass();
   }
 
+  /** Applies changed evacuations to placement at once, also to moves between passes. */
+  private handleEvacuations(addedDomains: readonly string[]): void {
+    if (!this.isLoaded) return;
+    this.getUsableWorkers();
+    this.reportEvacuations(addedDomains);
+    this.schedulePass();
+  }
+
+  /** Reports how many workers evacuations concern; none if a name matches no domain. */
+  private reportEvacuations(domains: readonly string[]): void {
+    const sessions = this.workerPool.getSessions();
+    for (const domain of domains) {
+      const {length} = sessions.filter(
+        session =>
+          session.hasRegistration() &&
+          session.getRecord().failureDomain === domain,
+      );
+      this.options.events.addEvent('evacuation-applied', {
+        detail: `${domain}: ${length} registered workers`,
+      });
+    }
+  }
+
   private handleJobChanges(rows: readonly StoredRow[]): void {
     if (rows.length === 0) return;
     this.workerPool.adoptRuns(this.jobTracker.applyRows(rows));
@@ -1029,13 +1074,15 @@
 
   /**
    * Gets the workers that are to run jobs, by service. Those that are not usable at
-   * the moment count: why they are not says nothing about load.
+   * the moment count: why they are not says nothing about load. Those of an evacuated
+   * domain do not, as they stay unusable for longer than callers wait.
    */
   private getAdmissionWorkers(): Map<string, AdmissionWorker[]> {
     const workers = new Map<string, AdmissionWorker[]>();
     for (const session of this.workerPool.getSessions()) {
       const {serviceName, labels, isDraining} = session.getRecord();
       if (isDraining || !session.hasRegistration()) continue;
+      if (session.isEvacuated()) continue;
       const list = workers.get(serviceName) ?? [];
       list.push({load: session.load, labels});
       workers.set(serviceName, list);
@@ -1187,6 +1234,7 @@
   }
 
   private tick(): void {
+    this.options.evacuations.reportAge();
     if (!this.checkTerm()) return;
     const nowMs = this.options.clock.getMonotonicMs();
     this.declareProcessesFenced(nowMs);
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -37,6 +37,8 @@
   placeableMs?: number;
   /** Start time of the process that the run was placed on, if it is another one than that of the run. */
   placedStartMs?: number;
+  /** Whether its start was given up because of an evacuation. */
+  isStartWithheld?: boolean;
   /** Time of the first report that lists the run, on the clock of the worker process. */
   firstListedClockMs?: number;
 }
--- a/packages/coordination/src/worker_pool.ts
+++ b/packages/coordination/src/worker_pool.ts
@@ -18,6 +18,7 @@
   runGuarded,
 } from '@mustardlug/telemetry/guarded_call';
 import {Result} from 'neverthrow';
+import {EvacuationState} from './evacuations.js';
 import {FencingTokens} from './fencing_tokens.js';
 import {LeaseBounds} from './lease_bounds.js';
 import {LeaseLimit, UNDECLARED_LEASE_MS} from './lease_limit.js';
@@ -54,6 +55,7 @@
   readonly isTermConfirmed: () => boolean;
   /** Checks whether the registrations are recent enough to start runs. */
   readonly areRegistrationsCurrent: () => boolean;
+  readonly evacuations: EvacuationState;
   /** Checks whether the store responds, so that bounds of leases can be stored and removed. */
   readonly isStoreResponding: () => boolean;
   readonly leaseLimit: LeaseLimit;
@@ -257,6 +259,7 @@
       maxLeaseMs: this.options.maxLeaseMs,
       isTermConfirmed: this.options.isTermConfirmed,
       areRegistrationsCurrent: this.options.areRegistrationsCurrent,
+      evacuations: this.options.evacuations,
       isStoreResponding: this.options.isStoreResponding,
       previousLeaseEndMs: this.getPreviousLeaseEndMs(workerId),
       getLongLeaseEndMs: processStartMs =>
--- a/packages/coordination/src/worker_session.ts
+++ b/packages/coordination/src/worker_session.ts
@@ -15,6 +15,7 @@
 } from '@mustardlug/platform/job_worker_client';
 import {Result} from 'neverthrow';
 import {CallCounts, CallHistory, WorkerCall} from './call_history.js';
+import {EvacuationState} from './evacuations.js';
 import {LeaseEnd, LeaseEndSource} from './lease_end.js';
 import {FenceReport, ProcessFence} from './process_fence.js';
 import {ReportTimes} from './report_times.js';
@@ -28,6 +29,8 @@
   | 'session-ended'
   | 'not-registered'
   | 'draining'
+  | 'evacuated'
+  | 'evacuations-unknown'
   | 'unresponsive'
   | 'other-process'
   | 'unfenced-process'
@@ -92,6 +95,11 @@
     assigned: AssignedRun,
     reason: RefusalReason,
   ): void;
+  /**
+   * Called when the start command of a run is not sent, or not repeated, as the failure
+   * domain of the worker is evacuated.
+   */
+  onStartWithheld(session: WorkerSession, assigned: AssignedRun): void;
   /** Called when a run has certainly not started and cannot start any more. */
   onRunNotStarted(assigned: AssignedRun): void;
   /**
@@ -174,6 +182,7 @@
   readonly isTermConfirmed: () => boolean;
   /** Checks whether the registrations are recent enough to start runs. */
   readonly areRegistrationsCurrent: () => boolean;
+  readonly evacuations: EvacuationState;
   /** Checks whether the store responds, so that bounds of leases can be stored and removed. */
   readonly isStoreResponding: () => boolean;
   /** Monotonic time by which all leases of earlier terms have expired. */
@@ -285,8 +294,8 @@
 /** The same while calls are being lost, as stopping the run takes calls too. */
 const MAX_LOSSY_START_ATTEMPTS = 10;
 
-/** Interval at which a start that waits for current registrations checks them. */
-const REGISTRATION_POLL_MS = 20;
+/** Interval at which a start that waits for current registrations and evacuations checks them. */
+const START_POLL_MS = 20;
 
 /** Delay before a stop command without a response is repeated. */
 const STOP_RETRY_MS = 200;
@@ -491,11 +500,18 @@
     return this.findExclusion() === undefined;
   }
 
+  /** Checks whether the failure domain of the worker is evacuated. */
+  isEvacuated(): boolean {
+    return this.options.evacuations.isEvacuated(this.record.failureDomain);
+  }
+
   /** Gets the first reason why no new runs may be placed on the worker. */
   findExclusion(): SessionExclusion | undefined {
     if (this.isStopped) return 'session-ended';
     if (!this.isRegistered) return 'not-registered';
     if (this.record.isDraining) return 'draining';
+    if (this.isEvacuated()) return 'evacuated';
+    if (!this.options.evacuations.isCurrent()) return 'evacuations-unknown';
     if (!this.isResponding()) return 'unresponsive';
     // The registration of another process may have other labels or capacity.
     if (this.record.startMs !== this.processStartMs) return 'other-process';
@@ -677,7 +693,7 @@
 
   /**
    * Sends the start command for a run that has been stored, unless the worker is
-   * draining or has too little capacity by now. A command without a response is
+   * draining, evacuated or has too little capacity by now. A command without a response is
    * repeated only once the same worker process has responded again, as a later
    * process may be of another kind and has a clock of its own.
    * @param assigned - Run on this worker.
@@ -687,13 +703,14 @@
     const {workerStartMs} = run;
     const storedMs = this.options.clock.getMonotonicMs();
     for (let attempt = 1; attempt <= this.getMaxStartAttempts(); attempt++) {
-      if (!this.options.areRegistrationsCurrent())
-        await this.waitForRegistrations(assigned, workerStartMs);
+      if (this.isStartDelayed(assigned, workerStartMs))
+        await this.waitForStart(assigned, workerStartMs);
       if (!this.shouldStart(assigned, workerStartMs)) return;
+      if (this.isEvacuated()) {
+        await this.withholdStart(assigned);
+        return;
+      }
       if (!this.isRegisteredForStarts(workerStartMs)) break;
-      // A start that may have been executed is repeated once leases are granted again.
-      if (run.openStarts > 0) await this.waitForLeases(assigned, workerStartMs);
-      if (!this.shouldStart(assigned, workerStartMs)) return;
       if (this.areLeasesSuspended) break;
       if (this.hasUnknownRuns || !this.load.isWithinCapacity()) break;
       if (attempt === 1) this.recordFirstStart(assigned, storedMs);
@@ -1399,6 +1416,16 @@
     task.unstartedOn.add(this.getId());
   }
 
+  /**
+   * Gives up the start of a run because of an evacuation. This tells nothing about the
+   * worker and the task, which may meet again after it.
+   */
+  private async withholdStart(assigned: AssignedRun): Promise<void> {
+    assigned.isStartWithheld = true;
+    this.options.listener.onStartWithheld(this, assigned);
+    await this.abandonStart(assigned);
+  }
+
   /** Releases a run that has not started, once none of its start commands can take effect. */
   private async abandonStart(assigned: AssignedRun): Promise<void> {
     if (assigned.run.openStarts > 0) {
@@ -1496,18 +1523,38 @@
     return !isDraining && startMs === workerStartMs;
   }
 
+  /** Checks whether the state that decides on starts is recent enough. */
+  private isStartStateCurrent(): boolean {
+    const {areRegistrationsCurrent, evacuations} = this.options;
+    return areRegistrationsCurrent() && evacuations.isCurrent();
+  }
+
   /**
-   * Waits until the registrations are current, as the capacity may have shrunk
-   * meanwhile, or until the run is no longer to be started.
+   * Checks whether the start of a run has to wait: for current registrations, as the capacity
+   * may have shrunk meanwhile, for current evacuations, or for leases if the start may
+   * have been executed.
    */
-  private async waitForRegistrations(
+  private isStartDelayed(
+    assigned: AssignedRun,
+    workerStartMs: number,
+  ): boolean {
+    if (this.isEvacuated()) return false;
+    if (!this.isStartStateCurrent()) return true;
+    if (!this.isRegisteredForStarts(workerStartMs)) return false;
+    return this.areLeasesSuspended && assigned.run.openStarts > 0;
+  }
+
+  /** Waits until a start can be sent or given up, or until the run is no longer to be started. */
+  private async waitForStart(
     assigned: AssignedRun,
     workerStartMs: number,
   ): Promise<void> {
-    const {clock, areRegistrationsCurrent} = this.options;
-    while (!areRegistrationsCurrent()) {
-      if (!this.shouldStart(assigned, workerStartMs)) return;
-      await clock.sleep(REGISTRATION_POLL_MS);
+    while (this.shouldStart(assigned, workerStartMs)) {
+      if (!this.isStartDelayed(assigned, workerStartMs)) return;
+      if (!this.isStartStateCurrent())
+        await this.options.clock.sleep(START_POLL_MS);
+      else
+        await new Promise<void>(resolve => this.renewalWaiters.push(resolve));
     }
   }
 
@@ -1540,19 +1587,6 @@
     return sentMs >= sinceMs && waitMs === 0;
   }
 
-  /** Waits until leases are granted, or until the run is no longer to be started. */
-  private async waitForLeases(
-    assigned: AssignedRun,
-    workerStartMs: number,
-  ): Promise<void> {
-    while (
-      this.areLeasesSuspended &&
-      this.shouldStart(assigned, workerStartMs)
-    ) {
-      await new Promise<void>(resolve => this.renewalWaiters.push(resolve));
-    }
-  }
-
   private notifyRenewalWaiters(): void {
     const waiters = this.renewalWaiters;
     this.renewalWaiters = [];
@@ -1655,8 +1689,9 @@
 }
 
 /** Checks whether a run of this term was still to be started when it was given up. */
-function isUnstarted({job, task, run}: AssignedRun): boolean {
-  if (run.isConfirmed || run.isAdopted) return false;
+function isUnstarted(assigned: AssignedRun): boolean {
+  const {job, task, run, isStartWithheld = false} = assigned;
+  if (run.isConfirmed || run.isAdopted || isStartWithheld) return false;
   return !job.isEnded() && !task.isDone;
 }
 
--- a/packages/coordination/test/renewal_bursts.test.ts
+++ b/packages/coordination/test/renewal_bursts.test.ts
@@ -17,6 +17,7 @@
   SessionListener,
   WorkerSession,
 } from '../src/worker_session.js';
+import {NO_EVACUATIONS} from './test_evacuations.js';
 import {ScriptedJobWorkerClient} from './scripted_job_worker_client.js';
 import {addTestRun} from './test_runs.js';
 
@@ -77,6 +78,7 @@
     onWorkerLost: ignore,
     onRunProven: ignore,
     onStartRefused: ignore,
+    onStartWithheld: ignore,
     onRunNotStarted: ignore,
     onFirstResponse: ignore,
     onProcessRestarted: ignore,
@@ -101,6 +103,7 @@
     maxLeaseMs: 10_000,
     isTermConfirmed: () => true,
     areRegistrationsCurrent: () => true,
+    evacuations: NO_EVACUATIONS,
     isStoreResponding: () => true,
     previousLeaseEndMs: clock.getMonotonicMs() + MAX_LEASE_VALIDITY_MS,
     getLeaseLimitMs: () => Infinity,
--- a/packages/coordination/test/simultaneous_losses.test.ts
+++ b/packages/coordination/test/simultaneous_losses.test.ts
@@ -16,6 +16,7 @@
   SessionListener,
   WorkerSession,
 } from '../src/worker_session.js';
+import {NO_EVACUATIONS} from './test_evacuations.js';
 import {ScriptedJobWorkerClient} from './scripted_job_worker_client.js';
 import {addTestRun, createTestLoad} from './test_runs.js';
 
@@ -89,6 +90,7 @@
     onWorkerLost: ignore,
     onRunProven: ignore,
     onStartRefused: ignore,
+    onStartWithheld: ignore,
     onRunNotStarted: ignore,
     onFirstResponse: ignore,
     onProcessRestarted: ignore,
@@ -113,6 +115,7 @@
     maxLeaseMs: 10_000,
     isTermConfirmed: () => true,
     areRegistrationsCurrent: () => true,
+    evacuations: NO_EVACUATIONS,
     isStoreResponding: () => true,
     previousLeaseEndMs: clock.getMonotonicMs() + MAX_LEASE_VALIDITY_MS,
     getLeaseLimitMs: () => Infinity,
--- a/packages/coordination/test/worker_registration.test.ts
+++ b/packages/coordination/test/worker_registration.test.ts
@@ -23,6 +23,7 @@
 import {FencingTokens} from '../src/fencing_tokens.js';
 import {LeaseBounds} from '../src/lease_bounds.js';
 import {LeaseLimit} from '../src/lease_limit.js';
+import {NO_EVACUATIONS} from './test_evacuations.js';
 import {ScriptedJobWorkerClient} from './scripted_job_worker_client.js';
 import {InvalidRowReporter} from '../src/invalid_row_reporter.js';
 import {createTestEvents} from './test_events.js';
@@ -111,6 +112,7 @@
       onWorkerLost: () => undefined,
       onRunProven: () => undefined,
       onStartRefused: () => undefined,
+      onStartWithheld: () => undefined,
       onRunNotStarted: () => undefined,
       onFirstResponse: () => undefined,
       onProcessRestarted: () => undefined,
@@ -130,6 +132,7 @@
     maxLeaseMs: 10_000,
     isTermConfirmed: () => true,
     areRegistrationsCurrent: () => true,
+    evacuations: NO_EVACUATIONS,
     isStoreResponding: () => true,
     leaseLimit,
     startWindow: StartWindow.create(clock),
--- a/packages/coordination/test/worker_session.test.ts
+++ b/packages/coordination/test/worker_session.test.ts
@@ -86,6 +86,10 @@
   readonly restartLeaseEndsMs: number[] = [];
   /** Number of each run that is listed by another process, the process that it was placed on, and that one. */
   readonly changedProcesses: number[][] = [];
+  /** Runs whose start was withheld because of an evacuation. */
+  readonly withheldRuns: AssignedRun[] = [];
+  readonly evacuatedDomains = new Set<string>();
+  areEvacuationsCurrent = true;
   areRegistrationsCurrent = true;
   isStoreResponding = true;
   isTermConfirmed = true;
@@ -106,6 +110,7 @@
       onWorkerLost: () => undefined,
       onRunProven: assigned => this.provenRuns.push(assigned),
       onStartRefused: () => undefined,
+      onStartWithheld: (_session, assigned) => this.withheldRuns.push(assigned),
       onRunNotStarted: assigned => this.releasedRuns.push(assigned),
       onFirstResponse: session =>
         this.firstLeaseEnds.push(session.getLeaseEnd()),
@@ -138,6 +143,10 @@
       maxLeaseMs: 10_000,
       isTermConfirmed: () => this.isTermConfirmed,
       areRegistrationsCurrent: () => this.areRegistrationsCurrent,
+      evacuations: {
+        isEvacuated: domain => this.evacuatedDomains.has(domain),
+        isCurrent: () => this.areEvacuationsCurrent,
+      },
       isStoreResponding: () => this.isStoreResponding,
       previousLeaseEndMs: this.clock.getMonotonicMs() + MAX_LEASE_VALIDITY_MS,
       getLeaseLimitMs: () => this.leaseLimitMs,
@@ -184,6 +193,12 @@
     expect(session.findExclusion()).to.equal(undefined);
     session.setRecord({...RECORD, startMs: PROCESS_START_MS + 1});
     expect(session.findExclusion()).to.equal('other-process');
+    fixture.areEvacuationsCurrent = false;
+    expect(session.findExclusion()).to.equal('evacuations-unknown');
+    fixture.evacuatedDomains.add(RECORD.failureDomain);
+    expect(session.findExclusion()).to.equal('evacuated');
+    fixture.evacuatedDomains.clear();
+    fixture.areEvacuationsCurrent = true;
     session.setRecord({...RECORD, isDraining: true});
     expect(session.findExclusion()).to.equal('draining');
     session.markUnregistered();
@@ -566,6 +581,81 @@
       expect(client.startCommands).to.have.length(1);
     });
 
+    it('releases a run at once whose domain was evacuated after the placement, and counts no failure', async () => {
+      // Guards against a start in the domain, and against a pause of the worker after the evacuation.
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned, releasedRuns} = fixture;
+      void session.run();
+      await fixture.report();
+      fixture.evacuatedDomains.add(RECORD.failureDomain);
+      fixture.areRegistrationsCurrent = false;
+      void session.startRun(assigned);
+      await clock.advance(0);
+      expect(client.startCommands).to.be.empty;
+      expect(releasedRuns).to.deep.equal([assigned]);
+      expect(fixture.withheldRuns).to.deep.equal([assigned]);
+      expect(assigned.task.unstartedOn.size).to.equal(0);
+      expect(session.load.getRunCount()).to.equal(0);
+      fixture.evacuatedDomains.clear();
+      session.resumeLeases(session.getLeaseSuspension() ?? -1);
+      expect(session.findExclusion()).to.equal(undefined);
+      session.stop();
+    });
+
+    it('sends no start while the evacuations are not known, and releases the run if its domain is evacuated', async () => {
+      // Guards against a start during an evacuation that the node has not read yet.
+      for (const isEvacuated of [false, true]) {
+        const fixture = SessionFixture.create();
+        const {session, client, clock, assigned, releasedRuns} = fixture;
+        fixture.areEvacuationsCurrent = false;
+        void session.startRun(assigned);
+        await clock.advance(SETTLE_MS);
+        expect(client.startCommands).to.be.empty;
+        expect(releasedRuns).to.be.empty;
+        if (isEvacuated) fixture.evacuatedDomains.add(RECORD.failureDomain);
+        fixture.areEvacuationsCurrent = true;
+        await clock.advance(SETTLE_MS);
+        expect(client.startCommands).to.have.length(isEvacuated ? 0 : 1);
+        expect(releasedRuns).to.have.length(isEvacuated ? 1 : 0);
+      }
+    });
+
+    it('does not repeat a start without a response in an evacuated domain', async () => {
+      // Guards against a repeated start, and against the release of a run that may still start.
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned, releasedRuns} = fixture;
+      void session.run();
+      await fixture.report();
+      client.startResponses.push('none');
+      client.stopResponses.push('none');
+      void session.startRun(assigned);
+      await clock.advance(0);
+      expect(client.startCommands).to.have.length(1);
+      fixture.evacuatedDomains.add(RECORD.failureDomain);
+      await clock.advance(RENEWAL_MS);
+      expect(releasedRuns).to.be.empty;
+      await clock.advance(SETTLE_MS);
+      expect(client.startCommands).to.have.length(1);
+      expect(client.stopCommands).to.have.length(2);
+      expect(releasedRuns).to.deep.equal([assigned]);
+      expect(assigned.task.unstartedOn.size).to.equal(0);
+      session.stop();
+    });
+
+    it('follows the domain of the registration when a worker moves', async () => {
+      // Guards against starts on a worker that has moved into an evacuated domain.
+      const fixture = SessionFixture.create();
+      const {session, client, clock, assigned} = fixture;
+      fixture.evacuatedDomains.add('south-b');
+      session.setRecord({...RECORD, failureDomain: 'south-b'});
+      void session.startRun(assigned);
+      await clock.advance(SETTLE_MS);
+      expect(client.startCommands).to.be.empty;
+      expect(session.isEvacuated()).to.equal(true);
+      session.setRecord(RECORD);
+      expect(session.isEvacuated()).to.equal(false);
+    });
+
     it('does not start a run that was stopped before the registrations were current', async () => {
       const fixture = SessionFixture.create();
       const {session, client, clock, assigned} = fixture;
--- a/packages/experiments/src/invariant_checker.ts
+++ b/packages/experiments/src/invariant_checker.ts
@@ -91,6 +91,8 @@
    */
   capacityBoundMs = CAPACITY_BOUND_MS;
   private lapsedRunCount = 0;
+  /** Monotonic time from which no task may start, by evacuated failure domain. */
+  private readonly evacuations = new Map<string, number>();
   private readonly tasks = new Map<string, TaskHistory>();
   private readonly jobs = new Map<string, SubmittedJob>();
   /** Current processes of the workers, by worker ID. */
@@ -136,6 +138,24 @@
     if (job !== undefined) job.cancelledMs ??= this.clock.getMonotonicMs();
   }
 
+  /**
+   * Records that the evacuation of a failure domain was requested, unless it is evacuated.
+   * @param domain - Name of the domain.
+   * @param boundMs - Time from which no start command may be sent to its workers.
+   */
+  recordEvacuation(domain: string, boundMs: number): void {
+    if (this.evacuations.has(domain)) return;
+    this.evacuations.set(domain, this.clock.getMonotonicMs() + boundMs);
+  }
+
+  /**
+   * Records that the evacuation of a failure domain has ended.
+   * @param domain - Name of the domain.
+   */
+  recordEvacuationEnd(domain: string): void {
+    this.evacuations.delete(domain);
+  }
+
   /**
    * Checks a phase that was reported to a caller.
    * @param jobId - Identifier of the job.
@@ -217,6 +237,7 @@
     const worker = this.workers.get(workerId);
     if (worker === undefined) return;
     this.checkLabel(label, worker, step);
+    this.checkEvacuation(label, worker, delayMs);
     this.checkCapacity(label, workerId, delayMs);
   }
 
@@ -317,6 +338,20 @@
     this.addViolation(`${label}: the worker lacks label ${requiredLabel}`);
   }
 
+  /** A command that was sent before the bound may be executed late. */
+  private checkEvacuation(
+    label: string,
+    {failureDomain}: WorkerRecord,
+    delayMs: number,
+  ): void {
+    const boundMs = this.evacuations.get(failureDomain) ?? Infinity;
+    const sentMs = this.clock.getMonotonicMs() - delayMs;
+    if (sentMs <= boundMs) return;
+    this.addViolation(
+      `${label}: ${failureDomain} was evacuated, ${Math.round(sentMs - boundMs)} ms after the bound`,
+    );
+  }
+
   /** A command that was sent in time may rest on a capacity that was replaced. */
   private checkCapacity(
     label: string,
--- a/packages/experiments/src/job_harness.ts
+++ b/packages/experiments/src/job_harness.ts
@@ -1,6 +1,10 @@
 /** Simulates a deployment in virtual time: nodes, workers, the row store and callers. */
 
-import {AppError} from '@mustardlug/base/errors';
+import {
+  AppError,
+  createInvalidInputError,
+  createNotFoundError,
+} from '@mustardlug/base/errors';
 import {parseJson} from '@mustardlug/base/json_reader';
 import {RandomSource} from '@mustardlug/base/random_source';
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
@@ -15,6 +19,7 @@
 } from '@mustardlug/jobs/job_spec';
 import {JobPhase} from '@mustardlug/jobs/job_state';
 import {DeploymentConfig, QueueConfig} from '@mustardlug/jobs/queue_config';
+import {ConfigFollower} from '@mustardlug/node/config_follower';
 import {CoordinatorRole} from '@mustardlug/node/coordinator_role';
 import {ReturnSchedule} from '@mustardlug/node/return_schedule';
 import {WorkerRecord} from '@mustardlug/platform/job_worker_client';
@@ -42,13 +47,21 @@
 import {RunPerformanceModel} from '@mustardlug/standins/run_performance_model';
 import {EventRecorder, EventSink} from '@mustardlug/telemetry/event_recorder';
 import {HybridLogicalClock} from '@mustardlug/telemetry/hybrid_logical_clock';
-import {Result} from 'neverthrow';
+import {err, ok, Result} from 'neverthrow';
 import {z} from 'zod';
 import {InvariantChecker} from './invariant_checker.js';
 
 /** Table in which the harness registers workers. */
 export const WORKER_TABLE = 'workers';
 
+/** Table of the rows that operators write. */
+const OPERATOR_TABLE = 'operators';
+
+/** Start of the keys that request an evacuation; the rest is the failure domain. */
+const EVACUATION_PREFIX = 'evacuated-domain/';
+
+const DEFAULT_DOMAIN = 'north-a';
+
 /** Maximum lease duration that workers grant by default. */
 const DEFAULT_MAX_LEASE_MS = 10_000;
 
@@ -124,6 +137,10 @@
   readonly getWorkerKind?: (workerId: string) => WorkerKind;
   /** Checks whether a worker refuses runs for which it has no room; by default none does. */
   readonly guardsCapacity?: (workerId: string) => boolean;
+  /** Gets the failure domain of a worker; all are in the same one by default. */
+  readonly getFailureDomain?: (workerId: string) => string;
+  /** Time within which evacuations take effect; without it they are ignored. */
+  readonly evacuationMs?: number;
 }
 
 /** How a worker crashes and starts again. */
@@ -155,6 +172,7 @@
   readonly workerClient: ModelJobWorkerClient;
   readonly jobStore: JobStore;
   readonly role: CoordinatorRole;
+  readonly configFollower: ConfigFollower;
   readonly events: EventRecorder;
   readonly returns: ReturnSchedule;
 }
@@ -243,6 +261,16 @@
       faults: linkFaults,
       random: this.random,
     });
+    const configFollower = ConfigFollower.create({
+      store,
+      clock,
+      events,
+      table: OPERATOR_TABLE,
+      key: 'config',
+      decode: () => err(createNotFoundError('a configuration row')),
+      decodeEvacuation,
+      evacuationMs: this.options.evacuationMs,
+    });
     const role = CoordinatorRole.create({
       store,
       clock,
@@ -260,6 +288,7 @@
           workerTable: WORKER_TABLE,
           decodeWorker: decodeRegistration,
           getConfig: () => this.getConfig(),
+          evacuations: configFollower.getEvacuations(),
           maxLeaseMs: this.getMaxLeaseMs(),
           keepEndedMs: ENDED_JOB_RETENTION_MS,
           events,
@@ -276,6 +305,7 @@
       workerClient,
       jobStore,
       role,
+      configFollower,
       events,
       returns: ReturnSchedule.create({
         clock,
@@ -283,6 +313,7 @@
       }),
     };
     this.nodes.push(node);
+    if (this.options.evacuationMs !== undefined) void configFollower.run();
     void role.run();
     return node;
   }
@@ -528,6 +559,26 @@
     this.store.remove(getWorkerAddress(workerId));
   }
 
+  /**
+   * Writes the row that requests the evacuation of a failure domain.
+   * @param domain - Name of the domain.
+   */
+  evacuate(domain: string): void {
+    this.store.put(getEvacuationAddress(domain), {});
+    const {evacuationMs} = this.options;
+    if (evacuationMs !== undefined)
+      this.checker.recordEvacuation(domain, evacuationMs);
+  }
+
+  /**
+   * Removes the row that requests the evacuation of a failure domain.
+   * @param domain - Name of the domain.
+   */
+  endEvacuation(domain: string): void {
+    this.checker.recordEvacuationEnd(domain);
+    this.store.remove(getEvacuationAddress(domain));
+  }
+
   private createProcessor(
     nodeClock: NodeClock,
     cpuCores: number,
@@ -545,7 +596,8 @@
       workerId,
       address: `${workerId}:80`,
       serviceName: SAMPLE_QUEUE.serviceName,
-      failureDomain: 'north-a',
+      failureDomain:
+        this.options.getFailureDomain?.(workerId) ?? DEFAULT_DOMAIN,
       isDraining: false,
       capacity: {
         cpuMillis: this.options.cpuMillis ?? 8_000,
@@ -665,6 +717,22 @@
   );
 }
 
+/** Decodes the key of an evacuation of the harness; a domain contains no space. */
+function decodeEvacuation(key: string): Result<string | undefined, AppError> {
+  if (!key.startsWith(EVACUATION_PREFIX)) return ok(undefined);
+  const domain = key.slice(EVACUATION_PREFIX.length);
+  if (!domain.includes(' ')) return ok(domain);
+  return err(createInvalidInputError(`the key ${key}`, []));
+}
+
+function getEvacuationAddress(domain: string) {
+  return {
+    table: OPERATOR_TABLE,
+    part: '',
+    key: `${EVACUATION_PREFIX}${domain}`,
+  };
+}
+
 function getWorkerAddress(workerId: string) {
   return {table: WORKER_TABLE, part: '', key: workerId};
 }
--- a/packages/node/src/config_follower.ts
+++ b/packages/node/src/config_follower.ts
@@ -1,7 +1,11 @@
-/** Follows the configuration of the deployment in the row store. */
+/** Follows what operators write to the row store: the configuration, and evacuations of failure domains. */
 
 import {Clock} from '@mustardlug/base/clock';
 import {AppError} from '@mustardlug/base/errors';
+import {
+  EvacuationDecoder,
+  Evacuations,
+} from '@mustardlug/coordination/evacuations';
 import {TableFollower} from '@mustardlug/coordination/table_follower';
 import {DeploymentConfig} from '@mustardlug/jobs/queue_config';
 import {RowStore, StoredRow} from '@mustardlug/platform/row_store';
@@ -13,7 +17,7 @@
   value: Buffer,
 ) => Result<DeploymentConfig, AppError>;
 
-/** Options of `ConfigWatch`. */
+/** Options of `ConfigFollower`. */
 export interface ConfigFollowerOptions {
   readonly store: RowStore;
   readonly clock: Clock;
@@ -22,28 +26,59 @@
   readonly table: string;
   readonly key: string;
   readonly decode: ConfigDecoder;
+  readonly decodeEvacuation: EvacuationDecoder;
+  /**
+   * Time after the acknowledgement of the row of an evacuation from which no task may
+   * start in its domain; undefined if such rows are ignored.
+   */
+  readonly evacuationMs: number | undefined;
 }
 
 /** Long-poll timeout of the change feed; bounds the time to detect an unresponsive connection. */
 const FEED_WAIT_MS = 1_000;
 
-/** Follows the configuration row; ignores versions that are not newer than the current one. */
+/**
+ * Maximum of this timeout, as a fraction of the age of the rows from which no tasks are
+ * started. A quiet feed makes the rows twice as old as the timeout, plus response times.
+ */
+const MAX_FEED_WAIT_FRACTION = 1 / 3;
+
+/**
+ * Follows the configuration row, of which it ignores versions that are not newer than the
+ * current one, and the evacuations in the same part of the table.
+ */
 export class ConfigFollower {
   private config: DeploymentConfig | undefined;
   private readonly follower: TableFollower;
+  private readonly evacuations: Evacuations;
 
   private constructor(private readonly options: ConfigFollowerOptions) {
     const {store, clock, events, table} = options;
+    this.evacuations = Evacuations.create({
+      events,
+      decode: options.decodeEvacuation,
+      evacuationMs: options.evacuationMs,
+      getMaxAgeMs: () => this.follower.getMaxAgeMs(),
+    });
     this.follower = TableFollower.create({
       store,
       clock,
       events,
       table,
       part: '',
-      waitMs: FEED_WAIT_MS,
+      waitMs: Math.min(
+        FEED_WAIT_MS,
+        MAX_FEED_WAIT_FRACTION * this.evacuations.getAgeLimitMs(),
+      ),
       listener: {
-        onSnapshot: rows => this.applyRows(rows),
-        onChanges: changes => this.applyRows(changes.rows),
+        onSnapshot: rows => {
+          this.evacuations.applySnapshot(rows);
+          this.applyRows(rows);
+        },
+        onChanges: changes => {
+          this.evacuations.applyChanges(changes);
+          this.applyRows(changes.rows);
+        },
         onStoreLost: reason =>
           events.addEvent('store-lost', {detail: `${table}: ${reason}`}),
         onStoreRegained: () =>
@@ -65,7 +100,12 @@
     return this.config;
   }
 
-  /** Follows the configuration until `stop` is called. */
+  /** Gets the evacuated failure domains. */
+  getEvacuations(): Evacuations {
+    return this.evacuations;
+  }
+
+  /** Follows the rows until `stop` is called. */
   run(): Promise<void> {
     return this.follower.run();
   }
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -3,6 +3,7 @@
 import {Clock} from '@mustardlug/base/clock';
 import {UnavailableError} from '@mustardlug/base/errors';
 import {Coordinator} from '@mustardlug/coordination/coordinator';
+import {EvacuationDecoder} from '@mustardlug/coordination/evacuations';
 import {WorkerDecoder} from '@mustardlug/coordination/worker_pool';
 import {JobStore} from '@mustardlug/coordination/job_store';
 import {JobWorkerClient} from '@mustardlug/platform/job_worker_client';
@@ -32,6 +33,7 @@
   readonly workerClient: JobWorkerClient;
   readonly callerFormat: CallerFormat;
   readonly decodeConfig: ConfigDecoder;
+  readonly decodeEvacuation: EvacuationDecoder;
   readonly decodeWorker: WorkerDecoder;
   readonly configTable: string;
   readonly configKey: string;
@@ -40,6 +42,11 @@
   readonly metricsPath: string;
   /** Maximum duration of a worker lease, in milliseconds. */
   readonly maxLeaseMs: number;
+  /**
+   * Time after the acknowledgement of the row of an evacuation from which no task may
+   * start in its domain; undefined if such rows are ignored.
+   */
+  readonly evacuationMs: number | undefined;
   /** Time for which callers can query a job after it has ended, in milliseconds. */
   readonly endedJobRetentionMs: number;
 }
@@ -95,6 +102,8 @@
       table: platform.configTable,
       key: platform.configKey,
       decode: platform.decodeConfig,
+      decodeEvacuation: platform.decodeEvacuation,
+      evacuationMs: platform.evacuationMs,
     });
     const role = CoordinatorRole.create({
       store,
@@ -112,6 +121,7 @@
           workerTable: platform.workerTable,
           decodeWorker: platform.decodeWorker,
           getConfig: () => configFollower.getConfig(),
+          evacuations: configFollower.getEvacuations(),
           maxLeaseMs: platform.maxLeaseMs,
           keepEndedMs: platform.endedJobRetentionMs,
           events,
@@ -236,6 +246,16 @@
       'Number of jobs whose progress the store rejects; 0 without the coordinator role.',
       () => this.role.getLoad()?.rejectedJobs ?? 0,
     );
+    metrics.addGauge(
+      'mustardlug_evacuated_domains',
+      'Number of failure domains that operators have taken out of service.',
+      () => this.configFollower.getEvacuations().getDomains().length,
+    );
+    metrics.addGauge(
+      'mustardlug_withheld_starts',
+      'Number of starts that were not sent in this term because of evacuations; 0 without the coordinator role.',
+      () => this.role.getLoad()?.withheldStarts ?? 0,
+    );
     metrics.addGauge(
       'mustardlug_placement_pass_seconds',
       'Time that placement passes have taken in this term.',
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -428,6 +428,41 @@
     level: 'info',
     text: 'The session of a lost worker ended: it is not registered, and its leases have expired.',
   },
+  'evacuation-in-force': {
+    number: 860,
+    level: 'warn',
+    text: 'A failure domain is evacuated: no task is started there until the row of the evacuation is removed.',
+  },
+  'evacuation-ended': {
+    number: 861,
+    level: 'info',
+    text: 'The row of an evacuation was removed; tasks are started in the failure domain again.',
+  },
+  'evacuation-invalid': {
+    number: 862,
+    level: 'error',
+    text: 'The key of an evacuation names no valid failure domain; the row is ignored. It is reported once for each key.',
+  },
+  'evacuation-applied': {
+    number: 863,
+    level: 'info',
+    text: 'The coordinator takes an evacuation into account; the detail counts the registered workers of the failure domain, which are none if its name is wrong.',
+  },
+  'evacuations-unknown': {
+    number: 864,
+    level: 'warn',
+    text: 'The evacuations were read too long ago; the coordinator starts no task until they are read again.',
+  },
+  'evacuations-known': {
+    number: 865,
+    level: 'info',
+    text: 'The evacuations were read again; the coordinator starts tasks.',
+  },
+  'start-withheld': {
+    number: 866,
+    level: 'info',
+    text: 'The start of a run was not sent because the failure domain of its worker is evacuated; its task is placed elsewhere.',
+  },
   'worker-restored': {
     number: 836,
     level: 'info',
