--- a/packages/coordination/src/evacuations.ts
+++ b/packages/coordination/src/evacuations.ts
@@ -32,11 +32,17 @@
 }
 
 /**
- * Time between the decision to send a start command and its arrival at the worker:
- * establishing a connection takes up to 500 ms and the command up to 300 ms; the rest
- * is for late timers.
+ * Time after the decision to send a start command from which it must not be sent any more,
+ * as it waited for a connection or the process was suspended. Well above the time to open a
+ * connection, 500 ms at most.
  */
-const START_MARGIN_MS = 1_500;
+export const MAX_START_QUEUE_MS = 1_000;
+
+/** Maximum time from the moment at which a start command is sent to its arrival at a worker. */
+const MAX_START_TRANSFER_MS = 500;
+
+/** Time between the decision to send a start command and its arrival at the worker. */
+const START_MARGIN_MS = MAX_START_QUEUE_MS + MAX_START_TRANSFER_MS;
 
 /** Number of invalid keys that are remembered as reported; beyond it, keys may be reported again. */
 const MAX_REPORTED_KEYS = 1_000;
