--- a/packages/experiments/test/evacuation.test.ts
+++ b/packages/experiments/test/evacuation.test.ts
@@ -34,6 +34,8 @@
   /** Names and details of the events of evacuations on all nodes, without withheld starts. */
   readonly events: string[] = [];
   withheldStarts = 0;
+  /** Details of the events about waiting steps. */
+  readonly waits: string[] = [];
   private readonly jobIds: string[] = [];
 
   private constructor(options: JobHarnessOptions) {
@@ -44,6 +46,7 @@
         Number(workerId.split('-')[1]) % 2 === 0 ? DOMAIN_A : DOMAIN_B,
       sink: ({name, detail}) => {
         if (name === 'start-withheld') this.withheldStarts++;
+        else if (name === 'step-waiting') this.waits.push(detail ?? '');
         else if (name.startsWith('evacuation'))
           this.events.push(`${name} ${detail}`);
       },
@@ -165,8 +168,9 @@
       scenario.evacuate(domain, FEED_MS);
     await harness.advance(FEED_MS);
     await scenario.submit(6);
-    await harness.advance(3_000);
+    await harness.advance(4_000);
     expect(harness.checker.getStartCount()).to.equal(0);
+    expect(scenario.waits[0]).to.contain('evacuated 6');
     const {retryAfterMs} = await harness.advanceUntilSettled(
       harness.submitIfAdmitted([createSampleStep(1)]),
     );
