Keep room for urgent batch work from long-running tasks that have never run

Callers of urgent batch jobs saw waits of 2.5 to 3 s for the first start and missed objectives, although their work needs 4 % of the CPU on average.

Cause: new long-running jobs of the same priority take the room that each wave of batch tasks leaves after 0.7 s, and hold it indefinitely.

The coordinator now measures what batch work of a service's highest priority has run or waited for in the last 30 s, and places a long-running task that has never run only where the room that stays fits the peak, counted in tasks of the size of that work. Interrupted tasks are not held back, nor anything while less than half of the CPU is declared. After 30 s less is kept from a job, after 60 s one of its tasks starts wherever it fits. Off on services with a single priority.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -32,6 +32,7 @@
   runGuarded,
 } from '@mustardlug/telemetry/guarded_call';
 import {AdmissionControl} from './admission_control.js';
+import {BatchHeadroom} from './batch_headroom.js';
 import {CommitLog, CommitOutcome} from './commit_log.js';
 import {CoordinatorHeartbeat} from './coordinator_heartbeat.js';
 import {QueueLoad, STATUS_ADDRESS} from './coordinator_status.js';
@@ -125,6 +126,8 @@
   readonly passMs: number;
   /** Jobs whose progress the store rejects. */
   readonly rejectedJobs: number;
+  /** Services of which long-running tasks are held back for batch work. */
+  readonly heldServices: number;
 }
 
 /** Reason for the end of a coordinator's term. */
@@ -224,6 +227,7 @@
   private readonly crashAttributor = CrashAttributor.create();
   private readonly doubtfulCrashes = DoubtfulCrashes.create();
   private readonly reservations = RoomReservations.create();
+  private readonly headroom = BatchHeadroom.create();
   private readonly round: PlacementRound;
   private readonly waitReporter: WaitReporter;
   private readonly silenceReporter: SilenceReporter;
@@ -406,6 +410,7 @@
       maxStartCommands: this.startWindow.getLimit(),
       passMs: this.passTimes.getTotalMs(),
       rejectedJobs: this.rejectedJobs.getCount(),
+      heldServices: this.headroom.getHoldingCount(),
     };
   }
 
@@ -965,6 +970,7 @@
       placedSteps: pass.getPlacedSteps(),
       isLimited: pass.isLimitReached(),
     });
+    this.updateHeadroom(waiting, workersByService, wallMs);
     this.isStartLimited = pass.isLimitReached();
     this.lastPass = pass;
     this.jobTracker.takeRecentJobs();
@@ -972,6 +978,23 @@
     this.recordPlacedSteps(pass, wallMs);
   }
 
+  private updateHeadroom(
+    waiting: readonly WaitingStep[],
+    workersByService: ReadonlyMap<string, readonly PlacementWorker[]>,
+    wallMs: number,
+  ): void {
+    const {clock, events, getConfig} = this.options;
+    const nowMs = clock.getMonotonicMs();
+    const queues = getConfig()?.queues ?? [];
+    const state = {queues, workersByService, waiting, nowMs, wallMs};
+    this.headroom.recordPass(state);
+    for (const change of this.headroom.takeChanges(workersByService, nowMs)) {
+      const {isHolding, detail} = change;
+      const name = isHolding ? 'long-running-held' : 'long-running-admitted';
+      events.addEvent(name, {detail});
+    }
+  }
+
   private placeUrgentTasks(): void {
     const wallMs = this.options.clock.getWallMs();
     for (const job of this.jobTracker.takeRecentJobs())
@@ -1009,6 +1032,7 @@
       workersByService,
       maxPlacements: Math.max(0, freeCount),
       reservations: this.reservations,
+      headroom: this.headroom,
       round,
       nowMs: this.options.clock.getMonotonicMs(),
       place: placement => this.placeTask(placement),
--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -21,6 +21,8 @@
 } from './room_reservations.js';
 import {canShareTrial, hasSuspectedTask, isSuspected} from './start_crashes.js';
 import {PlacementRound} from './placement_round.js';
+import {BatchHeadroom} from './batch_headroom.js';
+import {BatchRoom, getHoldLevel, HoldLevel} from './batch_room.js';
 import {AssignedRun, StartKind} from './worker_load.js';
 import {WorkerSession} from './worker_session.js';
 
@@ -47,6 +49,8 @@
   readonly maxPlacements: number;
   /** Workers that are kept for interrupted long-running tasks, from pass to pass. */
   readonly reservations: RoomReservations;
+  /** Room that is kept free from long-running tasks that have never run; none if absent. */
+  readonly headroom?: BatchHeadroom;
   /** Round that the pass continues. */
   readonly round: PlacementRound;
   /** Monotonic time of the pass. */
@@ -147,6 +151,9 @@
     string,
     readonly PlacementWorker[]
   >();
+  /** Room for batch tasks by service; filled as needed. */
+  private readonly batchRooms = new Map<string, BatchRoom | undefined>();
+  private heldCount = 0;
   private placementCount = 0;
   private isInterrupted = false;
   private wallMs = 0;
@@ -237,7 +244,8 @@
       const isPlaced = each.step.spec.isGang
         ? this.placeGang(each)
         : this.placeTasks(each);
-      if (!isPlaced) this.recordFailure(key, each);
+      // The class depends on whether the job has runs, so that it may be another one by now.
+      if (!isPlaced) this.recordFailure(this.getEquivalenceClass(each), each);
     }
   }
 
@@ -273,6 +281,10 @@
     const roomCount = this.options.reservations.getCount();
     if (roomCount > 0)
       obstacles.push(`${roomCount} workers kept for interrupted tasks`);
+    if (step.spec.isLongRunning && this.heldCount > 0)
+      obstacles.push(
+        `${this.heldCount} steps held back as room is kept for batch work`,
+      );
     if (step.spec.isGang && step.hasRuns())
       obstacles.push('members of the gang still have runs');
     const tasks = step.tasks.filter(isWaitingTask);
@@ -525,7 +537,7 @@
     const workers: PlacementWorker[] = [];
     let hasRoom = true;
     for (const task of tasks) {
-      const worker = ranking.getBest(isAvoidedBy(task));
+      const worker = this.selectWorker(waiting, task, ranking);
       hasRoom = worker !== undefined;
       if (worker === undefined) break;
       this.placeOnWorker(waiting, task, ranking, worker);
@@ -536,6 +548,43 @@
     return hasRoom;
   }
 
+  /** Selects the best worker, for a long-running task that has never run one that leaves enough room. */
+  private selectWorker(
+    waiting: WaitingStep,
+    task: TaskState,
+    ranking: WorkerRanking<PlacementWorker>,
+  ): PlacementWorker | undefined {
+    const isAvoided = isAvoidedBy(task);
+    const level = this.getHoldLevel(waiting);
+    const room = level === 'none' ? undefined : this.getBatchRoom(waiting);
+    if (room === undefined || task.hasRun) return ranking.getBest(isAvoided);
+    if (ranking.getBest() === undefined) return undefined;
+    const leavesRoom = room.createFilter(waiting.step.spec.needs, level);
+    const worker = ranking.getBest(isAvoided, ({load}) => leavesRoom(load));
+    if (worker !== undefined) return worker;
+    this.heldCount++;
+    room.recordHeld();
+    return undefined;
+  }
+
+  private getHoldLevel(waiting: WaitingStep): HoldLevel {
+    const {job, occurrence, step} = waiting;
+    if (!step.spec.isLongRunning || this.getBatchRoom(waiting) === undefined)
+      return 'none';
+    return getHoldLevel(this.wallMs - job.getDueMs(occurrence), job.hasRuns());
+  }
+
+  private getBatchRoom(waiting: WaitingStep): BatchRoom | undefined {
+    const {headroom, nowMs} = this.options;
+    const {serviceName} = waiting.queue;
+    if (!this.batchRooms.has(serviceName)) {
+      const workers = this.getServiceWorkers(waiting);
+      const room = headroom?.createRoom(serviceName, workers, nowMs);
+      this.batchRooms.set(serviceName, room);
+    }
+    return this.batchRooms.get(serviceName);
+  }
+
   /** Checks whether a step belongs to an overdue job that has no run. */
   private isNeglected(waiting: WaitingStep): boolean {
     return isOverdue(waiting, this.wallMs) && !waiting.job.hasRuns();
@@ -611,7 +660,7 @@
     );
     const placed: Array<{assigned: AssignedRun; worker: PlacementWorker}> = [];
     for (const task of step.tasks) {
-      const worker = ranking.getBest(isAvoidedBy(task));
+      const worker = this.selectWorker(waiting, task, ranking);
       if (worker === undefined) {
         for (const each of placed)
           this.options.undo(each.assigned, each.worker);
@@ -674,7 +723,10 @@
     const kind = spec.isFiller ? `filler ${spec.image ?? ''}` : 'other';
     const limit = canLimitFillers(waiting, this.wallMs) ? ' limited' : '';
     const overcommitted = canOvercommitFillers ? ' overcommitted' : '';
-    return `${waiting.queue.serviceName} ${kind}${limit} ${startKind}${overcommitted}`;
+    // What is held back may fit, and batch tasks must not be skipped for it.
+    const level = this.getHoldLevel(waiting);
+    const held = level === 'none' ? '' : ` held ${level}`;
+    return `${waiting.queue.serviceName} ${kind}${limit} ${startKind}${overcommitted}${held}`;
   }
 
   private getTrialClass(
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -7,6 +7,7 @@
   TaskState,
 } from '@mustardlug/jobs/job_state';
 import {ResourceRequirements} from '@mustardlug/jobs/job_spec';
+import {BatchDemand} from './batch_demand.js';
 import {canShareTrial, hasSuspectedTask, isSuspected} from './start_crashes.js';
 
 /** A run with the job, step and task that it belongs to. */
@@ -68,6 +69,8 @@
   private usedAccelerators = 0;
   private fillerCpuMillis = 0;
   private servingCpuMillis = 0;
+  /** CPU that batch runs other than fillers declare, by priority of their queue. */
+  private readonly batchDemands = new Map<number, BatchDemand>();
   /** Subsets of the runs, kept separately to avoid iterating over all of them. */
   private readonly servingRuns = new Set<AssignedRun>();
   private readonly fillerRuns = new Set<AssignedRun>();
@@ -189,6 +192,22 @@
     return this.capacity.cpuMillis - servingUse;
   }
 
+  /** Gets the CPU that batch runs other than fillers declare, in thousandths of a core. */
+  getBatchUseCpuMillis(): number {
+    let cpuMillis = 0;
+    for (const demand of this.batchDemands.values())
+      cpuMillis += demand.getCpuMillis();
+    return cpuMillis;
+  }
+
+  /**
+   * Gets what batch runs other than fillers of one priority declare; undefined if there were none.
+   * @param priority - Priority of the queues that have accepted their jobs.
+   */
+  getBatchDemand(priority: number): BatchDemand | undefined {
+    return this.batchDemands.get(priority);
+  }
+
   /** Gets the CPU that fillers declare, in thousandths of a core. */
   getFillerCpuMillis(): number {
     return this.fillerCpuMillis;
@@ -304,10 +323,18 @@
     if (isFiller) this.fillerCpuMillis += sign * needs.cpuMillis;
     else this.usedCpuMillis += sign * needs.cpuMillis;
     if (isLongRunning) this.servingCpuMillis += sign * needs.cpuMillis;
+    else if (!isFiller) this.updateBatchDemand(assigned, sign);
     const runCount = this.getStepRunCount(step) + sign;
     if (runCount === 0) this.stepRunCounts.delete(step);
     else this.stepRunCounts.set(step, runCount);
   }
+
+  private updateBatchDemand({job, step}: AssignedRun, sign: 1 | -1): void {
+    const {priority} = job.accepted.queue;
+    const demand = this.batchDemands.get(priority) ?? BatchDemand.create();
+    this.batchDemands.set(priority, demand);
+    demand.addTasks(step.spec.needs, sign);
+  }
 }
 
 /**
--- a/packages/coordination/src/worker_ranking.ts
+++ b/packages/coordination/src/worker_ranking.ts
@@ -120,10 +120,17 @@
   /**
    * Gets the worker with the highest score, or `undefined` if none has room.
    * @param isAvoided - Selects workers that are returned only if no other has room.
+   * @param isAllowed - Selects the workers that may be returned; all by default.
    */
-  getBest(isAvoided: (worker: T) => boolean = () => false): T | undefined {
-    const best = this.ranked.findLast(({worker}) => !isAvoided(worker));
-    return (best ?? this.ranked.at(-1))?.worker;
+  getBest(
+    isAvoided: (worker: T) => boolean = () => false,
+    isAllowed: (worker: T) => boolean = () => true,
+  ): T | undefined {
+    const best = this.ranked.findLast(
+      ({worker}) => !isAvoided(worker) && isAllowed(worker),
+    );
+    const found = best ?? this.ranked.findLast(each => isAllowed(each.worker));
+    return found?.worker;
   }
 
   /**
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -236,6 +236,11 @@
       'Number of jobs whose progress the store rejects; 0 without the coordinator role.',
       () => this.role.getLoad()?.rejectedJobs ?? 0,
     );
+    metrics.addGauge(
+      'mustardlug_held_services',
+      'Number of services of which long-running tasks are held back for batch work.',
+      () => this.role.getLoad()?.heldServices ?? 0,
+    );
     metrics.addGauge(
       'mustardlug_placement_pass_seconds',
       'Time that placement passes have taken in this term.',
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -433,6 +433,16 @@
     level: 'info',
     text: 'A quarantined worker recovered and is back in use.',
   },
+  'long-running-held': {
+    number: 870,
+    level: 'info',
+    text: 'Long-running tasks that have never run wait although they would fit, because room is kept for batch work of the highest priority; the detail tells how much that work has needed lately.',
+  },
+  'long-running-admitted': {
+    number: 871,
+    level: 'info',
+    text: 'No long-running task is held back for batch work any more.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof EVENT_CATALOGUE;
