--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -32,6 +32,7 @@
   runGuarded,
 } from '@mustardlug/telemetry/guarded_call';
 import {AdmissionControl} from './admission_control.js';
+import {BatchHeadroom} from './batch_headroom.js';
 import {CommitLog, CommitOutcome} from './commit_log.js';
 import {CoordinatorHeartbeat} from './coordinator_heartbeat.js';
 import {QueueLoad, STATUS_ADDRESS} from './coordinator_status.js';
@@ -130,6 +131,8 @@
   readonly rejectedJobs: number;
   /** Starts that were not sent in this term because of evacuations. */
   readonly withheldStarts: number;
+  /** Services of which long-running tasks are held back for batch work. */
+  readonly heldServices: number;
 }
 
 /** Reason for the end of a coordinator's term. */
@@ -229,6 +232,7 @@
   private readonly crashAttributor = CrashAttributor.create();
   private readonly doubtfulCrashes = DoubtfulCrashes.create();
   private readonly reservations = RoomReservations.create();
+  private readonly headroom = BatchHeadroom.create();
   private readonly round: PlacementRound;
   private readonly waitReporter: WaitReporter;
   private readonly silenceReporter: SilenceReporter;
@@ -417,6 +421,7 @@
       passMs: this.passTimes.getTotalMs(),
       rejectedJobs: this.rejectedJobs.getCount(),
       withheldStarts: this.withheldStartCount,
+      heldServices: this.headroom.getHoldingCount(),
     };
   }
 
@@ -1012,6 +1017,7 @@
       placedSteps: pass.getPlacedSteps(),
       isLimited: pass.isLimitReached(),
     });
+    this.updateHeadroom(waiting, workersByService, wallMs);
     this.isStartLimited = pass.isLimitReached();
     this.lastPass = pass;
     this.jobTracker.takeRecentJobs();
@@ -1019,6 +1025,23 @@
     this.recordPlacedSteps(pass, wallMs);
   }
 
+  private updateHeadroom(
+    waiting: readonly WaitingStep[],
+    workersByService: ReadonlyMap<string, readonly PlacementWorker[]>,
+    wallMs: number,
+  ): void {
+    const {clock, events, getConfig} = this.options;
+    const nowMs = clock.getMonotonicMs();
+    const queues = getConfig()?.queues ?? [];
+    const state = {queues, workersByService, waiting, nowMs, wallMs};
+    this.headroom.recordPass(state);
+    for (const change of this.headroom.takeChanges(workersByService, nowMs)) {
+      const {isHolding, detail} = change;
+      const name = isHolding ? 'long-running-held' : 'long-running-admitted';
+      events.addEvent(name, {detail});
+    }
+  }
+
   private placeUrgentTasks(): void {
     const wallMs = this.options.clock.getWallMs();
     for (const job of this.jobTracker.takeRecentJobs())
@@ -1056,6 +1079,7 @@
       workersByService,
       maxPlacements: Math.max(0, freeCount),
       reservations: this.reservations,
+      headroom: this.headroom,
       round,
       nowMs: this.options.clock.getMonotonicMs(),
       place: placement => this.placeTask(placement),
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -256,6 +256,11 @@
       'Number of starts that were not sent in this term because of evacuations; 0 without the coordinator role.',
       () => this.role.getLoad()?.withheldStarts ?? 0,
     );
+    metrics.addGauge(
+      'mustardlug_held_services',
+      'Number of services of which long-running tasks are held back for batch work.',
+      () => this.role.getLoad()?.heldServices ?? 0,
+    );
     metrics.addGauge(
       'mustardlug_placement_pass_seconds',
       'Time that placement passes have taken in this term.',
