--- a/packages/ctl/src/ctl_context.ts
+++ b/packages/ctl/src/ctl_context.ts
@@ -5,6 +5,7 @@
 import {readTextFile} from '@mustardlug/base/json_reader';
 import {SystemClock} from '@mustardlug/base/clock';
 import {DocumentStore} from '@mustardlug/document/document_store';
+import {EvacuationStore} from '@mustardlug/document/evacuation_store';
 import {TokenSource} from '@mustardlug/platform/token_source';
 import {RetryingCommitter} from '@mustardlug/platform/retrying_committer';
 import {TableService} from '@mustardlug/platform/table_service';
@@ -20,6 +21,7 @@
   readonly table: TableService;
   readonly retryingCommitter: RetryingCommitter;
   readonly documents: DocumentStore;
+  readonly evacuations: EvacuationStore;
   readonly vmList: VmList;
   readonly nodeClient: NodeClient;
   readonly tokens: TokenSource;
@@ -44,13 +46,21 @@
     caCertificate: caCertificate.value,
     clock: SystemClock.create(),
   });
-  const {table, retryingCommitter, documents, vmList, tokens, jsonClient} =
-    platform;
+  const {
+    table,
+    retryingCommitter,
+    documents,
+    evacuations,
+    vmList,
+    tokens,
+    jsonClient,
+  } = platform;
   return ok({
     settings: settings.value,
     table,
     retryingCommitter,
     documents,
+    evacuations,
     vmList,
     tokens,
     nodeClient: NodeClient.create(jsonClient, key.value, settings.value.nodes),
--- a/packages/ctl/src/job_commands.ts
+++ b/packages/ctl/src/job_commands.ts
@@ -21,6 +21,7 @@
   JobExpansion,
 } from '@mustardlug/scheduling/job_expander';
 import {createRetriedRecord} from '@mustardlug/scheduling/start_crashes';
+import {getDomainsInService} from '@mustardlug/scheduling/fleet';
 import {
   CANCEL_PREFIX,
   JOB_PREFIX,
@@ -58,8 +59,15 @@
     const message = 'the VM list has no workers; check the platform';
     return err(createNotFoundError(message));
   }
+  const evacuated = await context.evacuations.getDomains();
+  if (evacuated.isErr()) return err(evacuated.error);
   const jobKey = JOB_PREFIX + job.value.name;
-  return createTasks(context, job.value, jobKey, failureDomains);
+  return createTasks(
+    context,
+    job.value,
+    jobKey,
+    getDomainsInService(failureDomains, new Set(evacuated.value)),
+  );
 }
 
 async function createTasks(
--- a/packages/ctl/src/mustardlugctl.ts
+++ b/packages/ctl/src/mustardlugctl.ts
@@ -12,6 +12,7 @@
   publishTrial,
   validateDocument,
 } from './document_commands.js';
+import {evacuateDomain, restoreDomain} from './evacuation_commands.js';
 import {
   cancelJob,
   explain,
@@ -37,6 +38,10 @@
   readonly node?: string;
 }
 
+interface ForceOptions {
+  readonly force?: boolean;
+}
+
 const program = new Command(PROGRAM)
   .description('Operates a mustardlug environment.')
   .option('--settings <file>', 'path of the settings file', DEFAULT_SETTINGS)
@@ -89,7 +94,9 @@
   .action((digest: string) => run(context => promoteDocument(context, digest)));
 program
   .command('status')
-  .description('shows all nodes with document version, leases and degradations')
+  .description(
+    'shows all nodes with document version, leases and degradations, and the evacuated failure domains',
+  )
   .action(() => run(getStatus));
 program
   .command('submit')
@@ -111,6 +118,24 @@
   .description('starts a graceful shutdown of a node')
   .argument('<node>', 'id of the node')
   .action((node: string) => run(context => drainNode(context, node)));
+program
+  .command('evacuate')
+  .description(
+    'takes a failure domain out of service: no new requests and task starts; what runs completes',
+  )
+  .argument('<domain>', 'name of the failure domain')
+  .option('--force', 'do not check that the VM list has the domain')
+  .action((domain: string, options: ForceOptions) =>
+    run(context => evacuateDomain(context, domain, options.force ?? false)),
+  );
+program
+  .command('restore')
+  .description('puts an evacuated failure domain back into service')
+  .argument('<domain>', 'name of the failure domain')
+  .option('--force', 'do not check that the VM list has the domain')
+  .action((domain: string, options: ForceOptions) =>
+    run(context => restoreDomain(context, domain, options.force ?? false)),
+  );
 program
   .command('explain')
   .description('shows the state and event history of a task, request or worker')
--- a/packages/ctl/src/node_client.ts
+++ b/packages/ctl/src/node_client.ts
@@ -22,6 +22,8 @@
   documentVersion: z.number(),
   isReady: z.boolean(),
   degraded: z.array(z.string()),
+  /** Absent in the status of earlier versions. */
+  evacuatedDomains: z.array(z.string()).optional(),
   leases: z.array(z.object({workerId: z.string(), epoch: z.number()})),
 });
 
--- a/packages/ctl/src/node_commands.ts
+++ b/packages/ctl/src/node_commands.ts
@@ -14,6 +14,7 @@
 ): Promise<Result<CommandOutput, AppError>> {
   const results = await context.nodeClient.getStatuses();
   const published = await context.documents.getPublished('production');
+  const evacuated = await context.evacuations.getDomains();
   const version = published.map(({version: number}) => String(number));
   const rows = results.map(({url, result}) =>
     result.match(
@@ -29,6 +30,14 @@
       error => [url, '?', '?', 'no response', '?', '?', error.message],
     ),
   );
+  const evacuatedText = evacuated.match(
+    domains =>
+      domains.length === 0
+        ? ''
+        : `evacuated failure domains: ${domains.join(', ')}\n`,
+    () =>
+      'evacuated failure domains: unknown, the table service does not respond\n',
+  );
   const header = [
     'NODE',
     'ROLE',
@@ -39,7 +48,7 @@
     'DEGRADED',
   ];
   return ok({
-    text: `published document version: ${version.unwrapOr('unknown, the table service does not respond')}\n${renderTable(header, rows)}`,
+    text: `published document version: ${version.unwrapOr('unknown, the table service does not respond')}\n${evacuatedText}${renderTable(header, rows)}`,
     json: results.map(({url, result}) =>
       result.match<unknown>(
         status => status,
--- a/packages/entry/src/entry_metrics.ts
+++ b/packages/entry/src/entry_metrics.ts
@@ -6,13 +6,20 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** Sources of the values that are read on each scrape. */
+export interface EntryMetricsSources {
+  readonly getEvacuatedDomainCount: () => number;
+}
+
 /** Request counts and latencies by service. */
 export class EntryMetrics {
   private readonly metrics = ProcessMetrics.create();
   private readonly requests: Counter<'service' | 'outcome'>;
   private readonly requestDuration: Histogram<'service'>;
 
-  private constructor() {
+  private readonly withheldRequests: Counter;
+
+  private constructor(sources: EntryMetricsSources) {
     this.requests = this.metrics.addCounter(
       'mustardlug_requests_total',
       'Requests of callers by outcome.',
@@ -23,10 +30,28 @@
       'Time from the arrival of a request to its answer.',
       ['service'],
     );
+    this.withheldRequests = this.metrics.addCounter(
+      'mustardlug_withheld_requests_total',
+      'Requests that were not sent to an upstream because its failure domain is evacuated; their senders try other holders.',
+    );
+    this.metrics.addGauge(
+      'mustardlug_evacuated_domains',
+      'Evacuated failure domains, as last read.',
+      sources.getEvacuatedDomainCount,
+    );
+  }
+
+  /**
+   * Creates the metrics of a process.
+   * @param sources - Sources of the gauges.
+   */
+  static create(sources: EntryMetricsSources): EntryMetrics {
+    return new EntryMetrics(sources);
   }
 
-  static create(): EntryMetrics {
-    return new EntryMetrics();
+  /** Records a request that was refused while the dispatch is suspended. */
+  recordWithheldRequest(): void {
+    this.withheldRequests.inc();
   }
 
   /**
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -10,6 +10,10 @@
   ActiveDocument,
 } from '@mustardlug/document/document_follower';
 import {EnvironmentDocument} from '@mustardlug/document/environment_document';
+import {
+  EvacuationChange,
+  EvacuationFollower,
+} from '@mustardlug/document/evacuation_follower';
 import {
   DEFAULT_LEASE_TIMING,
   LeaseManager,
@@ -33,6 +37,7 @@
   BufferedResponse,
 } from '@mustardlug/protocol/peer_channel';
 import {PeerKeySet} from '@mustardlug/protocol/peer_key_set';
+import {EvacuationGate} from '@mustardlug/routing/evacuation_gate';
 import {IdempotencyRecords} from '@mustardlug/routing/idempotency_records';
 import {RequestCoordinator} from '@mustardlug/routing/request_coordinator';
 import {
@@ -62,7 +67,7 @@
 import {createOperatorApp} from '@mustardlug/runtime/operator_server';
 import {PeerAddress, PeerNetwork} from './peer_network.js';
 import {readTlsFiles, TlsMaterial} from '@mustardlug/runtime/tls_files';
-import {ReadinessReporter} from './readiness_reporter.js';
+import {MAX_WARM_UP_MS, ReadinessReporter} from './readiness_reporter.js';
 import {UndiciUpstream} from './undici_upstream.js';
 
 const VM_LIST_POLL_MS = 1_000;
@@ -88,10 +93,14 @@
   private readonly self: HelloMessage;
   private readonly events: EventRecorder;
   private readonly hybridClock: HybridLogicalClock;
-  private readonly metrics = EntryMetrics.create();
+  private readonly metrics = EntryMetrics.create({
+    getEvacuatedDomainCount: () => this.evacuations.getDomains().length,
+  });
   private readonly platform: PlatformClients;
   private readonly vmDirectory: VmDirectory;
   private readonly follower: DocumentFollower;
+  private readonly evacuations: EvacuationFollower;
+  private readonly evacuationGate: EvacuationGate;
   private readonly leases: LeaseManager;
   private readonly upstream = UndiciUpstream.create();
   private readonly registry: DispatcherRegistry;
@@ -147,6 +156,18 @@
         onReadFailed: detail => this.addEvent('document-read-failed', {detail}),
       },
     });
+    this.evacuations = EvacuationFollower.create({
+      store: this.platform.evacuations,
+      clock,
+      random,
+      pollMs: DOCUMENT_POLL_MS,
+      listener: {
+        onEvacuationsRead: change => this.handleEvacuationsRead(change),
+        onReadFailed: detail =>
+          this.addEvent('evacuations-read-failed', {detail}),
+        onReadRecovered: () => this.addEvent('evacuations-read-recovered'),
+      },
+    });
     this.registry = DispatcherRegistry.create({
       clock,
       random,
@@ -160,10 +181,16 @@
             {workerId},
           ),
         onSilent: workerId => this.handleUnresponsiveUpstream(workerId),
+        onWithheld: () => this.metrics.recordWithheldRequest(),
       },
     });
     this.leases = this.createLeaseManager();
     this.holderDirectory = HolderDirectory.create(this.self);
+    this.evacuationGate = EvacuationGate.create({
+      failureDomain: settings.failureDomain,
+      registry: this.registry,
+      directory: this.holderDirectory,
+    });
     this.peerNetwork = PeerNetwork.create({
       self: this.self,
       clock,
@@ -184,6 +211,8 @@
     this.readinessReporter = ReadinessReporter.create({
       clock,
       follower: this.follower,
+      evacuations: this.evacuations,
+      failureDomain: settings.failureDomain,
       vmDirectory: this.vmDirectory,
       holderNetwork: this.holderNetwork,
       peerNetwork: this.peerNetwork,
@@ -247,8 +276,12 @@
     this.lastPauseCheckMs = this.clock.getMonotonicMs();
     this.schedulePeriodically(VM_LIST_POLL_MS, () => this.refreshVmList());
     this.schedulePeriodically(PAUSE_CHECK_INTERVAL_MS, () => this.checkPause());
+    this.timers.push(
+      this.clock.setTimer(MAX_WARM_UP_MS, () => this.evacuationGate.endWait()),
+    );
     void this.refreshVmList();
     void this.follower.start();
+    void this.evacuations.start();
     this.addEvent('process-started', {
       detail: `callers on port ${caller.value.getPort()}, peers and operators on port ${inner.value.getPort()}`,
     });
@@ -279,6 +312,7 @@
     this.isStopped = true;
     for (const timer of this.timers) timer.cancel();
     this.follower.stop();
+    this.evacuations.stop();
     this.peerNetwork.close();
     this.callerListener?.destroy();
     this.innerListener?.destroy();
@@ -359,6 +393,7 @@
       documentVersion: this.follower.getVersion(),
       isReady,
       degraded: this.readinessReporter.getDegradations(),
+      evacuatedDomains: this.evacuations.getDomains(),
       leases: this.leases.getValidLeases().map(lease => ({
         workerId: lease.address.workerId,
         epoch: lease.getEpoch(),
@@ -448,6 +483,13 @@
     this.addEvent('document-in-force', {detail: `version ${current.version}`});
   }
 
+  private handleEvacuationsRead(change: EvacuationChange): void {
+    const {domains, evacuated, restored} = change;
+    this.evacuationGate.setEvacuatedDomains(domains);
+    for (const detail of evacuated) this.addEvent('domain-evacuated', {detail});
+    for (const detail of restored) this.addEvent('domain-restored', {detail});
+  }
+
   private recordResponse(
     request: CallerRequest,
     response: CallerAnswer,
--- a/packages/entry/src/readiness_reporter.ts
+++ b/packages/entry/src/readiness_reporter.ts
@@ -2,6 +2,7 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {DocumentFollower} from '@mustardlug/document/document_follower';
+import {EvacuationFollower} from '@mustardlug/document/evacuation_follower';
 import {VmDirectory} from '@mustardlug/membership/vm_directory';
 import {HolderNetwork} from '@mustardlug/routing/request_runner';
 import {PeerNetwork} from './peer_network.js';
@@ -16,6 +17,8 @@
 export interface ReadinessReporterOptions {
   readonly clock: Clock;
   readonly follower: DocumentFollower;
+  readonly evacuations: EvacuationFollower;
+  readonly failureDomain: string;
   readonly vmDirectory: VmDirectory;
   readonly holderNetwork: HolderNetwork;
   readonly peerNetwork: PeerNetwork;
@@ -24,9 +27,9 @@
 
 /**
  * Time after the start at which a process reports ready even if services have
- * no known lease holder.
+ * no known lease holder or the evacuated failure domains could not be read.
  */
-const MAX_WARM_UP_MS = 10_000;
+export const MAX_WARM_UP_MS = 10_000;
 
 /** Derives readiness and degradations from the state of the process's components. */
 export class ReadinessReporter {
@@ -51,6 +54,12 @@
     if (follower.getCurrent() === undefined) {
       return {isReady: false, reason: 'no environment document is in force'};
     }
+    if (!this.options.evacuations.isKnown() && !this.isWarmUpOver()) {
+      return {
+        isReady: false,
+        reason: 'the evacuated failure domains have not been read yet',
+      };
+    }
     if (!this.updateWarmUp()) {
       return {
         isReady: false,
@@ -62,10 +71,16 @@
 
   /** Gets descriptions of all degradations, for operators. */
   getDegradations(): string[] {
-    const {vmDirectory, peerNetwork} = this.options;
+    const {vmDirectory, peerNetwork, evacuations, failureDomain} = this.options;
     const degraded: string[] = [];
     const readiness = this.getReadiness();
     if (!readiness.isReady) degraded.push(readiness.reason);
+    if (!evacuations.isKnown() && this.isWarmUpOver()) {
+      degraded.push('the evacuated failure domains have not been read yet');
+    }
+    if (evacuations.getDomains().includes(failureDomain)) {
+      degraded.push(`failure domain ${failureDomain} is evacuated`);
+    }
     if (vmDirectory.getVersion() === 0) {
       degraded.push('the VM list has not been read yet');
     }
@@ -84,15 +99,19 @@
    */
   private updateWarmUp(): boolean {
     if (this.hasWarmedUp) return true;
-    const {clock, follower, holderNetwork} = this.options;
+    const {follower, holderNetwork} = this.options;
     const services = follower.getCurrent()?.document.services ?? [];
     const isServed = services.every(service =>
       holderNetwork
         .getCandidates(service.name)
         .some(candidate => candidate.load.slots > 0),
     );
-    const ageMs = clock.getMonotonicMs() - this.createdAtMs;
-    this.hasWarmedUp = isServed || ageMs > MAX_WARM_UP_MS;
+    this.hasWarmedUp = isServed || this.isWarmUpOver();
     return this.hasWarmedUp;
   }
+
+  private isWarmUpOver(): boolean {
+    const nowMs = this.options.clock.getMonotonicMs();
+    return nowMs - this.createdAtMs > MAX_WARM_UP_MS;
+  }
 }
--- a/packages/experiments/src/scheduler_harness.ts
+++ b/packages/experiments/src/scheduler_harness.ts
@@ -61,6 +61,8 @@
   /** Whether batch attempts that slow down services are throttled and evicted; on by default. */
   readonly isInterferenceControlEnabled?: boolean;
   readonly placement?: PlacementPolicy;
+  /** Whether schedulers wait until a test sets the evacuated failure domains; off by default. */
+  readonly waitsForEvacuations?: boolean;
   /** Interval at which usage rows are written; if absent, none are written. */
   readonly usageIntervalMs?: number;
   /** Whether to count the bytes of calls to workers and the table. */
@@ -272,6 +274,7 @@
       listLagMs: VM_LIST_LAG_MS,
       isInterferenceControlEnabled: this.options.isInterferenceControlEnabled,
       placement: this.options.placement,
+      waitsForEvacuations: this.options.waitsForEvacuations,
       onEvent: (name, {taskId}) =>
         this.events.push({name, taskId, atMs: this.clock.getWallMs()}),
     });
--- a/packages/routing/src/dispatcher_registry.ts
+++ b/packages/routing/src/dispatcher_registry.ts
@@ -32,6 +32,7 @@
   private readonly leases = new Map<string, WorkerLease>();
   private readonly requestTracker: RequestTracker;
   private leavingWorkers: ReadonlySet<string> = new Set();
+  private suspensionReason: string | undefined;
   private readonly running = new Map<string, Promise<BufferedResponse>>();
 
   private constructor(private readonly options: DispatcherRegistryOptions) {
@@ -73,6 +74,7 @@
         observer,
         retryBudget: RetryBudget.create(DEFAULT_RETRY_BUDGET),
       });
+      dispatcher.setSuspension(this.suspensionReason);
       this.dispatchers.set(service.name, dispatcher);
       for (const lease of this.leases.values()) this.setWorker(lease);
     }
@@ -102,6 +104,17 @@
     }
   }
 
+  /**
+   * Suspends or resumes the dispatch of requests to all workers. Leases and what
+   * was learned about the workers are kept; requests in progress continue.
+   * @param reason - Why no request is dispatched, or `undefined` to resume.
+   */
+  setSuspension(reason: string | undefined): void {
+    this.suspensionReason = reason;
+    for (const dispatcher of this.dispatchers.values())
+      dispatcher.setSuspension(reason);
+  }
+
   /**
    * Removes a worker whose lease was lost.
    * @param workerId - Id of the worker.
--- a/packages/routing/src/holder_directory.ts
+++ b/packages/routing/src/holder_directory.ts
@@ -23,6 +23,7 @@
 /** Tracks the load of each peer and service, as reported by heartbeats and responses. */
 export class HolderDirectory {
   private readonly peers = new Map<string, ConnectedPeer>();
+  private evacuatedDomains: ReadonlySet<string> = new Set();
 
   private constructor(private readonly self: HelloMessage) {}
 
@@ -94,7 +95,16 @@
   }
 
   /**
-   * Gets the peers that reported a load for a service and are not leaving.
+   * Sets the evacuated failure domains, whose peers are no candidates.
+   * @param domains - Names of the domains.
+   */
+  setEvacuatedDomains(domains: readonly string[]): void {
+    this.evacuatedDomains = new Set(domains);
+  }
+
+  /**
+   * Gets the peers that reported a load for a service, are not leaving and whose
+   * failure domain is in service.
    * @param service - Name of the service.
    */
   getCandidates(service: string): HolderCandidate[] {
@@ -102,6 +112,7 @@
     for (const peer of this.peers.values()) {
       const reported = peer.loads.get(service);
       if (reported === undefined || peer.isLeaving) continue;
+      if (this.evacuatedDomains.has(peer.hello.failureDomain)) continue;
       candidates.push({
         nodeId: peer.hello.nodeId,
         distance: this.getDistance(peer.hello),
--- a/packages/routing/src/service_dispatcher.ts
+++ b/packages/routing/src/service_dispatcher.ts
@@ -24,6 +24,8 @@
   onHealthChange(workerId: string, isQuarantined: boolean): void;
   /** An upstream connection made no progress in time. */
   onSilent(workerId: string): void;
+  /** A request was refused because the dispatch is suspended. */
+  onWithheld?(id: string): void;
 }
 
 export interface ServiceDispatcherOptions {
@@ -66,6 +68,7 @@
   private readonly slotTable: SlotTable;
   private readonly queuedById = new Map<string, PendingRequest>();
   private sequence = 0;
+  private suspensionReason: string | undefined;
   private dispatchRetryTimer: Timer | undefined;
 
   private constructor(private readonly options: ServiceDispatcherOptions) {
@@ -106,12 +109,26 @@
     this.refuseQueuedWithoutSlots();
   }
 
-  /** Gets the load that is reported in responses and heartbeats. */
+  /**
+   * Suspends or resumes the dispatch. While suspended, requests are refused as
+   * not run, so that their senders try other holders; those in progress continue.
+   * @param reason - Why no request is dispatched, or `undefined` to resume.
+   */
+  setSuspension(reason: string | undefined): void {
+    this.suspensionReason = reason;
+    if (reason === undefined) return;
+    for (const pending of [...this.queuedById.values()]) {
+      this.options.observer.onWithheld?.(pending.id);
+      this.refuse(pending, reason, DEFAULT_RETRY_AFTER_MS);
+    }
+  }
+
+  /** Gets the load that is reported in responses and heartbeats; without slots while suspended. */
   getLoad(): ServiceLoad {
     const totals = this.slotTable.getTotals();
     return {
       service: this.options.service.name,
-      slots: totals.slots,
+      slots: this.suspensionReason === undefined ? totals.slots : 0,
       inProgress: totals.inProgress,
       queued: this.queue.getSize(),
     };
@@ -122,7 +139,17 @@
    * @param request - Request with its complete body.
    */
   runRequest(request: BufferedRequest): Promise<BufferedResponse> {
-    const {clock, retryBudget} = this.options;
+    const {clock, retryBudget, observer} = this.options;
+    if (this.suspensionReason !== undefined) {
+      observer.onWithheld?.(request.head.id);
+      return Promise.resolve(
+        this.createRefusal(
+          request.head,
+          this.suspensionReason,
+          DEFAULT_RETRY_AFTER_MS,
+        ),
+      );
+    }
     retryBudget.addRequest();
     const deadlineMs = clock.getMonotonicMs() + request.head.remainingMs;
     const admission = this.queue.getAdmission(
@@ -292,6 +319,7 @@
   }
 
   private requeueForRetry(pending: PendingRequest): boolean {
+    if (this.suspensionReason !== undefined) return false;
     const nowMs = this.options.clock.getMonotonicMs();
     if (pending.deadlineMs <= nowMs) return false;
     if (!this.options.retryBudget.takeRetry()) return false;
--- a/packages/runtime/src/platform_clients.ts
+++ b/packages/runtime/src/platform_clients.ts
@@ -2,6 +2,7 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {DocumentStore} from '@mustardlug/document/document_store';
+import {EvacuationStore} from '@mustardlug/document/evacuation_store';
 import {GroupCommitter} from '@mustardlug/platform/group_committer';
 import {
   HttpObjectStore,
@@ -37,6 +38,7 @@
   readonly retryingCommitter: RetryingCommitter;
   readonly tokens: TokenSource = RandomTokenSource.create();
   readonly documents: DocumentStore;
+  readonly evacuations: EvacuationStore;
   readonly vmList: VmList;
   readonly workerClient: WorkerClient;
 
@@ -58,6 +60,11 @@
       objects: HttpObjectStore.create(this.jsonClient, address),
       tokens: this.tokens,
     });
+    this.evacuations = EvacuationStore.create({
+      table: this.table,
+      retryingCommitter: this.retryingCommitter,
+      tokens: this.tokens,
+    });
     this.vmList = HttpVmList.create(this.jsonClient, address);
     this.workerClient = HttpWorkerClient.create(this.jsonClient);
   }
--- a/packages/scheduler/src/scheduler_process.ts
+++ b/packages/scheduler/src/scheduler_process.ts
@@ -5,6 +5,10 @@
 import {AppError} from '@mustardlug/base/errors';
 import {RandomSource} from '@mustardlug/base/random_source';
 import {DocumentFollower} from '@mustardlug/document/document_follower';
+import {
+  EvacuationChange,
+  EvacuationFollower,
+} from '@mustardlug/document/evacuation_follower';
 import {
   DEFAULT_LEASE_TIMING,
   LeaseManager,
@@ -44,6 +48,7 @@
   private readonly committer: GroupCommitter;
   private readonly vmDirectory: VmDirectory;
   private readonly follower: DocumentFollower;
+  private readonly evacuations: EvacuationFollower;
   private readonly localEntryClient: LocalEntryClient;
   private readonly scheduler: TaskScheduler;
   private readonly usageRecorder: UsageRecorder;
@@ -93,6 +98,7 @@
       renewSoon: (workerId, delayMs) =>
         this.leases.renewSoon(workerId, delayMs),
       listLagMs: settings.listLagMs,
+      waitsForEvacuations: true,
       onEvent: (name, subject) => this.addEvent(name, subject),
     });
     this.usageRecorder = UsageRecorder.create({
@@ -119,6 +125,18 @@
         },
       },
     });
+    this.evacuations = EvacuationFollower.create({
+      store: this.platform.evacuations,
+      clock,
+      random,
+      pollMs: DOCUMENT_POLL_MS,
+      listener: {
+        onEvacuationsRead: change => this.handleEvacuationsRead(change),
+        onReadFailed: detail =>
+          this.addEvent('evacuations-read-failed', {detail}),
+        onReadRecovered: () => this.addEvent('evacuations-read-recovered'),
+      },
+    });
     this.leases = LeaseManager.create({
       scope: 'tasks',
       holderId: nodeId,
@@ -178,6 +196,7 @@
     this.listener = listener.value;
     this.scheduler.start();
     void this.follower.start();
+    void this.evacuations.start();
     void this.pollVmList();
     const detail = `operators on port ${this.listener.getPort()}`;
     this.addEvent('process-started', {detail});
@@ -203,6 +222,7 @@
     this.isStopped = true;
     this.vmListTimer?.cancel();
     this.follower.stop();
+    this.evacuations.stop();
     this.scheduler.stop();
     this.leases.setWorkers([]);
     this.listener?.destroy();
@@ -218,8 +238,10 @@
       region,
       failureDomain,
       documentVersion: this.follower.getVersion(),
-      isReady: this.follower.getCurrent() !== undefined,
+      isReady:
+        this.follower.getCurrent() !== undefined && this.evacuations.isKnown(),
       degraded: this.getDegradations(),
+      evacuatedDomains: this.evacuations.getDomains(),
       leases: this.leases.getValidLeases().map(lease => ({
         workerId: lease.address.workerId,
         epoch: lease.getEpoch(),
@@ -238,6 +260,13 @@
     if (this.vmDirectory.getVersion() === 0) {
       degraded.push('the VM list has not been read yet');
     }
+    if (!this.evacuations.isKnown()) {
+      degraded.push('the evacuated failure domains have not been read yet');
+    }
+    const {failureDomain} = this.settings;
+    if (this.evacuations.getDomains().includes(failureDomain)) {
+      degraded.push(`failure domain ${failureDomain} is evacuated`);
+    }
     return degraded;
   }
 
@@ -292,6 +321,13 @@
     );
   }
 
+  private handleEvacuationsRead(change: EvacuationChange): void {
+    const {domains, evacuated, restored} = change;
+    this.scheduler.setEvacuatedDomains(domains);
+    for (const detail of evacuated) this.addEvent('domain-evacuated', {detail});
+    for (const detail of restored) this.addEvent('domain-restored', {detail});
+  }
+
   private async readDocumentFromLocalEntry(): Promise<void> {
     const document = await this.localEntryClient.getDocument();
     if (document === undefined) return;
@@ -331,6 +367,16 @@
       'Worker leases that this process holds.',
       () => this.leases.getValidLeases().length,
     );
+    this.metrics.addGauge(
+      'mustardlug_evacuated_domains',
+      'Evacuated failure domains, as last read.',
+      () => this.evacuations.getDomains().length,
+    );
+    this.metrics.addGauge(
+      'mustardlug_withheld_starts',
+      'Starts withheld since the process started because the failure domain is evacuated.',
+      () => this.scheduler.getWithheldStartCount(),
+    );
     this.metrics.addGauge(
       'mustardlug_table_transactions',
       'Transactions sent to the table service since the start.',
--- a/packages/scheduling/src/fleet.ts
+++ b/packages/scheduling/src/fleet.ts
@@ -4,13 +4,17 @@
 import {Vm} from '@mustardlug/platform/vm_list';
 import {ResourceAmount} from './worker_view.js';
 
-/** Latest VM list of all failure domains, and the schedulers of this scheduler's domain. */
+/** Whether a failure domain takes new work; `unknown` before the evacuated domains have been read. */
+export type DomainService = 'in-service' | 'evacuated' | 'unknown';
+
+/** Latest VM list and evacuations of all failure domains, and the schedulers of this scheduler's domain. */
 export class Fleet {
   private vms: ReadonlyMap<string, Vm> = new Map();
   private schedulers: readonly string[] = [];
   private workersByDomain: ReadonlyMap<string, number> = new Map();
   private workerSizes: readonly ResourceAmount[] = [];
   private readonly ranks = new Map<string, number>();
+  private evacuatedDomains: ReadonlySet<string> | undefined;
 
   private constructor(
     private readonly schedulerId: string,
@@ -39,6 +43,37 @@
     this.ranks.clear();
   }
 
+  /**
+   * Sets the evacuated failure domains.
+   * @param domains - Names of the domains.
+   */
+  setEvacuatedDomains(domains: readonly string[]): void {
+    this.evacuatedDomains = new Set(domains);
+  }
+
+  /** Gets whether this scheduler's domain takes new work. */
+  getOwnDomainService(): DomainService {
+    if (this.evacuatedDomains === undefined) return 'unknown';
+    return this.evacuatedDomains.has(this.failureDomain)
+      ? 'evacuated'
+      : 'in-service';
+  }
+
+  /** Gets the names of the evacuated failure domains that have workers, sorted. */
+  getEvacuatedDomains(): string[] {
+    return this.getFailureDomains().filter(domain =>
+      this.evacuatedDomains?.has(domain),
+    );
+  }
+
+  /** Gets the names of the failure domains that new tasks are distributed to; all if none is in service. */
+  getTaskDomains(): string[] {
+    return getDomainsInService(
+      this.getFailureDomains(),
+      this.evacuatedDomains ?? new Set(),
+    );
+  }
+
   /** Checks whether a VM list with at least one VM has been set. */
   hasVms(): boolean {
     return this.vms.size > 0;
@@ -108,6 +143,19 @@
   }
 }
 
+/**
+ * Gets the failure domains that are not evacuated, or all if each is.
+ * @param domains - Names of the domains.
+ * @param evacuatedDomains - Names of the evacuated ones.
+ */
+export function getDomainsInService(
+  domains: readonly string[],
+  evacuatedDomains: ReadonlySet<string>,
+): string[] {
+  const inService = domains.filter(domain => !evacuatedDomains.has(domain));
+  return inService.length > 0 ? inService : [...domains];
+}
+
 function countWorkers(vms: readonly Vm[]): Map<string, number> {
   const counts = new Map<string, number>();
   for (const vm of vms) {
--- a/packages/scheduling/src/job_reconciler.ts
+++ b/packages/scheduling/src/job_reconciler.ts
@@ -113,10 +113,29 @@
   async stealTasks(
     fitsLocally: (record: TaskRecord) => boolean,
   ): Promise<void> {
-    const {random, table, fleet, failureDomain, clock} = this.options;
-    const others = fleet
-      .getFailureDomains()
-      .filter(domain => domain !== failureDomain);
+    await this.moveTasksFrom(
+      this.options.fleet.getFailureDomains(),
+      fitsLocally,
+    );
+  }
+
+  /**
+   * Moves pending batch tasks from a randomly chosen evacuated domain to this domain.
+   * @param runsLocally - Whether a worker of this scheduler could run a task.
+   */
+  async takeEvacuatedTasks(
+    runsLocally: (record: TaskRecord) => boolean,
+  ): Promise<void> {
+    const {fleet} = this.options;
+    await this.moveTasksFrom(fleet.getEvacuatedDomains(), runsLocally);
+  }
+
+  private async moveTasksFrom(
+    domains: readonly string[],
+    isSuitable: (record: TaskRecord) => boolean,
+  ): Promise<void> {
+    const {random, table, failureDomain, clock} = this.options;
+    const others = domains.filter(domain => domain !== failureDomain);
     if (others.length === 0) return;
     const domain = others[random.getIndex(others.length)];
     const cache = TaskCache.create(table, domain);
@@ -125,7 +144,7 @@
     const nowMs = clock.getWallMs();
     const tasks = cache.getPendingTasks().filter(({record}) => {
       const isOld = nowMs - record.submittedAtMs >= MIN_STOLEN_TASK_AGE_MS;
-      return record.kind === 'batch' && isOld && fitsLocally(record);
+      return record.kind === 'batch' && isOld && isSuitable(record);
     });
     for (const task of tasks.slice(0, MAX_STOLEN_TASKS)) {
       void this.moveToOwnDomain(task);
@@ -179,8 +198,10 @@
    * this, on behalf of all.
    */
   private async createTasksOfDeclaredJobs(): Promise<void> {
-    const failureDomains = this.options.fleet.getFailureDomains();
-    if (failureDomains[0] !== this.options.failureDomain) return;
+    const {fleet, failureDomain} = this.options;
+    if (fleet.getFailureDomains()[0] !== failureDomain) return;
+    if (fleet.getOwnDomainService() === 'unknown') return;
+    const failureDomains = fleet.getTaskDomains();
     for (const job of this.document?.batchJobs ?? []) {
       const isCompleted = await this.createMissingTasks(job, failureDomains);
       if (!isCompleted) return;
--- a/packages/scheduling/src/task_scheduler.ts
+++ b/packages/scheduling/src/task_scheduler.ts
@@ -95,6 +95,11 @@
    * services; on by default.
    */
   readonly isInterferenceControlEnabled?: boolean;
+  /**
+   * Whether no task is placed or started before `setEvacuatedDomains` has been
+   * called; off by default.
+   */
+  readonly waitsForEvacuations?: boolean;
   /** Overrides the scored placement policy, for benchmarks. */
   readonly placement?: PlacementPolicy;
   readonly onEvent: (
@@ -186,6 +191,7 @@
   private document: EnvironmentDocument | undefined;
   private timers = new Map<string, Timer>();
   private readonly reservations = new Map<ReservationKind, WorkerReservation>();
+  private withheldStartCount = 0;
   /** Moving average of the time from the submission to the placement. */
   private ownWaitMs = 0;
   private readonly passedOver = {
@@ -209,6 +215,7 @@
     this.commandBatcher = CommandBatcher.create(options.client, options.clock);
     const {schedulerId, failureDomain, clock, listLagMs} = options;
     this.fleet = Fleet.create(schedulerId, failureDomain);
+    if (!options.waitsForEvacuations) this.fleet.setEvacuatedDomains([]);
     this.goneWorkers = GoneWorkerTracker.create(clock, listLagMs);
     this.absences = AbsenceRecords.create(options, this.goneWorkers);
     this.interferenceMonitor = InterferenceMonitor.create(clock);
@@ -290,6 +297,21 @@
     this.jobReconciler.updateDesiredReplicas();
   }
 
+  /**
+   * Sets the evacuated failure domains. While that of this scheduler is one of
+   * them, no task is placed or started; running attempts continue, and bound
+   * ones that have not started are released at the next report of their worker.
+   * @param domains - Names of the domains.
+   */
+  setEvacuatedDomains(domains: readonly string[]): void {
+    this.fleet.setEvacuatedDomains(domains);
+  }
+
+  /** Gets the number of starts that were withheld because the failure domain is evacuated. */
+  getWithheldStartCount(): number {
+    return this.withheldStartCount;
+  }
+
   /** Records that the VM list has just been read, whether or not it changed. */
   recordVmListRead(): void {
     this.goneWorkers.recordListRead();
@@ -563,6 +585,22 @@
     else void this.startBoundTask(view, task);
   }
 
+  /** Releases a bound task instead of starting it in an evacuated failure domain. */
+  private async withholdStart(
+    view: WorkerView,
+    task: CachedTask,
+  ): Promise<void> {
+    // The report that lacks an accepted attempt may be older than its start, and
+    // the release would stop it.
+    if (this.starts.isStarted(view.workerId, task.record)) return;
+    this.withheldStartCount++;
+    await this.releaseBoundTask(
+      view,
+      task,
+      `failure domain ${this.options.failureDomain} is evacuated`,
+    );
+  }
+
   /** Unbinds a task from a rebooted worker, and records whether the attempt may have crashed it. */
   private releaseAfterReboot(view: WorkerView, task: CachedTask): void {
     const {record} = task;
@@ -675,6 +713,9 @@
   ): Promise<void> {
     const {record} = task;
     const {taskId} = record;
+    const service = this.fleet.getOwnDomainService();
+    if (service === 'evacuated') await this.withholdStart(view, task);
+    if (service !== 'in-service') return;
     if (!this.mayStart(record, view)) {
       if (!view.isPlaced(taskId)) await this.releaseIfOverdue(view, task);
       return;
@@ -896,6 +937,7 @@
     this.unbindFromGoneWorkers();
     this.evictionPlanner.startRound();
     const {primary, secondary} = this.getEligiblePending();
+    if (this.fleet.getOwnDomainService() !== 'in-service') return;
     const usable = this.getUsableViews();
     const {passedOver} = this;
     const isCapacityLeft = this.scheduleTasks(
@@ -1421,7 +1463,13 @@
   }
 
   private async stealTasks(): Promise<void> {
+    if (this.fleet.getOwnDomainService() !== 'in-service') return;
     const usable = this.getUsableViews();
+    // Tasks of evacuated domains compete with those of this one; they would
+    // otherwise wait until this domain has nothing else to do.
+    await this.jobReconciler.takeEvacuatedTasks(record =>
+      this.canEverRun(record, usable),
+    );
     if (!usable.some(view => view.getFreeResources().cores >= 1)) return;
     // Tasks that no worker here can run must not keep room from those of others.
     for (const {record} of this.cache.getPendingTasks()) {
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -128,6 +128,26 @@
     level: 'warn',
     text: 'Reading the environment document failed; the last version that was read stays in effect.',
   },
+  'domain-evacuated': {
+    number: 510,
+    level: 'info',
+    text: 'An operator took a failure domain out of service; it gets no new requests and starts no tasks.',
+  },
+  'domain-restored': {
+    number: 511,
+    level: 'info',
+    text: 'An operator put a failure domain back into service.',
+  },
+  'evacuations-read-failed': {
+    number: 512,
+    level: 'warn',
+    text: 'Reading the evacuated failure domains fails; those that were read last stay in effect.',
+  },
+  'evacuations-read-recovered': {
+    number: 513,
+    level: 'info',
+    text: 'The evacuated failure domains can be read again.',
+  },
   'task-bound': {
     number: 600,
     level: 'info',
