mustardlugctl check: findings in a configuration before it is sent

Operators learned of a shadowed route, a queue without workers or a version that nodes ignore only from callers and logs, after they had sent the file; validate knows only the schema and the references of the document.

Change: check FILE reports schema errors with their location, entries that never take effect, limits that contradict each other, and the differences from the version in force. Exit status 0, 1 or 2; differences alone are no findings. Nothing is written.

--- a/packages/ctl/src/document_commands.ts
+++ b/packages/ctl/src/document_commands.ts
@@ -13,6 +13,8 @@
 export interface CommandOutput {
   readonly text: string;
   readonly json: unknown;
+  /** Exit status of a command that succeeded; 0 by default. */
+  readonly exitStatus?: number;
 }
 
 /** Validates a document without publishing it. */
--- a/packages/ctl/src/mustardlugctl.ts
+++ b/packages/ctl/src/mustardlugctl.ts
@@ -5,6 +5,7 @@
 import {Result} from 'neverthrow';
 import {AppError} from '@mustardlug/base/errors';
 import {exitWithError} from '@mustardlug/runtime/program';
+import {checkFile, loadFormat} from './check_command.js';
 import {createCtlContext, CtlContext} from './ctl_context.js';
 import {
   CommandOutput,
@@ -12,6 +13,7 @@
   publishTrial,
   validateDocument,
 } from './document_commands.js';
+import {DocumentFormat} from './document_format.js';
 import {evacuateDomain, restoreDomain} from './evacuation_commands.js';
 import {
   cancelJob,
@@ -38,6 +40,11 @@
   readonly node?: string;
 }
 
+interface CheckOptions {
+  readonly offline?: boolean;
+  readonly format?: string;
+}
+
 interface ForceOptions {
   readonly force?: boolean;
 }
@@ -65,7 +72,8 @@
     ? `${JSON.stringify(result.value.json, null, 2)}\n`
     : result.value.text;
   // The clients keep connections open, which would keep the process running.
-  process.stdout.write(text, () => process.exit(0));
+  const {exitStatus} = result.value;
+  process.stdout.write(text, () => process.exit(exitStatus ?? 0));
 }
 
 async function run(
@@ -77,11 +85,41 @@
   print(await action(context.value));
 }
 
+async function check(file: string, options: CheckOptions): Promise<void> {
+  const {settings} = program.opts<GlobalOptions>();
+  const isOffline = options.offline ?? false;
+  if (options.format === undefined) {
+    const format = DocumentFormat.create(() => createCtlContext(settings));
+    return print(await checkFile(format, file, isOffline));
+  }
+  const format = await loadFormat(options.format, settings);
+  if (format.isErr()) return exitWithError(PROGRAM, format.error);
+  print(await checkFile(format.value, file, isOffline));
+}
+
 program
   .command('validate')
   .description('validates a document without publishing it')
   .argument('<file>', 'environment document')
   .action((file: string) => print(validateDocument(file)));
+program
+  .command('check')
+  .description(
+    'reports errors, entries without effect and contradictions of a configuration, and its differences from the version in force; changes nothing',
+  )
+  .argument('<file>', 'environment document, or a file of the given format')
+  .option('--offline', 'do not read the version in force and the workers')
+  .option(
+    '--format <module>',
+    'module with another format; --settings is then the settings file that it reads',
+  )
+  .action((file: string, options: CheckOptions) => check(file, options))
+  .addHelpText(
+    'after',
+    `
+Exit status: 0 nothing found, 1 findings, 2 the file or the version in force is
+not readable. Differences alone are no findings.`,
+  );
 program
   .command('trial')
   .description('publishes a document to the trial environment')
