Evacuation: name it as the reason of a wait; shorter tests, mutations

explain task told operators that a pending task of an evacuated domain waits for a worker with sufficient capacity, although no scheduler may place it.

Change: explain task names the evacuation, and whether the task moves to another domain.

--- a/packages/ctl/src/job_commands.ts
+++ b/packages/ctl/src/job_commands.ts
@@ -24,6 +24,7 @@
 import {getDomainsInService} from '@mustardlug/scheduling/fleet';
 import {
   CANCEL_PREFIX,
+  getTaskDomain,
   JOB_PREFIX,
   TaskRecord,
   taskRecordSchema,
@@ -196,14 +197,22 @@
   }
 }
 
-async function getTaskRecords(
+/** A task with the failure domain that it belongs to. */
+interface LocatedTask {
+  readonly record: TaskRecord;
+  readonly failureDomain: string;
+}
+
+async function getTasks(
   context: CtlContext,
-): Promise<Result<TaskRecord[], AppError>> {
+): Promise<Result<LocatedTask[], AppError>> {
   const rows = await getAllRows(context.table, 'task/');
   return rows.map(list =>
-    list.flatMap(row => {
-      const parsed = taskRecordSchema.safeParse(row.value);
-      return parsed.success ? [parsed.data] : [];
+    list.flatMap(({key, value}) => {
+      const parsed = taskRecordSchema.safeParse(value);
+      if (!parsed.success) return [];
+      const record = parsed.data;
+      return [{record, failureDomain: getTaskDomain(key, record.taskId)}];
     }),
   );
 }
@@ -212,28 +221,46 @@
   context: CtlContext,
   taskId: string,
 ): Promise<Result<CommandOutput, AppError>> {
-  const records = await getTaskRecords(context);
-  if (records.isErr()) return err(records.error);
-  const record = records.value.find(candidate => candidate.taskId === taskId);
-  if (record === undefined) {
+  const tasks = await getTasks(context);
+  if (tasks.isErr()) return err(tasks.error);
+  const task = tasks.value.find(({record}) => record.taskId === taskId);
+  if (task === undefined) {
     const message = `there is no task ${taskId}; task ids look like batch.JOB.0 or service.NAME.DOMAIN.0, and ended batch tasks are kept for 10 minutes`;
     return err(createNotFoundError(message));
   }
+  const evacuated = await context.evacuations.getDomains();
+  if (evacuated.isErr()) return err(evacuated.error);
+  const {record} = task;
   const events = await getTimeline(context, {taskId});
   return ok({
-    text: `${describeTask(record)}\n\n${renderEvents(events)}`,
+    text: `${describeTask(task, evacuated.value)}\n\n${renderEvents(events)}`,
     json: {record, events},
   });
 }
 
-function describeTask(record: TaskRecord): string {
+/**
+ * Describes the state of a task, and why it waits.
+ * @param task - Task to describe.
+ * @param evacuatedDomains - Names of the evacuated failure domains.
+ */
+export function describeTask(
+  {record, failureDomain}: LocatedTask,
+  evacuatedDomains: readonly string[],
+): string {
   const lines = [
     `task ${record.taskId} of ${record.kind} ${record.name}, team ${record.team}: ${record.state}`,
     `attempt ${record.attempt}, failures ${record.failures}, evictions ${record.evictions}`,
     `needs ${record.cores} cores, ${record.memoryMb} MB, ${record.accelerators} accelerators`,
   ];
   if (record.state === 'bound') lines.push(`bound to ${record.workerId}`);
-  if (record.state === 'pending') {
+  const isEvacuated = evacuatedDomains.includes(failureDomain);
+  if (record.state === 'pending' && isEvacuated) {
+    lines.push(
+      record.kind === 'service'
+        ? `waiting until its failure domain ${failureDomain} is restored; replicas do not move to other domains`
+        : `its failure domain ${failureDomain} is evacuated; waiting for a scheduler of another domain to take it over`,
+    );
+  } else if (record.state === 'pending') {
     lines.push(
       'waiting for a worker with sufficient capacity; a team at its quota waits until one of its own tasks ends',
     );
@@ -265,11 +292,11 @@
   context: CtlContext,
   workerId: string,
 ): Promise<Result<CommandOutput, AppError>> {
-  const records = await getTaskRecords(context);
-  if (records.isErr()) return err(records.error);
-  const bound = records.value.filter(
-    record => record.state === 'bound' && record.workerId === workerId,
-  );
+  const tasks = await getTasks(context);
+  if (tasks.isErr()) return err(tasks.error);
+  const bound = tasks.value
+    .map(({record}) => record)
+    .filter(record => record.state === 'bound' && record.workerId === workerId);
   const statuses = await context.nodeClient.getStatuses();
   const holders = statuses.flatMap(({result}) => {
     if (result.isErr()) return [];
--- a/packages/ctl/test/check_command.test.ts
+++ b/packages/ctl/test/check_command.test.ts
@@ -2,33 +2,31 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {expect} from 'chai';
-import {err, ok, Result} from 'neverthrow';
-import {
-  createUnavailableError,
-  UnavailableError,
-} from '@mustardlug/base/errors';
+import {err, ok} from 'neverthrow';
+import {createUnavailableError} from '@mustardlug/base/errors';
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
 import {DocumentStore} from '@mustardlug/document/document_store';
 import {RetryingCommitter} from '@mustardlug/platform/retrying_committer';
 import {CountingTokenSource} from '@mustardlug/platform/token_source';
-import {Vm, VmList, VmSnapshot} from '@mustardlug/platform/vm_list';
 import {EXIT_STATUS, getExitStatus} from '@mustardlug/runtime/program';
 import {MemoryObjectStore} from '@mustardlug/standins/memory_object_store';
 import {MemoryTable} from '@mustardlug/standins/memory_table';
+import {MemoryVmList} from '@mustardlug/standins/memory_vm_list';
 import {checkFile, loadFormat} from '../src/check_command.js';
 import {DocumentFormat} from '../src/document_format.js';
 
+const RESOURCES = {cores: 2, memoryMb: 1_000};
 const SERVICE = {
   name: 'class-desk',
   team: 'desk',
   replicas: 2,
-  resources: {cores: 2, memoryMb: 1_000},
+  resources: RESOURCES,
 };
 const JOB = {
   name: 'reports',
   team: 'desk',
   tasks: 10,
-  resources: {cores: 1, memoryMb: 500},
+  resources: RESOURCES,
   expectedRunMs: 1_000,
 };
 const DOCUMENT = {
@@ -38,38 +36,61 @@
   services: [SERVICE],
   batchJobs: [JOB],
 };
-
-class FixedVmList extends VmList {
-  constructor(public workers: number) {
-    super();
-  }
-
-  override getSnapshot(): Promise<
-    Result<VmSnapshot | undefined, UnavailableError>
-  > {
-    const vms = Array.from({length: this.workers}, (_, index): Vm => {
-      const place = {region: 'r', failureDomain: 'd', rack: 'k'};
-      const size = {cores: 8, memoryMb: 8_000, accelerators: 0};
-      const id = `worker-${index}`;
-      return {
-        id,
-        role: 'worker',
-        state: 'live',
-        host: 'none',
-        port: 1,
-        ...place,
-        ...size,
-      };
-    });
-    return Promise.resolve(ok({version: 1, vms}));
-  }
-}
-
-interface CheckResult {
-  readonly exitStatus: number;
-  readonly findings: string[];
-  readonly differences: string[] | undefined;
-  readonly text: string;
+const ROUTES = [
+  {pathPrefix: '/list', isReadOnly: true},
+  {pathPrefix: '/lists/old'},
+  {pathPrefix: '/other'},
+];
+
+/** Documents with faults that need no knowledge of the deployment, and what is found. */
+const FAULTS: ReadonlyArray<readonly [string, object, string[]]> = [
+  ['no fault', {}, []],
+  [
+    'values and fields outside the schema',
+    withService({replicas: 0, slots: 5}),
+    ['error services.0.replicas', 'error services.0'],
+  ],
+  [
+    'an undeclared team, and a name that occurs twice',
+    {services: [SERVICE, {...SERVICE, team: 'none'}]},
+    ['error services.1.team', 'error services.1.name'],
+  ],
+  [
+    'a route that an earlier one shadows',
+    withService({routes: ROUTES}),
+    ['unreachable services.0.routes.1.pathPrefix'],
+  ],
+  [
+    'no shadowed route if the longer prefix comes first',
+    withService({routes: [...ROUTES].reverse()}),
+    [],
+  ],
+  [
+    'an upstream time limit above the deadline',
+    withService({deadlineMs: 1_000, upstreamTimeoutMs: 1_001}),
+    ['contradiction services.0.upstreamTimeoutMs'],
+  ],
+  [
+    'more slots than connections',
+    withService({slotsPerReplica: 9, connectionsPerReplica: 8}),
+    ['contradiction services.0.connectionsPerReplica'],
+  ],
+  [
+    'no objective',
+    {
+      objective: {tailLatencyWeight: 0, evictionWeight: 0, throughputWeight: 0},
+    },
+    ['contradiction objective'],
+  ],
+  [
+    'tasks beyond the quota of their team',
+    {teams: [{name: 'desk', quotaCores: 1}]},
+    ['unreachable services.0.resources', 'unreachable batchJobs.0.resources'],
+  ],
+];
+
+function withService(overrides: object): object {
+  return {services: [{...SERVICE, ...overrides}]};
 }
 
 interface PrintedReport {
@@ -78,186 +99,98 @@
 }
 
 describe('checkFile', () => {
-  let folder = '';
-  let table: MemoryTable;
-  let documents: DocumentStore;
-  let vmList: FixedVmList;
-
-  beforeEach(() => {
-    folder = mkdtempSync(join(tmpdir(), 'check-'));
-    const clock = VirtualClock.create();
-    table = MemoryTable.create(clock);
-    vmList = new FixedVmList(4);
-    documents = DocumentStore.create({
-      table,
-      retryingCommitter: RetryingCommitter.create({table, clock}),
-      objects: MemoryObjectStore.create(),
-      tokens: CountingTokenSource.create('operator'),
-    });
+  const folder = mkdtempSync(join(tmpdir(), 'check-'));
+  const path = join(folder, 'document.json');
+  const clock = VirtualClock.create();
+  const table = MemoryTable.create(clock);
+  const vmList = MemoryVmList.create(['a', 'a', 'b', 'b']);
+  const documents = DocumentStore.create({
+    table,
+    retryingCommitter: RetryingCommitter.create({table, clock}),
+    objects: MemoryObjectStore.create(),
+    tokens: CountingTokenSource.create('operator'),
   });
+  const format = DocumentFormat.create(() => ok({documents, vmList}));
 
-  afterEach(() => rmSync(folder, {recursive: true}));
+  after(() => rmSync(folder, {recursive: true}));
 
-  async function checkText(
-    text: string | Buffer,
-    isOffline = true,
-  ): Promise<CheckResult> {
-    const path = join(folder, 'document.json');
-    writeFileSync(path, text);
-    const format = DocumentFormat.create(() => ok({documents, vmList}));
+  async function check(overrides: object, isOffline = false) {
+    writeFileSync(path, JSON.stringify({...DOCUMENT, ...overrides}));
     const result = await checkFile(format, path, isOffline);
-    if (result.isErr()) {
-      const exitStatus = getExitStatus(result.error);
-      const {message} = result.error;
-      return {exitStatus, findings: [], differences: undefined, text: message};
-    }
-    const {json, text: printed, exitStatus = -1} = result.value;
+    const {json, text, exitStatus} = result._unsafeUnwrap();
     const report = json as PrintedReport;
     const findings = report.findings.map(({kind, path: at}) => `${kind} ${at}`);
     const differences = report.differences?.map(({path: at}) => at);
-    return {exitStatus, findings, differences, text: printed};
-  }
-
-  async function check(overrides: object): Promise<string[]> {
-    const text = JSON.stringify({...DOCUMENT, ...overrides});
-    const {exitStatus, findings} = await checkText(text);
-    const isFound = findings.length > 0;
-    expect(exitStatus).to.equal(isFound ? EXIT_STATUS.failed : EXIT_STATUS.ok);
-    return findings;
+    return {exitStatus, findings, differences, text};
   }
 
-  async function publish(document: object): Promise<void> {
-    const trial = await documents.publishTrial(JSON.stringify(document));
-    await documents.promote(trial._unsafeUnwrap().digest);
+  for (const [name, overrides, expected] of FAULTS) {
+    it(`finds ${name}`, async () => {
+      const {findings, exitStatus} = await check(overrides, true);
+      expect(findings).to.have.members(expected);
+      expect(exitStatus).to.equal(expected.length > 0 ? 1 : 0);
+    });
   }
 
-  it('finds nothing in a sound document', async () => {
-    expect(await check({})).to.deep.equal([]);
-  });
-
-  it('exits with 2 if the file is not readable as JSON', async () => {
-    const texts = ['{"environment": ', Buffer.from([0x22, 0xff, 0x22])];
-    for (const text of texts) {
-      const {exitStatus} = await checkText(text);
-      expect(exitStatus).to.equal(EXIT_STATUS.invalidInput);
+  it('exits with 2 if the file is absent, or is not readable as JSON', async () => {
+    for (const text of ['{"environment": ', Buffer.from([0x22, 0xff, 0x22])]) {
+      writeFileSync(path, text);
+      const error = (await checkFile(format, path, true))._unsafeUnwrapErr();
+      expect(getExitStatus(error)).to.equal(EXIT_STATUS.invalidInput);
     }
-    const format = DocumentFormat.create(() => ok({documents, vmList}));
     const absent = await checkFile(format, join(folder, 'absent'), true);
-    const status = getExitStatus(absent._unsafeUnwrapErr());
-    expect(status).to.equal(EXIT_STATUS.invalidInput);
-  });
-
-  it('reports errors of the schema and of references with their location', async () => {
-    const service = {...SERVICE, replicas: 0, slots: 5};
-    expect(await check({services: [service]})).to.have.members([
-      'error services.0.replicas',
-      'error services.0',
-    ]);
-    const services = [SERVICE, {...SERVICE, team: 'none'}];
-    expect(await check({services})).to.have.members([
-      'error services.1.team',
-      'error services.1.name',
-    ]);
-  });
-
-  it('finds a route that an earlier one shadows', async () => {
-    const routes = [
-      {pathPrefix: '/list', isReadOnly: true},
-      {pathPrefix: '/lists/old'},
-      {pathPrefix: '/other'},
-    ];
-    const services = [{...SERVICE, routes}];
-    expect(await check({services})).to.deep.equal([
-      'unreachable services.0.routes.1.pathPrefix',
-    ]);
-    routes.reverse();
-    expect(await check({services})).to.deep.equal([]);
-  });
-
-  it('finds limits that contradict each other', async () => {
-    const slow = {...SERVICE, deadlineMs: 1_000, upstreamTimeoutMs: 1_001};
-    expect(await check({services: [slow]})).to.deep.equal([
-      'contradiction services.0.upstreamTimeoutMs',
-    ]);
-    const narrow = {...SERVICE, slotsPerReplica: 9, connectionsPerReplica: 8};
-    expect(await check({services: [narrow]})).to.deep.equal([
-      'contradiction services.0.connectionsPerReplica',
-    ]);
-    const objective = {
-      tailLatencyWeight: 0,
-      evictionWeight: 0,
-      throughputWeight: 0,
-    };
-    expect(await check({objective})).to.deep.equal(['contradiction objective']);
-  });
-
-  it('finds tasks that exceed the quota of their team', async () => {
-    const teams = [{name: 'desk', quotaCores: 1}];
-    expect(await check({teams})).to.deep.equal([
-      'unreachable services.0.resources',
-    ]);
+    expect(getExitStatus(absent._unsafeUnwrapErr())).to.equal(2);
   });
 
   it('finds tasks and replicas for which there are no workers', async () => {
-    const large = {...JOB, resources: {cores: 9, memoryMb: 500}};
-    const services = [{...SERVICE, replicas: 5}];
-    const text = JSON.stringify({...DOCUMENT, services, batchJobs: [large]});
-    expect((await checkText(text)).findings).to.deep.equal([]);
-    expect((await checkText(text, false)).findings).to.deep.equal([
+    const job = {...JOB, resources: {cores: 9, memoryMb: 500}};
+    const overrides = {...withService({replicas: 5}), batchJobs: [job]};
+    expect((await check(overrides, true)).findings).to.deep.equal([]);
+    expect((await check(overrides)).findings).to.deep.equal([
       'contradiction services.0.replicas',
       'unreachable batchJobs.0.resources',
     ]);
-    vmList.workers = 0;
-    const {findings} = await checkText(JSON.stringify(DOCUMENT), false);
+    vmList.setWorkers([]);
+    const {findings} = await check({});
     expect(findings).to.deep.equal(['unreachable services.0.replicas']);
+    vmList.setWorkers(['a', 'b']);
   });
 
-  it('lists the differences from the version in force, which are no findings', async () => {
-    await publish(DOCUMENT);
-    const services = [{...SERVICE, slotsPerReplica: 4}];
-    const text = JSON.stringify({...DOCUMENT, services});
-    const changed = await checkText(text, false);
-    expect(changed.differences).to.deep.equal([
-      'services.class-desk.slotsPerReplica',
-    ]);
-    expect(changed.text).to.contain('slotsPerReplica: 8 -> 4');
-    expect(changed.exitStatus).to.equal(EXIT_STATUS.ok);
-    const offline = await checkText(text);
-    expect(offline.differences).to.equal(undefined);
-  });
-
-  it('changes nothing', async () => {
-    await publish(DOCUMENT);
+  it('lists the differences from the version in force, which are no findings, and changes nothing', async () => {
+    const trial = await documents.publishTrial(JSON.stringify(DOCUMENT));
+    await documents.promote(trial._unsafeUnwrap().digest);
     const {transactions} = table.counts;
-    await checkText(JSON.stringify({...DOCUMENT, teams: []}), false);
-    await checkText(JSON.stringify(DOCUMENT), false);
+    const overrides = withService({slotsPerReplica: 4});
+    const {differences, text, exitStatus} = await check(overrides);
+    expect(differences).to.deep.equal(['services.class-desk.slotsPerReplica']);
+    expect(text).to.contain('slotsPerReplica: 8 -> 4');
+    expect(exitStatus).to.equal(0);
+    const offline = await check(overrides, true);
+    expect(offline.differences).to.equal(undefined);
     expect(table.counts.transactions).to.equal(transactions);
   });
 
   it('exits with 2 and still shows the findings if the version in force cannot be read', async () => {
+    const overrides = withService({deadlineMs: 1_000});
     table.faults.isOutage = true;
-    const services = [{...SERVICE, deadlineMs: 1_000}];
-    const text = JSON.stringify({...DOCUMENT, services});
-    const result = await checkText(text, false);
-    expect(result.exitStatus).to.equal(EXIT_STATUS.invalidInput);
-    expect(result.findings).to.have.length(1);
-    expect(result.text).to.contain('--offline');
-    const path = join(folder, 'document.json');
-    const failing = DocumentFormat.create(() =>
+    const {exitStatus, findings, text} = await check(overrides);
+    table.faults.isOutage = false;
+    expect(exitStatus).to.equal(2);
+    expect(findings).to.have.length(1);
+    expect(text).to.contain('--offline');
+    const withoutSettings = DocumentFormat.create(() =>
       err(createUnavailableError('no settings', false)),
     );
-    const offline = await checkFile(failing, path, true);
-    expect(offline._unsafeUnwrap().exitStatus).to.equal(EXIT_STATUS.failed);
+    const offline = await checkFile(withoutSettings, path, true);
+    expect(offline._unsafeUnwrap().exitStatus).to.equal(1);
   });
 });
 
 describe('loadFormat', () => {
   it('refuses a module that is absent or provides no format', async () => {
-    const modules = ['absent.js', import.meta.filename];
-    for (const path of modules) {
+    for (const path of ['absent.js', import.meta.filename]) {
       const loaded = await loadFormat(path, 'settings.json');
-      const status = getExitStatus(loaded._unsafeUnwrapErr());
-      expect(status).to.equal(EXIT_STATUS.invalidInput);
+      expect(getExitStatus(loaded._unsafeUnwrapErr())).to.equal(2);
     }
   });
 });
--- a/packages/document/test/evacuations.test.ts
+++ b/packages/document/test/evacuations.test.ts
@@ -19,6 +19,8 @@
 class Fixture {
   readonly clock = VirtualClock.create();
   readonly table = MemoryTable.create(this.clock);
+  readonly changes: EvacuationChange[] = [];
+  readonly events: string[] = [];
   private count = 0;
 
   createStore(): EvacuationStore {
@@ -30,27 +32,10 @@
     });
   }
 
-  /** Runs a command to its end. */
-  async complete<T>(command: Promise<T>): Promise<T> {
-    await this.clock.advance(COMMAND_MS);
-    return command;
-  }
-
-  getRowKeys(): string[] {
-    return this.table.getRowsByPrefix('evacuation/').map(({key}) => key);
-  }
-}
-
-/** A process that follows the evacuations. */
-class Process {
-  readonly changes: EvacuationChange[] = [];
-  readonly events: string[] = [];
-  readonly follower: EvacuationFollower;
-
-  constructor({clock}: Fixture, store: EvacuationStore, seed = 1) {
-    this.follower = EvacuationFollower.create({
-      store,
-      clock,
+  startFollower(seed = 1): EvacuationFollower {
+    const follower = EvacuationFollower.create({
+      store: this.createStore(),
+      clock: this.clock,
       random: RandomSource.create(seed),
       pollMs: POLL_MS,
       listener: {
@@ -59,174 +44,141 @@
         onReadRecovered: () => this.events.push('recovered'),
       },
     });
-    void this.follower.start();
+    void follower.start();
+    return follower;
   }
-}
 
-describe('EvacuationStore', () => {
-  it('lets two operators evacuate one domain at the same time', async () => {
-    const fixture = new Fixture();
-    fixture.table.faults.delayMs = 5;
-    const commands = [fixture.createStore(), fixture.createStore()].map(store =>
-      store.evacuate('domain-a'),
+  /** Runs a command to its end, and gets its outcome or the kind of its error. */
+  async complete(
+    command: ReturnType<EvacuationStore['evacuate']>,
+  ): Promise<string> {
+    await this.clock.advance(COMMAND_MS);
+    return (await command).match<string>(
+      outcome => outcome,
+      ({kind}) => kind,
     );
-    const outcomes = await fixture.complete(Promise.all(commands));
-    expect(
-      outcomes.map(outcome => outcome._unsafeUnwrap()).sort(),
-    ).to.deep.equal(['changed', 'unchanged']);
-    expect(fixture.getRowKeys()).to.deep.equal(['evacuation/domain-a']);
-  });
+  }
 
-  it('keeps the changes of operators that change different domains at the same time', async () => {
+  getRowKeys(): string[] {
+    return this.table.getRowsByPrefix('evacuation/').map(({key}) => key);
+  }
+}
+
+describe('EvacuationStore', () => {
+  it('keeps the changes of operators that evacuate the same or different domains at the same time', async () => {
     const fixture = new Fixture();
     fixture.table.faults.delayMs = 5;
-    const commands = ['domain-a', 'domain-b', 'domain-c'].map(domain =>
+    const commands = ['a', 'a', 'b', 'c'].map(domain =>
       fixture.createStore().evacuate(domain),
     );
-    const outcomes = await fixture.complete(Promise.all(commands));
-    for (const outcome of outcomes) {
-      expect(outcome._unsafeUnwrap()).to.equal('changed');
+    const outcomes: string[] = [];
+    for (const command of commands) {
+      outcomes.push(await fixture.complete(command));
     }
+    const [first, second, ...others] = outcomes;
+    expect([first, second]).to.have.members(['changed', 'unchanged']);
+    expect(others).to.deep.equal(['changed', 'changed']);
     expect(fixture.getRowKeys()).to.have.length(3);
   });
 
   it('does not remove the row of an operator who evacuated the domain again meanwhile', async () => {
     const fixture = new Fixture();
-    await fixture.createStore().evacuate('domain-a');
-    fixture.table.faults.delayMs = 100;
-    const slow = fixture.createStore().restore('domain-a');
+    const {table, clock} = fixture;
+    await fixture.createStore().evacuate('a');
+    table.faults.delayMs = 100;
+    const slow = fixture.createStore().restore('a');
     // The slow operator has read the row and is about to write.
-    await fixture.clock.advance(250);
-    fixture.table.faults.delayMs = 0;
-    await fixture.createStore().restore('domain-a');
-    await fixture.createStore().evacuate('domain-a');
-    const outcome = await fixture.complete(slow);
-    expect(outcome._unsafeUnwrapErr().kind).to.equal('conflict');
-    expect(fixture.getRowKeys()).to.deep.equal(['evacuation/domain-a']);
+    await clock.advance(250);
+    table.faults.delayMs = 0;
+    await fixture.createStore().restore('a');
+    await fixture.createStore().evacuate('a');
+    expect(await fixture.complete(slow)).to.equal('conflict');
+    expect(fixture.getRowKeys()).to.deep.equal(['evacuation/a']);
   });
 
   it('reports a change whose response was lost as done', async () => {
     const fixture = new Fixture();
     const store = fixture.createStore();
     fixture.table.faults.loseNextAnswers = 1;
-    const evacuated = await fixture.complete(store.evacuate('domain-a'));
-    expect(evacuated._unsafeUnwrap()).to.equal('changed');
+    expect(await fixture.complete(store.evacuate('a'))).to.equal('changed');
     fixture.table.faults.loseNextAnswers = 1;
-    const restored = await fixture.complete(store.restore('domain-a'));
-    expect(restored._unsafeUnwrap()).to.equal('changed');
+    expect(await fixture.complete(store.restore('a'))).to.equal('changed');
     expect(fixture.getRowKeys()).to.deep.equal([]);
   });
 
   it('is not undone by a delayed duplicate that arrives after the restore', async () => {
     const fixture = new Fixture();
-    const {table, clock} = fixture;
     const store = fixture.createStore();
-    table.faults.applyNextLate = 1;
-    table.faults.lateMs = 60_000;
-    const evacuated = await fixture.complete(store.evacuate('domain-a'));
-    expect(evacuated._unsafeUnwrap()).to.equal('changed');
-    await fixture.complete(store.restore('domain-a'));
-    await clock.advance(60_000);
+    fixture.table.faults.applyNextLate = 1;
+    fixture.table.faults.lateMs = 60_000;
+    expect(await fixture.complete(store.evacuate('a'))).to.equal('changed');
+    expect(await fixture.complete(store.restore('a'))).to.equal('changed');
+    await fixture.clock.advance(60_000);
     expect(fixture.getRowKeys()).to.deep.equal([]);
   });
 
   it('fails as unavailable during an outage, and may be repeated afterwards', async () => {
     const fixture = new Fixture();
     const store = fixture.createStore();
+    const evacuate = () => fixture.complete(store.evacuate('a'));
     fixture.table.faults.isOutage = true;
-    const failed = await fixture.complete(store.evacuate('domain-a'));
-    expect(failed._unsafeUnwrapErr().kind).to.equal('unavailable');
+    expect(await evacuate()).to.equal('unavailable');
     fixture.table.faults.isOutage = false;
-    const repeated = await fixture.complete(store.evacuate('domain-a'));
-    expect(repeated._unsafeUnwrap()).to.equal('changed');
-    const again = await fixture.complete(store.evacuate('domain-a'));
-    expect(again._unsafeUnwrap()).to.equal('unchanged');
+    expect(await evacuate()).to.equal('changed');
+    expect(await evacuate()).to.equal('unchanged');
   });
 });
 
 describe('EvacuationFollower', () => {
-  it('follows each change within the bound, with one failed read in between', async () => {
+  it('follows each change within the bound, with failed reads in between', async () => {
     for (let seed = 1; seed <= 20; seed++) {
       const fixture = new Fixture();
       const {clock, table} = fixture;
-      const process = new Process(fixture, fixture.createStore(), seed);
+      const follower = fixture.startFollower(seed);
       await clock.advance(seed * 311);
-      await fixture.createStore().evacuate('domain-a');
+      await fixture.createStore().evacuate('a');
       table.faults.isOutage = true;
       await clock.advance(2_500);
       table.faults.isOutage = false;
       await clock.advance(EFFECT_LIMIT_MS - 2_500);
-      expect(process.follower.getDomains()).to.deep.equal(['domain-a']);
-      await fixture.createStore().restore('domain-a');
+      expect(follower.getDomains()).to.deep.equal(['a']);
+      await fixture.createStore().restore('a');
       await clock.advance(EFFECT_LIMIT_MS);
-      expect(process.follower.getDomains()).to.deep.equal([]);
-      expect(process.changes.slice(-2)).to.deep.equal([
-        {domains: ['domain-a'], evacuated: ['domain-a'], restored: []},
-        {domains: [], evacuated: [], restored: ['domain-a']},
+      expect(fixture.changes.slice(-2)).to.deep.equal([
+        {domains: ['a'], evacuated: ['a'], restored: []},
+        {domains: [], evacuated: [], restored: ['a']},
       ]);
-      process.follower.stop();
     }
   });
 
-  it('keeps the last known domains during an outage and reports it once', async () => {
+  it('keeps the last known domains while the table does not respond, and reports it once', async () => {
     const fixture = new Fixture();
     const {clock, table} = fixture;
-    await fixture.createStore().evacuate('domain-a');
-    const process = new Process(fixture, fixture.createStore());
+    await fixture.createStore().evacuate('a');
+    const follower = fixture.startFollower();
     await clock.advance(0);
     table.faults.isOutage = true;
     await clock.advance(60_000);
-    expect(process.follower.getDomains()).to.deep.equal(['domain-a']);
-    expect(process.events).to.deep.equal(['failed']);
+    expect(follower.getDomains()).to.deep.equal(['a']);
+    expect(fixture.events).to.deep.equal(['failed']);
     table.faults.isOutage = false;
     await clock.advance(EFFECT_LIMIT_MS);
-    expect(process.events).to.deep.equal(['failed', 'recovered']);
-    expect(process.changes).to.have.length(1);
+    expect(fixture.events).to.deep.equal(['failed', 'recovered']);
+    expect(fixture.changes).to.have.length(1);
   });
 
   it('knows the domains after a restart as soon as the table responds', async () => {
     const fixture = new Fixture();
     const {clock, table} = fixture;
-    await fixture.createStore().evacuate('domain-a');
+    await fixture.createStore().evacuate('a');
     table.faults.isOutage = true;
-    const process = new Process(fixture, fixture.createStore());
+    const follower = fixture.startFollower();
     await clock.advance(20_000);
-    expect(process.follower.isKnown()).to.equal(false);
-    expect(process.changes).to.deep.equal([]);
+    expect(follower.isKnown()).to.equal(false);
+    expect(fixture.changes).to.deep.equal([]);
     table.faults.isOutage = false;
     await clock.advance(500);
-    expect(process.follower.isKnown()).to.equal(true);
-    expect(process.follower.getDomains()).to.deep.equal(['domain-a']);
-  });
-
-  it('keeps what it knew in a domain that is cut off from the table', async () => {
-    const fixture = new Fixture();
-    const {clock, table} = fixture;
-    const cutTable = MemoryTable.create(clock);
-    const cutStore = EvacuationStore.create({
-      table: cutTable,
-      retryingCommitter: RetryingCommitter.create({table: cutTable, clock}),
-      tokens: CountingTokenSource.create('cut'),
-    });
-    let isCut = false;
-    cutTable.getRows = query => {
-      cutTable.faults.isOutage = isCut;
-      return isCut
-        ? MemoryTable.prototype.getRows.call(cutTable, query)
-        : table.getRows(query);
-    };
-    const cut = new Process(fixture, cutStore);
-    const connected = new Process(fixture, fixture.createStore(), 2);
-    await fixture.createStore().evacuate('domain-a');
-    await clock.advance(EFFECT_LIMIT_MS);
-    isCut = true;
-    await fixture.createStore().restore('domain-a');
-    await fixture.createStore().evacuate('domain-b');
-    await clock.advance(30_000);
-    expect(connected.follower.getDomains()).to.deep.equal(['domain-b']);
-    expect(cut.follower.getDomains()).to.deep.equal(['domain-a']);
-    isCut = false;
-    await clock.advance(EFFECT_LIMIT_MS);
-    expect(cut.follower.getDomains()).to.deep.equal(['domain-b']);
+    expect(follower.isKnown()).to.equal(true);
+    expect(follower.getDomains()).to.deep.equal(['a']);
   });
 });
--- a/packages/experiments/src/request_harness.ts
+++ b/packages/experiments/src/request_harness.ts
@@ -1,5 +1,7 @@
 /** Simulates entries, workers and a table in virtual time, for tests and experiments on request routing. */
 
+import {err} from 'neverthrow';
+import {createUnavailableError} from '@mustardlug/base/errors';
 import {RandomSource} from '@mustardlug/base/random_source';
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
 import {
@@ -7,6 +9,8 @@
   environmentDocumentSchema,
   ServiceDeclaration,
 } from '@mustardlug/document/environment_document';
+import {EvacuationFollower} from '@mustardlug/document/evacuation_follower';
+import {EvacuationStore} from '@mustardlug/document/evacuation_store';
 import {
   DEFAULT_LEASE_TIMING,
   LeaseManager,
@@ -39,6 +43,7 @@
 import {WorkerModel} from '@mustardlug/standins/worker_model';
 import {HolderDirectory} from '@mustardlug/routing/holder_directory';
 import {DispatcherRegistry} from '@mustardlug/routing/dispatcher_registry';
+import {EvacuationGate} from '@mustardlug/routing/evacuation_gate';
 import {IdempotencyRecords} from '@mustardlug/routing/idempotency_records';
 import {PeerHolderNetwork} from '@mustardlug/routing/peer_holder_network';
 import {NaiveCoordinator} from '@mustardlug/routing/naive_coordinator';
@@ -88,6 +93,8 @@
    * `naive-direct` also sends to random workers, without leases or queues.
    */
   readonly baseline?: 'naive-retries' | 'naive-direct';
+  /** Whether entries follow the evacuated failure domains. */
+  readonly followsEvacuations?: boolean;
   /** Whether to count the encoded size of messages between regions. */
   readonly isCountingBytes?: boolean;
 }
@@ -101,6 +108,9 @@
 const HTTP_HEAD_BYTES = 300;
 const HEARTBEAT_INTERVAL_MS = 1_000;
 const PEER_TIMEOUT_MS = 3_000;
+const EVACUATION_POLL_MS = 2_000;
+/** Interval of the requests of `sendAtIntervals`. */
+const SEND_INTERVAL_MS = 20;
 
 /** A simulated entry process. */
 export class EntryNode implements PeerHandler {
@@ -112,6 +122,8 @@
   readonly requestRunner: RequestRunner;
   readonly directory: HolderDirectory;
   readonly workerClient: ModelWorkerClient;
+  /** Gate of the own failure domain, if evacuations are followed. */
+  readonly gate: EvacuationGate | undefined;
   isDraining = false;
   private requestCount = 0;
 
@@ -143,6 +155,9 @@
       },
     });
     this.registry.setDocument(harness.document, undefined);
+    this.gate = harness.options.followsEvacuations
+      ? this.followEvacuations(harness, random)
+      : undefined;
     this.workerClient = ModelWorkerClient.create(harness.models, clock);
     this.leases = LeaseManager.create({
       scope: 'requests',
@@ -210,6 +225,41 @@
     });
   }
 
+  private followEvacuations(
+    harness: RequestHarness,
+    random: RandomSource,
+  ): EvacuationGate {
+    const {clock, domain, registry, directory} = this;
+    const gate = EvacuationGate.create({
+      failureDomain: domain,
+      registry,
+      directory,
+    });
+    const table = RemoteTable.create(harness.table, clock);
+    const getRows = table.getRows.bind(table);
+    table.getRows = async query =>
+      harness.domainsWithoutTable.has(domain)
+        ? err(createUnavailableError('the table cannot be reached', false))
+        : getRows(query);
+    const follower = EvacuationFollower.create({
+      store: EvacuationStore.create({
+        table,
+        retryingCommitter: RetryingCommitter.create({table, clock}),
+        tokens: CountingTokenSource.create(this.nodeId),
+      }),
+      clock,
+      random,
+      pollMs: EVACUATION_POLL_MS,
+      listener: {
+        onEvacuationsRead: ({domains}) => gate.setEvacuatedDomains(domains),
+        onReadFailed: () => undefined,
+        onReadRecovered: () => undefined,
+      },
+    });
+    void follower.start();
+    return gate;
+  }
+
   /** Generates a unique request id. */
   getNextId(): string {
     return `${this.nodeId}/${this.hello.incarnation}/${++this.requestCount}`;
@@ -367,6 +417,19 @@
    * bodies and reasons, and for `naive-direct` also the headers and bodies of requests.
    */
   regionBytes = 0;
+  /** Number of requests that reached a worker, including refused ones, by failure domain. */
+  readonly attemptsByDomain = new Map<string, number>();
+  /** Failure domains whose entries cannot read the evacuated domains. */
+  readonly domainsWithoutTable = new Set<string>();
+  /** Rows of evacuated domains, as operators change them. */
+  readonly evacuations = EvacuationStore.create({
+    table: this.table,
+    retryingCommitter: RetryingCommitter.create({
+      table: this.table,
+      clock: this.clock,
+    }),
+    tokens: CountingTokenSource.create('operator'),
+  });
   /** Failure domains that cannot connect to other domains. */
   readonly partitionedDomains = new Set<string>();
   private readonly codec = MessageCodec.create();
@@ -441,6 +504,34 @@
     this.stepHook = hook;
   }
 
+  /**
+   * Sends a request through each entry of some domains at every interval, and
+   * waits until all are answered.
+   * @param durationMs - Time during which requests are sent.
+   * @param domains - Failure domains of the entries.
+   */
+  async sendAtIntervals(
+    durationMs: number,
+    domains: readonly string[],
+  ): Promise<CallerAnswer[]> {
+    const pending: Array<Promise<CallerAnswer>> = [];
+    for (let ms = 0; ms < durationMs; ms += SEND_INTERVAL_MS) {
+      for (const node of this.nodes) {
+        if (!domains.includes(node.domain) || !node.clock.isRunning()) continue;
+        const id = node.getNextId();
+        pending.push(this.sendRequest(node, id, undefined, 'POST', id));
+      }
+      await this.clock.advance(SEND_INTERVAL_MS);
+    }
+    await this.clock.advance(2 * this.getService().deadlineMs);
+    return Promise.all(pending);
+  }
+
+  /** Gets the number of requests that reached a worker of a failure domain. */
+  getAttempts(domain: string): number {
+    return this.attemptsByDomain.get(domain) ?? 0;
+  }
+
   /** Gets how often a request was executed, over all attempts. */
   getRunCount(requestId: string): number {
     let count = 0;
@@ -507,6 +598,8 @@
     settle: (result: UpstreamResult) => void,
   ): void {
     this.upstreamAttempts++;
+    const [, domain] = workerId.split('-');
+    this.attemptsByDomain.set(domain, this.getAttempts(domain) + 1);
     const model = this.models.get(workerId);
     const behavior = this.upstreams.get(workerId);
     if (model === undefined || behavior === undefined) {
--- a/packages/experiments/src/scheduler_harness.ts
+++ b/packages/experiments/src/scheduler_harness.ts
@@ -7,6 +7,8 @@
   EnvironmentDocument,
   environmentDocumentSchema,
 } from '@mustardlug/document/environment_document';
+import {EvacuationFollower} from '@mustardlug/document/evacuation_follower';
+import {EvacuationStore} from '@mustardlug/document/evacuation_store';
 import {
   DEFAULT_LEASE_TIMING,
   LeaseManager,
@@ -61,8 +63,8 @@
   /** Whether batch attempts that slow down services are throttled and evicted; on by default. */
   readonly isInterferenceControlEnabled?: boolean;
   readonly placement?: PlacementPolicy;
-  /** Whether schedulers wait until a test sets the evacuated failure domains; off by default. */
-  readonly waitsForEvacuations?: boolean;
+  /** Whether schedulers follow the evacuated failure domains; off by default. */
+  readonly followsEvacuations?: boolean;
   /** Interval at which usage rows are written; if absent, none are written. */
   readonly usageIntervalMs?: number;
   /** Whether to count the bytes of calls to workers and the table. */
@@ -91,6 +93,7 @@
 export const DOMAIN = 'domain-a';
 const VM_LIST_POLL_MS = 1_000;
 const VM_LIST_LAG_MS = 5_000;
+const EVACUATION_POLL_MS = 2_000;
 const DEFAULT_SIZE: WorkerCapacity = {
   cores: 8,
   memoryMb: 8_000,
@@ -116,6 +119,15 @@
   readonly crashDelayMsByName = new Map<string, number>();
   /** Time by which the wall clock of a worker is ahead from its next boot on, by worker. */
   readonly wallOffsetsMs = new Map<string, number>();
+  /** Rows of evacuated domains, as operators change them. */
+  readonly evacuations = EvacuationStore.create({
+    table: this.table,
+    retryingCommitter: RetryingCommitter.create({
+      table: this.table,
+      clock: this.clock,
+    }),
+    tokens: CountingTokenSource.create('operator'),
+  });
   /** Crashes of workers, in order. */
   readonly crashes: WorkerCrash[] = [];
   /** Workers on the platform's VM list. */
@@ -274,7 +286,7 @@
       listLagMs: VM_LIST_LAG_MS,
       isInterferenceControlEnabled: this.options.isInterferenceControlEnabled,
       placement: this.options.placement,
-      waitsForEvacuations: this.options.waitsForEvacuations,
+      waitsForEvacuations: this.options.followsEvacuations,
       onEvent: (name, {taskId}) =>
         this.events.push({name, taskId, atMs: this.clock.getWallMs()}),
     });
@@ -321,9 +333,54 @@
     scheduler.setDocument(document);
     scheduler.start();
     this.pollVmList(node);
+    if (this.options.followsEvacuations) this.followEvacuations(node, random);
     return node;
   }
 
+  private followEvacuations(
+    {id, clock, table, scheduler}: SchedulerNode,
+    random: RandomSource,
+  ): void {
+    const follower = EvacuationFollower.create({
+      store: EvacuationStore.create({
+        table,
+        retryingCommitter: RetryingCommitter.create({table, clock}),
+        tokens: CountingTokenSource.create(`${id}-evacuations`),
+      }),
+      clock,
+      random,
+      pollMs: EVACUATION_POLL_MS,
+      listener: {
+        onEvacuationsRead: ({domains}) =>
+          scheduler.setEvacuatedDomains(domains),
+        onReadFailed: () => undefined,
+        onReadRecovered: () => undefined,
+      },
+    });
+    void follower.start();
+  }
+
+  /**
+   * Adds a worker of another failure domain, which has no scheduler.
+   * @param failureDomain - Name of the domain.
+   */
+  addForeignWorker(failureDomain: string): void {
+    this.vms = [
+      ...this.vms,
+      {...this.vms[0], id: `worker-${failureDomain}`, failureDomain},
+    ];
+    this.publishMembership();
+  }
+
+  /** Gets the number of attempts that workers started. */
+  getStartCount(): number {
+    let count = 0;
+    for (const model of this.getAllModels()) {
+      count += model.startedAttempts.length;
+    }
+    return count;
+  }
+
   /** Kills a scheduler process without a graceful shutdown. */
   killNode(node: SchedulerNode): void {
     node.isDead = true;
--- a/packages/jobs/test/config_checker.test.ts
+++ b/packages/jobs/test/config_checker.test.ts
@@ -13,128 +13,100 @@
   stretch: 1.5,
   targetDurationMs: 400,
 };
+const POOL = {isCapacityEnforced: false, isSparePool: false};
+const CONFIG: DeploymentConfig = {
+  version: 7,
+  queues: [QUEUE],
+  services: [
+    {...POOL, name: 'class-desk'},
+    {...POOL, name: 'spare', isSparePool: true},
+  ],
+  limits: {maxBodyBytes: 262_144},
+};
 
-function createConfig(overrides: Partial<DeploymentConfig>): DeploymentConfig {
-  return {
-    version: 7,
-    queues: [QUEUE],
-    services: [
-      {name: 'class-desk', isCapacityEnforced: false, isSparePool: false},
-      {name: 'spare', isCapacityEnforced: false, isSparePool: true},
-    ],
-    limits: {maxBodyBytes: 262_144},
-    ...overrides,
-  };
-}
+/** Faults of one queue, and what is found in it. */
+const QUEUE_FAULTS: ReadonlyArray<readonly [Partial<QueueConfig>, string]> = [
+  [{pathPrefix: 'bookings/'}, 'unreachable at queues.0.pathPrefix'],
+  [{host: ''}, 'unreachable at queues.0.host'],
+  [{host: 'jobs.example:443'}, 'unreachable at queues.0.host'],
+  [{serviceName: 'class-desks'}, 'unreachable at queues.0.serviceName'],
+  [{serviceName: 'spare'}, 'contradiction at queues.0.serviceName'],
+  [{priority: -1}, 'contradiction at queues.0.priority'],
+  [{priority: 0.5}, 'contradiction at queues.0.priority'],
+  [{maxAttempts: 0}, 'contradiction at queues.0.maxAttempts'],
+  [{targetDurationMs: -1}, 'contradiction at queues.0.targetDurationMs'],
+  [{stretch: 0.9}, 'contradiction at queues.0.stretch'],
+  [{stretch: 1, targetDurationMs: 0}, 'contradiction at queues.0.stretch'],
+  [
+    {advice: {decisionMs: 100, perWorkerMs: 10, validityMs: 110}},
+    'contradiction at queues.0.advice.validityMs',
+  ],
+  [
+    {advice: {decisionMs: -1, perWorkerMs: 10, validityMs: 110}},
+    'contradiction at queues.0.advice.decisionMs',
+  ],
+];
 
 /** Gets the findings as `KIND at PATH`. */
 function check(
   overrides: Partial<DeploymentConfig>,
   state?: DeploymentState,
 ): string[] {
-  return checkConfig(createConfig(overrides), state).map(
+  return checkConfig({...CONFIG, ...overrides}, state).map(
     ({kind, path}) => `${kind} at ${renderPath(path, field => field)}`,
   );
 }
 
-function checkQueue(overrides: Partial<QueueConfig>): string[] {
-  return check({queues: [{...QUEUE, ...overrides}]});
-}
-
 describe('checkConfig', () => {
   it('finds nothing in a sound configuration', () => {
-    const other = {...QUEUE, name: 'other', pathPrefix: '/bookings/urgent/'};
+    const longer = {...QUEUE, name: 'longer', pathPrefix: '/bookings/urgent/'};
     const wide = {...QUEUE, name: 'wide', pathPrefix: '/'};
     const elsewhere = {...QUEUE, name: 'elsewhere', host: 'other.example'};
-    expect(check({queues: [wide, QUEUE, other, elsewhere]})).to.deep.equal([]);
+    const queues = [wide, QUEUE, longer, elsewhere];
+    expect(check({queues})).to.deep.equal([]);
   });
 
-  it('finds a queue whose requests all go to another one', () => {
+  for (const [fault, expected] of QUEUE_FAULTS) {
+    it(`finds a queue with ${JSON.stringify(fault)}`, () =>
+      expect(check({queues: [{...QUEUE, ...fault}]})).to.deep.equal([
+        expected,
+      ]));
+  }
+
+  it('finds a queue whose requests all go to another one, and names that occur twice', () => {
     const second = {...QUEUE, name: 'second'};
     expect(check({queues: [QUEUE, second]})).to.deep.equal([
       'unreachable at queues.1.pathPrefix',
     ]);
-  });
-
-  it('finds a queue that no request can match', () => {
-    expect(checkQueue({pathPrefix: 'bookings/'})).to.deep.equal([
-      'unreachable at queues.0.pathPrefix',
-    ]);
-    for (const host of ['', 'jobs.example:443']) {
-      expect(checkQueue({host})).to.deep.equal([
-        'unreachable at queues.0.host',
-      ]);
-    }
-  });
-
-  it('finds a queue whose service does not exist or stays powered off', () => {
-    expect(checkQueue({serviceName: 'class-desks'})).to.deep.equal([
-      'unreachable at queues.0.serviceName',
+    const namesake = {...QUEUE, pathPrefix: '/other/'};
+    expect(check({queues: [QUEUE, namesake]})).to.deep.equal([
+      'contradiction at queues.1.name',
     ]);
-    expect(checkQueue({serviceName: 'spare'})).to.deep.equal([
-      'contradiction at queues.0.serviceName',
+    const services = [...CONFIG.services, CONFIG.services[0]];
+    expect(check({services})).to.deep.equal([
+      'contradiction at services.2.name',
     ]);
   });
 
-  it('finds a queue whose service has no workers, if the workers are known', () => {
-    const inForce = undefined;
-    const empty = {inForce, workersByService: new Map<string, number>()};
-    expect(check({}, empty)).to.deep.equal([
-      'unreachable at queues.0.serviceName',
+  it('finds a body limit that refuses every job', () => {
+    expect(check({limits: {maxBodyBytes: 0}})).to.deep.equal([
+      'contradiction at limits.maxBodyBytes',
     ]);
-    const staffed = {inForce, workersByService: new Map([['class-desk', 1]])};
-    expect(check({}, staffed)).to.deep.equal([]);
   });
 
-  it('finds a version that nodes ignore', () => {
+  it('finds a version that nodes ignore, and a service without workers, if the deployment is known', () => {
     const workersByService = new Map([['class-desk', 1]]);
-    const inForce = createConfig({});
-    const state = {inForce, workersByService};
+    const state = {inForce: CONFIG, workersByService};
     expect(check({}, state)).to.deep.equal([]);
     expect(check({version: 8, queues: []}, state)).to.deep.equal([]);
-    expect(check({version: 7, queues: []}, state)).to.deep.equal([
-      'unreachable at version',
-    ]);
-    expect(check({version: 6}, state)).to.deep.equal([
-      'unreachable at version',
-    ]);
-  });
-
-  it('finds names that occur twice', () => {
-    const second = {...QUEUE, pathPrefix: '/other/'};
-    expect(check({queues: [QUEUE, second]})).to.deep.equal([
-      'contradiction at queues.1.name',
-    ]);
-    const {services} = createConfig({});
-    expect(check({services: [...services, services[0]]})).to.deep.equal([
-      'contradiction at services.2.name',
-    ]);
-  });
-
-  it('finds limits that contradict each other', () => {
-    const cases: Array<[Partial<QueueConfig>, string]> = [
-      [{priority: -1}, 'priority'],
-      [{priority: 0.5}, 'priority'],
-      [{maxAttempts: 0}, 'maxAttempts'],
-      [{targetDurationMs: -1}, 'targetDurationMs'],
-      [{stretch: 0.9}, 'stretch'],
-      [{stretch: 1, targetDurationMs: 0}, 'stretch'],
-      [
-        {advice: {decisionMs: 100, perWorkerMs: 10, validityMs: 110}},
-        'advice.validityMs',
-      ],
-      [
-        {advice: {decisionMs: -1, perWorkerMs: 10, validityMs: 110}},
-        'advice.decisionMs',
-      ],
-    ];
-    for (const [overrides, path] of cases) {
-      expect(checkQueue(overrides)).to.deep.equal([
-        `contradiction at queues.0.${path}`,
+    for (const version of [6, 7]) {
+      expect(check({version, queues: []}, state)).to.deep.equal([
+        'unreachable at version',
       ]);
     }
-    expect(check({limits: {maxBodyBytes: 0}})).to.deep.equal([
-      'contradiction at limits.maxBodyBytes',
+    workersByService.clear();
+    expect(check({}, state)).to.deep.equal([
+      'unreachable at queues.0.serviceName',
     ]);
   });
 });
--- a/packages/scheduling/src/task_record.ts
+++ b/packages/scheduling/src/task_record.ts
@@ -86,6 +86,15 @@
   return getTaskPrefix(failureDomain) + taskId;
 }
 
+/**
+ * Gets the failure domain that a task belongs to.
+ * @param key - Key of its row.
+ * @param taskId - Id of the task.
+ */
+export function getTaskDomain(key: string, taskId: string): string {
+  return key.slice(getTaskPrefix('').length - 1, -taskId.length - 1);
+}
+
 /** Prefix of the rows that cancel jobs. */
 export const CANCEL_PREFIX = 'cancel/';
 
--- a/tools/run_mutations.js
+++ b/tools/run_mutations.js
@@ -23,6 +23,11 @@
 const FENCING = 'packages/experiments/dist/test/lease_fencing.test.js';
 const BATCH = 'packages/experiments/dist/test/batch_work.test.js';
 const DOCUMENT = 'packages/document/dist/test/document_store.test.js';
+const EVACUATIONS = 'packages/document/dist/test/evacuations.test.js';
+const REQUEST_EVACUATION =
+  'packages/experiments/dist/test/request_evacuation.test.js';
+const TASK_EVACUATION =
+  'packages/experiments/dist/test/task_evacuation.test.js';
 const COMMITTER = 'packages/standins/dist/test/group_committer.test.js';
 
 /** Safeguards: the code to find, its replacement, and the test file that must fail. */
@@ -114,8 +119,8 @@
   {
     name: 'a new attempt reuses the number of the previous one',
     file: 'scheduling/dist/src/task_scheduler.js',
-    find: 'attempt: task.record.attempt + 1',
-    replace: 'attempt: task.record.attempt',
+    find: 'const attempt = task.record.attempt + 1',
+    replace: 'const attempt = task.record.attempt',
     test: TASKS,
   },
   {
@@ -172,6 +177,53 @@
     replace: 'if (false) {',
     test: DOCUMENT,
   },
+  {
+    name: 'evacuations are not ordered by a guard row',
+    file: 'document/dist/src/evacuation_store.js',
+    find: "{ kind: 'put', key: GUARD_KEY, value, expectedRevision: guardRevision },",
+    replace: '',
+    test: EVACUATIONS,
+  },
+  {
+    name: 'entries of an evacuated domain still dispatch requests',
+    file: 'routing/dist/src/evacuation_gate.js',
+    find: 'domains.includes(failureDomain)',
+    replace: 'false',
+    test: REQUEST_EVACUATION,
+  },
+  {
+    name: 'holders of an evacuated domain are still chosen',
+    file: 'routing/dist/src/holder_directory.js',
+    find: 'if (this.evacuatedDomains.has(peer.hello.failureDomain))',
+    replace: 'if (false)',
+    test: REQUEST_EVACUATION,
+  },
+  {
+    name: 'tasks that are bound start in an evacuated domain',
+    file: 'scheduling/dist/src/task_scheduler.js',
+    find: "if (service !== 'in-service')",
+    replace: 'if (false)',
+    test: TASK_EVACUATION,
+    also: {
+      file: 'scheduling/dist/src/task_scheduler.js',
+      find: "if (service === 'evacuated')",
+      replace: 'if (false)',
+    },
+  },
+  {
+    name: 'an evacuation stops attempts that have just started',
+    file: 'scheduling/dist/src/task_scheduler.js',
+    find: 'if (this.starts.isStarted(view.workerId, task.record))\n            return;',
+    replace: '',
+    test: TASK_EVACUATION,
+  },
+  {
+    name: 'tasks are placed before the evacuations have been read',
+    file: 'scheduling/dist/src/fleet.js',
+    find: "return 'unknown';",
+    replace: "return 'in-service';",
+    test: TASK_EVACUATION,
+  },
 ];
 
 const TIMEOUT_MS = 300_000;
