Test admission and drain moves during an evacuation

Admission refuses 5 to 25 of 40 jobs in 10 s when half of the workers are evacuated and the rate needs 80 % of all of them, and none before; tasks of a draining worker move to workers outside of the domain only.

--- a/packages/experiments/test/evacuation.test.ts
+++ b/packages/experiments/test/evacuation.test.ts
@@ -185,6 +185,55 @@
     await scenario.expectCompletion();
   });
 
+  it('does not count as room for the admission of jobs', async () => {
+    // Guards against jobs that are accepted for workers which start nothing, and then end late.
+    const scenario = await EvacuationScenario.start({workers: 4});
+    const {harness} = scenario;
+    const submitForTenSeconds = async () => {
+      const attempts: Array<Promise<{jobId: string; retryAfterMs: number}>> =
+        [];
+      for (let elapsedMs = 0; elapsedMs < 10_000; elapsedMs += 250) {
+        attempts.push(harness.submitIfAdmitted([createSampleStep(4)]));
+        await harness.advance(250);
+      }
+      return Promise.all(attempts);
+    };
+    // 16 tasks a second of 800 ms and a quarter of a worker; four workers run 20.
+    const before = await submitForTenSeconds();
+    expect(before.every(({retryAfterMs}) => retryAfterMs === 0)).to.equal(true);
+    scenario.evacuate(DOMAIN_A, FEED_MS);
+    const during = await submitForTenSeconds();
+    const accepted = during.filter(({retryAfterMs}) => retryAfterMs === 0);
+    expect(accepted.length).to.be.within(15, 35);
+    await scenario.expectCompletion(accepted.map(({jobId}) => jobId));
+  });
+
+  it('gets no task that is moved off a draining worker', async () => {
+    // Guards against moves into the domain, and against a drain that no longer moves tasks.
+    const scenario = await EvacuationScenario.start({workers: 4});
+    const {harness} = scenario;
+    scenario.evacuate(DOMAIN_A, FEED_MS);
+    await harness.advance(FEED_MS);
+    const jobId = await scenario.submit(2, {
+      isLongRunning: true,
+      maxPerWorker: 1,
+    });
+    await harness.advance(PLACEMENT_MS);
+    harness.endEvacuation(DOMAIN_A);
+    scenario.evacuate(DOMAIN_B, EVACUATION_MS);
+    harness.register('worker-1', {isDraining: true});
+    await harness.advance(1_000);
+    expect(scenario.countRuns(DOMAIN_A)).to.equal(1);
+    expect(harness.workers.get('worker-1')?.getRunCount()).to.equal(0);
+    expect(harness.workers.get('worker-3')?.getRunCount()).to.equal(1);
+    harness.register('worker-0', {isDraining: true});
+    harness.register('worker-2', {isDraining: true});
+    await harness.advance(8_000);
+    expect(scenario.countRuns(DOMAIN_B)).to.equal(1);
+    await harness.cancel(jobId);
+    await scenario.expectCompletion([]);
+  });
+
   it('keeps its running tasks; long-running ones start elsewhere once they end', async () => {
     // Guards against interruptions that callers notice, and against a restart in the domain.
     const scenario = await EvacuationScenario.start({workers: 2});
