Limits of a listener's connections, requests and bodies, not yet in use

Callers can open any number of connections and leave bodies unfinished on them; nothing bounds what they hold together. ConnectionGuard enforces the budget, header and pipelining limits, a streaming body limit and a minimum rate on a server; handlers see a request once its body is complete. HttpListener.listen takes {tls, limits, getMaxBodyBytes, discardsBodies, acceptsUpgrades, onRefusal}; without `limits` it behaves as before. Entry and scheduler pass {tls}.

Nothing uses the limits yet.

--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -228,7 +228,7 @@
     const inner = await HttpListener.listen(
       operatorApp,
       {host, port: settings.innerPort},
-      tls,
+      {tls},
     );
     if (inner.isErr()) return err(inner.error);
     this.innerListener = inner.value;
@@ -236,7 +236,7 @@
     const caller = await HttpListener.listen(
       this.callerServer.createApp(),
       {host, port: settings.callerPort},
-      tls,
+      {tls},
     );
     if (caller.isErr()) {
       inner.value.destroy();
--- /dev/null
+++ b/packages/runtime/src/connection_guard.ts
@@ -0,0 +1,391 @@
+/** Enforces the limits of a listener on its connections, requests and bodies. */
+
+import {
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerResponse,
+} from 'node:http';
+import {Socket} from 'node:net';
+import {Clock, Timer} from '@mustardlug/base/clock';
+import {BlockPool, BodyCollector} from './body_collector.js';
+import {
+  ListenerLimits,
+  RefusalListener,
+  RefusalReason,
+} from './listener_limits.js';
+import {BudgetShare, ClientPhase, RequestBudget} from './request_budget.js';
+
+export interface ConnectionGuardOptions {
+  readonly clock: Clock;
+  readonly limits: ListenerLimits;
+  readonly getMaxBodyBytes: () => number;
+  readonly discardsBodies: boolean;
+  readonly acceptsUpgrades: boolean;
+  readonly onRefusal: RefusalListener;
+}
+
+/** Request whose body has been read; the HTTP adapter takes the body from this field. */
+type BufferedIncoming = IncomingMessage & {rawBody?: Buffer};
+
+/** Connection of one client. */
+interface Connection {
+  readonly socket: Socket;
+  readonly share: BudgetShare;
+  /** Responses that are not completely sent, oldest first. */
+  readonly responses: Set<ServerResponse>;
+  /** Whether the body of the last request is incomplete. */
+  isReceiving: boolean;
+  /** Bytes received or sent at the start of the present phase. */
+  phaseStartBytes: number;
+}
+
+/** Memory that a connection takes without a request: the socket, its parser and their handles. */
+const CONNECTION_BYTES = 8_192;
+
+/** Memory that a request takes without its fields and body. */
+const REQUEST_BYTES = 4_096;
+
+/** Memory that the name or the value of a header field takes beyond its characters. */
+const HEADER_STRING_BYTES = 64;
+
+/**
+ * Bytes reserved for each byte of a body that is handed to the routes: the body, its
+ * text, and the values parsed from it.
+ */
+const PARSED_BYTES_PER_BODY_BYTE = 3;
+
+/** Time and bytes for which a refused connection stays open, so that the client reads the refusal before a reset. */
+const LINGER_MS = 200;
+const LINGER_BYTES = 65_536;
+
+const SWEEP_INTERVAL_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+
+/** Connections above the limit that the system may hand over before they are refused. */
+const CONNECTION_MARGIN = 16;
+
+const REASON_PHRASES: Readonly<Record<number, string>> = {
+  413: 'Content Too Large',
+  431: 'Request Header Fields Too Large',
+  503: 'Service Unavailable',
+};
+
+/** Connections of one listener. */
+export class ConnectionGuard {
+  private readonly budget: RequestBudget;
+  private readonly pool = BlockPool.create();
+  private readonly connections = new Map<Socket, Connection>();
+  private sweepTimer: Timer | undefined;
+
+  private constructor(private readonly options: ConnectionGuardOptions) {
+    const {maxHeldBytes, maxConnections} = options.limits;
+    this.budget = RequestBudget.create({
+      maxBytes: maxHeldBytes,
+      maxClients: maxConnections,
+    });
+  }
+
+  /**
+   * Creates a guard; `watch` attaches it to a server.
+   * @param options - Limits and observers.
+   */
+  static create(options: ConnectionGuardOptions): ConnectionGuard {
+    return new ConnectionGuard(options);
+  }
+
+  /**
+   * Observes the connections of a server.
+   * @param server - Server that is about to listen.
+   * @param isEncrypted - Whether requests arrive on connections of TLS.
+   */
+  watch(server: Server, isEncrypted: boolean): void {
+    const {maxConnections, maxHeaderCount} = this.options.limits;
+    // The server drops the fields above this number, so that one more shows the excess.
+    server.maxHeadersCount = maxHeaderCount + 1;
+    server.maxConnections = maxConnections + CONNECTION_MARGIN;
+    server.on('drop', () => this.report('connections', 'at the system'));
+    server.on(isEncrypted ? 'secureConnection' : 'connection', socket =>
+      this.admit(socket as Socket),
+    );
+    if (this.options.acceptsUpgrades)
+      server.on('upgrade', ({socket}: IncomingMessage) => this.forget(socket));
+    server.on('close', () => this.sweepTimer?.cancel());
+    this.scheduleSweep();
+  }
+
+  /**
+   * Wraps a request handler, which is called once the body of a request is complete.
+   * @param handle - Handler of requests.
+   */
+  wrap(handle: RequestListener): RequestListener {
+    return (incoming, outgoing) => {
+      const connection = this.connections.get(incoming.socket);
+      // Requests may follow in the bytes that were read before the connection was closed.
+      if (connection === undefined || !isUsable(connection)) {
+        incoming.resume();
+        return;
+      }
+      this.receive(connection, incoming, outgoing, handle);
+    };
+  }
+
+  private admit(socket: Socket): void {
+    const {clock} = this.options;
+    const share = this.budget.open(
+      CONNECTION_BYTES,
+      clock.getMonotonicMs(),
+      () => {
+        this.report('overdue', `${share?.phase} for over a second`);
+        socket.destroy();
+      },
+    );
+    if (share === undefined) {
+      this.report('connections', 'all connections are in use');
+      const reason = 'this node has too many connections; try again';
+      socket.end(renderRefusal(503, reason));
+      socket.destroySoon();
+      return;
+    }
+    this.connections.set(socket, {
+      socket,
+      share,
+      responses: new Set(),
+      isReceiving: false,
+      phaseStartBytes: 0,
+    });
+    socket.once('close', () => this.forget(socket));
+  }
+
+  /** Releases what a connection holds, as it is closed or belongs to another protocol now. */
+  private forget(socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (connection === undefined) return;
+    this.connections.delete(socket);
+    this.budget.close(connection.share);
+  }
+
+  private receive(
+    connection: Connection,
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    handle: RequestListener,
+  ): void {
+    const {limits, clock, getMaxBodyBytes} = this.options;
+    const {share, responses} = connection;
+    const {rawHeaders, headers} = incoming;
+    const heldBytes = REQUEST_BYTES + rawHeaders.length * HEADER_STRING_BYTES;
+    const maxBodyBytes = getMaxBodyBytes();
+    const declaredBytes = Number(headers['content-length'] ?? 0);
+    const refuse = (status: number, cause: RefusalReason, reason: string) =>
+      this.refuse(connection, incoming, status, cause, reason);
+    if (responses.size >= limits.maxRequestsInProgress) {
+      this.report('pipelining', `${responses.size} requests in progress`);
+      incoming.resume();
+      connection.socket.destroy();
+      return;
+    }
+    if (rawHeaders.length / 2 > limits.maxHeaderCount) {
+      const reason = `the request has over ${limits.maxHeaderCount} header fields; send fewer`;
+      refuse(431, 'header-count', reason);
+      return;
+    }
+    if (declaredBytes > maxBodyBytes) {
+      refuse(413, 'body-size', renderBodyReason(maxBodyBytes));
+      return;
+    }
+    if (!this.budget.reserve(share, heldBytes, clock.getMonotonicMs())) {
+      refuse(503, 'memory', MEMORY_REASON);
+      return;
+    }
+    responses.add(outgoing);
+    outgoing.once('close', () => {
+      responses.delete(outgoing);
+      this.budget.release(share, heldBytes);
+      this.updatePhase(connection);
+    });
+    if (declaredBytes > 0 || headers['transfer-encoding'] !== undefined) {
+      connection.isReceiving = true;
+      this.readBody(connection, incoming, outgoing, handle);
+    } else {
+      handle(incoming, outgoing);
+    }
+    this.updatePhase(connection);
+  }
+
+  /** Reads a body, and calls the handler at its end. */
+  private readBody(
+    connection: Connection,
+    incoming: BufferedIncoming,
+    outgoing: ServerResponse,
+    handle: RequestListener,
+  ): void {
+    const {discardsBodies, getMaxBodyBytes, clock} = this.options;
+    const {share} = connection;
+    const maxBodyBytes = getMaxBodyBytes();
+    const declaredBytes = Number(incoming.headers['content-length'] ?? NaN);
+    const collector = BodyCollector.create(this.pool);
+    let wholeBody: Buffer | undefined;
+    let receivedBytes = 0;
+    let heldBytes = 0;
+    let isRefused = false;
+    const reserve = (bytes: number) => {
+      if (!this.budget.reserve(share, bytes, clock.getMonotonicMs()))
+        return false;
+      heldBytes += bytes;
+      return true;
+    };
+    const refuse = (status: number, cause: RefusalReason, reason: string) => {
+      isRefused = true;
+      collector.discard();
+      this.refuse(connection, incoming, status, cause, reason);
+    };
+    incoming.on('data', (piece: Buffer) => {
+      if (isRefused || !isUsable(connection)) return;
+      receivedBytes += piece.length;
+      if (receivedBytes > maxBodyBytes) {
+        refuse(413, 'body-size', renderBodyReason(maxBodyBytes));
+        return;
+      }
+      if (discardsBodies) return;
+      const isWhole = piece.length === declaredBytes;
+      const growthBytes = isWhole
+        ? piece.length
+        : collector.getGrowthBytes(piece.length);
+      if (!reserve(growthBytes)) {
+        refuse(503, 'memory', MEMORY_REASON);
+        return;
+      }
+      if (isWhole) wholeBody = piece;
+      else collector.append(piece);
+    });
+    incoming.once('end', () => {
+      if (isRefused || !isUsable(connection)) return;
+      const parsedBytes = discardsBodies
+        ? 0
+        : receivedBytes * PARSED_BYTES_PER_BODY_BYTE;
+      const extraBytes = parsedBytes - heldBytes;
+      if (extraBytes > 0 && !reserve(extraBytes)) {
+        refuse(503, 'memory', MEMORY_REASON);
+        return;
+      }
+      connection.isReceiving = false;
+      incoming.rawBody = wholeBody ?? collector.takeBody();
+      this.updatePhase(connection);
+      handle(incoming, outgoing);
+    });
+    outgoing.once('close', () => {
+      collector.discard();
+      this.budget.release(share, heldBytes);
+    });
+    connection.socket.once('close', () => collector.discard());
+  }
+
+  /**
+   * Refuses a request that no handler has seen, and closes its connection. With earlier
+   * requests in progress, whose responses would have to come first, there is no response.
+   */
+  private refuse(
+    connection: Connection,
+    incoming: IncomingMessage,
+    status: number,
+    cause: RefusalReason,
+    reason: string,
+  ): void {
+    const {clock} = this.options;
+    const {socket, share, responses} = connection;
+    this.report(cause, reason);
+    const isOnlyRequest =
+      responses.size === 0 || (responses.size === 1 && connection.isReceiving);
+    this.budget.setPhase(share, 'closing', clock.getMonotonicMs());
+    if (!isOnlyRequest) {
+      socket.destroy();
+      return;
+    }
+    let lingerBytes = 0;
+    incoming.on('data', (piece: Buffer) => {
+      lingerBytes += piece.length;
+      if (lingerBytes > LINGER_BYTES) socket.destroy();
+    });
+    incoming.once('end', () => socket.destroySoon());
+    const timer = clock.setTimer(LINGER_MS, () => socket.destroy());
+    socket.once('close', () => timer.cancel());
+    socket.end(renderRefusal(status, reason));
+  }
+
+  private updatePhase(connection: Connection): void {
+    const {share, responses, socket} = connection;
+    if (!isUsable(connection)) return;
+    let phase: ClientPhase = 'idle';
+    if (connection.isReceiving) phase = 'receiving';
+    else if (responses.size > 0)
+      phase = isSending(responses) ? 'sending' : 'working';
+    if (phase === share.phase) return;
+    const bytes = phase === 'sending' ? getSentBytes(socket) : socket.bytesRead;
+    connection.phaseStartBytes = bytes;
+    this.budget.setPhase(share, phase, this.options.clock.getMonotonicMs());
+  }
+
+  private scheduleSweep(): void {
+    this.sweepTimer = this.options.clock.setTimer(SWEEP_INTERVAL_MS, () => {
+      this.sweep();
+      this.scheduleSweep();
+    });
+  }
+
+  /** Closes connections on which a body or a response makes too little progress. */
+  private sweep(): void {
+    const {clock, limits} = this.options;
+    const nowMs = clock.getMonotonicMs();
+    for (const connection of this.connections.values()) {
+      const {share, responses, socket} = connection;
+      if (responses.size > 0) this.updatePhase(connection);
+      if (share.phase !== 'receiving' && share.phase !== 'sending') continue;
+      const durationMs = nowMs - share.phaseStartMs;
+      if (durationMs <= limits.progressGraceMs) continue;
+      const bytes =
+        share.phase === 'sending' ? getSentBytes(socket) : socket.bytesRead;
+      const rate =
+        ((bytes - connection.phaseStartBytes) * MS_PER_SECOND) / durationMs;
+      if (rate >= limits.minBytesPerSecond) continue;
+      this.report('slow', `${share.phase} at ${Math.round(rate)} bytes/s`);
+      socket.destroy();
+    }
+  }
+
+  private report(reason: RefusalReason, detail: string): void {
+    this.options.onRefusal(reason, detail);
+  }
+}
+
+const MEMORY_REASON = 'this node holds too many requests; try again';
+
+/** Checks whether requests of a connection are still served. */
+function isUsable({share, socket}: Connection): boolean {
+  return share.isOpen && share.phase !== 'closing' && !socket.destroyed;
+}
+
+/** Checks whether the oldest response is complete and waits for the client to read it. */
+function isSending(responses: ReadonlySet<ServerResponse>): boolean {
+  const [oldest] = responses;
+  return oldest.writableEnded;
+}
+
+function getSentBytes(socket: Socket): number {
+  return socket.bytesWritten - socket.writableLength;
+}
+
+function renderBodyReason(maxBodyBytes: number): string {
+  return `the body exceeds ${maxBodyBytes} bytes; shorten it`;
+}
+
+/** Renders a whole response that ends its connection. */
+function renderRefusal(status: number, reason: string): string {
+  const body = JSON.stringify({error: {reason}});
+  const retryAfter = status === 503 ? 'retry-after: 1\r\n' : '';
+  return (
+    `HTTP/1.1 ${status} ${REASON_PHRASES[status]}\r\n` +
+    `connection: close\r\ncontent-type: application/json\r\n${retryAfter}` +
+    `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`
+  );
+}
--- a/packages/runtime/src/http_listener.ts
+++ b/packages/runtime/src/http_listener.ts
@@ -1,15 +1,22 @@
 /** HTTP servers with size and time limits and graceful shutdown. */
 
-import {createServer, Server as HttpServer} from 'node:http';
+import {createServer, RequestListener, Server as HttpServer} from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
 import {AddressInfo} from 'node:net';
 import {serve} from '@hono/node-server';
+import {Clock, SystemClock} from '@mustardlug/base/clock';
 import {Hono} from 'hono';
 import {err, ok, Result} from 'neverthrow';
 import {
   createUnavailableError,
   UnavailableError,
 } from '@mustardlug/base/errors';
+import {ConnectionGuard} from './connection_guard.js';
+import {
+  DEFAULT_LISTENER_LIMITS,
+  ListenerLimits,
+  RefusalListener,
+} from './listener_limits.js';
 import {TlsMaterial} from './tls_files.js';
 
 export interface ListenAddress {
@@ -18,10 +25,27 @@
   readonly port: number;
 }
 
-const MAX_HEADER_BYTES = 16_384;
-const HEADERS_TIMEOUT_MS = 10_000;
-const REQUEST_TIMEOUT_MS = 120_000;
-const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+/** Options of a listener. */
+export interface ListenOptions {
+  /** Certificate, key and CA for HTTPS; plain HTTP if absent. */
+  readonly tls?: TlsMaterial | undefined;
+  /** Limits that differ from the defaults; without this field, only sizes and times of heads are limited. */
+  readonly limits?: Partial<ListenerLimits> | undefined;
+  /** Gets the present limit of bodies, if it may change; the fixed one applies if absent. */
+  readonly getMaxBodyBytes?: () => number;
+  /** Whether bodies are discarded while they arrive, as no route uses them. */
+  readonly discardsBodies?: boolean;
+  /** Whether connections may be upgraded to other protocols, which are then not limited any more. */
+  readonly acceptsUpgrades?: boolean;
+  readonly onRefusal?: RefusalListener;
+  readonly clock?: Clock;
+}
+
+/** Time limit for a request on listeners without limits. */
+const UNLIMITED_REQUEST_TIMEOUT_MS = 120_000;
+
+/** Interval at which Node.js looks for heads and requests that exceed their time. */
+const CHECK_INTERVAL_MS = 1_000;
 
 /** A listening HTTP server. */
 export class HttpListener {
@@ -31,25 +55,56 @@
    * Starts a server and resolves once it is listening.
    * @param app - Routes to serve.
    * @param address - Address to bind to.
-   * @param tls - Certificate, key and CA for HTTPS, or `undefined` for plain HTTP.
+   * @param options - Encryption and limits.
    */
   static listen(
     app: Hono,
     address: ListenAddress,
-    tls?: TlsMaterial,
+    options: ListenOptions = {},
   ): Promise<Result<HttpListener, UnavailableError>> {
+    const {tls, clock = SystemClock.create()} = options;
+    const limits = {...DEFAULT_LISTENER_LIMITS, ...options.limits};
+    const guard =
+      options.limits === undefined
+        ? undefined
+        : ConnectionGuard.create({
+            clock,
+            limits,
+            getMaxBodyBytes:
+              options.getMaxBodyBytes ?? (() => limits.maxBodyBytes),
+            discardsBodies: options.discardsBodies ?? false,
+            acceptsUpgrades: options.acceptsUpgrades ?? false,
+            onRefusal: options.onRefusal ?? (() => undefined),
+          });
+    const createGuardedServer = (
+      serverOptions: object,
+      handle: RequestListener,
+    ) => {
+      const listener = guard?.wrap(handle) ?? handle;
+      const server =
+        tls === undefined
+          ? createServer(serverOptions, listener)
+          : createTlsServer(serverOptions, listener);
+      guard?.watch(server, tls !== undefined);
+      return server;
+    };
     return new Promise(resolve => {
       const server = serve({
         fetch: app.fetch,
         hostname: address.host,
         port: address.port,
-        createServer: tls === undefined ? createServer : createTlsServer,
+        createServer: createGuardedServer as typeof createServer,
         serverOptions: {
           ...tls,
-          maxHeaderSize: MAX_HEADER_BYTES,
-          headersTimeout: HEADERS_TIMEOUT_MS,
-          requestTimeout: REQUEST_TIMEOUT_MS,
-          keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+          maxHeaderSize: limits.maxHeaderBytes,
+          headersTimeout: limits.headersTimeoutMs,
+          keepAliveTimeout: limits.keepAliveTimeoutMs,
+          ...(guard === undefined
+            ? {requestTimeout: UNLIMITED_REQUEST_TIMEOUT_MS}
+            : {
+                requestTimeout: limits.requestTimeoutMs,
+                connectionsCheckingInterval: CHECK_INTERVAL_MS,
+              }),
         },
       }) as HttpServer;
       server.once('listening', () => resolve(ok(new HttpListener(server))));
--- a/packages/scheduler/src/scheduler_process.ts
+++ b/packages/scheduler/src/scheduler_process.ts
@@ -172,7 +172,7 @@
     const listener = await HttpListener.listen(
       app,
       {host, port: operatorPort},
-      this.tls,
+      {tls: this.tls},
     );
     if (listener.isErr()) return err(listener.error);
     this.listener = listener.value;
