Bound what the clients of a node hold

Clients that stalled bodies, pipelined without reading or opened many connections drove a node out of memory or descriptors (tests of: SIGABRT, up to 554 MB and 2,042 descriptors). Cause: bodies, requests and connections had limits of their own, but none on their sum.

Young garbage is collected by received bytes: the buffers of pieces lie outside of V8's heap, which starts collections for them late (414 MB with very many fields before this). Event client-refused (880), counter mustardlug_refused_connections_total by port and reason.

--- a/packages/node/src/node_metrics.ts
+++ b/packages/node/src/node_metrics.ts
@@ -33,6 +33,12 @@
     ['call', 'result'],
   );
 
+  private readonly refusedClients = this.metrics.addCounter(
+    'mustardlug_refused_connections_total',
+    'Requests that were refused and connections that were closed as a client exceeded a limit, by port and reason.',
+    ['port', 'reason'],
+  );
+
   private constructor() {}
 
   /** Creates metrics without samples. */
@@ -85,6 +91,15 @@
     this.requests.observe({method, status: String(status)}, seconds);
   }
 
+  /**
+   * Records that a client exceeded a limit of a listener.
+   * @param port - Value of the `port` label.
+   * @param reason - Value of the `reason` label.
+   */
+  recordRefusedClient(port: string, reason: string): void {
+    this.refusedClients.inc({port, reason});
+  }
+
   /**
    * Records a call to the row store.
    * @param call - Value of the `call` label.
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -6,8 +6,18 @@
 import {WorkerDecoder} from '@mustardlug/coordination/worker_pool';
 import {JobStore} from '@mustardlug/coordination/job_store';
 import {JobWorkerClient} from '@mustardlug/platform/job_worker_client';
+import {findQueue} from '@mustardlug/jobs/queue_config';
 import {RowStore} from '@mustardlug/platform/row_store';
-import {HttpListener, ListenAddress} from '@mustardlug/runtime/http_listener';
+import {
+  HttpListener,
+  ListenAddress,
+  ListenOptions,
+} from '@mustardlug/runtime/http_listener';
+import {
+  DEFAULT_LISTENER_LIMITS,
+  ListenerLimits,
+} from '@mustardlug/runtime/listener_limits';
+import {RefusalLog} from '@mustardlug/runtime/refusal_log';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {Hono} from 'hono';
 import {ok, Result} from 'neverthrow';
@@ -51,6 +61,8 @@
   /** CPU capacity of this VM, in cores. */
   readonly cpuCores: number;
   readonly addresses: NodeAddresses;
+  /** Limits of callers. */
+  readonly callerLimits: ListenerLimits;
   readonly platform: NodePlatform;
   readonly events: EventRecorder;
   readonly metrics: NodeMetrics;
@@ -62,6 +74,13 @@
 /** Time limit for completing the requests in progress after the listeners have stopped accepting new ones. */
 const CLOSE_TIMEOUT_MS = 1_500;
 
+/**
+ * Connections and bytes of the readiness and metrics ports, apart from those of callers, so
+ * that a crowd at one port leaves the others usable. Load balancers and scrapers need a few.
+ */
+const MAX_PROBE_CONNECTIONS = 64;
+const MAX_PROBE_HELD_BYTES = 2_097_152;
+
 const MS_PER_SECOND = 1_000;
 
 /** Node process; composes the caller API, the configuration follower and the coordinator role. */
@@ -123,13 +142,16 @@
   /** Starts the listeners, and begins to follow the configuration and the coordinator's status. */
   async start(): Promise<Result<void, UnavailableError>> {
     const {addresses, events} = this.options;
-    const servers: Array<[Hono, ListenAddress]> = [
-      [this.createCallerApp(), addresses.callers],
-      [this.createReadinessApp(), addresses.readiness],
-      [this.createMetricsApp(), addresses.metrics],
+    const callers = this.createListenOptions('callers');
+    const readiness = this.createListenOptions('readiness');
+    const metrics = this.createListenOptions('metrics');
+    const servers: Array<[Hono, ListenAddress, ListenOptions]> = [
+      [this.createCallerApp(), addresses.callers, callers],
+      [this.createReadinessApp(), addresses.readiness, readiness],
+      [this.createMetricsApp(), addresses.metrics, metrics],
     ];
-    for (const [app, address] of servers) {
-      const listener = await HttpListener.listen(app, address);
+    for (const [app, address, options] of servers) {
+      const listener = await HttpListener.listen(app, address, options);
       if (listener.isErr()) return listener.map(() => undefined);
       this.listeners.push(listener.value);
     }
@@ -155,6 +177,48 @@
     events.addEvent('process-stopped');
   }
 
+  private createListenOptions(port: keyof NodeAddresses): ListenOptions {
+    const {clock, events, metrics, callerLimits} = this.options;
+    const log = RefusalLog.create();
+    const isCallerPort = port === 'callers';
+    return {
+      clock,
+      limits: isCallerPort
+        ? callerLimits
+        : {
+            ...callerLimits,
+            maxConnections: Math.min(
+              callerLimits.maxConnections,
+              MAX_PROBE_CONNECTIONS,
+            ),
+            maxHeldBytes: MAX_PROBE_HELD_BYTES,
+          },
+      getMaxBodyBytes: () =>
+        this.configFollower.getConfig()?.limits.maxBodyBytes ??
+        DEFAULT_LISTENER_LIMITS.maxBodyBytes,
+      usesBody: ({method, headers, url}) =>
+        isCallerPort &&
+        method === 'POST' &&
+        this.hasQueue(headers.host ?? '', url ?? ''),
+      onRefusal: (reason, detail) => {
+        metrics.recordRefusedClient(port, reason);
+        const text = log.add(reason, detail, clock.getMonotonicMs());
+        if (text !== undefined)
+          events.addEvent('client-refused', {detail: `${port}: ${text}`});
+      },
+    };
+  }
+
+  /** Checks whether a request is for a queue. */
+  private hasQueue(host: string, url: string): boolean {
+    const config = this.configFollower.getConfig();
+    const [hostName] = host.split(':');
+    const [path] = url.split('?');
+    return (
+      config !== undefined && findQueue(config, hostName, path) !== undefined
+    );
+  }
+
   private createCallerApp(): Hono {
     const {clock, platform, events, metrics} = this.options;
     return CallerApi.createApp({
--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -8,19 +8,20 @@
 } from 'node:http';
 import {Socket} from 'node:net';
 import {Clock, Timer} from '@mustardlug/base/clock';
-import {BlockPool, BodyCollector} from './body_collector.js';
+import {BLOCK_BYTES, BlockPool, BodyCollector} from './body_collector.js';
 import {
   ListenerLimits,
   RefusalListener,
   RefusalReason,
 } from './listener_limits.js';
+import {YoungGarbageCollector} from './young_garbage.js';
 import {BudgetShare, ClientPhase, RequestBudget} from './request_budget.js';
 
 export interface ConnectionGuardOptions {
   readonly clock: Clock;
   readonly limits: ListenerLimits;
   readonly getMaxBodyBytes: () => number;
-  readonly discardsBodies: boolean;
+  readonly usesBody: (incoming: IncomingMessage) => boolean;
   readonly acceptsUpgrades: boolean;
   readonly onRefusal: RefusalListener;
 }
@@ -34,10 +35,13 @@
   readonly share: BudgetShare;
   /** Responses that are not completely sent, oldest first. */
   readonly responses: Set<ServerResponse>;
-  /** Whether the body of the last request is incomplete. */
-  isReceiving: boolean;
+  /** Body of the last request while it is incomplete. */
+  collector: BodyCollector | undefined;
   /** Bytes received or sent at the start of the present phase. */
   phaseStartBytes: number;
+  /** Turn of the event loop in which the last request arrived, and the requests in it. */
+  turn: number;
+  requestsInTurn: number;
 }
 
 /** Memory that a connection takes without a request: the socket, its parser and their handles. */
@@ -59,6 +63,12 @@
 const LINGER_MS = 200;
 const LINGER_BYTES = 65_536;
 
+/** Garbage of bodies may take this fraction of the bytes held before it is collected. */
+const COLLECTIONS_PER_BUDGET = 8;
+
+/** Memory that a piece of a body takes beyond its bytes. */
+const PIECE_BYTES = 200;
+
 const SWEEP_INTERVAL_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 
@@ -75,8 +85,12 @@
 export class ConnectionGuard {
   private readonly budget: RequestBudget;
   private readonly pool = BlockPool.create();
+  private readonly garbage: YoungGarbageCollector;
   private readonly connections = new Map<Socket, Connection>();
   private sweepTimer: Timer | undefined;
+  /** Number of the turn of the event loop, counted over turns with requests. */
+  private turn = 1;
+  private isTurnCounted = false;
 
   private constructor(private readonly options: ConnectionGuardOptions) {
     const {maxHeldBytes, maxConnections} = options.limits;
@@ -84,6 +98,9 @@
       maxBytes: maxHeldBytes,
       maxClients: maxConnections,
     });
+    this.garbage = YoungGarbageCollector.create(
+      maxHeldBytes / COLLECTIONS_PER_BUDGET,
+    );
   }
 
   /**
@@ -122,11 +139,14 @@
     return (incoming, outgoing) => {
       const connection = this.connections.get(incoming.socket);
       // Requests may follow in the bytes that were read before the connection was closed.
-      if (connection === undefined || !isUsable(connection)) {
-        incoming.resume();
-        return;
-      }
-      this.receive(connection, incoming, outgoing, handle);
+      if (connection === undefined || !isUsable(connection)) return;
+      this.receive(connection, incoming, outgoing, (request, response) => {
+        // All pipelined requests of one read are known only after it. None of them is
+        // handled if they are too many.
+        process.nextTick(() => {
+          if (isUsable(connection)) handle(request, response);
+        });
+      });
     };
   }
 
@@ -151,10 +171,12 @@
       socket,
       share,
       responses: new Set(),
-      isReceiving: false,
+      collector: undefined,
       phaseStartBytes: 0,
+      turn: 0,
+      requestsInTurn: 0,
     });
-    socket.once('close', () => this.forget(socket));
+    socket.once('close', () => this.handleClose(socket));
   }
 
   /** Releases what a connection holds, as it is closed or belongs to another protocol now. */
@@ -165,6 +187,21 @@
     this.budget.close(connection.share);
   }
 
+  /**
+   * Releases a closed connection. A handler in progress keeps its request, which would
+   * keep all pipelined requests that were read with it through the server's listeners.
+   */
+  private handleClose(socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (connection === undefined) return;
+    this.forget(socket);
+    connection.collector?.discard();
+    for (const response of connection.responses)
+      response.removeAllListeners('finish');
+    socket.removeAllListeners();
+    socket.on('error', () => undefined);
+  }
+
   private receive(
     connection: Connection,
     incoming: IncomingMessage,
@@ -179,9 +216,12 @@
     const declaredBytes = Number(headers['content-length'] ?? 0);
     const refuse = (status: number, cause: RefusalReason, reason: string) =>
       this.refuse(connection, incoming, status, cause, reason);
-    if (responses.size >= limits.maxRequestsInProgress) {
-      this.report('pipelining', `${responses.size} requests in progress`);
-      incoming.resume();
+    const pendingCount = Math.max(
+      responses.size,
+      this.countInTurn(connection) - 1,
+    );
+    if (pendingCount >= limits.maxRequestsInProgress) {
+      this.report('pipelining', `${pendingCount} requests before`);
       connection.socket.destroy();
       return;
     }
@@ -205,7 +245,6 @@
       this.updatePhase(connection);
     });
     if (declaredBytes > 0 || headers['transfer-encoding'] !== undefined) {
-      connection.isReceiving = true;
       this.readBody(connection, incoming, outgoing, handle);
     } else {
       handle(incoming, outgoing);
@@ -213,6 +252,25 @@
     this.updatePhase(connection);
   }
 
+  /**
+   * Counts the requests of a connection in this turn of the event loop. Without a bound on
+   * them, the handlers of one crowd would delay all timers of the process.
+   */
+  private countInTurn(connection: Connection): number {
+    if (!this.isTurnCounted) {
+      this.isTurnCounted = true;
+      setImmediate(() => {
+        this.turn++;
+        this.isTurnCounted = false;
+      });
+    }
+    if (connection.turn !== this.turn) {
+      connection.turn = this.turn;
+      connection.requestsInTurn = 0;
+    }
+    return ++connection.requestsInTurn;
+  }
+
   /** Reads a body, and calls the handler at its end. */
   private readBody(
     connection: Connection,
@@ -220,11 +278,15 @@
     outgoing: ServerResponse,
     handle: RequestListener,
   ): void {
-    const {discardsBodies, getMaxBodyBytes, clock} = this.options;
+    const {usesBody, getMaxBodyBytes, clock} = this.options;
     const {share} = connection;
     const maxBodyBytes = getMaxBodyBytes();
     const declaredBytes = Number(incoming.headers['content-length'] ?? NaN);
+    // Small bodies cost less than to find out whether they are used.
+    const isSmall = declaredBytes <= BLOCK_BYTES;
+    const isDiscarded = !isSmall && !usesBody(incoming);
     const collector = BodyCollector.create(this.pool);
+    connection.collector = collector;
     let wholeBody: Buffer | undefined;
     let receivedBytes = 0;
     let heldBytes = 0;
@@ -243,11 +305,12 @@
     incoming.on('data', (piece: Buffer) => {
       if (isRefused || !isUsable(connection)) return;
       receivedBytes += piece.length;
+      this.garbage.add(piece.length + PIECE_BYTES);
       if (receivedBytes > maxBodyBytes) {
         refuse(413, 'body-size', renderBodyReason(maxBodyBytes));
         return;
       }
-      if (discardsBodies) return;
+      if (isDiscarded) return;
       const isWhole = piece.length === declaredBytes;
       const growthBytes = isWhole
         ? piece.length
@@ -261,7 +324,7 @@
     });
     incoming.once('end', () => {
       if (isRefused || !isUsable(connection)) return;
-      const parsedBytes = discardsBodies
+      const parsedBytes = isDiscarded
         ? 0
         : receivedBytes * PARSED_BYTES_PER_BODY_BYTE;
       const extraBytes = parsedBytes - heldBytes;
@@ -269,8 +332,9 @@
         refuse(503, 'memory', MEMORY_REASON);
         return;
       }
-      connection.isReceiving = false;
+      connection.collector = undefined;
       incoming.rawBody = wholeBody ?? collector.takeBody();
+      if (!isDiscarded) this.garbage.add(receivedBytes);
       this.updatePhase(connection);
       handle(incoming, outgoing);
     });
@@ -278,7 +342,6 @@
       collector.discard();
       this.budget.release(share, heldBytes);
     });
-    connection.socket.once('close', () => collector.discard());
   }
 
   /**
@@ -296,7 +359,8 @@
     const {socket, share, responses} = connection;
     this.report(cause, reason);
     const isOnlyRequest =
-      responses.size === 0 || (responses.size === 1 && connection.isReceiving);
+      responses.size === 0 ||
+      (responses.size === 1 && connection.collector !== undefined);
     this.budget.setPhase(share, 'closing', clock.getMonotonicMs());
     if (!isOnlyRequest) {
       socket.destroy();
@@ -305,6 +369,7 @@
     let lingerBytes = 0;
     incoming.on('data', (piece: Buffer) => {
       lingerBytes += piece.length;
+      this.garbage.add(piece.length + PIECE_BYTES);
       if (lingerBytes > LINGER_BYTES) socket.destroy();
     });
     incoming.once('end', () => socket.destroySoon());
@@ -317,7 +382,7 @@
     const {share, responses, socket} = connection;
     if (!isUsable(connection)) return;
     let phase: ClientPhase = 'idle';
-    if (connection.isReceiving) phase = 'receiving';
+    if (connection.collector !== undefined) phase = 'receiving';
     else if (responses.size > 0)
       phase = isSending(responses) ? 'sending' : 'working';
     if (phase === share.phase) return;
--- a/packages/runtime/src/http_listener.ts
+++ b/packages/runtime/src/http_listener.ts
@@ -1,6 +1,11 @@
 /** HTTP servers with size and time limits and graceful shutdown. */
 
-import {createServer, RequestListener, Server as HttpServer} from 'node:http';
+import {
+  createServer,
+  IncomingMessage,
+  RequestListener,
+  Server as HttpServer,
+} from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
 import {AddressInfo} from 'node:net';
 import {serve} from '@hono/node-server';
@@ -33,8 +38,8 @@
   readonly limits?: Partial<ListenerLimits> | undefined;
   /** Gets the present limit of bodies, if it may change; the fixed one applies if absent. */
   readonly getMaxBodyBytes?: () => number;
-  /** Whether bodies are discarded while they arrive, as no route uses them. */
-  readonly discardsBodies?: boolean;
+  /** Checks whether the body of a request is used. Other bodies are discarded while they arrive. */
+  readonly usesBody?: (incoming: IncomingMessage) => boolean;
   /** Whether connections may be upgraded to other protocols, which are then not limited any more. */
   readonly acceptsUpgrades?: boolean;
   readonly onRefusal?: RefusalListener;
@@ -72,7 +77,7 @@
             limits,
             getMaxBodyBytes:
               options.getMaxBodyBytes ?? (() => limits.maxBodyBytes),
-            discardsBodies: options.discardsBodies ?? false,
+            usesBody: options.usesBody ?? (() => true),
             acceptsUpgrades: options.acceptsUpgrades ?? false,
             onRefusal: options.onRefusal ?? (() => undefined),
           });
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -433,6 +433,11 @@
     level: 'info',
     text: 'A quarantined worker recovered and is back in use.',
   },
+  'client-refused': {
+    number: 880,
+    level: 'warn',
+    text: 'Clients exceeded a limit of a listener; their requests were refused or their connections closed. At most one line a second for each port and reason.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof EVENT_CATALOGUE;
