--- a/packages/coordination/src/interference_model.ts
+++ b/packages/coordination/src/interference_model.ts
@@ -63,6 +63,12 @@
  */
 const LIMIT_HORIZON_MS = 1_000;
 
+/** Weight of a report in the fraction of those whose step has a forecast. */
+const FORECAST_WEIGHT = 0.02;
+
+/** Fraction of reports with a forecast from which the tasks of an image are compared. */
+const MIN_FORECAST_FRACTION = 0.7;
+
 /** CPU share of a worker's fillers below which they cannot cause a missed target. */
 export const NEGLIGIBLE_FILLER_SHARE = 0.02;
 
@@ -97,8 +103,8 @@
 interface ServingImageModel {
   readonly effects: EffectEstimator;
   readonly baselineLoad: BaselineLoad;
-  /** Whether tasks are compared with others of their step, so that the effects are precise. */
-  isCompared?: boolean;
+  /** Fraction of the recent reports on tasks whose step has a forecast. */
+  forecastFraction: number;
 }
 
 /** Fillers that a worker has listed, and the time since which it has listed just these. */
@@ -223,6 +229,7 @@
       this.servingImageModels.set(key, {
         effects: EffectEstimator.restore(effects),
         baselineLoad: BaselineLoad.restore(ownLoad),
+        forecastFraction: 0,
       });
       this.revision++;
     }
@@ -353,8 +360,10 @@
     const loadIndex = getLoadIndex(serving);
     const isSaturated = loadIndex >= SATURATED_LOAD_INDEX;
     const ownIndex = this.servingLoad.getForecast(serving.step, 0);
-    if (ownIndex !== undefined) model.isCompared = true;
-    if (model.isCompared) {
+    const hasForecast = Number(ownIndex !== undefined);
+    model.forecastFraction +=
+      FORECAST_WEIGHT * (hasForecast - model.forecastFraction);
+    if (isCompared(model)) {
       this.changedImages.add(image);
       this.revision++;
       if (ownIndex !== undefined && usedShares !== undefined && !isSaturated)
@@ -607,9 +616,10 @@
   ): number {
     const fillers = getFillerShares(load, excluded);
     const image = getImage(serving);
-    const ownIndex =
-      this.servingLoad.getForecast(serving.step, LIMIT_HORIZON_MS) ??
-      this.getBaselineMean(image);
+    const forecast = isCompared(this.getServingImageModel(image))
+      ? this.servingLoad.getForecast(serving.step, LIMIT_HORIZON_MS)
+      : undefined;
+    const ownIndex = forecast ?? this.getBaselineMean(image);
     return ownIndex + this.getEffects(image).getCombinedEffect(fillers);
   }
 
@@ -631,7 +641,7 @@
   }
 
   private getMinHarmfulEffect(servingImage: string): number {
-    return this.getServingImageModel(servingImage).isCompared
+    return isCompared(this.getServingImageModel(servingImage))
       ? MIN_COMPARED_HARMFUL_EFFECT
       : MIN_HARMFUL_EFFECT;
   }
@@ -655,6 +665,8 @@
     load: WorkerLoad,
     horizonMs: number,
   ): number {
+    if (!isCompared(this.getServingImageModel(image)))
+      return this.getBaselineMean(image);
     let ownIndex: number | undefined;
     for (const serving of load.getServingRuns()) {
       if (getImage(serving) !== image || !hasResponseTarget(serving)) continue;
@@ -675,6 +687,7 @@
       model = {
         effects: EffectEstimator.create(),
         baselineLoad: BaselineLoad.create(),
+        forecastFraction: 0,
       };
       this.servingImageModels.set(image, model);
     }
@@ -745,6 +758,14 @@
   return limitMillis / load.getCapacity().cpuMillis;
 }
 
+/**
+ * Checks whether the tasks of an image are compared with others of their step. Where only
+ * few have a forecast, learning from these alone would take too long.
+ */
+function isCompared({forecastFraction}: ServingImageModel): boolean {
+  return forecastFraction >= MIN_FORECAST_FRACTION;
+}
+
 const NO_RUNS: ReadonlySet<AssignedRun> = new Set();
 
 /** Gets the highest measured load index of the serving tasks, by image. */
