Ask the feed of the operators' rows for whole milliseconds

A bound of an evacuation below 4,500 ms gave a wait such as 166.67 ms, which a store may reject; the rows would then never be read and nothing would start.

--- a/packages/node/src/config_follower.ts
+++ b/packages/node/src/config_follower.ts
@@ -66,10 +66,7 @@
       events,
       table,
       part: '',
-      waitMs: Math.min(
-        FEED_WAIT_MS,
-        MAX_FEED_WAIT_FRACTION * this.evacuations.getAgeLimitMs(),
-      ),
+      waitMs: getFeedWaitMs(this.evacuations.getAgeLimitMs()),
       listener: {
         onSnapshot: rows => {
           this.evacuations.applySnapshot(rows);
@@ -136,3 +133,13 @@
     });
   }
 }
+
+/**
+ * Gets the timeout of the change feed, in whole milliseconds, as a store may reject others.
+ * @param ageLimitMs - Age of the rows from which no tasks are started.
+ */
+function getFeedWaitMs(ageLimitMs: number): number {
+  return Math.floor(
+    Math.min(FEED_WAIT_MS, MAX_FEED_WAIT_FRACTION * ageLimitMs),
+  );
+}
--- a/packages/node/test/config_follower.test.ts
+++ b/packages/node/test/config_follower.test.ts
@@ -107,6 +107,27 @@
     }
   });
 
+  it('asks its feed to wait for whole milliseconds, under any bound', async () => {
+    // Guards against a store that rejects the wait, so that no row is read and nothing starts.
+    const fixture = new FollowerFixture();
+    const {store} = fixture;
+    const waitsMs: number[] = [];
+    const createClient = store.createClient.bind(store);
+    store.createClient = faults => {
+      const client = createClient(faults);
+      const getChanges = client.getChanges.bind(client);
+      client.getChanges = request => {
+        waitsMs.push(request.waitMs);
+        return getChanges(request);
+      };
+      return client;
+    };
+    for (const evacuationMs of [2_000, 4_000, 5_000])
+      fixture.addNode(evacuationMs);
+    await fixture.clock.advance(FEED_MS);
+    expect(waitsMs).to.deep.equal([166, 833, 1_000]);
+  });
+
   it('is not current while its feed is silent, and reads what has changed afterwards', async () => {
     // Guards against starts by a node that cannot know of an evacuation.
     const fixture = new FollowerFixture();
