Read the operators' rows again at once after a lost call of their feed

A quiet feed answers after 1,000 ms. After a call without a response, given up after 1,840 ms, the next one waited as long, so that the rows became 3.9 s old and all starts stopped for 0.4 s. The calls after a failed one do not wait now; deployments without evacuations ask as before.

--- a/packages/coordination/src/table_follower.ts
+++ b/packages/coordination/src/table_follower.ts
@@ -45,6 +45,11 @@
    * connection is detected.
    */
   readonly waitMs: number;
+  /**
+   * The same for a call after a failed one; `waitMs` by default. With 0, the age of the
+   * contents is known as soon as the store responds again, although nothing changes.
+   */
+  readonly retryWaitMs?: number;
   /**
    * Returns the pause between two calls, for tables whose changes need not be
    * received immediately.
@@ -142,8 +147,9 @@
   }
 
   private async readChanges(afterVersion: number): Promise<void> {
-    const {store, clock, table, waitMs, listener} = this.options;
+    const {store, clock, table, listener} = this.options;
     const sentMs = clock.getMonotonicMs();
+    const waitMs = this.getWaitMs();
     const changes = await store.getChanges({table, afterVersion, waitMs});
     if (this.isStopped) return;
     if (changes.isOk()) {
@@ -161,6 +167,11 @@
     await this.handleFailure(changes.error.message);
   }
 
+  private getWaitMs(): number {
+    const {waitMs, retryWaitMs = waitMs} = this.options;
+    return this.outageStartMs === undefined ? waitMs : retryWaitMs;
+  }
+
   private async pauseBetweenCalls(): Promise<void> {
     const pauseMs = this.options.getPauseMs?.() ?? 0;
     if (pauseMs > 0) await this.options.clock.sleep(pauseMs);
--- a/packages/node/src/config_follower.ts
+++ b/packages/node/src/config_follower.ts
@@ -67,6 +67,8 @@
       table,
       part: '',
       waitMs: getFeedWaitMs(this.evacuations.getAgeLimitMs()),
+      // One lost call and a full wait after it would make the rows too old for starts.
+      retryWaitMs: options.evacuationMs === undefined ? undefined : 0,
       listener: {
         onSnapshot: rows => {
           this.evacuations.applySnapshot(rows);
--- a/packages/node/test/config_follower.test.ts
+++ b/packages/node/test/config_follower.test.ts
@@ -2,6 +2,7 @@
 import {
   createInvalidInputError,
   createNotFoundError,
+  createUnavailableError,
 } from '@mustardlug/base/errors';
 import {
   createDefaultRowStoreFaults,
@@ -21,6 +22,9 @@
 /** Time after which the rows of a silent feed are too old to start tasks. */
 const AGE_LIMIT_MS = 3_500;
 
+/** Time after which a call with a wait of 1,000 ms is given up, with its grace period. */
+const SILENT_CALL_MS = 1_840;
+
 /** Followers of several nodes of one store. */
 class FollowerFixture {
   readonly clock = VirtualClock.create();
@@ -128,6 +132,31 @@
     expect(waitsMs).to.deep.equal([166, 833, 1_000]);
   });
 
+  it('stays current if a single call of a quiet feed gets no response', async () => {
+    // Guards against a lost packet that stops all starts.
+    const fixture = new FollowerFixture();
+    const {store, clock} = fixture;
+    const createClient = store.createClient.bind(store);
+    let callCount = 0;
+    store.createClient = faults => {
+      const client = createClient(faults);
+      const getChanges = client.getChanges.bind(client);
+      client.getChanges = async request => {
+        if (++callCount !== 3) return getChanges(request);
+        await clock.sleep(SILENT_CALL_MS);
+        return err(createUnavailableError('no response', false));
+      };
+      return client;
+    };
+    const {evacuations} = fixture.addNode();
+    await clock.advance(FEED_MS);
+    for (let elapsedMs = 0; elapsedMs < 8_000; elapsedMs += 10) {
+      await clock.advance(10);
+      expect(evacuations.isCurrent(), `${elapsedMs} ms`).to.equal(true);
+    }
+    expect(callCount).to.be.above(5);
+  });
+
   it('is not current while its feed is silent, and reads what has changed afterwards', async () => {
     // Guards against starts by a node that cannot know of an evacuation.
     const fixture = new FollowerFixture();
