--- a/packages/node/test/config_follower.test.ts
+++ b/packages/node/test/config_follower.test.ts
@@ -2,6 +2,7 @@
 import {
   createInvalidInputError,
   createNotFoundError,
+  createUnavailableError,
 } from '@mustardlug/base/errors';
 import {
   createDefaultRowStoreFaults,
@@ -21,6 +22,9 @@
 /** Time after which the rows of a silent feed are too old to start tasks. */
 const AGE_LIMIT_MS = 3_500;
 
+/** Time after which a call with a wait of 1,000 ms is given up, with its grace period. */
+const SILENT_CALL_MS = 1_840;
+
 /** Followers of several nodes of one store. */
 class FollowerFixture {
   readonly clock = VirtualClock.create();
@@ -107,6 +111,52 @@
     }
   });
 
+  it('asks its feed to wait for whole milliseconds, under any bound', async () => {
+    // Guards against a store that rejects the wait, so that no row is read and nothing starts.
+    const fixture = new FollowerFixture();
+    const {store} = fixture;
+    const waitsMs: number[] = [];
+    const createClient = store.createClient.bind(store);
+    store.createClient = faults => {
+      const client = createClient(faults);
+      const getChanges = client.getChanges.bind(client);
+      client.getChanges = request => {
+        waitsMs.push(request.waitMs);
+        return getChanges(request);
+      };
+      return client;
+    };
+    for (const evacuationMs of [2_000, 4_000, 5_000])
+      fixture.addNode(evacuationMs);
+    await fixture.clock.advance(FEED_MS);
+    expect(waitsMs).to.deep.equal([166, 833, 1_000]);
+  });
+
+  it('stays current if a single call of a quiet feed gets no response', async () => {
+    // Guards against a lost packet that stops all starts.
+    const fixture = new FollowerFixture();
+    const {store, clock} = fixture;
+    const createClient = store.createClient.bind(store);
+    let callCount = 0;
+    store.createClient = faults => {
+      const client = createClient(faults);
+      const getChanges = client.getChanges.bind(client);
+      client.getChanges = async request => {
+        if (++callCount !== 3) return getChanges(request);
+        await clock.sleep(SILENT_CALL_MS);
+        return err(createUnavailableError('no response', false));
+      };
+      return client;
+    };
+    const {evacuations} = fixture.addNode();
+    await clock.advance(FEED_MS);
+    for (let elapsedMs = 0; elapsedMs < 8_000; elapsedMs += 10) {
+      await clock.advance(10);
+      expect(evacuations.isCurrent(), `${elapsedMs} ms`).to.equal(true);
+    }
+    expect(callCount).to.be.above(5);
+  });
+
   it('is not current while its feed is silent, and reads what has changed afterwards', async () => {
     // Guards against starts by a node that cannot know of an evacuation.
     const fixture = new FollowerFixture();
