First environment: let every evacuate and restore command write the guard row

A command that found the requested state wrote nothing. A write of an earlier command that had given up without a response could then still take effect: "evacuate" reported that the domain was evacuated already, and a late removal put it back into service; or the other way round after "restore".

--- a/packages/document/src/evacuation_store.ts
+++ b/packages/document/src/evacuation_store.ts
@@ -24,8 +24,10 @@
 
 const EVACUATION_PREFIX = 'evacuation/';
 /**
- * Row that every change also writes. Without it, a delayed duplicate of a put
- * that expects an absent row would take effect after the row was removed again.
+ * Row that every command also writes, even if it finds the requested state. Without it,
+ * a delayed duplicate of a put that expects an absent row would take effect after the row
+ * was removed again, and a delayed write of a command that gave up would undo what a later
+ * command has confirmed.
  */
 const GUARD_KEY = 'evacuations';
 /** Changes of other domains also write the guard row, so that a change may conflict with several of them. */
@@ -59,15 +61,17 @@
     for (let attempt = 1; attempt <= MAX_WRITE_ATTEMPTS; attempt++) {
       const revisions = await this.getRevisions(domain);
       if (revisions.isErr()) return err(revisions.error);
-      if (revisions.value.row !== ABSENT_REVISION) return ok('unchanged');
+      const {row, guard} = revisions.value;
+      const isChange = row === ABSENT_REVISION;
       const value: StoredValue = {writeToken: this.options.tokens.getNext()};
-      const written = await this.commit(value, revisions.value.guard, {
+      const put: TableOperation = {
         kind: 'put',
         key: getKey(domain),
         value,
         expectedRevision: ABSENT_REVISION,
-      });
-      if (written.isOk()) return ok('changed');
+      };
+      const written = await this.commit(value, guard, isChange ? [put] : []);
+      if (written.isOk()) return ok(isChange ? 'changed' : 'unchanged');
       if (written.error.kind !== 'conflict') return err(written.error);
     }
     return err(createRaceError());
@@ -84,19 +88,24 @@
       const revisions = await this.getRevisions(domain);
       if (revisions.isErr()) return err(revisions.error);
       const {row, guard} = revisions.value;
-      if (row === ABSENT_REVISION) return ok('unchanged');
-      firstRevision ??= row;
-      if (row !== firstRevision) {
+      const isChange = row !== ABSENT_REVISION;
+      if (isChange) firstRevision ??= row;
+      if (isChange && row !== firstRevision) {
         const message = `another operator evacuated ${domain} again; check the reason and restore it again if it is to serve`;
         return err(createConflictError(message));
       }
       const value: StoredValue = {writeToken: this.options.tokens.getNext()};
-      const written = await this.commit(value, guard, {
+      const removal: TableOperation = {
         kind: 'delete',
         key: getKey(domain),
         expectedRevision: row,
-      });
-      if (written.isOk()) return ok('changed');
+      };
+      const written = await this.commit(
+        value,
+        guard,
+        isChange ? [removal] : [],
+      );
+      if (written.isOk()) return ok(isChange ? 'changed' : 'unchanged');
       if (written.error.kind !== 'conflict') return err(written.error);
     }
     return err(createRaceError());
@@ -116,15 +125,16 @@
     }));
   }
 
+  /** Writes the guard row also if nothing else changes, so that delayed writes of commands that gave up conflict. */
   private commit(
     value: StoredValue,
     guardRevision: number,
-    operation: TableOperation,
+    operations: readonly TableOperation[],
   ) {
     // The guard comes first: its token shows the outcome after a lost response.
     return this.options.retryingCommitter.commit(value.writeToken, [
       {kind: 'put', key: GUARD_KEY, value, expectedRevision: guardRevision},
-      operation,
+      ...operations,
     ]);
   }
 }
--- a/packages/document/test/evacuations.test.ts
+++ b/packages/document/test/evacuations.test.ts
@@ -117,6 +117,29 @@
     expect(fixture.getRowKeys()).to.deep.equal([]);
   });
 
+  it('is not changed by a delayed write that a command gave up, once a later command has found nothing to do', async () => {
+    // Guards against a domain that takes work after "evacuated already", and against one that does not after "not evacuated".
+    for (const isEvacuation of [true, false]) {
+      const fixture = new Fixture();
+      const {table, clock} = fixture;
+      const store = fixture.createStore();
+      if (!isEvacuation) await fixture.complete(store.evacuate('a'));
+      const keys = fixture.getRowKeys();
+      table.faults.applyNextLate = 1;
+      table.faults.lateMs = 60_000;
+      const givenUp = isEvacuation ? store.evacuate('a') : store.restore('a');
+      await clock.advance(10);
+      table.faults.isOutage = true;
+      const error = await fixture.complete(givenUp);
+      expect(error).to.equal('unavailable');
+      table.faults.isOutage = false;
+      const opposite = isEvacuation ? store.restore('a') : store.evacuate('a');
+      expect(await fixture.complete(opposite)).to.equal('unchanged');
+      await clock.advance(60_000);
+      expect(fixture.getRowKeys()).to.deep.equal(keys);
+    }
+  });
+
   it('fails as unavailable during an outage, and may be repeated afterwards', async () => {
     const fixture = new Fixture();
     const store = fixture.createStore();
