Place batch jobs by the cost of a delay while capacity is short; preempt for urgent ones

Callers saw accepted large jobs of low priority end after their late limit, and urgent jobs wait behind batch work of lower priority.

Cause: by deadline status and objective alone, all jobs of an overloaded queue get room when little time is left for them, and become late together. Nothing but interrupted long-running tasks could make a batch run stop.

base/delay_cost computes what a delay, a refusal and a late result cost, and an urgency: the discounted cost of a delay divided by the work that is left. Services that are short of room and have several priorities are placed by it within a priority. Runs of lower priority with a checkpoint are stopped for batch steps of the highest priority that would miss their objective.

--- a/packages/coordination/src/batch_headroom.ts
+++ b/packages/coordination/src/batch_headroom.ts
@@ -11,6 +11,7 @@
 import {BatchDemand} from './batch_demand.js';
 import {BatchRoom, KeptRoom} from './batch_room.js';
 import {isWaitingTask} from './placement_pass.js';
+import {getTopPriorities} from './shortage_tracker.js';
 import {getDeadlineStatus, WaitingStep} from './task_order.js';
 import {WorkerLoad} from './worker_load.js';
 
@@ -189,20 +190,6 @@
   }
 }
 
-/** Gets the highest priority of each service whose queues have more than one. */
-function getTopPriorities(queues: readonly QueueConfig[]): Map<string, number> {
-  const byService = new Map<string, Set<number>>();
-  for (const {serviceName, priority} of queues) {
-    const priorities = byService.get(serviceName) ?? new Set<number>();
-    byService.set(serviceName, priorities.add(priority));
-  }
-  const top = new Map<string, number>();
-  for (const [serviceName, priorities] of byService) {
-    if (priorities.size > 1) top.set(serviceName, Math.min(...priorities));
-  }
-  return top;
-}
-
 function measureDemand(
   {samples}: ServiceState,
   nowMs: number,
--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -72,13 +72,25 @@
   PROGRESS_TABLE,
 } from './tables.js';
 import {TableFollower} from './table_follower.js';
-import {isUrgent, WaitingStep} from './task_order.js';
+import {
+  isUrgent,
+  Shortage,
+  sortWaitingSteps,
+  WaitingStep,
+} from './task_order.js';
 import {StartWindow} from './start_window.js';
-import {Placement, PlacementPass, PlacementWorker} from './placement_pass.js';
+import {
+  isWaitingTask,
+  Placement,
+  PlacementPass,
+  PlacementWorker,
+} from './placement_pass.js';
 import {PlacementRound} from './placement_round.js';
 import {PassTimes} from './pass_times.js';
 import {RoomReservations} from './room_reservations.js';
 import {WorkerSupervisor} from './worker_supervisor.js';
+import {ShortageTracker} from './shortage_tracker.js';
+import {selectPreemptions} from './urgent_preemption.js';
 import {RunNumbers} from './run_numbers.js';
 import {AdmissionWorker} from './service_capacity.js';
 import {SilenceReporter} from './silence_reporter.js';
@@ -228,6 +240,8 @@
   private readonly doubtfulCrashes = DoubtfulCrashes.create();
   private readonly reservations = RoomReservations.create();
   private readonly headroom = BatchHeadroom.create();
+  private readonly shortageTracker = ShortageTracker.create();
+  private lastPreemptionMs = -Infinity;
   private readonly round: PlacementRound;
   private readonly waitReporter: WaitReporter;
   private readonly silenceReporter: SilenceReporter;
@@ -971,6 +985,8 @@
       isLimited: pass.isLimitReached(),
     });
     this.updateHeadroom(waiting, workersByService, wallMs);
+    this.updateShortage(pass);
+    this.preemptForUrgentSteps(waiting, workersByService, wallMs);
     this.isStartLimited = pass.isLimitReached();
     this.lastPass = pass;
     this.jobTracker.takeRecentJobs();
@@ -995,6 +1011,55 @@
     }
   }
 
+  private updateShortage(pass: PlacementPass): void {
+    const {clock, getConfig} = this.options;
+    this.shortageTracker.recordPass(
+      pass.getShortServices(),
+      getConfig()?.queues ?? [],
+      clock.getMonotonicMs(),
+    );
+  }
+
+  private getShortage(): Shortage {
+    const nowMs = this.options.clock.getMonotonicMs();
+    return {services: this.shortageTracker.getShortServices(nowMs)};
+  }
+
+  /** Stops batch runs of lower priority for urgent steps that would miss their objective. */
+  private preemptForUrgentSteps(
+    waiting: readonly WaitingStep[],
+    workersByService: ReadonlyMap<string, readonly PlacementWorker[]>,
+    wallMs: number,
+  ): void {
+    const nowMs = this.options.clock.getMonotonicMs();
+    const shortage = this.getShortage();
+    if (nowMs - this.lastPreemptionMs < TICK_MS) return;
+    const topPriority = this.jobTracker.getTopPriority();
+    const urgent = waiting.filter(
+      each =>
+        shortage.services.has(each.queue.serviceName) &&
+        isUrgent(each, topPriority, wallMs) &&
+        each.step.tasks.some(isWaitingTask),
+    );
+    if (urgent.length === 0) return;
+    this.lastPreemptionMs = nowMs;
+    const freeWorkers = new Map<string, PlacementWorker[]>();
+    for (const serviceName of shortage.services) {
+      const workers = workersByService.get(serviceName) ?? [];
+      const unreserved = workers.filter(
+        worker => !this.reservations.isReserved(worker),
+      );
+      freeWorkers.set(serviceName, unreserved);
+    }
+    const preemptions = selectPreemptions({
+      waiting: sortWaitingSteps(urgent, wallMs, shortage),
+      workersByService: freeWorkers,
+      ...{nowMs, wallMs},
+    });
+    for (const preemption of preemptions)
+      this.workerSupervisor.preemptForUrgent(preemption);
+  }
+
   private placeUrgentTasks(): void {
     const wallMs = this.options.clock.getWallMs();
     for (const job of this.jobTracker.takeRecentJobs())
@@ -1033,6 +1098,7 @@
       maxPlacements: Math.max(0, freeCount),
       reservations: this.reservations,
       headroom: this.headroom,
+      shortage: this.getShortage(),
       round,
       nowMs: this.options.clock.getMonotonicMs(),
       place: placement => this.placeTask(placement),
--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -11,6 +11,7 @@
 import {
   createWaitingStep,
   isOverdue,
+  Shortage,
   sortWaitingSteps,
   WaitingStep,
 } from './task_order.js';
@@ -23,6 +24,7 @@
 import {PlacementRound} from './placement_round.js';
 import {BatchHeadroom} from './batch_headroom.js';
 import {BatchRoom, getHoldLevel, HoldLevel} from './batch_room.js';
+import {canEverRun} from './service_capacity.js';
 import {AssignedRun, StartKind} from './worker_load.js';
 import {WorkerSession} from './worker_session.js';
 
@@ -51,6 +53,8 @@
   readonly reservations: RoomReservations;
   /** Room that is kept free from long-running tasks that have never run; none if absent. */
   readonly headroom?: BatchHeadroom;
+  /** Services whose batch steps are placed by the cost of a delay; none if absent. */
+  readonly shortage?: Shortage;
   /** Round that the pass continues. */
   readonly round: PlacementRound;
   /** Monotonic time of the pass. */
@@ -154,6 +158,8 @@
   /** Room for batch tasks by service; filled as needed. */
   private readonly batchRooms = new Map<string, BatchRoom | undefined>();
   private heldCount = 0;
+  /** Services with batch steps that found no room. */
+  private readonly shortServices = new Set<string>();
   private placementCount = 0;
   private isInterrupted = false;
   private wallMs = 0;
@@ -222,7 +228,7 @@
     const {wallMs} = this;
     const {round} = this.options;
     round.beginPass();
-    const sorted = sortWaitingSteps(waiting, wallMs);
+    const sorted = sortWaitingSteps(waiting, wallMs, this.options.shortage);
     const priorities = new Set<number>();
     for (const each of sorted) {
       if (this.isLimitReached()) return;
@@ -233,7 +239,10 @@
         if (this.isInterrupted) return;
       }
       const key = this.getEquivalenceClass(each);
-      if (this.isKnownToFail(key, each.step)) continue;
+      if (this.isKnownToFail(key, each.step)) {
+        this.recordShortage(key, each);
+        continue;
+      }
       const isRetry = round.isTried(each.step, 'in-order');
       if (isRetry && (isExpensive(key, each) || !round.canRetry())) continue;
       if (round.isPassOver()) {
@@ -245,10 +254,23 @@
         ? this.placeGang(each)
         : this.placeTasks(each);
       // The class depends on whether the job has runs, so that it may be another one by now.
-      if (!isPlaced) this.recordFailure(this.getEquivalenceClass(each), each);
+      if (isPlaced) continue;
+      this.recordFailure(this.getEquivalenceClass(each), each);
+      this.recordShortage(key, each);
     }
   }
 
+  /** Records that a batch step found no room, unless it can never or hardly ever find any. */
+  private recordShortage(key: string | undefined, waiting: WaitingStep): void {
+    const {step, queue} = waiting;
+    const {serviceName} = queue;
+    if (key === undefined || this.shortServices.has(serviceName)) return;
+    if (step.spec.isLongRunning || this.isLimitReached()) return;
+    const workers = this.getServiceWorkers(waiting);
+    if (workers.some(worker => canEverRun(step.spec, worker)))
+      this.shortServices.add(serviceName);
+  }
+
   /** Checks whether tasks may be left waiting because of `maxPlacements`. */
   isLimitReached(): boolean {
     return this.placementCount >= this.options.maxPlacements;
@@ -259,6 +281,11 @@
     return this.isInterrupted;
   }
 
+  /** Gets the services with batch steps that found no room. */
+  getShortServices(): ReadonlySet<string> {
+    return this.shortServices;
+  }
+
   /** Gets the steps of which tasks were placed, in order of placement. */
   getPlacedSteps(): readonly PlacedStep[] {
     return this.placedSteps;
--- a/packages/coordination/src/task_order.ts
+++ b/packages/coordination/src/task_order.ts
@@ -1,5 +1,11 @@
 /** Determines the order in which waiting steps are placed. */
 
+import {
+  DeadlineStatus,
+  getDeadlineStatus as getOutlookStatus,
+  getUrgency,
+  Outlook,
+} from '@mustardlug/base/delay_cost';
 import {JobState, StepState, TaskState} from '@mustardlug/jobs/job_state';
 import {JobSpec, StepSpec} from '@mustardlug/jobs/job_spec';
 import {QueueConfig} from '@mustardlug/jobs/queue_config';
@@ -32,8 +38,12 @@
 /** Time after which callers may hold a late job for lost, with time to start it before. */
 const MAX_LATE_WAIT_MS = 10_000;
 
-/** How a step is expected to end relative to its objective and late limit; placed in this order. */
-export type DeadlineStatus = 'in-time' | 'late' | 'expired';
+/** Which services are short of room, so that their batch steps are placed by the cost of a delay. */
+export interface Shortage {
+  readonly services: ReadonlySet<string>;
+}
+
+const NO_SHORTAGE: Shortage = {services: new Set()};
 
 const DEADLINE_STATUS_RANK: Record<DeadlineStatus, number> = {
   'in-time': 0,
@@ -122,33 +132,78 @@
   return isSuspected(task) || (isLongRunning && task.hasRun);
 }
 
+/** A step with what it is sorted by. */
+interface RankedStep {
+  readonly step: WaitingStep;
+  readonly rank: number;
+  readonly isStarted: boolean;
+  /** Absent unless the step is placed by the cost of a delay. */
+  readonly urgency?: number;
+}
+
 /**
  * Sorts waiting steps by queue priority; then batch steps before long-running
  * steps; then by deadline status; then steps of running jobs before those of
- * jobs that have not started; then by earliest objective.
+ * jobs that have not started; then by earliest objective. Batch steps of services that are short
+ * of room follow the others of their priority, sorted by the cost of a delay.
  * @param steps - Steps with waiting tasks.
  * @param wallMs - Wall-clock time.
+ * @param shortage - Services that are short of room.
  */
 export function sortWaitingSteps(
   steps: readonly WaitingStep[],
   wallMs: number,
+  shortage = NO_SHORTAGE,
 ): WaitingStep[] {
-  const ranked = steps.map(step => ({
-    step,
-    rank: DEADLINE_STATUS_RANK[getDeadlineStatus(step, wallMs)],
-    isStarted: step.job.phase === 'running',
-  }));
-  ranked.sort((left, right) => {
-    const byPriority = left.step.queue.priority - right.step.queue.priority;
-    if (byPriority !== 0) return byPriority;
-    const {isLongRunning} = left.step.step.spec;
-    if (isLongRunning !== right.step.step.spec.isLongRunning)
-      return isLongRunning ? 1 : -1;
+  const ranked = steps.map(step => rankStep(step, wallMs, shortage));
+  ranked.sort(compareRankedSteps);
+  return ranked.map(({step}) => step);
+}
+
+function rankStep(
+  step: WaitingStep,
+  wallMs: number,
+  {services}: Shortage,
+): RankedStep {
+  const rank = DEADLINE_STATUS_RANK[getDeadlineStatus(step, wallMs)];
+  const isStarted = step.job.phase === 'running';
+  const isShort =
+    !step.step.spec.isLongRunning && services.has(step.queue.serviceName);
+  if (!isShort) return {step, rank, isStarted};
+  const urgency = getUrgency(getOutlook(step, wallMs));
+  return {step, rank, isStarted, urgency};
+}
+
+function compareRankedSteps(left: RankedStep, right: RankedStep): number {
+  const byPriority = left.step.queue.priority - right.step.queue.priority;
+  if (byPriority !== 0) return byPriority;
+  const {isLongRunning} = left.step.step.spec;
+  if (isLongRunning !== right.step.step.spec.isLongRunning)
+    return isLongRunning ? 1 : -1;
+  if (left.urgency !== undefined || right.urgency !== undefined) {
+    // Steps of services that are not short find room anyway.
+    const byUrgency = (right.urgency ?? Infinity) - (left.urgency ?? Infinity);
+    if (byUrgency !== 0) return byUrgency;
+  } else {
     if (left.rank !== right.rank) return left.rank - right.rank;
     if (left.isStarted !== right.isStarted) return left.isStarted ? -1 : 1;
-    return left.step.objectiveMs - right.step.objectiveMs;
-  });
-  return ranked.map(({step}) => step);
+  }
+  return left.step.objectiveMs - right.step.objectiveMs;
+}
+
+/**
+ * Gets what is known of the job of a step at a time.
+ * @param step - Step with waiting tasks.
+ * @param wallMs - Wall-clock time.
+ */
+export function getOutlook(step: WaitingStep, wallMs: number): Outlook {
+  const expectedEndMs = wallMs + step.remainingCriticalPathMs;
+  return {
+    priority: step.queue.priority,
+    slackMs: step.objectiveMs - expectedEndMs,
+    lateSlackMs: step.lateLimitMs - expectedEndMs,
+    remainingWork: step.remainingWork,
+  };
 }
 
 /**
@@ -190,7 +245,5 @@
   wallMs: number,
 ): DeadlineStatus {
   if (step.step.spec.isLongRunning) return 'in-time';
-  const expectedEndMs = wallMs + step.remainingCriticalPathMs;
-  if (expectedEndMs <= step.objectiveMs) return 'in-time';
-  return expectedEndMs <= step.lateLimitMs ? 'late' : 'expired';
+  return getOutlookStatus(getOutlook(step, wallMs));
 }
--- a/packages/coordination/src/worker_load.ts
+++ b/packages/coordination/src/worker_load.ts
@@ -208,6 +208,17 @@
     return this.batchDemands.get(priority);
   }
 
+  /**
+   * Checks whether there are batch runs other than fillers of a lower priority.
+   * @param priority - Priority of a queue.
+   */
+  hasBatchBelow(priority: number): boolean {
+    for (const [other, demand] of this.batchDemands) {
+      if (other > priority && demand.getCpuMillis() > 0) return true;
+    }
+    return false;
+  }
+
   /** Gets the CPU that fillers declare, in thousandths of a core. */
   getFillerCpuMillis(): number {
     return this.fillerCpuMillis;
--- a/packages/coordination/src/worker_supervisor.ts
+++ b/packages/coordination/src/worker_supervisor.ts
@@ -10,6 +10,7 @@
 import {ServingRelocator} from './serving_relocator.js';
 import {PlacementWorker} from './placement_pass.js';
 import {Preemption} from './room_reservations.js';
+import {UrgentPreemption} from './urgent_preemption.js';
 import {getTaskName} from './task_names.js';
 import {HealthChange, WorkerHealth} from './worker_health.js';
 import {AssignedRun} from './worker_load.js';
@@ -181,6 +182,21 @@
     this.moveRun(worker.session, assigned, reason);
   }
 
+  /**
+   * Stops a batch run of lower priority, so that an urgent job has room in time.
+   * @param preemption - Run and urgent step.
+   */
+  preemptForUrgent({worker, assigned, waiting}: UrgentPreemption): void {
+    const {job, step} = waiting;
+    this.options.events.addEvent('run-preempted', {
+      requestId: assigned.job.getId(),
+      taskId: assigned.taskName,
+      workerId: worker.session.getId(),
+      detail: `step ${job.getId()}.${waiting.occurrence}.${step.index} of priority ${waiting.queue.priority} would miss its objective`,
+    });
+    void worker.session.stopRun(assigned);
+  }
+
   /** Stops runs whose job or task ended, such as while their worker was not registered. */
   private stopObsoleteRuns(session: WorkerSession): void {
     for (const assigned of session.load.getRuns()) {
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -443,6 +443,11 @@
     level: 'info',
     text: 'No long-running task is held back for batch work any more.',
   },
+  'run-preempted': {
+    number: 873,
+    level: 'info',
+    text: 'A batch run with a checkpoint was stopped for a step of higher priority that would miss its objective otherwise.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof EVENT_CATALOGUE;
