Serve queued requests that have expired after all others

Cause: the queue serves by deadline alone, so that requests that can no longer be answered in time come first.

Requests with less time left than half the typical latency get a slot only when no other waits, by base/delay_cost as for jobs.

--- a/packages/routing/src/admission_queue.ts
+++ b/packages/routing/src/admission_queue.ts
@@ -1,6 +1,17 @@
-/** Earliest-deadline-first queue with admission control. */
+/**
+ * Queue with admission control, ordered by what a delay costs the sender.
+ *
+ * Load pattern: requests arrive faster than slots become free, and latencies rise meanwhile, so that
+ * some that were admitted can no longer be answered in time. Served by deadline alone, these
+ * come first and make the next ones late as well.
+ */
 
 import {Clock} from '@mustardlug/base/clock';
+import {
+  getDeadlineStatus,
+  isRefusalCheaper,
+  Outlook,
+} from '@mustardlug/base/delay_cost';
 import {PriorityQueue} from '@mustardlug/base/priority_queue';
 
 export interface QueuedRequest {
@@ -35,13 +46,25 @@
  * refused request can still try another holder.
  */
 const MAX_WAIT_LATENCY_MULTIPLE = 1;
+
+/**
+ * Part of the typical latency within which a request may still be answered, as latencies vary. With
+ * less time left it counts as expired.
+ */
+const MIN_LATENCY_FRACTION = 0.5;
+
 const MIN_RETRY_AFTER_MS = 250;
 const MAX_RETRY_AFTER_MS = 30_000;
 const NO_SLOT_RETRY_AFTER_MS = 2_000;
 
-/** Decides on admission and orders admitted requests by deadline. */
+/**
+ * Decides on admission and orders admitted requests: by deadline, as all requests of a service have
+ * the same priority and need as much work, and those that have expired last.
+ */
 export class AdmissionQueue<T extends QueuedRequest> {
   private readonly queue = PriorityQueue.create<T>(compareByDeadline);
+  /** Requests that can hardly be answered in time any more. */
+  private readonly expired = PriorityQueue.create<T>(compareByDeadline);
 
   private constructor(private readonly clock: Clock) {}
 
@@ -54,7 +77,7 @@
   }
 
   getSize(): number {
-    return this.queue.getSize();
+    return this.queue.getSize() + this.expired.getSize();
   }
 
   /**
@@ -68,13 +91,15 @@
       return {kind: 'refused', reason, retryAfterMs: NO_SLOT_RETRY_AFTER_MS};
     }
     const requestsAhead =
-      this.queue.getSize() + capacity.inProgress - capacity.slots + 1;
+      this.getSize() + capacity.inProgress - capacity.slots + 1;
     const waitMs =
       (Math.max(0, requestsAhead) * capacity.typicalLatencyMs) / capacity.slots;
-    const neededMs = (waitMs + capacity.typicalLatencyMs) * SAFETY_FACTOR;
     const remainingMs = deadlineMs - this.clock.getMonotonicMs();
     if (requestsAhead <= 0 && remainingMs > 0) return {kind: 'admitted'};
-    if (neededMs > remainingMs) {
+    const outlook = createOutlook(
+      remainingMs / SAFETY_FACTOR - capacity.typicalLatencyMs,
+    );
+    if (isRefusalCheaper(outlook, waitMs)) {
       return refuse(
         'the estimated response time exceeds the remaining time',
         waitMs,
@@ -94,14 +119,22 @@
     this.queue.addItem(request);
   }
 
-  /** Gets the request with the earliest deadline without removing it. */
-  getFirst(): T | undefined {
-    return this.queue.getFirst();
+  /**
+   * Gets the request that is served next, without removing it.
+   * @param typicalLatencyMs - Typical latency of the service.
+   */
+  getFirst(typicalLatencyMs = 0): T | undefined {
+    this.separateExpired(typicalLatencyMs);
+    return this.queue.getFirst() ?? this.expired.getFirst();
   }
 
-  /** Removes and returns the request with the earliest deadline. */
-  removeFirst(): T | undefined {
-    return this.queue.removeFirst();
+  /**
+   * Removes and returns the request that is served next.
+   * @param typicalLatencyMs - Typical latency of the service.
+   */
+  removeFirst(typicalLatencyMs = 0): T | undefined {
+    this.separateExpired(typicalLatencyMs);
+    return this.queue.removeFirst() ?? this.expired.removeFirst();
   }
 
   /**
@@ -110,10 +143,29 @@
    * @returns False if the request is not queued.
    */
   removeRequest(request: T): boolean {
-    return this.queue.removeItem(request);
+    return this.queue.removeItem(request) || this.expired.removeItem(request);
+  }
+
+  /** Moves the requests that have expired out of the way of the others. */
+  private separateExpired(typicalLatencyMs: number): void {
+    const neededMs =
+      this.clock.getMonotonicMs() + typicalLatencyMs * MIN_LATENCY_FRACTION;
+    for (;;) {
+      const first = this.queue.getFirst();
+      if (first === undefined) return;
+      const outlook = createOutlook(first.deadlineMs - neededMs);
+      if (getDeadlineStatus(outlook) !== 'expired') return;
+      this.queue.removeFirst();
+      this.expired.addItem(first);
+    }
   }
 }
 
+/** Requests have a single deadline, after which a response is of no use. */
+function createOutlook(slackMs: number): Outlook {
+  return {priority: 0, slackMs, lateSlackMs: slackMs, remainingWork: 1};
+}
+
 function refuse(reason: string, waitMs: number): Admission {
   return {kind: 'refused', reason, retryAfterMs: clampRetryAfterMs(waitMs)};
 }
--- a/packages/routing/src/service_dispatcher.ts
+++ b/packages/routing/src/service_dispatcher.ts
@@ -186,7 +186,7 @@
 
   private dispatchQueued(): void {
     for (;;) {
-      const pending = this.queue.getFirst();
+      const pending = this.queue.getFirst(this.slotTable.getTypicalLatencyMs());
       if (pending === undefined) return;
       const entry = this.slotTable.takeSlot(pending.attemptedWorkers);
       if (entry === undefined) {
