Limit the cost and the reach of the decisions under short capacity

Seen in review: the limits per job took 7 ms every 300 ms with 3,000 waiting steps; preemption visited all workers for each urgent step; the Retry-After of large jobs assumed one start a second, as the rate of starts was not published with a limit; overdue jobs without a run got a task before more urgent ones that are not late.

Jobs are counted once by identity, tolerances are kept, preemption looks at four steps at a time, the rate of starts is part of a limit, and the task of each overdue job comes before expired steps only while a service is short. A limit begins only when three jobs wait.

--- a/packages/coordination/src/admission_control.ts
+++ b/packages/coordination/src/admission_control.ts
@@ -100,6 +100,12 @@
   readonly startsPerSecond: number;
 }
 
+/** Limit of the work per job of a queue that accepts other jobs. */
+export interface LimitedQueue extends JobLimit {
+  /** Rate at which jobs were started lately. */
+  readonly startsPerSecond: number;
+}
+
 /** A placement pass. */
 export interface RecordedPass {
   /** Steps that had waiting tasks before it. */
@@ -160,6 +166,7 @@
   private refusals: ReadonlyMap<string, QueueRefusal> = new Map();
   private readonly jobLimits = JobLimits.create();
   private readonly sizeShares = SizeShares.create();
+  private limitedQueues: ReadonlyMap<string, LimitedQueue> = new Map();
   private shortage: Shortage | undefined;
   /** Steps with waiting tasks before the last pass. */
   private waiting: readonly WaitingStep[] = [];
@@ -241,7 +248,7 @@
       this.shortage,
     );
     this.recordThroughputs(backlogs);
-    this.updateJobLimits(wallMs);
+    this.updateJobLimits(backlogs, wallMs);
     const all = [...backlogs.values()];
     for (const [queueName, backlog] of backlogs) {
       const workersMs = this.getWorkersDelayMs(backlog, all);
@@ -273,8 +280,8 @@
   }
 
   /** Gets the limits of the work per job, by name of the queue. */
-  getJobLimits(): ReadonlyMap<string, JobLimit> {
-    return this.jobLimits.getLimits();
+  getJobLimits(): ReadonlyMap<string, LimitedQueue> {
+    return this.limitedQueues;
   }
 
   /** Gets a description of each limit of the work per job that has changed since the last call. */
@@ -291,7 +298,10 @@
     return this.sizeShares.getProtectedWork(waiting);
   }
 
-  private updateJobLimits(wallMs: number): void {
+  private updateJobLimits(
+    backlogs: ReadonlyMap<string, Backlog>,
+    wallMs: number,
+  ): void {
     const limits = this.jobLimits.getLimits();
     const yieldFraction = this.workerYield.getFraction();
     const shortServices = this.shortage?.services ?? new Set<string>();
@@ -311,6 +321,14 @@
     });
     const {waiting} = this;
     this.jobLimits.update({waiting, shortServices, getWorkPerMs, wallMs});
+    const limitedQueues = new Map<string, LimitedQueue>();
+    for (const [queueName, limit] of this.jobLimits.getLimits()) {
+      const backlog = backlogs.get(queueName);
+      const startsPerSecond =
+        backlog === undefined ? 0 : this.getStartsPerSecond(queueName, backlog);
+      limitedQueues.set(queueName, {...limit, startsPerSecond});
+    }
+    this.limitedQueues = limitedQueues;
   }
 
   /**
--- a/packages/coordination/src/coordinator_status.ts
+++ b/packages/coordination/src/coordinator_status.ts
@@ -24,9 +24,9 @@
   readonly waitingJobs: number;
   /** Time after which a refused caller should try again; 0 while jobs are accepted. */
   readonly retryAfterMs: number;
-  /** Rate at which jobs are started lately; absent while jobs are accepted, and in statuses of earlier versions. */
+  /** Rate at which jobs are started lately; absent while all jobs are accepted, and in statuses of earlier versions. */
   readonly startsPerSecond?: number;
-  /** What the queue is short of; absent while jobs are accepted, and in statuses of earlier versions. */
+  /** What the queue is short of; absent while it does not refuse all jobs, and in statuses of earlier versions. */
   readonly limit?: QueueShortage;
   /**
    * Work up to which all jobs are accepted, in microseconds of CPU time; absent without a limit, and
--- a/packages/coordination/src/job_limits.ts
+++ b/packages/coordination/src/job_limits.ts
@@ -71,6 +71,9 @@
 /** Number of recent jobs below which no limit is set, as the sizes of the others are not known. */
 const MIN_RECENT_JOBS = 10;
 
+/** Number of waiting jobs from which a limit is set: one or two may wait for reasons of their own. */
+const MIN_WAITING_JOBS = 3;
+
 /**
  * Fraction of the jobs above the limit that are accepted all the same, so that the largest jobs are
  * served half as often as the others, with a margin for those that end late.
@@ -95,8 +98,8 @@
 /** Jobs of one service and priority, which compete for the same room. */
 interface Group {
   readonly queueNames: Set<string>;
-  /** Jobs that can still be of use, by occurrence. */
-  readonly jobs: Map<string, WaitingJob>;
+  /** Jobs that can still be of use. */
+  readonly jobs: Map<JobState, WaitingJob>;
   /** Sum over the jobs of the time that they could wait when they were accepted. */
   toleranceMs: number;
 }
@@ -109,7 +112,8 @@
 /** Limits of all queues, for one coordinator term. */
 export class JobLimits {
   private readonly queues = new Map<string, QueueState>();
-  private readonly seenJobs = new WeakSet<JobState>();
+  /** Time that a new job like one that was seen may be expected to wait. */
+  private readonly tolerancesMs = new WeakMap<JobState, number>();
   private changes: string[] = [];
 
   private constructor() {}
@@ -126,7 +130,7 @@
   update(inputs: JobLimitInputs): void {
     this.recordJobs(inputs.waiting);
     const limitedQueues = new Set<string>();
-    for (const group of getGroups(inputs)) {
+    for (const group of this.getGroups(inputs)) {
       const workPerMs = sumRates(group, inputs);
       for (const queueName of group.queueNames) {
         limitedQueues.add(queueName);
@@ -158,9 +162,10 @@
 
   /** Records the sizes of jobs that were not seen before. */
   private recordJobs(waiting: readonly WaitingStep[]): void {
-    for (const {job, queue} of waiting) {
-      if (this.seenJobs.has(job)) continue;
-      this.seenJobs.add(job);
+    for (const each of waiting) {
+      const {job, queue} = each;
+      if (this.tolerancesMs.has(job)) continue;
+      this.tolerancesMs.set(job, getToleranceMs(each));
       if (!isLimitable(job.accepted.spec)) continue;
       const state = this.queues.get(queue.name) ?? {
         recentWork: [],
@@ -174,6 +179,36 @@
     }
   }
 
+  /** Collects the jobs that can still be of use, by service and priority. */
+  private getGroups({
+    waiting,
+    shortServices,
+    wallMs,
+  }: JobLimitInputs): Iterable<Group> {
+    const groups = new Map<string, Group>();
+    for (const each of waiting) {
+      const {job, queue, step} = each;
+      if (!shortServices.has(queue.serviceName)) continue;
+      if (step.spec.isLongRunning || job.isEnded()) continue;
+      const key = `${queue.priority} ${queue.serviceName}`;
+      let group = groups.get(key);
+      if (group === undefined) {
+        group = {queueNames: new Set(), jobs: new Map(), toleranceMs: 0};
+        groups.set(key, group);
+      }
+      group.queueNames.add(queue.name);
+      // A job with several waiting steps counts once.
+      if (group.jobs.has(job)) continue;
+      if (getDeadlineStatus(each, wallMs) === 'expired') continue;
+      group.jobs.set(job, {
+        work: each.remainingWork,
+        unplacedWork: each.remainingWork - getRunningWork(each),
+      });
+      group.toleranceMs += this.tolerancesMs.get(job) ?? 0;
+    }
+    return groups.values();
+  }
+
   private updateQueue(
     queueName: string,
     group: Group,
@@ -196,12 +231,14 @@
     );
     const floor = getQuantile(state.recentWork, FLOOR_QUANTILE);
     const wanted = Math.max(floor, largestInTime);
-    const isLifted = totalMs < tolerableMs * LIFT_FRACTION;
+    const isUnlimited = state.maxJobWork === Infinity;
+    const isLifted =
+      totalMs < tolerableMs * LIFT_FRACTION ||
+      (isUnlimited && jobs.length < MIN_WAITING_JOBS);
     const largest = Math.max(...state.recentWork);
-    const raised =
-      state.maxJobWork === Infinity
-        ? Infinity
-        : Math.min(state.maxJobWork * MAX_RISE, largest);
+    const raised = isUnlimited
+      ? Infinity
+      : Math.min(state.maxJobWork * MAX_RISE, largest);
     const limit = isLifted ? Infinity : Math.min(wanted, raised);
     state.retryAfterMs = Math.min(
       MAX_RETRY_AFTER_MS,
@@ -234,41 +271,11 @@
   }
 }
 
-/** Collects the jobs that can still be of use, by service and priority. */
-function getGroups({
-  waiting,
-  shortServices,
-  wallMs,
-}: JobLimitInputs): Iterable<Group> {
-  const groups = new Map<string, Group>();
-  for (const each of waiting) {
-    const {job, queue, step} = each;
-    if (!shortServices.has(queue.serviceName)) continue;
-    if (step.spec.isLongRunning || job.isEnded()) continue;
-    const key = `${queue.priority} ${queue.serviceName}`;
-    const group = groups.get(key) ?? {
-      queueNames: new Set<string>(),
-      jobs: new Map<string, WaitingJob>(),
-      toleranceMs: 0,
-    };
-    groups.set(key, group);
-    group.queueNames.add(queue.name);
-    if (getDeadlineStatus(each, wallMs) === 'expired') continue;
-    const jobKey = `${job.getId()} ${each.occurrence}`;
-    if (group.jobs.has(jobKey)) continue;
-    group.jobs.set(jobKey, {
-      work: each.remainingWork,
-      unplacedWork: each.remainingWork - getRunningWork(each),
-    });
-    group.toleranceMs += getToleranceMs(each);
-  }
-  return groups.values();
-}
-
 /** Gets the work of the tasks of a step that run. */
 function getRunningWork({step}: WaitingStep): number {
   const {spec, tasks, doneCount} = step;
-  const waitingCount = tasks.filter(isWaitingTask).length;
+  let waitingCount = 0;
+  for (const task of tasks) waitingCount += Number(isWaitingTask(task));
   const runningCount = Math.max(0, tasks.length - doneCount - waitingCount);
   return runningCount * getExpectedTaskMs(spec) * spec.needs.cpuMillis;
 }
--- a/packages/coordination/src/job_tracker.ts
+++ b/packages/coordination/src/job_tracker.ts
@@ -15,8 +15,7 @@
 import {StoredRow} from '@mustardlug/platform/row_store';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {runGuarded} from '@mustardlug/telemetry/guarded_call';
-import {QueueRefusal} from './admission_control.js';
-import {JobLimit} from './job_limits.js';
+import {LimitedQueue, QueueRefusal} from './admission_control.js';
 import {QueueLoad} from './coordinator_status.js';
 import {SuspectedRun} from './crash_attributor.js';
 import {InvalidRowReporter} from './invalid_row_reporter.js';
@@ -238,7 +237,7 @@
    */
   getQueueLoads(
     refusals: ReadonlyMap<string, QueueRefusal>,
-    jobLimits: ReadonlyMap<string, JobLimit> = new Map(),
+    jobLimits: ReadonlyMap<string, LimitedQueue> = new Map(),
   ): Record<string, QueueLoad> {
     const waiting = new Map<string, number>();
     for (const name of [...refusals.keys(), ...jobLimits.keys()])
--- a/packages/coordination/src/placement_pass.ts
+++ b/packages/coordination/src/placement_pass.ts
@@ -10,6 +10,7 @@
 } from './worker_ranking.js';
 import {
   createWaitingStep,
+  getDeadlineStatus,
   isOverdue,
   Shortage,
   sortWaitingSteps,
@@ -233,7 +234,7 @@
     for (const each of sorted) {
       if (this.isLimitReached()) return;
       const {priority} = each.queue;
-      if (!priorities.has(priority) && isOverdue(each, wallMs)) {
+      if (!priorities.has(priority) && this.isBehindOthers(each)) {
         priorities.add(priority);
         this.placeNeglectedTasks(sorted, priority);
         if (this.isInterrupted) return;
@@ -271,6 +272,18 @@
       this.shortServices.add(serviceName);
   }
 
+  /**
+   * Checks whether no step that is not overdue follows in the order. On a service that is short of room
+   * late steps come among the others.
+   */
+  private isBehindOthers(waiting: WaitingStep): boolean {
+    const isShort = this.options.shortage?.services.has(
+      waiting.queue.serviceName,
+    );
+    if (!isShort) return isOverdue(waiting, this.wallMs);
+    return getDeadlineStatus(waiting, this.wallMs) === 'expired';
+  }
+
   /** Checks whether tasks may be left waiting because of `maxPlacements`. */
   isLimitReached(): boolean {
     return this.placementCount >= this.options.maxPlacements;
--- a/packages/coordination/src/urgent_preemption.ts
+++ b/packages/coordination/src/urgent_preemption.ts
@@ -45,7 +45,7 @@
 const MAX_PREEMPTIONS = 16;
 
 /** Maximum number of steps that are examined at a time, as each costs a visit of all runs. */
-const MAX_EXAMINED_STEPS = 8;
+const MAX_EXAMINED_STEPS = 4;
 
 /** What a worker can offer to the tasks of one step. */
 interface WorkerPlan {
@@ -71,9 +71,9 @@
     const outlook = getOutlook(each, wallMs);
     if (outlook.slackMs < EXCHANGE_MS || !canBePreemptedFor(each)) continue;
     const workers = workersByService.get(each.queue.serviceName) ?? [];
+    if (++examinedCount > MAX_EXAMINED_STEPS) break;
     const {priority} = each.queue;
     if (!workers.some(({load}) => load.hasBatchBelow(priority))) continue;
-    if (++examinedCount > MAX_EXAMINED_STEPS) break;
     const available = workers.filter(worker => !usedWorkers.has(worker));
     let missing =
       each.step.tasks.filter(isWaitingTask).length -
