--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -503,6 +503,16 @@
     level: 'warn',
     text: 'Clients exceeded a limit of a listener; their requests were refused or their connections closed. At most one line a second for each port and reason.',
   },
+  'job-limit-changed': {
+    number: 872,
+    level: 'info',
+    text: 'A queue that is short of room limits the work per job, or does so no longer; the detail tells how much of it waits, for how long, and how much is placed.',
+  },
+  'run-preempted': {
+    number: 873,
+    level: 'info',
+    text: 'A batch run with a checkpoint was stopped for a step of higher priority that would miss its objective otherwise.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof EVENT_CATALOGUE;
