Stop the run of the lowest priority first for an urgent job

Preemption chose among the runs of a worker by urgency alone, so that it could stop a run of a higher priority than that of another one beside it.

--- a/packages/coordination/src/urgent_preemption.ts
+++ b/packages/coordination/src/urgent_preemption.ts
@@ -7,7 +7,7 @@
  */
 
 import {
-  getUrgency,
+  compareByDelayCost,
   isPreemptionCheaper,
   Outlook,
 } from '@mustardlug/base/delay_cost';
@@ -144,7 +144,7 @@
 ): AssignedRun[] | undefined {
   const {needs} = step.spec;
   const free = getFree(worker);
-  const candidates: Array<{assigned: AssignedRun; urgency: number}> = [];
+  const candidates: Array<{assigned: AssignedRun; outlook: Outlook}> = [];
   for (const assigned of worker.load.getRuns()) {
     if (endsWithin(assigned, 0, nowMs)) addNeeds(free, assigned);
     if (!canPreempt(assigned, urgent, nowMs)) continue;
@@ -155,11 +155,12 @@
       runStep,
       job.accepted.queue,
     );
-    const urgency = getUrgency(getOutlook(stopped, wallMs));
-    candidates.push({assigned, urgency});
+    candidates.push({assigned, outlook: getOutlook(stopped, wallMs)});
   }
   if (hasRoom(free, needs)) return undefined;
-  candidates.sort((left, right) => left.urgency - right.urgency);
+  candidates.sort((left, right) =>
+    compareByDelayCost(right.outlook, left.outlook),
+  );
   const victims: AssignedRun[] = [];
   for (const {assigned} of candidates) {
     if (hasRoom(free, needs)) break;
--- a/packages/coordination/test/urgent_preemption.test.ts
+++ b/packages/coordination/test/urgent_preemption.test.ts
@@ -63,6 +63,17 @@
     expect(new Set(selected.map(({worker}) => worker)).size).to.equal(3);
   });
 
+  it('stops the run of the lowest priority on a worker, whose caller loses least', () => {
+    const [worker] = createFullWorkers(1, {}, 1);
+    for (const assigned of [...worker.load.getRuns()].slice(1))
+      worker.load.removeRun(assigned);
+    const [other] = createFullWorkers(1);
+    const [lower] = other.load.getRuns();
+    worker.load.addRun(lower);
+    const [selected] = select([worker], [createUrgent(1)]);
+    expect(selected.assigned.job.accepted.queue.priority).to.equal(2);
+  });
+
   it('does not stop more while those that are stopped have not ended', () => {
     const workers = createFullWorkers(5);
     const urgent = createUrgent(3);
