Order by the cost of a delay only where the settings ask for it

The setting shortCapacityPolicy, priority by default, turns the feature on; the headroom stays on by itself.

--- a/packages/coordination/src/coordinator.ts
+++ b/packages/coordination/src/coordinator.ts
@@ -119,6 +119,8 @@
   readonly getConfig: () => DeploymentConfig | undefined;
   /** Evacuated failure domains, which this node follows in any term. */
   readonly evacuations: Evacuations;
+  /** How work is ordered, preempted and refused while capacity is short; by priority if absent. */
+  readonly shortCapacityPolicy?: ShortCapacityPolicy;
   /** Maximum lease duration that the platform grants, in milliseconds. */
   readonly maxLeaseMs: number;
   /** How long callers can query a job after it has ended. */
@@ -128,6 +130,13 @@
   readonly onWork?: WorkListener;
 }
 
+/**
+ * What decides while a service has too little room. `priority`: priority, then deadline
+ * status and objective. `delay-cost`: within a priority the cost of a delay, which also
+ * decides which runs are preempted and which jobs are refused.
+ */
+export type ShortCapacityPolicy = 'priority' | 'delay-cost';
+
 /** What a term's bookkeeping consists of and costs. */
 export interface CoordinatorLoad {
   /** Workers whose leases are renewed. */
@@ -1060,7 +1069,8 @@
   }
 
   private updateShortage(pass: PlacementPass): void {
-    const {clock, getConfig} = this.options;
+    const {clock, getConfig, shortCapacityPolicy} = this.options;
+    if (shortCapacityPolicy !== 'delay-cost') return;
     this.shortageTracker.recordPass(
       pass.getShortServices(),
       getConfig()?.queues ?? [],
--- a/packages/experiments/src/job_harness.ts
+++ b/packages/experiments/src/job_harness.ts
@@ -8,7 +8,10 @@
 import {parseJson} from '@mustardlug/base/json_reader';
 import {RandomSource} from '@mustardlug/base/random_source';
 import {VirtualClock} from '@mustardlug/base/virtual_clock';
-import {Coordinator} from '@mustardlug/coordination/coordinator';
+import {
+  Coordinator,
+  ShortCapacityPolicy,
+} from '@mustardlug/coordination/coordinator';
 import {getCurrentQueueLoads} from '@mustardlug/coordination/coordinator_status';
 import {isAboveLimit} from '@mustardlug/coordination/job_limits';
 import {getJobWork} from '@mustardlug/coordination/task_order';
@@ -143,6 +146,8 @@
   readonly getFailureDomain?: (workerId: string) => string;
   /** Time within which evacuations take effect; without it they are ignored. */
   readonly evacuationMs?: number;
+  /** How work is ordered, preempted and refused while capacity is short; by priority if absent. */
+  readonly shortCapacityPolicy?: ShortCapacityPolicy;
 }
 
 /** How a worker crashes and starts again. */
@@ -291,6 +296,7 @@
           decodeWorker: decodeRegistration,
           getConfig: () => this.getConfig(),
           evacuations: configFollower.getEvacuations(),
+          shortCapacityPolicy: this.options.shortCapacityPolicy,
           maxLeaseMs: this.getMaxLeaseMs(),
           keepEndedMs: ENDED_JOB_RETENTION_MS,
           events,
--- a/packages/experiments/test/short_capacity.test.ts
+++ b/packages/experiments/test/short_capacity.test.ts
@@ -48,6 +48,7 @@
   constructor(options: JobHarnessOptions) {
     this.harness = JobHarness.create({
       cpuMillis: 8_000,
+      shortCapacityPolicy: 'delay-cost',
       additionalQueues: [LOW_QUEUE],
       sink: ({name, requestId, detail}) => {
         this.eventCounts.set(name, (this.eventCounts.get(name) ?? 0) + 1);
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -2,7 +2,10 @@
 
 import {Clock} from '@mustardlug/base/clock';
 import {UnavailableError} from '@mustardlug/base/errors';
-import {Coordinator} from '@mustardlug/coordination/coordinator';
+import {
+  Coordinator,
+  ShortCapacityPolicy,
+} from '@mustardlug/coordination/coordinator';
 import {EvacuationDecoder} from '@mustardlug/coordination/evacuations';
 import {WorkerDecoder} from '@mustardlug/coordination/worker_pool';
 import {JobStore} from '@mustardlug/coordination/job_store';
@@ -50,6 +53,8 @@
   readonly workerTable: string;
   readonly readinessPath: string;
   readonly metricsPath: string;
+  /** How work is ordered, preempted and refused while capacity is short. */
+  readonly shortCapacityPolicy: ShortCapacityPolicy;
   /** Maximum duration of a worker lease, in milliseconds. */
   readonly maxLeaseMs: number;
   /**
@@ -141,6 +146,7 @@
           decodeWorker: platform.decodeWorker,
           getConfig: () => configFollower.getConfig(),
           evacuations: configFollower.getEvacuations(),
+          shortCapacityPolicy: platform.shortCapacityPolicy,
           maxLeaseMs: platform.maxLeaseMs,
           keepEndedMs: platform.endedJobRetentionMs,
           events,
