Count small pieces of bodies by the second, and close connections that send too many

Cause: pieces were counted for each turn of the event loop, and a crowd of one-byte chunks is read in many turns. A refused connection was read on for its response, which costs as much as its body.

Change: 16,384 pieces under 256 bytes a second on all connections; those that go on are closed and their parser is stopped.

--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -77,7 +77,8 @@
  * each. Without a bound on them, chunks of a few bytes delay all timers for seconds.
  */
 const SMALL_PIECE_BYTES = 256;
-const MAX_SMALL_PIECES_PER_TURN = 16_384;
+const MAX_SMALL_PIECES_PER_WINDOW = 16_384;
+const SMALL_PIECE_WINDOW_MS = 1_000;
 
 /** Memory that a piece of a body takes beyond its bytes. */
 const PIECE_BYTES = 200;
@@ -106,7 +107,9 @@
   private isTurnCounted = false;
   private turnStartMs = 0;
   /** Small pieces of bodies in this turn, on all connections. */
-  private smallPiecesInTurn = 0;
+  private smallPieces = 0;
+  /** Monotonic time since which the small pieces are counted. */
+  private smallPiecesSinceMs = -Infinity;
 
   private constructor(private readonly options: ConnectionGuardOptions) {
     const {maxHeldBytes, maxConnections} = options.limits;
@@ -292,14 +295,17 @@
     setImmediate(() => {
       this.turn++;
       this.isTurnCounted = false;
-      this.smallPiecesInTurn = 0;
     });
   }
 
   /** Counts a small piece of a body, and checks whether there are too many. */
   private hasManySmallPieces(): boolean {
-    this.startTurn();
-    return ++this.smallPiecesInTurn > MAX_SMALL_PIECES_PER_TURN;
+    const nowMs = this.options.clock.getMonotonicMs();
+    if (nowMs - this.smallPiecesSinceMs >= SMALL_PIECE_WINDOW_MS) {
+      this.smallPiecesSinceMs = nowMs;
+      this.smallPieces = 0;
+    }
+    return ++this.smallPieces > MAX_SMALL_PIECES_PER_WINDOW;
   }
 
   /** Gets the time of the present turn of the event loop, which is read once. */
@@ -367,7 +373,11 @@
         return;
       }
       if (piece.length < SMALL_PIECE_BYTES && this.hasManySmallPieces()) {
-        refuse(503, 'small-pieces', 'too many small pieces; send larger ones');
+        isRefused = true;
+        collector.discard();
+        this.report('small-pieces', 'connections are closed');
+        // Reading the rest to send a response would cost as much as the body.
+        cutOff(connection.socket);
         return;
       }
       if (isDiscarded) return;
