Bound what the clients of an entry and a scheduler hold

Cause: bodies up to 16 MB each, unread responses, pipelined requests, connections and refused upgrades had no bound on their sum; a request with over 128 header fields made another entry drop the link.

All ports have limits now: settings `callerLimits` of the entry, OPERATOR_LIMITS of operator ports. Limits of bodies are those of the service in the path; bodies that no route uses are discarded. Upstream responses are received through a gate of bytes, forwarded requests are reserved by their heads and refused as `not-run` before their bodies. Upgrades without the key are closed at once. A draining entry gives clients 2 s to read. Event 890, counter mustardlug_refused_connections_total.

--- a/packages/entry/src/caller_server.ts
+++ b/packages/entry/src/caller_server.ts
@@ -1,7 +1,6 @@
 /** HTTP server for callers. */
 
-import {Context, Hono, MiddlewareHandler, Next} from 'hono';
-import {bodyLimit} from 'hono/body-limit';
+import {Context, Hono} from 'hono';
 import {Clock} from '@mustardlug/base/clock';
 import {
   EnvironmentDocument,
@@ -32,6 +31,8 @@
 }
 
 const OUTCOME_HEADER = 'x-mustardlug-outcome';
+/** Header fields of refusals before a request reaches this server. */
+export const REFUSAL_HEADERS = {[OUTCOME_HEADER]: 'not-run'};
 const REQUEST_ID_HEADER = 'x-mustardlug-request';
 const WORKER_ID_HEADER = 'x-mustardlug-worker';
 const REPEATED_HEADER = 'x-mustardlug-repeated';
@@ -75,11 +76,6 @@
         isReady ? 200 : 503,
       );
     });
-    const limit = bodyLimit({
-      maxSize: MAX_BODY_BYTES,
-      onError: context => this.renderTooLarge(context, MAX_BODY_BYTES),
-    });
-    app.use('*', (context, next) => this.limitBodySize(context, next, limit));
     app.all('*', context => this.handleRequest(context));
     app.onError((error, context) =>
       this.renderError(context, 400, `malformed request (${error.message})`, 0),
@@ -88,21 +84,28 @@
   }
 
   /**
-   * Rejects bodies that are too large. The HTTP parser enforces a declared length,
-   * so only bodies without one are counted while they are read.
+   * Gets the limit of a request's body. At paths without a service the general limit
+   * applies; such bodies are not used.
+   * @param url - Path and query.
    */
-  private async limitBodySize(
-    context: Context,
-    next: Next,
-    limit: MiddlewareHandler,
-  ): Promise<Response | void> {
-    const declared = context.req.header('content-length');
-    const isChunked = context.req.header('transfer-encoding') !== undefined;
-    if (declared === undefined && isChunked) return limit(context, next);
-    if (Number(declared ?? 0) > MAX_BODY_BYTES) {
-      return this.renderTooLarge(context, MAX_BODY_BYTES);
-    }
-    return next();
+  getMaxBodyBytes(url: string): number {
+    return this.findService(url)?.maxBodyBytes ?? MAX_BODY_BYTES;
+  }
+
+  /**
+   * Checks whether a request is for a service.
+   * @param url - Path and query.
+   */
+  hasService(url: string): boolean {
+    return this.findService(url) !== undefined;
+  }
+
+  private findService(url: string): ServiceDeclaration | undefined {
+    const document = this.options.getDocument();
+    // A request may also name its target with scheme and host.
+    const absoluteUrl = url.startsWith('/') ? `http://entry${url}` : url;
+    if (document === undefined || !URL.canParse(absoluteUrl)) return undefined;
+    return parseTarget(absoluteUrl, document)?.service;
   }
 
   private async handleRequest(context: Context): Promise<Response> {
@@ -173,7 +176,7 @@
     const {status} = response;
     const body = NULL_BODY_STATUSES.has(status)
       ? null
-      : Buffer.from(response.body);
+      : (response.body as Uint8Array<ArrayBuffer>);
     return new Response(body, {status, headers});
   }
 
--- a/packages/entry/src/entry_metrics.ts
+++ b/packages/entry/src/entry_metrics.ts
@@ -12,6 +12,12 @@
   private readonly requests: Counter<'service' | 'outcome'>;
   private readonly requestDuration: Histogram<'service'>;
 
+  private readonly refusedClients = this.metrics.addCounter(
+    'mustardlug_refused_connections_total',
+    'Requests that were refused and connections that were closed as a client exceeded a limit, by port and reason.',
+    ['port', 'reason'],
+  );
+
   private constructor() {
     this.requests = this.metrics.addCounter(
       'mustardlug_requests_total',
@@ -40,6 +46,15 @@
     this.requestDuration.observe({service}, durationMs / MS_PER_SECOND);
   }
 
+  /**
+   * Records that a client exceeded a limit.
+   * @param port - Value of the `port` label.
+   * @param reason - Value of the `reason` label.
+   */
+  recordRefusedClient(port: string, reason: string): void {
+    this.refusedClients.inc({port, reason});
+  }
+
   /** Gets the metrics in the Prometheus text format. */
   getText(): Promise<string> {
     return this.metrics.getText();
--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -26,6 +26,7 @@
   HelloMessage,
   PROTOCOL_VERSION,
 } from '@mustardlug/protocol/messages';
+import {ForwardBudget} from '@mustardlug/protocol/forward_budget';
 import {
   RequestStatus,
   PeerHandler,
@@ -52,14 +53,19 @@
 } from '@mustardlug/telemetry/event_recorder';
 import {HybridLogicalClock} from '@mustardlug/telemetry/hybrid_logical_clock';
 import {createLogSink} from '@mustardlug/telemetry/logger';
-import {CallerServer} from './caller_server.js';
+import {CallerServer, REFUSAL_HEADERS} from './caller_server.js';
 import {EntryMetrics} from './entry_metrics.js';
 import {EntrySettings} from './entry_settings.js';
 import {HolderDirectory} from '@mustardlug/routing/holder_directory';
 import {DispatcherRegistry} from '@mustardlug/routing/dispatcher_registry';
-import {HttpListener} from '@mustardlug/runtime/http_listener';
+import {HttpListener, ListenOptions} from '@mustardlug/runtime/http_listener';
+import {ListenerLimits} from '@mustardlug/runtime/listener_limits';
 import {PlatformClients} from '@mustardlug/runtime/platform_clients';
-import {createOperatorApp} from '@mustardlug/runtime/operator_server';
+import {
+  createOperatorApp,
+  OPERATOR_LIMITS,
+} from '@mustardlug/runtime/operator_server';
+import {RefusalLog} from '@mustardlug/runtime/refusal_log';
 import {PeerAddress, PeerNetwork} from './peer_network.js';
 import {readTlsFiles, TlsMaterial} from '@mustardlug/runtime/tls_files';
 import {ReadinessReporter} from './readiness_reporter.js';
@@ -70,6 +76,10 @@
 const DRAIN_POLL_MS = 50;
 const PAUSE_CHECK_INTERVAL_MS = 500;
 const DRAIN_TIMEOUT_MS = 60_000;
+/** Time for clients to read the last responses. Bodies that are incomplete by then belong to no request in progress. */
+const CLOSE_TIMEOUT_MS = 2_000;
+/** Connections of peers, which have the key and stay open: several times a mesh of 21 entries. */
+const MAX_PEER_CONNECTIONS = 256;
 /** Heartbeat intervals after which every peer has received a heartbeat with `isLeaving`. */
 const LEAVING_HEARTBEATS = 2;
 
@@ -93,13 +103,15 @@
   private readonly vmDirectory: VmDirectory;
   private readonly follower: DocumentFollower;
   private readonly leases: LeaseManager;
-  private readonly upstream = UndiciUpstream.create();
+  private readonly upstream: UndiciUpstream;
   private readonly registry: DispatcherRegistry;
   private readonly holderDirectory: HolderDirectory;
   private readonly peerNetwork: PeerNetwork;
   private readonly holderNetwork: HolderNetwork;
   private readonly readinessReporter: ReadinessReporter;
   private readonly callerServer: CallerServer;
+  /** Bounds the log lines about refused keys and forwarded requests. */
+  private readonly refusalLog = RefusalLog.create();
   private callerListener: HttpListener | undefined;
   private innerListener: HttpListener | undefined;
   private timers: Timer[] = [];
@@ -147,6 +159,8 @@
         onReadFailed: detail => this.addEvent('document-read-failed', {detail}),
       },
     });
+    const {maxResponseBytes, maxForwardedBytes} = settings.callerLimits;
+    this.upstream = UndiciUpstream.create(clock, maxResponseBytes);
     this.registry = DispatcherRegistry.create({
       clock,
       random,
@@ -173,7 +187,9 @@
       silenceMs: settings.silenceMs,
       compressBetweenRegions: settings.compressBetweenRegions,
       tls,
-      onKeyRefused: detail => this.addEvent('peer-key-refused', {detail}),
+      forwardBudget: ForwardBudget.create(maxForwardedBytes),
+      onRequestRefused: (peer, id) => this.recordForwardRefusal(peer, id),
+      onKeyRefused: detail => this.recordRefusedKey(detail),
     });
     this.holderNetwork = PeerHolderNetwork.create({
       selfId: this.self.nodeId,
@@ -213,7 +229,7 @@
 
   /** Starts listening, then starts to poll the VM list and the document. */
   async start(): Promise<Result<void, AppError>> {
-    const {settings, tls, key} = this.configuration;
+    const {settings, key} = this.configuration;
     const {host} = settings;
     const operatorApp = createOperatorApp({
       key,
@@ -223,20 +239,35 @@
       getDocument: () => this.getActiveDocument(),
       getVms: () => this.vmDirectory.getSnapshot(),
       startDrain: () => void this.drain(),
-      onKeyRefused: detail => this.addEvent('peer-key-refused', {detail}),
+      onKeyRefused: detail => this.recordRefusedKey(detail),
     });
+    const {maxInnerConnections} = settings.callerLimits;
     const inner = await HttpListener.listen(
       operatorApp,
       {host, port: settings.innerPort},
-      {tls},
+      {
+        ...this.createListenOptions('inner', {
+          ...OPERATOR_LIMITS,
+          maxConnections: maxInnerConnections,
+        }),
+        usesBody: () => false,
+        acceptsUpgrades: true,
+      },
     );
     if (inner.isErr()) return err(inner.error);
     this.innerListener = inner.value;
+    inner.value.getServer().maxConnections += MAX_PEER_CONNECTIONS;
     this.peerNetwork.listen(inner.value.getServer());
     const caller = await HttpListener.listen(
       this.callerServer.createApp(),
       {host, port: settings.callerPort},
-      {tls},
+      {
+        ...this.createListenOptions('callers', settings.callerLimits),
+        getMaxBodyBytes: ({url}) =>
+          this.callerServer.getMaxBodyBytes(url ?? ''),
+        usesBody: ({url}) => this.callerServer.hasService(url ?? ''),
+        refusalHeaders: REFUSAL_HEADERS,
+      },
     );
     if (caller.isErr()) {
       inner.value.destroy();
@@ -342,6 +373,40 @@
     this.addEvent(isLinked ? 'peer-connected' : 'peer-lost', {peerId, detail});
   }
 
+  private createListenOptions(
+    port: string,
+    limits: Partial<ListenerLimits>,
+  ): ListenOptions {
+    const log = RefusalLog.create();
+    return {
+      tls: this.configuration.tls,
+      clock: this.clock,
+      limits,
+      onRefusal: (reason, detail) => {
+        this.metrics.recordRefusedClient(port, reason);
+        const text = log.add(reason, detail, this.clock.getMonotonicMs());
+        if (text === undefined) return;
+        this.addEvent('client-refused', {detail: `${port}: ${text}`});
+      },
+    };
+  }
+
+  private recordRefusedKey(detail: string): void {
+    this.metrics.recordRefusedClient('inner', 'key');
+    const nowMs = this.clock.getMonotonicMs();
+    const text = this.refusalLog.add('key', detail, nowMs);
+    if (text !== undefined) this.addEvent('peer-key-refused', {detail: text});
+  }
+
+  private recordForwardRefusal(peer: HelloMessage, requestId: string): void {
+    this.metrics.recordRefusedClient('inner', 'forwarded-memory');
+    const nowMs = this.clock.getMonotonicMs();
+    const text = this.refusalLog.add('memory', requestId, nowMs);
+    if (text === undefined) return;
+    const peerId = peer.nodeId;
+    this.addEvent('forwarded-request-refused', {peerId, detail: text});
+  }
+
   private getActiveDocument() {
     const current = this.follower.getCurrent();
     if (current === undefined) return undefined;
@@ -535,7 +600,11 @@
     ) {
       await this.clock.sleep(DRAIN_POLL_MS);
     }
-    await this.callerListener?.close();
+    // Clients that stopped halfway would keep the listener open until their time limits.
+    await Promise.race([
+      this.callerListener?.close(),
+      this.clock.sleep(CLOSE_TIMEOUT_MS),
+    ]);
     this.addEvent('process-stopped');
     this.kill();
   }
--- a/packages/entry/src/entry_settings.ts
+++ b/packages/entry/src/entry_settings.ts
@@ -1,6 +1,7 @@
 /** Settings of an entry process. */
 
 import {z} from 'zod';
+import {callerLimitsSchema} from './caller_limits.js';
 import {tlsSettingsSchema} from '@mustardlug/runtime/tls_files';
 
 const port = z.number().int().min(0).max(65_535);
@@ -35,6 +36,8 @@
   recordCommitIntervalMs: z.number().int().positive().default(20),
   platformTimeoutMs: z.number().int().positive().default(2_000),
   compressBetweenRegions: z.boolean().default(true),
+  /** Limits of what clients can hold. */
+  callerLimits: callerLimitsSchema.default(callerLimitsSchema.parse({})),
   /** TLS files for callers, peers and operators; plain TCP if absent. */
   tls: tlsSettingsSchema.optional(),
 });
--- a/packages/entry/src/peer_network.ts
+++ b/packages/entry/src/peer_network.ts
@@ -1,6 +1,7 @@
 /** Connections to the other entry processes. */
 
 import {IncomingMessage, Server} from 'node:http';
+import {Socket} from 'node:net';
 import {Duplex} from 'node:stream';
 import {WebSocket, WebSocketServer} from 'ws';
 import {Clock, Timer} from '@mustardlug/base/clock';
@@ -8,6 +9,7 @@
 import {MessageLink} from '@mustardlug/protocol/message_link';
 import {PeerChannel, PeerHandler} from '@mustardlug/protocol/peer_channel';
 import {PeerKeySet} from '@mustardlug/protocol/peer_key_set';
+import {ForwardBudget} from '@mustardlug/protocol/forward_budget';
 import {LinkTraffic, WsMessageLink} from '@mustardlug/protocol/ws_message_link';
 import {TlsMaterial} from '@mustardlug/runtime/tls_files';
 
@@ -28,6 +30,10 @@
   readonly silenceMs: number;
   readonly compressBetweenRegions: boolean;
   readonly tls: TlsMaterial | undefined;
+  /** Budget for the bodies of requests that peers forward. */
+  readonly forwardBudget: ForwardBudget;
+  /** Called for each forwarded request that was refused for want of memory. */
+  readonly onRequestRefused: (peer: HelloMessage, id: string) => void;
   /** Called for each connection with a missing or invalid key, which is rejected. */
   readonly onKeyRefused: (remoteAddress: string) => void;
 }
@@ -208,7 +214,9 @@
     socket.on('error', () => undefined);
     if (!this.options.key.isAccepted(request.headers.authorization)) {
       this.options.onKeyRefused(request.socket.remoteAddress ?? 'unknown');
+      // Closed at once: time limits of the server do not apply to upgraded connections.
       socket.end(UNAUTHORIZED_RESPONSE);
+      (socket as Socket).destroySoon();
       return;
     }
     this.server.handleUpgrade(request, socket, head, webSocket =>
@@ -251,12 +259,15 @@
     }
     existing?.retire();
     const {clock, handler, heartbeatMs, silenceMs} = this.options;
+    const {forwardBudget, onRequestRefused} = this.options;
     const channel = PeerChannel.create({
       peer,
       clock,
       handler,
       heartbeatMs,
       silenceMs,
+      forwardBudget,
+      onRequestRefused,
     });
     this.channels.set(peer.nodeId, channel);
     channel.attachLink(link);
--- a/packages/entry/src/undici_upstream.ts
+++ b/packages/entry/src/undici_upstream.ts
@@ -1,6 +1,7 @@
 /** `Upstream` over HTTP/1.1, with undici. */
 
 import {Dispatcher, Pool} from 'undici';
+import {Clock} from '@mustardlug/base/clock';
 import {createTimeoutSignal} from '@mustardlug/base/timeout_signal';
 import {WorkerLease} from '@mustardlug/membership/worker_lease';
 import {LeaseToken} from '@mustardlug/platform/worker_client';
@@ -10,6 +11,7 @@
   UpstreamRequest,
   UpstreamResult,
 } from '@mustardlug/routing/upstream';
+import {ByteGate} from './byte_gate.js';
 import {filterHeaders} from './header_filter.js';
 
 const CONNECT_TIMEOUT_MS = 500;
@@ -42,18 +44,28 @@
 export class UndiciUpstream extends Upstream {
   private readonly pools = new Map<string, WorkerPool>();
 
-  private constructor() {
+  private constructor(
+    private readonly clock: Clock,
+    private readonly responseGate: ByteGate,
+  ) {
     super();
   }
 
-  static create(): UndiciUpstream {
-    return new UndiciUpstream();
+  /**
+   * Creates an upstream without connections.
+   * @param clock - Clock for time limits.
+   * @param maxResponseBytes - Maximum bytes of responses that are being received at once.
+   */
+  static create(clock: Clock, maxResponseBytes: number): UndiciUpstream {
+    const gate = ByteGate.create(maxResponseBytes, clock);
+    return new UndiciUpstream(clock, gate);
   }
 
   override async send(
     lease: WorkerLease,
     request: UpstreamRequest,
   ): Promise<UpstreamResult> {
+    const deadlineMs = this.clock.getMonotonicMs() + request.timeoutMs;
     const signal = createTimeoutSignal(Math.max(1, request.timeoutMs));
     try {
       if (!lease.isValid()) {
@@ -81,7 +93,7 @@
         body: request.body.length > 0 ? request.body : null,
         signal,
       });
-      return await readResponse(response);
+      return await this.readResponse(response, deadlineMs);
     } catch (error) {
       return toFailureResult(error as NodeJS.ErrnoException, signal.aborted);
     }
@@ -105,6 +117,37 @@
     await Promise.all(pools.map(workerPool => workerPool.pool.destroy()));
   }
 
+  private async readResponse(
+    response: Dispatcher.ResponseData,
+    deadlineMs: number,
+  ): Promise<UpstreamResult> {
+    const refusal = response.headers[REFUSAL_HEADER];
+    if (response.statusCode === REFUSAL_STATUS && refusal !== undefined) {
+      await response.body.dump();
+      return {kind: 'not-run', reason: `worker: ${refusal}`, isFault: false};
+    }
+    // The time limit may abort the body while it waits, when nothing else handles the error.
+    response.body.on('error', () => undefined);
+    const declaredBytes = getDeclaredBytes(response);
+    if (declaredBytes !== undefined && declaredBytes > MAX_BODY_BYTES) {
+      response.body.destroy();
+      return createTooLargeResult();
+    }
+    const neededBytes = declaredBytes ?? MAX_BODY_BYTES;
+    const timeoutMs = deadlineMs - this.clock.getMonotonicMs();
+    if (!(await this.responseGate.enter(neededBytes, timeoutMs))) {
+      response.body.destroy();
+      const reason =
+        'the responses being received left no memory for this one before the time-out';
+      return {kind: 'unknown', reason, isSilent: false};
+    }
+    try {
+      return await readBody(response, declaredBytes);
+    } finally {
+      this.responseGate.leave(neededBytes);
+    }
+  }
+
   private getPool(lease: WorkerLease): Pool {
     const {workerId, host, port} = lease.address;
     const token = lease.getToken();
@@ -127,33 +170,48 @@
   }
 }
 
-async function readResponse(
+function getDeclaredBytes(
+  response: Dispatcher.ResponseData,
+): number | undefined {
+  const declared = response.headers['content-length'];
+  return declared === undefined ? undefined : Number(declared);
+}
+
+/** Reads a body, into one buffer if its length is known, so that there is no second copy. */
+async function readBody(
   response: Dispatcher.ResponseData,
+  declaredBytes: number | undefined,
 ): Promise<UpstreamResult> {
-  const refusal = response.headers[REFUSAL_HEADER];
-  if (response.statusCode === REFUSAL_STATUS && refusal !== undefined) {
-    await response.body.dump();
-    return {kind: 'not-run', reason: `worker: ${refusal}`, isFault: false};
-  }
   const chunks: Buffer[] = [];
+  const whole = Buffer.allocUnsafe(declaredBytes ?? 0);
   let receivedBytes = 0;
   for await (const chunk of response.body) {
-    receivedBytes += (chunk as Buffer).length;
-    if (receivedBytes > MAX_BODY_BYTES) {
+    const piece = chunk as Buffer;
+    if (receivedBytes + piece.length > (declaredBytes ?? MAX_BODY_BYTES)) {
       response.body.destroy();
-      const reason = `the upstream's response is larger than ${MAX_BODY_BYTES} bytes`;
-      return {kind: 'unknown', reason, isSilent: false};
+      return createTooLargeResult();
     }
-    chunks.push(chunk as Buffer);
+    if (declaredBytes === undefined) chunks.push(piece);
+    else piece.copy(whole, receivedBytes);
+    receivedBytes += piece.length;
   }
+  const body =
+    declaredBytes === undefined
+      ? Buffer.concat(chunks)
+      : whole.subarray(0, receivedBytes);
   return {
     kind: 'answered',
     status: response.statusCode,
     headers: filterHeaders(response.headers),
-    body: Buffer.concat(chunks),
+    body,
   };
 }
 
+function createTooLargeResult(): UpstreamResult {
+  const reason = `the upstream's response is larger than ${MAX_BODY_BYTES} bytes`;
+  return {kind: 'unknown', reason, isSilent: false};
+}
+
 function toFailureResult(
   error: NodeJS.ErrnoException,
   hasTimedOut: boolean,
--- a/packages/entry/test/entry_environment.ts
+++ b/packages/entry/test/entry_environment.ts
@@ -174,6 +174,11 @@
   /** Ends a process that this environment started, and waits until it is gone. */
   async kill(tested: TestedProcess): Promise<void> {
     tested.child.kill('SIGKILL');
+    await this.waitForExit(tested);
+  }
+
+  /** Waits until a process is gone. */
+  async waitForExit(tested: TestedProcess): Promise<void> {
     await this.waitFor(
       async () =>
         tested.child.exitCode !== null || tested.child.signalCode !== null,
--- a/packages/protocol/src/peer_channel.ts
+++ b/packages/protocol/src/peer_channel.ts
@@ -19,6 +19,7 @@
   RequestStatusMessage,
   ResponseMessage,
 } from './messages.js';
+import {ForwardBudget} from './forward_budget.js';
 import {MessageLink} from './message_link.js';
 import {SendPriority, SendScheduler} from './send_scheduler.js';
 
@@ -81,6 +82,10 @@
    * counted in heartbeats of this process, so that its own pauses do not add to it.
    */
   readonly silenceMs: number;
+  /** Budget for the bodies of requests that the peer forwards; unlimited if absent. */
+  readonly forwardBudget?: ForwardBudget;
+  /** Called for each forwarded request that was refused for want of memory. */
+  readonly onRequestRefused?: (peer: HelloMessage, id: string) => void;
 }
 
 interface PendingRequest {
@@ -89,6 +94,9 @@
 }
 
 const EMPTY_BODY = new Uint8Array(0);
+const SERVICE_UNAVAILABLE_STATUS = 503;
+/** Bodies are received and forwarded within about a second. */
+const MEMORY_RETRY_AFTER_MS = 1_000;
 /** Minimum number of received bytes for which credit is returned. */
 const CREDIT_STEP_BYTES = 32 * 1024;
 /**
@@ -104,6 +112,8 @@
   private readonly pendingRequests = new Map<string, PendingRequest>();
   private readonly requestAssembler = BodyAssembler.create<RequestMessage>();
   private readonly responseAssembler = BodyAssembler.create<ResponseMessage>();
+  /** Functions that return the reserved bytes of requests whose body is incomplete, by id. */
+  private readonly partialReservations = new Map<string, () => void>();
   private heartbeatsSinceMessage = 0;
   private sequence = 0;
   private seenSequence = 0;
@@ -222,9 +232,11 @@
         this.handleHeartbeat(message);
         return;
       case 'request':
-        this.acceptRequest(this.requestAssembler.addHead(message));
+        this.handleRequestHead(message);
         return;
       case 'response':
+        // A refusal may arrive before the whole body has been sent. A later attempt has the same id.
+        this.sender?.removeBody(message.id);
         this.acceptResponse(this.responseAssembler.addHead(message));
         return;
       case 'chunk':
@@ -257,6 +269,30 @@
     this.options.handler.handleHeartbeat(this.options.peer, heartbeat);
   }
 
+  /**
+   * Refuses a request before its body is received if there is no memory for it. Its
+   * chunks are dropped, so that it certainly does not run.
+   */
+  private handleRequestHead(head: RequestMessage): void {
+    const {forwardBudget, onRequestRefused, peer} = this.options;
+    this.releasePartial(head.id);
+    if (forwardBudget !== undefined) {
+      const release = forwardBudget.reserve(head.bodyBytes);
+      if (release === undefined) {
+        onRequestRefused?.(peer, head.id);
+        this.sendResponse(createMemoryRefusal(head.id));
+        return;
+      }
+      this.partialReservations.set(head.id, release);
+    }
+    this.acceptRequest(this.requestAssembler.addHead(head));
+  }
+
+  private releasePartial(id: string): void {
+    this.partialReservations.get(id)?.();
+    this.partialReservations.delete(id);
+  }
+
   private handleChunk(chunk: ChunkMessage): void {
     this.returnCredit(chunk.data.length);
     if (chunk.side === 'request') {
@@ -281,8 +317,12 @@
   ): void {
     if (request === undefined) return;
     const {handler, peer} = this.options;
+    const {id} = request.head;
+    const release = this.partialReservations.get(id);
+    this.partialReservations.delete(id);
     void handler
       .handleRequest(peer, request)
+      .finally(() => release?.())
       .then(response => this.sendResponse(response));
   }
 
@@ -300,6 +340,7 @@
 
   private handleCancel(id: string): void {
     this.requestAssembler.removePartialBody(id);
+    this.releasePartial(id);
     this.sender?.removeBody(id);
     this.options.handler.handleCancel(id);
   }
@@ -380,12 +421,28 @@
     this.sender = undefined;
     this.heartbeatTimer?.cancel();
     this.requestAssembler.clear();
+    for (const id of [...this.partialReservations.keys()])
+      this.releasePartial(id);
     this.responseAssembler.clear();
     link.close(reason);
     this.options.handler.handleLinkChange(this.options.peer, false, reason);
   }
 }
 
+function createMemoryRefusal(id: string): BufferedResponse {
+  return createEmptyResponse({
+    id,
+    outcome: 'not-run',
+    status: SERVICE_UNAVAILABLE_STATUS,
+    reason: 'the holder has no memory for the request; try again',
+    retryAfterMs: MEMORY_RETRY_AFTER_MS,
+    workerId: '',
+    slots: 0,
+    inProgress: 0,
+    queued: 0,
+  });
+}
+
 /**
  * Creates a response without a body.
  * @param head - Head of the response.
--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -20,9 +20,11 @@
 export interface ConnectionGuardOptions {
   readonly clock: Clock;
   readonly limits: ListenerLimits;
-  readonly getMaxBodyBytes: () => number;
+  readonly getMaxBodyBytes: (incoming: IncomingMessage) => number;
   readonly usesBody: (incoming: IncomingMessage) => boolean;
   readonly acceptsUpgrades: boolean;
+  /** Header fields of refusals, beyond those of HTTP. */
+  readonly refusalHeaders: Readonly<Record<string, string>>;
   readonly onRefusal: RefusalListener;
 }
 
@@ -66,6 +68,13 @@
 /** Garbage of bodies may take this fraction of the bytes held before it is collected. */
 const COLLECTIONS_PER_BUDGET = 8;
 
+/**
+ * Bytes that are parsed at once. Node.js creates the objects of all requests in a read of
+ * 65,536 bytes, 1,400 short ones, and keeps them until the connection is closed after
+ * the turn of the event loop: 50 connections took 130 MB in one turn.
+ */
+const PARSE_BYTES = 4_096;
+
 /** Memory that a piece of a body takes beyond its bytes. */
 const PIECE_BYTES = 200;
 
@@ -87,6 +96,8 @@
   private readonly pool = BlockPool.create();
   private readonly garbage: YoungGarbageCollector;
   private readonly connections = new Map<Socket, Connection>();
+  /** Listeners that hand the bytes of a connection to the parser. */
+  private readonly parsers = new WeakMap<Socket, (chunk: Buffer) => void>();
   private sweepTimer: Timer | undefined;
   /** Number of the turn of the event loop, counted over turns with requests. */
   private turn = 1;
@@ -126,7 +137,7 @@
       this.admit(socket as Socket),
     );
     if (this.options.acceptsUpgrades)
-      server.on('upgrade', ({socket}: IncomingMessage) => this.forget(socket));
+      server.on('upgrade', ({socket}: IncomingMessage) => this.release(socket));
     server.on('close', () => this.sweepTimer?.cancel());
     this.scheduleSweep();
   }
@@ -139,7 +150,10 @@
     return (incoming, outgoing) => {
       const connection = this.connections.get(incoming.socket);
       // Requests may follow in the bytes that were read before the connection was closed.
-      if (connection === undefined || !isUsable(connection)) return;
+      if (connection === undefined || !isUsable(connection)) {
+        this.garbage.add(REQUEST_BYTES);
+        return;
+      }
       this.receive(connection, incoming, outgoing, (request, response) => {
         // All pipelined requests of one read are known only after it. None of them is
         // handled if they are too many.
@@ -163,7 +177,7 @@
     if (share === undefined) {
       this.report('connections', 'all connections are in use');
       const reason = 'this node has too many connections; try again';
-      socket.end(renderRefusal(503, reason));
+      socket.end(this.renderRefusal(503, reason));
       socket.destroySoon();
       return;
     }
@@ -177,6 +191,24 @@
       requestsInTurn: 0,
     });
     socket.once('close', () => this.handleClose(socket));
+    this.limitParsing(socket);
+  }
+
+  /** Hands what is read to the parser in parts, and drops the rest once the connection is refused. */
+  private limitParsing(socket: Socket): void {
+    const [parse] = socket.listeners('data');
+    if (parse === undefined) return;
+    socket.off('data', parse as (chunk: Buffer) => void);
+    const parseParts = (chunk: Buffer) => {
+      for (let offset = 0; offset < chunk.length; offset += PARSE_BYTES) {
+        const connection = this.connections.get(socket);
+        if (socket.destroyed || connection === undefined) return;
+        const part = chunk.subarray(offset, offset + PARSE_BYTES);
+        parse.call(socket, part);
+      }
+    };
+    socket.on('data', parseParts);
+    this.parsers.set(socket, parseParts);
   }
 
   /** Releases what a connection holds, as it is closed or belongs to another protocol now. */
@@ -187,6 +219,13 @@
     this.budget.close(connection.share);
   }
 
+  /** Leaves an upgraded connection to its protocol. */
+  private release(socket: Socket): void {
+    const parse = this.parsers.get(socket);
+    if (parse !== undefined) socket.off('data', parse);
+    this.forget(socket);
+  }
+
   /**
    * Releases a closed connection. A handler in progress keeps its request, which would
    * keep all pipelined requests that were read with it through the server's listeners.
@@ -212,7 +251,7 @@
     const {share, responses} = connection;
     const {rawHeaders, headers} = incoming;
     const heldBytes = REQUEST_BYTES + rawHeaders.length * HEADER_STRING_BYTES;
-    const maxBodyBytes = getMaxBodyBytes();
+    const maxBodyBytes = getMaxBodyBytes(incoming);
     const declaredBytes = Number(headers['content-length'] ?? 0);
     const refuse = (status: number, cause: RefusalReason, reason: string) =>
       this.refuse(connection, incoming, status, cause, reason);
@@ -239,6 +278,7 @@
       return;
     }
     responses.add(outgoing);
+    this.limitResponse(connection, outgoing);
     outgoing.once('close', () => {
       responses.delete(outgoing);
       this.budget.release(share, heldBytes);
@@ -280,7 +320,7 @@
   ): void {
     const {usesBody, getMaxBodyBytes, clock} = this.options;
     const {share} = connection;
-    const maxBodyBytes = getMaxBodyBytes();
+    const maxBodyBytes = getMaxBodyBytes(incoming);
     const declaredBytes = Number(incoming.headers['content-length'] ?? NaN);
     // Small bodies cost less than to find out whether they are used.
     const isSmall = declaredBytes <= BLOCK_BYTES;
@@ -375,7 +415,39 @@
     incoming.once('end', () => socket.destroySoon());
     const timer = clock.setTimer(LINGER_MS, () => socket.destroy());
     socket.once('close', () => timer.cancel());
-    socket.end(renderRefusal(status, reason));
+    socket.end(this.renderRefusal(status, reason));
+  }
+
+  /**
+   * Reserves the bytes of a response before they are queued on the connection. The
+   * connection is closed if there is no room: the client does not learn the outcome.
+   */
+  private limitResponse(
+    {socket, share}: Connection,
+    outgoing: ServerResponse,
+  ): void {
+    let heldBytes = 0;
+    const reserve = (chunk: unknown) => {
+      const bytes = getChunkBytes(chunk);
+      const nowMs = this.options.clock.getMonotonicMs();
+      if (this.budget.reserve(share, bytes, nowMs)) {
+        heldBytes += bytes;
+        return true;
+      }
+      if (!socket.destroyed) this.report('memory', 'unsent responses');
+      socket.destroy();
+      return false;
+    };
+    const write = outgoing.write.bind(outgoing) as (
+      ...args: unknown[]
+    ) => boolean;
+    const end = outgoing.end.bind(outgoing) as (
+      ...args: unknown[]
+    ) => ServerResponse;
+    outgoing.write = (...args: unknown[]) => reserve(args[0]) && write(...args);
+    outgoing.end = (...args: unknown[]) =>
+      reserve(args[0]) ? end(...args) : outgoing;
+    outgoing.once('close', () => this.budget.release(share, heldBytes));
   }
 
   private updatePhase(connection: Connection): void {
@@ -418,6 +490,22 @@
     }
   }
 
+  /** Renders a whole response that ends its connection. */
+  private renderRefusal(status: number, reason: string): string {
+    const body = JSON.stringify({error: {reason}});
+    const fields = [
+      'connection: close',
+      'content-type: application/json',
+      `content-length: ${Buffer.byteLength(body)}`,
+      ...(status === 503 ? ['retry-after: 1'] : []),
+      ...Object.entries(this.options.refusalHeaders).map(
+        ([name, value]) => `${name}: ${value}`,
+      ),
+    ];
+    const statusLine = `HTTP/1.1 ${status} ${REASON_PHRASES[status]}`;
+    return `${[statusLine, ...fields].join('\r\n')}\r\n\r\n${body}`;
+  }
+
   private report(reason: RefusalReason, detail: string): void {
     this.options.onRefusal(reason, detail);
   }
@@ -444,13 +532,7 @@
   return `the body exceeds ${maxBodyBytes} bytes; shorten it`;
 }
 
-/** Renders a whole response that ends its connection. */
-function renderRefusal(status: number, reason: string): string {
-  const body = JSON.stringify({error: {reason}});
-  const retryAfter = status === 503 ? 'retry-after: 1\r\n' : '';
-  return (
-    `HTTP/1.1 ${status} ${REASON_PHRASES[status]}\r\n` +
-    `connection: close\r\ncontent-type: application/json\r\n${retryAfter}` +
-    `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`
-  );
+function getChunkBytes(chunk: unknown): number {
+  if (typeof chunk === 'string') return Buffer.byteLength(chunk);
+  return chunk instanceof Uint8Array ? chunk.length : 0;
 }
--- a/packages/runtime/src/http_listener.ts
+++ b/packages/runtime/src/http_listener.ts
@@ -37,11 +37,13 @@
   /** Limits that differ from the defaults; without this field, only sizes and times of heads are limited. */
   readonly limits?: Partial<ListenerLimits> | undefined;
   /** Gets the present limit of bodies, if it may change; the fixed one applies if absent. */
-  readonly getMaxBodyBytes?: () => number;
+  readonly getMaxBodyBytes?: (incoming: IncomingMessage) => number;
   /** Checks whether the body of a request is used. Other bodies are discarded while they arrive. */
   readonly usesBody?: (incoming: IncomingMessage) => boolean;
   /** Whether connections may be upgraded to other protocols, which are then not limited any more. */
   readonly acceptsUpgrades?: boolean;
+  /** Header fields of refusals by the limits, which no route has seen. */
+  readonly refusalHeaders?: Readonly<Record<string, string>>;
   readonly onRefusal?: RefusalListener;
   readonly clock?: Clock;
 }
@@ -79,6 +81,7 @@
               options.getMaxBodyBytes ?? (() => limits.maxBodyBytes),
             usesBody: options.usesBody ?? (() => true),
             acceptsUpgrades: options.acceptsUpgrades ?? false,
+            refusalHeaders: options.refusalHeaders ?? {},
             onRefusal: options.onRefusal ?? (() => undefined),
           });
     const createGuardedServer = (
--- a/packages/runtime/src/operator_server.ts
+++ b/packages/runtime/src/operator_server.ts
@@ -2,6 +2,7 @@
 
 import {Context, Hono} from 'hono';
 import {PeerKeySet} from '@mustardlug/protocol/peer_key_set';
+import {ListenerLimits} from './listener_limits.js';
 
 /** Key, data sources and actions of the operator API. */
 export interface OperatorServerOptions {
@@ -19,6 +20,18 @@
   readonly onKeyRefused: (detail: string) => void;
 }
 
+/**
+ * Limits of operator ports. Operators, scrapers and the scheduler of the same VM need
+ * a few connections; no route uses a body. The largest answer is an environment document
+ * of up to 16 MB, as JSON text.
+ */
+export const OPERATOR_LIMITS: Partial<ListenerLimits> = {
+  maxConnections: 128,
+  maxHeldBytes: 33_554_432,
+  maxBodyBytes: 65_536,
+  maxRequestsInProgress: 8,
+};
+
 /** Creates the routes of the operator API. */
 export function createOperatorApp(options: OperatorServerOptions): Hono {
   const app = new Hono();
--- a/packages/scheduler/src/scheduler_process.ts
+++ b/packages/scheduler/src/scheduler_process.ts
@@ -18,7 +18,11 @@
 import {PeerKeySet} from '@mustardlug/protocol/peer_key_set';
 import {HttpListener} from '@mustardlug/runtime/http_listener';
 import {PlatformClients} from '@mustardlug/runtime/platform_clients';
-import {createOperatorApp} from '@mustardlug/runtime/operator_server';
+import {
+  createOperatorApp,
+  OPERATOR_LIMITS,
+} from '@mustardlug/runtime/operator_server';
+import {RefusalLog} from '@mustardlug/runtime/refusal_log';
 import {readTlsFiles, TlsMaterial} from '@mustardlug/runtime/tls_files';
 import {TaskScheduler} from '@mustardlug/scheduling/task_scheduler';
 import {UsageRecorder} from '@mustardlug/scheduling/usage_recorder';
@@ -48,6 +52,13 @@
   private readonly scheduler: TaskScheduler;
   private readonly usageRecorder: UsageRecorder;
   private readonly leases: LeaseManager;
+  private readonly refusedClients = this.metrics.addCounter(
+    'mustardlug_refused_connections_total',
+    'Requests that were refused and connections that were closed as a client exceeded a limit, by port and reason.',
+    ['port', 'reason'],
+  );
+  /** Bounds the log lines about refused clients and keys. */
+  private readonly refusalLog = RefusalLog.create();
   private listener: HttpListener | undefined;
   private vmListTimer: Timer | undefined;
   private isStopped = false;
@@ -167,12 +178,20 @@
       getDocument: () => undefined,
       getVms: () => this.vmDirectory.getSnapshot(),
       startDrain: () => void this.drain(),
-      onKeyRefused: detail => this.addEvent('peer-key-refused', {detail}),
+      onKeyRefused: detail =>
+        this.recordRefusal('peer-key-refused', 'key', detail),
     });
     const listener = await HttpListener.listen(
       app,
       {host, port: operatorPort},
-      {tls: this.tls},
+      {
+        tls: this.tls,
+        clock: this.clock,
+        limits: OPERATOR_LIMITS,
+        usesBody: () => false,
+        onRefusal: (reason, detail) =>
+          this.recordRefusal('client-refused', reason, detail),
+      },
     );
     if (listener.isErr()) return err(listener.error);
     this.listener = listener.value;
@@ -320,6 +339,17 @@
     this.addEvent('lease-lost', {workerId, detail});
   }
 
+  private recordRefusal(
+    event: EventName,
+    reason: string,
+    refusalDetail: string,
+  ): void {
+    this.refusedClients.inc({port: 'operators', reason});
+    const nowMs = this.clock.getMonotonicMs();
+    const detail = this.refusalLog.add(reason, refusalDetail, nowMs);
+    if (detail !== undefined) this.addEvent(event, {detail});
+  }
+
   private addMetrics(): void {
     this.metrics.addGauge(
       'mustardlug_pending_tasks',
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -438,6 +438,11 @@
     level: 'warn',
     text: 'Clients exceeded a limit of a listener; their requests were refused or their connections closed. At most one line a second for each port and reason.',
   },
+  'forwarded-request-refused': {
+    number: 890,
+    level: 'warn',
+    text: 'Requests that other entries forwarded were refused before their bodies were received, as these take all memory for them. At most one line a second.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof EVENT_CATALOGUE;
