--- a/packages/runtime/src/http_listener.ts
+++ b/packages/runtime/src/http_listener.ts
@@ -40,6 +40,11 @@
   readonly getMaxBodyBytes?: (incoming: IncomingMessage) => number;
   /** Checks whether the body of a request is used. Other bodies are discarded while they arrive. */
   readonly usesBody?: (incoming: IncomingMessage) => boolean;
+  /**
+   * Whether routes read a body as text before they wait for anything. Its memory is used
+   * again at once then, and a body that is read later fails.
+   */
+  readonly readsBodyAtOnce?: boolean;
   /** Whether connections may be upgraded to other protocols, which are then not limited any more. */
   readonly acceptsUpgrades?: boolean;
   /** Header fields of refusals by the limits, which no route has seen. */
@@ -80,6 +85,7 @@
             getMaxBodyBytes:
               options.getMaxBodyBytes ?? (() => limits.maxBodyBytes),
             usesBody: options.usesBody ?? (() => true),
+            readsBodyAtOnce: options.readsBodyAtOnce ?? false,
             acceptsUpgrades: options.acceptsUpgrades ?? false,
             refusalHeaders: options.refusalHeaders ?? {},
             onRefusal: options.onRefusal ?? (() => undefined),
@@ -111,6 +117,7 @@
             ? {requestTimeout: UNLIMITED_REQUEST_TIMEOUT_MS}
             : {
                 requestTimeout: limits.requestTimeoutMs,
+                handshakeTimeout: limits.headersTimeoutMs,
                 connectionsCheckingInterval: CHECK_INTERVAL_MS,
               }),
         },
