--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -296,7 +296,8 @@
       this.readBody(connection, incoming, outgoing, handle);
     } else {
       // Read at once like other bodies, so that routes get pipelined requests in order.
-      (incoming as BufferedIncoming).rawBody = EMPTY_BODY;
+      if (incoming.method !== 'GET')
+        (incoming as BufferedIncoming).rawBody = EMPTY_BODY;
       // All pipelined requests of one read are known only after it. None of them is
       // handled if they are too many.
       process.nextTick(() => {
