--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -513,6 +513,11 @@
     level: 'info',
     text: 'A batch run with a checkpoint was stopped for a step of higher priority that would miss its objective otherwise.',
   },
+  'forwarded-request-refused': {
+    number: 890,
+    level: 'warn',
+    text: 'Requests that other entries forwarded were refused before their bodies were received, as these take all memory for them. At most one line a second.',
+  },
 } as const satisfies Record<string, EventDefinition>;
 
 export type EventName = keyof typeof EVENT_CATALOGUE;
