--- a/packages/runtime/src/connection_guard.ts
+++ b/packages/runtime/src/connection_guard.ts
@@ -20,10 +20,12 @@
 export interface ConnectionGuardOptions {
   readonly clock: Clock;
   readonly limits: ListenerLimits;
-  readonly getMaxBodyBytes: () => number;
+  readonly getMaxBodyBytes: (incoming: IncomingMessage) => number;
   readonly usesBody: (incoming: IncomingMessage) => boolean;
   readonly readsBodyAtOnce: boolean;
   readonly acceptsUpgrades: boolean;
+  /** Header fields of refusals, beyond those of HTTP. */
+  readonly refusalHeaders: Readonly<Record<string, string>>;
   readonly onRefusal: RefusalListener;
 }
 
@@ -174,7 +176,7 @@
     if (share === undefined) {
       this.report('connections', 'all connections are in use');
       const reason = 'this node has too many connections; try again';
-      socket.end(renderRefusal(503, reason));
+      socket.end(this.renderRefusal(503, reason));
       socket.destroySoon();
       return;
     }
@@ -224,7 +226,7 @@
     const {share, responses} = connection;
     const {rawHeaders, headers} = incoming;
     const heldBytes = getHeldBytes(incoming);
-    const maxBodyBytes = getMaxBodyBytes();
+    const maxBodyBytes = getMaxBodyBytes(incoming);
     const declaredBytes = Number(headers['content-length'] ?? 0);
     const refuse = (status: number, cause: RefusalReason, reason: string) =>
       this.refuse(connection, incoming, status, cause, reason);
@@ -254,6 +256,7 @@
       return;
     }
     responses.add(outgoing);
+    this.limitResponse(connection, outgoing);
     outgoing.once('close', () => {
       responses.delete(outgoing);
       this.updatePhase(connection);
@@ -316,12 +319,13 @@
 
   /**
    * Reserves what the client has not read of the responses of its connection. It grows only
-   * with requests, so that it is looked at when one arrives.
+   * with requests and large responses, so that it is looked at when one arrives or is queued.
+   * @param addedBytes - Bytes that are about to be queued.
    */
-  private reserveUnsent(connection: Connection): boolean {
+  private reserveUnsent(connection: Connection, addedBytes = 0): boolean {
     const {socket, responses, share, unsentBytes} = connection;
     if (responses.size === 0 && unsentBytes === 0) return true;
-    let bytes = socket.writableLength;
+    let bytes = socket.writableLength + addedBytes;
     for (const response of responses) bytes += response.writableLength;
     const growthBytes = bytes - unsentBytes;
     if (growthBytes > 0) {
@@ -343,7 +347,7 @@
   ): void {
     const {usesBody, readsBodyAtOnce, getMaxBodyBytes} = this.options;
     const {share} = connection;
-    const maxBodyBytes = getMaxBodyBytes();
+    const maxBodyBytes = getMaxBodyBytes(incoming);
     const declaredBytes = Number(incoming.headers['content-length'] ?? NaN);
     // Small bodies cost less than to find out whether they are used.
     const isSmall = declaredBytes <= BLOCK_BYTES;
@@ -470,7 +474,37 @@
     incoming.once('end', () => socket.destroySoon());
     const timer = clock.setTimer(LINGER_MS, () => socket.destroy());
     socket.once('close', () => timer.cancel());
-    socket.end(renderRefusal(status, reason));
+    socket.end(this.renderRefusal(status, reason));
+  }
+
+  /**
+   * Reserves the bytes of a large response before they are queued on the connection. The
+   * connection is closed if there is no room: the client does not learn the outcome.
+   */
+  private limitResponse(
+    connection: Connection,
+    outgoing: ServerResponse,
+  ): void {
+    const {socket} = connection;
+    const fits = (chunk: unknown) => {
+      const bytes = getChunkBytes(chunk);
+      // Smaller responses are counted when the next request arrives.
+      if (bytes < BLOCK_BYTES) return true;
+      if (this.reserveUnsent(connection, bytes)) return true;
+      if (!socket.destroyed) this.report('memory', 'unsent responses');
+      socket.destroy();
+      return false;
+    };
+    const write = outgoing.write.bind(outgoing) as (
+      ...args: unknown[]
+    ) => boolean;
+    const end = outgoing.end.bind(outgoing) as (
+      ...args: unknown[]
+    ) => ServerResponse;
+    outgoing.write = (...args: unknown[]) => fits(args[0]) && write(...args);
+    outgoing.end = (...args: unknown[]) =>
+      fits(args[0]) ? end(...args) : outgoing;
+    outgoing.once('close', () => this.reserveUnsent(connection));
   }
 
   private updatePhase(connection: Connection): void {
@@ -514,6 +548,22 @@
     }
   }
 
+  /** Renders a whole response that ends its connection. */
+  private renderRefusal(status: number, reason: string): string {
+    const body = JSON.stringify({error: {reason}});
+    const fields = [
+      'connection: close',
+      'content-type: application/json',
+      `content-length: ${Buffer.byteLength(body)}`,
+      ...(status === 503 ? ['retry-after: 1'] : []),
+      ...Object.entries(this.options.refusalHeaders).map(
+        ([name, value]) => `${name}: ${value}`,
+      ),
+    ];
+    const statusLine = `HTTP/1.1 ${status} ${REASON_PHRASES[status]}`;
+    return `${[statusLine, ...fields].join('\r\n')}\r\n\r\n${body}`;
+  }
+
   private report(reason: RefusalReason, detail: string): void {
     this.options.onRefusal(reason, detail);
   }
@@ -560,13 +610,7 @@
   return `the body exceeds ${maxBodyBytes} bytes; shorten it`;
 }
 
-/** Renders a whole response that ends its connection. */
-function renderRefusal(status: number, reason: string): string {
-  const body = JSON.stringify({error: {reason}});
-  const retryAfter = status === 503 ? 'retry-after: 1\r\n' : '';
-  return (
-    `HTTP/1.1 ${status} ${REASON_PHRASES[status]}\r\n` +
-    `connection: close\r\ncontent-type: application/json\r\n${retryAfter}` +
-    `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`
-  );
+function getChunkBytes(chunk: unknown): number {
+  if (typeof chunk === 'string') return Buffer.byteLength(chunk);
+  return chunk instanceof Uint8Array ? chunk.length : 0;
 }
