--- a/packages/coordination/src/serving_load.ts
+++ b/packages/coordination/src/serving_load.ts
@@ -33,7 +33,7 @@
  * Number of different tasks from which a trend is derived. Response times are reported
  * in whole milliseconds, so that single ones are too coarse.
  */
-const MIN_TASKS = 8;
+const MIN_TASKS = 10;
 
 /** Minimum interval between two evaluations of the trend of a step. */
 const EVALUATION_INTERVAL_MS = 100;
