--- a/review/lib-3/world.js
+++ b/review/lib-3/world.js
@@ -162,7 +162,7 @@
     this.version = 100;
     this.waiters = new Set();
     this.servers = [];
-    /** Called with each call; may return 'lost' (done, not answered), 'busy' or 'silent'. */
+    /** Called with each call; may return 'lost' (done, not answered), 'busy', 'gone', 'silent', {lateMs} or {slowMs}. */
     this.fault = () => undefined;
     this.answerMs = 4;
   }
@@ -223,6 +223,15 @@
       reply(outgoing, 503);
       return;
     }
+    if (fault === 'gone') {
+      reply(outgoing, 410);
+      return;
+    }
+    if (fault?.lateMs) {
+      setTimeout(() => this.commit(body), fault.lateMs);
+      return;
+    }
+    if (fault?.slowMs) await sleep(fault.slowMs);
     const answer =
       url.pathname === '/v1/rows-tx'
         ? this.commit(body)
@@ -532,14 +541,17 @@
       this.world.noteUnknownStart(task, run);
       return {status: 400, body: {}};
     }
-    if (!this.hasRoom(step)) return {status: 409, body: {reason: 'room'}};
+    if (!this.hasRoom(step)) {
+      if (this.world.isGuarded) return {status: 409, body: {reason: 'room'}};
+      this.world.violate('LIMIT', {task, run, worker: this.id});
+    }
     if (existing !== undefined) this.end(existing, 'stopped');
     const started = {
       task,
       run,
       step,
       worker: this,
-      restoredMs: saved === '' ? 0 : Number(saved.split(':')[1]),
+      restoredMs: saved === '' ? 0 : parseInt(saved.slice(0, 8), 16),
       restoreMs: saved === '' ? 0 : BOUNDS.restore_ms,
       workMs: step.workMs ?? step.estimated_ms ?? 1000,
       startedMs: performance.now(),
@@ -569,7 +581,7 @@
     return Math.min(run.workMs, run.restoredMs + Math.max(0, ranMs));
   }
 
-  /** What the run has saved: its task, and the work that is covered. */
+  /** What the run has saved: the work that is covered, and a part of the job's ID. */
   getSaved(run, isEnd = false) {
     if (!run.step.checkpointing) return '';
     const workMs = this.getWorkMs(run);
@@ -577,7 +589,8 @@
     const savedMs = isEnd
       ? Math.floor(workMs)
       : Math.floor(workMs / unitMs) * unitMs;
-    return savedMs === 0 ? '' : `${run.task}:${savedMs}`;
+    if (savedMs === 0) return '';
+    return savedMs.toString(16).padStart(8, '0') + run.task.slice(4, 12);
   }
 
   hasRoom(step) {
@@ -793,6 +806,7 @@
     isGuarded = true,
     route = {},
   } = {}) {
+    this.isGuarded = isGuarded;
     this.store.put('op', '', 'config', {
       version: 7,
       routes: [
