--- a/review/lib-3/world.js
+++ b/review/lib-3/world.js
@@ -843,7 +843,7 @@
     for (let index = 0; index < workers; index++) {
       const worker = new Worker(this, {
         index,
-        rack: `r-${index >> 2}`,
+        rack: `r-${index >> 3}`,
         zone: index % 2 === 0 ? 'north-a' : 'north-b',
         capacity: capacity ?? {cpu: 16000, mem_mb: 64000, gpu: 0},
       });
@@ -1054,6 +1054,7 @@
   noteEnd(worker, run, how) {
     const task = this.getTask(run.task);
     task.active.delete(run);
+    task.lastEndMs = this.getMs();
     if (how === 'done') task.doneRuns.add(run.run);
     if (how === 'failed') task.failedRuns.add(run.run);
     this.note('end', {task: run.task, run: run.run, worker: worker.id, how});
