--- a/review/13/case.js
+++ b/review/13/case.js
@@ -61,7 +61,7 @@
 await runCase({
   rule: 'Fault',
   folder: dirname(fileURLToPath(import.meta.url)),
-  options: {workers: 4, nodes: 3},
+  options: {workers: 4, nodes: 4},
   worldOptions: {restartMs: RESTART_MS},
   play,
 });
