--- a/review/lib-3/world.js
+++ b/review/lib-3/world.js
@@ -329,6 +329,25 @@
   }
 }
 
+/** Time from the start of a task that lasts until it is at work. */
+const STARTUP_MS = 500;
+
+/** Tail of the response times that a task that serves reports. */
+const TAIL_MS = 20;
+
+/** Gets the progress of a run; a task that lasts has 100 once it is at work. */
+function getPercent({step, startedMs, workMs}, doneMs) {
+  if (!step.long_running)
+    return Math.min(99, Math.floor((100 * doneMs) / workMs));
+  const ranMs = performance.now() - startedMs;
+  return Math.min(100, Math.floor((100 * ranMs) / STARTUP_MS));
+}
+
+/** Gets the figure of the last half second: the tail of a task that serves, or else the cores in use. */
+function getUsage({step}) {
+  return step.target_ms ? TAIL_MS : (step.cpu ?? 0);
+}
+
 /** One worker. Its machine stays, its lives may follow each other. */
 class Worker {
   constructor(world, options) {
@@ -515,8 +534,8 @@
       run.task,
       run.run,
       this.getSaved(run),
-      Math.min(99, Math.floor((100 * this.getWorkMs(run)) / run.workMs)),
-      run.step.cpu ?? 0,
+      getPercent(run, this.getWorkMs(run)),
+      getUsage(run),
     ]);
     return {status: 200, body: {running, ended: this.ended.slice(0, 500)}};
   }
@@ -1151,6 +1170,10 @@
  */
 export async function runCase({rule, folder, options, play, worldOptions}) {
   const world = new World(worldOptions);
+  // Also after an unexpected error, no process is left.
+  process.once('exit', () => {
+    for (const node of world.nodes) node.process?.kill('SIGKILL');
+  });
   const limit = setTimeout(() => {
     console.log('the case took too long');
     void world.close(join(folder, 'record.txt')).then(() => process.exit(2));
