--- a/review/lib-3/world.js
+++ b/review/lib-3/world.js
@@ -60,17 +60,27 @@
   return false;
 }
 
-function getFreePort() {
-  return new Promise((resolve, reject) => {
+/** Ports of nodes, below those that the system hands out, so that nothing here takes one twice. */
+const FIRST_PORT = 20_000;
+const LAST_PORT = 30_000;
+let nextPort = FIRST_PORT;
+
+function isPortFree(port) {
+  return new Promise(resolve => {
     const server = createTcpServer();
-    server.once('error', reject);
-    server.listen(0, LOOPBACK, () => {
-      const {port} = server.address();
-      server.close(() => resolve(port));
-    });
+    server.once('error', () => resolve(false));
+    server.listen(port, LOOPBACK, () => server.close(() => resolve(true)));
   });
 }
 
+async function getFreePort() {
+  while (nextPort < LAST_PORT) {
+    const port = nextPort++;
+    if (await isPortFree(port)) return port;
+  }
+  throw new Error('no port is free');
+}
+
 function listen(handle) {
   return new Promise(resolve => {
     const server = createServer((incoming, outgoing) => {
