Signals of a process are logged, and how long its start took

Event signal-received names the signal and its effect; process-started says how long after the spawn the listeners opened.

--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -71,6 +71,7 @@
   OPERATOR_LIMITS,
 } from '@mustardlug/runtime/operator_server';
 import {RefusalLog} from '@mustardlug/runtime/refusal_log';
+import {Service, ServiceEvent} from '@mustardlug/runtime/service';
 import {PeerAddress, PeerNetwork} from './peer_network.js';
 import {readTlsFiles, TlsMaterial} from '@mustardlug/runtime/tls_files';
 import {MAX_WARM_UP_MS, ReadinessReporter} from './readiness_reporter.js';
@@ -99,7 +100,7 @@
  * An entry process: accepts callers' requests, holds worker leases and forwards
  * requests to lease holders.
  */
-export class EntryProcess implements PeerHandler {
+export class EntryProcess extends Service implements PeerHandler {
   private readonly self: HelloMessage;
   private readonly events: EventRecorder;
   private readonly hybridClock: HybridLogicalClock;
@@ -135,6 +136,7 @@
     private readonly clock: Clock,
     private readonly random: RandomSource,
   ) {
+    super();
     const {settings, key, tls} = configuration;
     this.self = {
       type: 'hello',
@@ -338,6 +340,10 @@
     return this.drainPromise;
   }
 
+  recordServiceEvent(name: ServiceEvent, detail: string): void {
+    this.addEvent(name, {detail});
+  }
+
   /** Stops immediately, aborting requests in progress. */
   kill(): void {
     this.isStopped = true;
--- a/packages/entry/src/mustardlug_entry.ts
+++ b/packages/entry/src/mustardlug_entry.ts
@@ -4,26 +4,20 @@
 import {Command} from 'commander';
 import {SystemClock} from '@mustardlug/base/clock';
 import {RandomSource} from '@mustardlug/base/random_source';
-import {
-  exitWithError,
-  onStopSignal,
-  readSettings,
-} from '@mustardlug/runtime/program';
+import {readSettings, runService} from '@mustardlug/runtime/program';
 import {EntryProcess} from './entry_process.js';
 import {entrySettingsSchema} from './entry_settings.js';
 
 const PROGRAM = 'mustardlug-entry';
 
-async function run(settingsPath: string): Promise<void> {
-  const settings = readSettings(settingsPath, entrySettingsSchema);
-  if (settings.isErr()) return exitWithError(PROGRAM, settings.error);
+function run(settingsPath: string): Promise<void> {
   const clock = SystemClock.create();
   const random = RandomSource.create(process.pid ^ Date.now());
-  const entry = EntryProcess.create(settings.value, clock, random);
-  if (entry.isErr()) return exitWithError(PROGRAM, entry.error);
-  const started = await entry.value.start();
-  if (started.isErr()) return exitWithError(PROGRAM, started.error);
-  onStopSignal(() => void entry.value.drain().then(() => process.exit(0)));
+  return runService(PROGRAM, () =>
+    readSettings(settingsPath, entrySettingsSchema).andThen(settings =>
+      EntryProcess.create(settings, clock, random),
+    ),
+  );
 }
 
 await new Command(PROGRAM)
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -22,6 +22,7 @@
   ListenerLimits,
 } from '@mustardlug/runtime/listener_limits';
 import {RefusalLog} from '@mustardlug/runtime/refusal_log';
+import {Service, ServiceEvent} from '@mustardlug/runtime/service';
 import {EventRecorder} from '@mustardlug/telemetry/event_recorder';
 import {Hono} from 'hono';
 import {ok, Result} from 'neverthrow';
@@ -99,7 +100,7 @@
 const MS_PER_SECOND = 1_000;
 
 /** Node process; composes the caller API, the configuration follower and the coordinator role. */
-export class NodeProcess {
+export class NodeProcess extends Service {
   private isDraining = false;
   private listeners: HttpListener[] = [];
 
@@ -108,7 +109,9 @@
     private readonly store: RowStore,
     private readonly configFollower: ConfigFollower,
     private readonly role: CoordinatorRole,
-  ) {}
+  ) {
+    super();
+  }
 
   /**
    * Creates a node; `start` starts its listeners.
@@ -176,12 +179,14 @@
     }
     void this.configFollower.run();
     void this.role.run();
-    events.addEvent('process-started');
+    const uptimeMs = Math.round(performance.now());
+    const detail = `listening ${uptimeMs} ms after the process was started`;
+    events.addEvent('process-started', {detail});
     return ok(undefined);
   }
 
   /** Shuts down gracefully: hands over the coordinator role, then drains the requests in progress. */
-  async stop(): Promise<void> {
+  async drain(): Promise<void> {
     if (this.isDraining) return;
     this.isDraining = true;
     const {clock, events} = this.options;
@@ -196,6 +201,10 @@
     events.addEvent('process-stopped');
   }
 
+  recordServiceEvent(name: ServiceEvent, detail: string): void {
+    this.options.events.addEvent(name, {detail});
+  }
+
   private createListenOptions(port: keyof NodeAddresses): ListenOptions {
     const {clock, events, metrics, callerLimits} = this.options;
     const log = RefusalLog.create();
--- a/packages/runtime/src/program.ts
+++ b/packages/runtime/src/program.ts
@@ -5,6 +5,7 @@
 import {z} from 'zod';
 import {AppError, InvalidInputError} from '@mustardlug/base/errors';
 import {readJsonFile} from '@mustardlug/base/json_reader';
+import {Service} from './service.js';
 import {TlsSettings} from './tls_files.js';
 
 /** Exit statuses of all programs. */
@@ -68,8 +69,28 @@
   }));
 }
 
+/**
+ * Starts a service, which then runs until a signal stops it. Exits if it cannot be started.
+ * @param program - Name of the program, for error messages.
+ * @param create - Reads the settings and creates the service.
+ */
+export async function runService(
+  program: string,
+  create: () => Result<Service, AppError>,
+): Promise<void> {
+  const created = create();
+  if (created.isErr()) return exitWithError(program, created.error);
+  const service = created.value;
+  const started = await service.start();
+  if (started.isErr()) return exitWithError(program, started.error);
+  onStopSignal(signal => {
+    service.recordServiceEvent('signal-received', `${signal}: shutting down`);
+    void service.drain().then(() => process.exit(EXIT_STATUS.ok));
+  });
+}
+
 /** Calls a function on the first SIGTERM and on the first SIGINT. */
-export function onStopSignal(stop: () => void): void {
+export function onStopSignal(stop: (signal: NodeJS.Signals) => void): void {
   process.once('SIGTERM', stop);
   process.once('SIGINT', stop);
 }
--- a/packages/scheduler/src/mustardlug_scheduler.ts
+++ b/packages/scheduler/src/mustardlug_scheduler.ts
@@ -4,26 +4,20 @@
 import {Command} from 'commander';
 import {SystemClock} from '@mustardlug/base/clock';
 import {RandomSource} from '@mustardlug/base/random_source';
-import {
-  exitWithError,
-  onStopSignal,
-  readSettings,
-} from '@mustardlug/runtime/program';
+import {readSettings, runService} from '@mustardlug/runtime/program';
 import {SchedulerProcess} from './scheduler_process.js';
 import {schedulerSettingsSchema} from './scheduler_settings.js';
 
 const PROGRAM = 'mustardlug-scheduler';
 
-async function run(settingsPath: string): Promise<void> {
-  const settings = readSettings(settingsPath, schedulerSettingsSchema);
-  if (settings.isErr()) return exitWithError(PROGRAM, settings.error);
+function run(settingsPath: string): Promise<void> {
   const clock = SystemClock.create();
   const random = RandomSource.create(process.pid ^ Date.now());
-  const scheduler = SchedulerProcess.create(settings.value, clock, random);
-  if (scheduler.isErr()) return exitWithError(PROGRAM, scheduler.error);
-  const started = await scheduler.value.start();
-  if (started.isErr()) return exitWithError(PROGRAM, started.error);
-  onStopSignal(() => void scheduler.value.drain().then(() => process.exit(0)));
+  return runService(PROGRAM, () =>
+    readSettings(settingsPath, schedulerSettingsSchema).andThen(settings =>
+      SchedulerProcess.create(settings, clock, random),
+    ),
+  );
 }
 
 await new Command(PROGRAM)
--- a/packages/scheduler/src/scheduler_process.ts
+++ b/packages/scheduler/src/scheduler_process.ts
@@ -27,6 +27,7 @@
   OPERATOR_LIMITS,
 } from '@mustardlug/runtime/operator_server';
 import {RefusalLog} from '@mustardlug/runtime/refusal_log';
+import {Service, ServiceEvent} from '@mustardlug/runtime/service';
 import {readTlsFiles, TlsMaterial} from '@mustardlug/runtime/tls_files';
 import {TaskScheduler} from '@mustardlug/scheduling/task_scheduler';
 import {UsageRecorder} from '@mustardlug/scheduling/usage_recorder';
@@ -45,7 +46,7 @@
 const DOCUMENT_POLL_MS = 2_000;
 
 /** A scheduler process: holds task leases of workers and schedules tasks on them. */
-export class SchedulerProcess {
+export class SchedulerProcess extends Service {
   private readonly events: EventRecorder;
   private readonly metrics = ProcessMetrics.create();
   private readonly platform: PlatformClients;
@@ -76,6 +77,7 @@
     private readonly clock: Clock,
     random: RandomSource,
   ) {
+    super();
     const {nodeId, failureDomain} = settings;
     this.events = EventRecorder.create({
       nodeId: `${nodeId}/scheduler`,
@@ -236,6 +238,10 @@
     return this.drainPromise;
   }
 
+  recordServiceEvent(name: ServiceEvent, detail: string): void {
+    this.addEvent(name, {detail});
+  }
+
   /** Stops immediately, without releasing leases. */
   kill(): void {
     this.isStopped = true;
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -38,6 +38,11 @@
     level: 'error',
     text: 'Handling one input failed unexpectedly; the process continues with the others.',
   },
+  'signal-received': {
+    number: 105,
+    level: 'info',
+    text: 'The process received a signal; the detail gives its effect.',
+  },
   'peer-connected': {
     number: 200,
     level: 'info',
