A start reads invalid settings again instead of ending

What callers saw: a process that read its settings file in the moment in which that was rewritten ended with status 2, "expected JSON text (Unexpected end of JSON input)", and its VM was away until the next start, a second later.

Cause: the file was read once. A writer that rewrites it in place leaves it empty, and then incomplete, for a moment; the platform may do so at any time, also during a start.

Change: runService reads again while the input is invalid, for 2 s; then the error is the same as before. It covers what all three programs read at their start: settings, key and certificate files. Event settings-read-again. Ruled out: reading again on a SIGHUP only, as the file may change without one.

A file that stays invalid ends a node with the error, before and after.

--- a/packages/runtime/src/program.ts
+++ b/packages/runtime/src/program.ts
@@ -3,8 +3,10 @@
 import {dirname, resolve} from 'node:path';
 import {Result} from 'neverthrow';
 import {z} from 'zod';
+import {SystemClock} from '@mustardlug/base/clock';
 import {AppError, InvalidInputError} from '@mustardlug/base/errors';
 import {readJsonFile} from '@mustardlug/base/json_reader';
+import {retryInvalidInput} from './invalid_input_retry.js';
 import {Service} from './service.js';
 import {TlsSettings} from './tls_files.js';
 
@@ -72,15 +74,20 @@
 /**
  * Starts a service, which then runs until a signal stops it. Exits if it cannot be started.
  * @param program - Name of the program, for error messages.
- * @param create - Reads the settings and creates the service.
+ * @param create - Reads the settings and creates the service; called again if they are invalid.
  */
 export async function runService(
   program: string,
   create: () => Result<Service, AppError>,
 ): Promise<void> {
-  const created = create();
+  let earlierError: AppError | undefined;
+  const created = await retryInvalidInput(SystemClock.create(), () =>
+    create().mapErr(error => (earlierError = error)),
+  );
   if (created.isErr()) return exitWithError(program, created.error);
   const service = created.value;
+  if (earlierError !== undefined)
+    service.recordServiceEvent('settings-read-again', earlierError.message);
   const started = await service.start();
   if (started.isErr()) return exitWithError(program, started.error);
   onStopSignal(signal => {
--- a/packages/runtime/src/service.ts
+++ b/packages/runtime/src/service.ts
@@ -4,7 +4,7 @@
 import {Result} from 'neverthrow';
 
 /** Events of the life cycle of all services; the event catalogue has them under these names. */
-export type ServiceEvent = 'signal-received';
+export type ServiceEvent = 'signal-received' | 'settings-read-again';
 
 export abstract class Service {
   /** Opens the listeners and begins to serve. */
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -43,6 +43,11 @@
     level: 'info',
     text: 'The process received a signal; the detail gives its effect.',
   },
+  'settings-read-again': {
+    number: 106,
+    level: 'info',
+    text: 'The settings, key or certificate files were invalid at first, as while they are rewritten; the process uses what it read later.',
+  },
   'peer-connected': {
     number: 200,
     level: 'info',
