A stop signal during a start shuts down gracefully once a listener is open

What callers saw: a request that a starting node had received when SIGTERM or SIGINT came was cut off without an answer.

Change: runService sets the handlers before it opens listeners, and a node that is told to stop opens no further ones. Before that the default effect stays, on purpose: nothing has been received, and the process ends at once, while a handler would run only after the program is loaded.

--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -176,6 +176,7 @@
       const listener = await HttpListener.listen(app, address, options);
       if (listener.isErr()) return listener.map(() => undefined);
       this.listeners.push(listener.value);
+      if (this.isDraining) return ok(undefined);
     }
     void this.configFollower.run();
     void this.role.run();
--- a/packages/runtime/src/program.ts
+++ b/packages/runtime/src/program.ts
@@ -88,12 +88,13 @@
   const service = created.value;
   if (earlierError !== undefined)
     service.recordServiceEvent('settings-read-again', earlierError.message);
-  const started = await service.start();
-  if (started.isErr()) return exitWithError(program, started.error);
+  // Without a handler, a signal would cut off the requests that the first open listener receives.
   onStopSignal(signal => {
     service.recordServiceEvent('signal-received', `${signal}: shutting down`);
     void service.drain().then(() => process.exit(EXIT_STATUS.ok));
   });
+  const started = await service.start();
+  if (started.isErr()) return exitWithError(program, started.error);
 }
 
 /** Calls a function on the first SIGTERM and on the first SIGINT. */
--- a/packages/runtime/src/service.ts
+++ b/packages/runtime/src/service.ts
@@ -10,7 +10,7 @@
   /** Opens the listeners and begins to serve. */
   abstract start(): Promise<Result<void, AppError>>;
 
-  /** Shuts down gracefully. Repeated calls return the same promise. */
+  /** Shuts down gracefully, also during `start`. Repeated calls return the same promise. */
   abstract drain(): Promise<void>;
 
   /**
