A second stop signal does not cut a graceful shutdown short

What callers saw: a second SIGTERM or SIGINT (an operator who repeats the command, a supervisor beside a roll) ended a draining process at once, with the requests in progress on open connections, and without handing over the rest.

--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -102,6 +102,7 @@
 /** Node process; composes the caller API, the configuration follower and the coordinator role. */
 export class NodeProcess extends Service {
   private isDraining = false;
+  private drainPromise: Promise<void> | undefined;
   private listeners: HttpListener[] = [];
 
   private constructor(
@@ -187,8 +188,16 @@
   }
 
   /** Shuts down gracefully: hands over the coordinator role, then drains the requests in progress. */
-  async drain(): Promise<void> {
-    if (this.isDraining) return;
+  drain(): Promise<void> {
+    this.drainPromise ??= this.runDrain();
+    return this.drainPromise;
+  }
+
+  recordServiceEvent(name: ServiceEvent, detail: string): void {
+    this.options.events.addEvent(name, {detail});
+  }
+
+  private async runDrain(): Promise<void> {
     this.isDraining = true;
     const {clock, events} = this.options;
     events.addEvent('process-draining');
@@ -202,10 +211,6 @@
     events.addEvent('process-stopped');
   }
 
-  recordServiceEvent(name: ServiceEvent, detail: string): void {
-    this.options.events.addEvent(name, {detail});
-  }
-
   private createListenOptions(port: keyof NodeAddresses): ListenOptions {
     const {clock, events, metrics, callerLimits} = this.options;
     const log = RefusalLog.create();
--- a/packages/runtime/src/program.ts
+++ b/packages/runtime/src/program.ts
@@ -89,16 +89,35 @@
   if (earlierError !== undefined)
     service.recordServiceEvent('settings-read-again', earlierError.message);
   // Without a handler, a signal would cut off the requests that the first open listener receives.
-  onStopSignal(signal => {
-    service.recordServiceEvent('signal-received', `${signal}: shutting down`);
-    void service.drain().then(() => process.exit(EXIT_STATUS.ok));
-  });
+  onStopSignal(
+    signal => {
+      service.recordServiceEvent('signal-received', `${signal}: shutting down`);
+      void service.drain().then(() => process.exit(EXIT_STATUS.ok));
+    },
+    signal => {
+      const detail = `${signal}: no effect, already shutting down`;
+      service.recordServiceEvent('signal-received', detail);
+    },
+  );
   const started = await service.start();
   if (started.isErr()) return exitWithError(program, started.error);
 }
 
-/** Calls a function on the first SIGTERM and on the first SIGINT. */
-export function onStopSignal(stop: (signal: NodeJS.Signals) => void): void {
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+/**
+ * Handles SIGTERM and SIGINT.
+ * @param stop - Called on the first of them, of either kind.
+ * @param ignore - Called on each later one, which must not cut the shutdown short.
+ */
+export function onStopSignal(
+  stop: (signal: NodeJS.Signals) => void,
+  ignore: (signal: NodeJS.Signals) => void = () => undefined,
+): void {
+  let isStopping = false;
+  const handle = (signal: NodeJS.Signals) => {
+    if (isStopping) return ignore(signal);
+    isStopping = true;
+    stop(signal);
+  };
+  process.on('SIGTERM', handle);
+  process.on('SIGINT', handle);
 }
