First environment: a SIGHUP ends neither an entry nor a scheduler

What callers saw: a SIGHUP ended an entry or a scheduler at any moment, while it served as well, with all requests in progress.

--- a/packages/runtime/src/program.ts
+++ b/packages/runtime/src/program.ts
@@ -88,6 +88,11 @@
   const service = created.value;
   if (earlierError !== undefined)
     service.recordServiceEvent('settings-read-again', earlierError.message);
+  // The entry point of the program handles SIGHUP from its first line on.
+  process.on('SIGHUP', () => {
+    const detail = 'SIGHUP: no effect, settings are read at the start only';
+    service.recordServiceEvent('signal-received', detail);
+  });
   // Without a handler, a signal would cut off the requests that the first open listener receives.
   onStopSignal(
     signal => {
