--- a/packages/entry/src/entry_process.ts
+++ b/packages/entry/src/entry_process.ts
@@ -259,7 +259,7 @@
   }
 
   /** Starts listening, then starts to poll the VM list and the document. */
-  async start(): Promise<Result<void, AppError>> {
+  override async start(): Promise<Result<void, AppError>> {
     const {settings, key} = this.configuration;
     const {host} = settings;
     const operatorApp = createOperatorApp({
@@ -335,12 +335,12 @@
    * Shuts down gracefully: requests in progress have up to `DRAIN_TIMEOUT_MS` to
    * complete. Repeated calls return the same promise.
    */
-  drain(): Promise<void> {
+  override drain(): Promise<void> {
     this.drainPromise ??= this.runDrain();
     return this.drainPromise;
   }
 
-  recordServiceEvent(name: ServiceEvent, detail: string): void {
+  override recordServiceEvent(name: ServiceEvent, detail: string): void {
     this.addEvent(name, {detail});
   }
 
--- a/packages/node/src/node_process.ts
+++ b/packages/node/src/node_process.ts
@@ -163,7 +163,7 @@
   }
 
   /** Starts the listeners, and begins to follow the configuration and the coordinator's status. */
-  async start(): Promise<Result<void, UnavailableError>> {
+  override async start(): Promise<Result<void, UnavailableError>> {
     const {addresses, events} = this.options;
     const callers = this.createListenOptions('callers');
     const readiness = this.createListenOptions('readiness');
@@ -188,12 +188,12 @@
   }
 
   /** Shuts down gracefully: hands over the coordinator role, then drains the requests in progress. */
-  drain(): Promise<void> {
+  override drain(): Promise<void> {
     this.drainPromise ??= this.runDrain();
     return this.drainPromise;
   }
 
-  recordServiceEvent(name: ServiceEvent, detail: string): void {
+  override recordServiceEvent(name: ServiceEvent, detail: string): void {
     this.options.events.addEvent(name, {detail});
   }
 
--- a/packages/scheduler/src/scheduler_process.ts
+++ b/packages/scheduler/src/scheduler_process.ts
@@ -188,7 +188,7 @@
   }
 
   /** Starts the operator API, then starts scheduling and polling the platform. */
-  async start(): Promise<Result<void, AppError>> {
+  override async start(): Promise<Result<void, AppError>> {
     const {host, operatorPort} = this.settings;
     const app = createOperatorApp({
       key: this.key,
@@ -233,12 +233,12 @@
    * Shuts down gracefully, releasing all leases. Repeated calls return the same
    * promise.
    */
-  drain(): Promise<void> {
+  override drain(): Promise<void> {
     this.drainPromise ??= this.runDrain();
     return this.drainPromise;
   }
 
-  recordServiceEvent(name: ServiceEvent, detail: string): void {
+  override recordServiceEvent(name: ServiceEvent, detail: string): void {
     this.addEvent(name, {detail});
   }
 
